--- /dev/null
+++ b/cmake/Components.cmake
@@ -0,0 +1,52 @@
+include(${doctest_DIR}/doctest.cmake)
+
+# Static library lib/<name>, with the test program tests/<name> registered case by case in CTest.
+# Components whose directory does not exist yet are skipped.
+function(marigoldspool_component name)
+    cmake_parse_arguments(ARG "" "" "COMPONENTS;LIBRARIES" ${ARGN})
+    file(GLOB sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/lib/${name}/*.cpp)
+    if(NOT sources)
+        return()
+    endif()
+    set(target marigoldspool${name})
+    add_library(${target} STATIC ${sources})
+    target_include_directories(${target} PUBLIC ${PROJECT_SOURCE_DIR}/include
+        PRIVATE ${PROJECT_SOURCE_DIR}/lib)
+    target_link_libraries(${target} PUBLIC marigoldspoolOptions nlohmann_json::nlohmann_json
+        Threads::Threads ${ARG_LIBRARIES})
+    foreach(component IN LISTS ARG_COMPONENTS)
+        if(TARGET marigoldspool${component})
+            target_link_libraries(${target} PUBLIC marigoldspool${component})
+        endif()
+    endforeach()
+    set_property(GLOBAL APPEND PROPERTY MARIGOLDSPOOL_LIBRARIES ${target})
+
+    file(GLOB tests CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/tests/${name}/*.cpp)
+    if(NOT tests)
+        return()
+    endif()
+    set(program ${name}Tests)
+    add_executable(${program} ${tests} ${PROJECT_SOURCE_DIR}/tests/support/TestMain.cpp)
+    target_include_directories(${program} PRIVATE ${PROJECT_SOURCE_DIR}/tests)
+    target_link_libraries(${program} PRIVATE ${target} doctest::doctest rapidcheck)
+    doctest_discover_tests(${program} TEST_PREFIX "${name}: " PROPERTIES
+        TIMEOUT 300
+        ENVIRONMENT "RC_PARAMS=seed=20260101 max_success=100")
+endfunction()
+
+# One program for each <directory>/<program>/ directory with sources; all components are linked.
+function(marigoldspool_programs directory)
+    get_property(libraries GLOBAL PROPERTY MARIGOLDSPOOL_LIBRARIES)
+    list(REVERSE libraries)
+    file(GLOB entries CONFIGURE_DEPENDS LIST_DIRECTORIES true ${PROJECT_SOURCE_DIR}/${directory}/*)
+    foreach(entry IN LISTS entries)
+        file(GLOB sources CONFIGURE_DEPENDS ${entry}/*.cpp)
+        if(NOT sources)
+            continue()
+        endif()
+        get_filename_component(program ${entry} NAME)
+        add_executable(${program} ${sources})
+        target_include_directories(${program} PRIVATE ${PROJECT_SOURCE_DIR}/tests)
+        target_link_libraries(${program} PRIVATE ${libraries} Boost::coroutine Boost::context)
+    endforeach()
+endfunction()
