Add the Support component and the interface headers

The headers of Platform, Config, Peer and Gateway are fixed before their implementations so that the components can be built side by side.

--- /dev/null
+++ b/include/marigoldspool/Gateway/EndpointClient.h
@@ -0,0 +1,69 @@
+#ifndef MARIGOLDSPOOL_GATEWAY_ENDPOINTCLIENT_H
+#define MARIGOLDSPOOL_GATEWAY_ENDPOINTCLIENT_H
+
+#include "marigoldspool/Support/Clock.h"
+#include "marigoldspool/Support/Error.h"
+#include "marigoldspool/Support/HeaderField.h"
+#include "marigoldspool/Support/Identifiers.h"
+#include "marigoldspool/Support/Metrics.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <gsl/span>
+
+namespace marigoldspool {
+
+/// How far a failed call got.
+enum class SendStage {
+    NotSent, ///< No byte of the request can have reached the endpoint.
+    MaybeSent,
+};
+
+struct EndpointCall {
+    RequestId id;
+    /// `IP:PORT`
+    std::string address;
+    std::string method;
+    std::string target;
+    std::vector<HeaderField> headers;
+    std::string body;
+    /// For the whole call.
+    Duration timeout = std::chrono::seconds(30);
+    /// How long the connection may carry no byte before it is abandoned.
+    Duration silenceLimit = std::chrono::seconds(10);
+};
+
+/// Receives the answer to one call: head, data, then either complete or failure, exactly once.
+class EndpointCallHandler
+{
+public:
+    virtual ~EndpointCallHandler();
+    virtual void onHead(int status, gsl::span<const HeaderField> headers) = 0;
+    virtual void onData(std::string_view bytes) = 0;
+    /// The whole answer has come, as its length or its last chunk says.
+    virtual void onComplete() = 0;
+    virtual void onFailure(SendStage stage, Error error) = 0;
+};
+
+/// Calls to endpoints over kept-alive HTTP/1.1 connections. A connection that failed, timed out or
+/// was cancelled is closed and never used again, so a late answer cannot reach another request.
+class EndpointClient
+{
+public:
+    virtual ~EndpointClient();
+    /// The handler is never called from within call().
+    virtual void call(EndpointCall call, std::shared_ptr<EndpointCallHandler> handler) = 0;
+    /// Closes the connection of the call; its handler is not called any more.
+    virtual void cancel(const RequestId &id) = 0;
+};
+
+std::unique_ptr<EndpointClient> makeEndpointClient(boost::asio::io_context &io, const Clock &clock,
+                                                   Metrics &metrics);
+
+} // namespace marigoldspool
+
+#endif
--- /dev/null
+++ b/include/marigoldspool/Peer/Messages.h
@@ -0,0 +1,145 @@
+#ifndef MARIGOLDSPOOL_PEER_MESSAGES_H
+#define MARIGOLDSPOOL_PEER_MESSAGES_H
+
+#include "marigoldspool/Support/Error.h"
+#include "marigoldspool/Support/HeaderField.h"
+#include "marigoldspool/Support/Identifiers.h"
+#include "marigoldspool/Support/Refusal.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <gsl/span>
+
+namespace marigoldspool {
+
+/// Version of the protocol between instances; a message of another version is refused.
+constexpr std::uint32_t PeerProtocol = 1;
+
+struct Envelope {
+    std::uint32_t protocol = PeerProtocol;
+    InstanceId from;
+    /// Distinguishes runs of one instance.
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+};
+
+/// Sent each second to every connected peer.
+struct Heartbeat {
+    ZoneName zone;
+    std::string address;
+    std::uint64_t configVersion = 0;
+    /// Milliseconds since the sender's configuration was last confirmed as current; negative when
+    /// it never was.
+    std::int64_t configAgeMs = -1;
+    std::uint64_t rosterEpoch = 0;
+    bool stopping = false;
+};
+
+struct ConfigRequest {
+    std::uint64_t haveVersion = 0;
+};
+
+struct ConfigTransfer {
+    std::uint64_t version = 0;
+    std::string rules;
+};
+
+/// Asks a peer for tokens, or slots, of a limit and a part of its fraction.
+struct LoanRequest {
+    std::string limit;
+    std::uint64_t loanId = 0;
+    double tokens = 0;
+    double fraction = 0;
+};
+
+/// Answers the LoanRequest with the same id; the term counts from when the request was sent.
+struct LoanGrant {
+    std::string limit;
+    std::uint64_t loanId = 0;
+    double tokens = 0;
+    double fraction = 0;
+    std::int64_t termMs = 0;
+};
+
+/// The sender has applied the roster epoch; \c released: it uses no share any more.
+struct EpochAck {
+    std::uint64_t epoch = 0;
+    std::uint64_t memberIncarnation = 0;
+    bool released = false;
+};
+
+/// Hands a request over; from its receipt only the receiver may send it to an endpoint.
+struct ForwardRequest {
+    RequestId id;
+    WorkspaceName workspace;
+    /// Empty on open routes. Lets the receiver check that the key has not been withdrawn.
+    KeyDigest key;
+    RouteName route;
+    /// Empty for services.
+    ModelName model;
+    std::string target;
+    std::string method;
+    std::vector<HeaderField> headers;
+    std::string body;
+    /// Tokens.
+    double cost = 0;
+    /// Milliseconds left when the message was sent.
+    std::int64_t deadlineMs = 0;
+    bool idempotent = false;
+    bool stream = false;
+};
+
+struct ForwardHead {
+    RequestId id;
+    int status = 0;
+    std::vector<HeaderField> headers;
+};
+
+/// A part of the answer; \c index counts from 0 without gaps.
+struct ForwardData {
+    RequestId id;
+    std::uint64_t index = 0;
+    std::string bytes;
+    bool last = false;
+};
+
+struct ForwardRefusal {
+    RequestId id;
+    RefusalReason reason = RefusalReason::NoCapacity;
+    RanState ran = RanState::Unknown;
+    std::string message;
+    std::string remedy;
+    std::int64_t retryAfterMs = 0;
+};
+
+struct ForwardCancel {
+    RequestId id;
+};
+
+using PeerMessage =
+    std::variant<Heartbeat, ConfigRequest, ConfigTransfer, LoanRequest, LoanGrant, EpochAck,
+                 ForwardRequest, ForwardHead, ForwardData, ForwardRefusal, ForwardCancel>;
+
+struct AddressedMessage {
+    InstanceId to;
+    PeerMessage message;
+};
+
+struct DecodedMessage {
+    Envelope envelope;
+    PeerMessage message;
+};
+
+/// CBOR; unknown fields are ignored when it is read.
+std::vector<std::uint8_t> encodeMessage(const Envelope &envelope, const PeerMessage &message);
+/// Fails with Malformed on truncated input and on missing or mistyped fields.
+Expected<DecodedMessage> decodeMessage(gsl::span<const std::uint8_t> bytes);
+/// Name of the message's kind, for logs and metric labels.
+std::string_view messageName(const PeerMessage &message);
+
+} // namespace marigoldspool
+
+#endif
--- /dev/null
+++ b/include/marigoldspool/Support/Clock.h
@@ -0,0 +1,50 @@
+#ifndef MARIGOLDSPOOL_SUPPORT_CLOCK_H
+#define MARIGOLDSPOOL_SUPPORT_CLOCK_H
+
+#include <chrono>
+#include <cstdint>
+
+namespace marigoldspool {
+
+using Duration = std::chrono::nanoseconds;
+using SteadyTime = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+using WallTime = std::chrono::time_point<std::chrono::system_clock, Duration>;
+
+/// Source of time, passed in so that tests control it.
+class Clock
+{
+public:
+    virtual ~Clock();
+    /// Monotonic time; goes on while the process is stopped.
+    virtual SteadyTime now() const = 0;
+    /// Time of day, for log lines and objects that people read.
+    virtual WallTime wallNow() const = 0;
+};
+
+/// The clocks of the operating system.
+class SystemClock final : public Clock
+{
+public:
+    SteadyTime now() const override;
+    WallTime wallNow() const override;
+};
+
+/// A clock for tests that moves only when told to.
+class ManualClock final : public Clock
+{
+public:
+    SteadyTime now() const override;
+    WallTime wallNow() const override;
+    /// Moves both times forward; \p by must not be negative.
+    void advance(Duration by);
+
+private:
+    Duration m_elapsed = std::chrono::seconds(1000);
+};
+
+/// Whole milliseconds in \p duration, rounded up so that a positive time never becomes zero.
+std::int64_t toMilliseconds(Duration duration);
+
+} // namespace marigoldspool
+
+#endif
--- /dev/null
+++ b/include/marigoldspool/Support/EventLog.h
@@ -0,0 +1,45 @@
+#ifndef MARIGOLDSPOOL_SUPPORT_EVENTLOG_H
+#define MARIGOLDSPOOL_SUPPORT_EVENTLOG_H
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+#include <gsl/span>
+
+namespace marigoldspool {
+
+enum class LogLevel {
+    Info,
+    Warning,
+    Error,
+};
+
+struct LogField {
+    std::string_view key;
+    std::string value;
+};
+
+/// Receives one event at a time and writes it as one line of key=value pairs.
+class EventLog
+{
+public:
+    virtual ~EventLog();
+    virtual void write(LogLevel level, std::string_view event,
+                       gsl::span<const LogField> fields) = 0;
+};
+
+/// Writes to \p log from now on; null restores the default, which writes through glog.
+void setEventLog(EventLog *log);
+
+void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
+
+/// One line such as `event=started instance=a-1`; values with spaces or quotes are quoted.
+std::string formatEvent(std::string_view event, gsl::span<const LogField> fields);
+
+/// Sends glog's lines to standard error; call once at the start of a program.
+void initializeLogging(const char *programName);
+
+} // namespace marigoldspool
+
+#endif
--- /dev/null
+++ b/lib/Support/Clock.cpp
@@ -0,0 +1,40 @@
+#include "marigoldspool/Support/Clock.h"
+
+#include <cassert>
+
+namespace marigoldspool {
+
+Clock::~Clock() = default;
+
+SteadyTime SystemClock::now() const
+{
+    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
+
+WallTime SystemClock::wallNow() const
+{
+    return std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now());
+}
+
+SteadyTime ManualClock::now() const
+{
+    return SteadyTime(m_elapsed);
+}
+
+WallTime ManualClock::wallNow() const
+{
+    return WallTime(m_elapsed);
+}
+
+void ManualClock::advance(Duration by)
+{
+    assert(by >= Duration::zero() && "a manual clock never goes back");
+    m_elapsed += by;
+}
+
+std::int64_t toMilliseconds(Duration duration)
+{
+    return std::chrono::ceil<std::chrono::milliseconds>(duration).count();
+}
+
+} // namespace marigoldspool
--- /dev/null
+++ b/tests/Support/SupportTest.cpp
@@ -0,0 +1,64 @@
+#include "marigoldspool/Support/Digest.h"
+#include "marigoldspool/Support/EventLog.h"
+#include "marigoldspool/Support/Invariant.h"
+#include "marigoldspool/Support/Metrics.h"
+#include "marigoldspool/Support/RandomSource.h"
+
+#include <set>
+
+#include <doctest/doctest.h>
+
+using namespace marigoldspool;
+
+TEST_CASE("log values cannot forge a second line or field")
+{
+    const LogField fields[] = {{"path", "a\nevent=forged"}, {"n", "1"}};
+    CHECK(formatEvent("request", fields) == "event=request path=\"a\\nevent=forged\" n=1");
+}
+
+TEST_CASE("every refusal reason has a distinct code that can be read back")
+{
+    std::set<std::string_view> codes;
+    for (const RefusalReason reason : allRefusalReasons()) {
+        CHECK(codes.insert(refusalCode(reason)).second);
+        CHECK(refusalFromCode(refusalCode(reason)) == reason);
+        CHECK(refusalHttpStatus(reason) >= 400);
+    }
+}
+
+TEST_CASE("counters of all reasons are visible before the first refusal")
+{
+    Metrics metrics;
+    metrics.countRefusal(RefusalReason::QueueFull);
+    const std::string text = metrics.exposition();
+    CHECK(text.find("marigoldspool_refusals_total{reason=\"queue_full\"} 1") != std::string::npos);
+    CHECK(text.find("marigoldspool_refusals_total{reason=\"key_unknown\"} 0") != std::string::npos);
+    CHECK(text.find("marigoldspool_retries_total{reason=\"store_conflict\"} 0")
+          != std::string::npos);
+}
+
+TEST_CASE("the digest matches the published SHA-256 test vector")
+{
+    CHECK(sha256Hex("abc") == "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+}
+
+TEST_CASE("a seed repeats the same random sequence")
+{
+    SeededRandomSource a(7);
+    SeededRandomSource b(7);
+    CHECK(a.hex(40) == b.hex(40));
+    CHECK(a.uniform() < 1.0);
+}
+
+TEST_CASE("a violated invariant reaches the installed handler")
+{
+    std::string seen;
+    auto previous = setInvariantHandler([&](std::string_view name, std::string_view) {
+        seen = std::string(name);
+    });
+    checkInvariant(true, "holds", "");
+    CHECK(seen.empty());
+    checkInvariant(false, "broken", "detail");
+    setInvariantHandler(std::move(previous));
+    CHECK(seen == "broken");
+}
