--- a/include/marigoldspool/Peer/Messages.h
+++ b/include/marigoldspool/Peer/Messages.h
@@ -80,6 +80,8 @@
     RouteName route;
     /// Empty for services.
     ModelName model;
+    /// Empty for models.
+    std::string pool;
     std::string target;
     std::string method;
     std::vector<HeaderField> headers;
@@ -96,6 +98,8 @@
     RequestId id;
     int status = 0;
     std::vector<HeaderField> headers;
+    /// The length of the answer is not known.
+    bool stream = false;
 };
 
 /// A part of the answer; \c index counts from 0 without gaps.
