Add the HTTP server and the endpoint client

Callers and endpoints are reached over HTTP/1.1 on one io_context. Beast's basic_parser reads messages; the sockets are waited on for readiness, so that idle connections hold no read buffer and one shared buffer serves all.

Fields of a trailer are dropped: they would otherwise act as header fields.

Connections to endpoints are dropped after 4 s without a call, since some servers close theirs after 5 s and a request that crosses the closing counts as perhaps run.

--- a/include/marigoldspool/Gateway/HttpServer.h
+++ b/include/marigoldspool/Gateway/HttpServer.h
@@ -47,8 +47,8 @@
 struct HttpServerOptions {
     /// `IP:PORT`; port 0 takes a free one.
     std::string address = "127.0.0.1:0";
-    std::size_t maxHeaderBytes = 16 * 1024;
-    std::size_t maxBodyBytes = 1024 * 1024;
+    std::size_t maxHeaderBytes = 16'384;
+    std::size_t maxBodyBytes = 1'048'576;
     /// For the head and the body of one request together.
     Duration readTimeout = std::chrono::seconds(10);
     /// How long a connection may stay open between requests.
--- /dev/null
+++ b/lib/Gateway/EndpointConnection.cpp
@@ -0,0 +1,368 @@
+#include "EndpointConnection.h"
+
+#include "HttpFields.h"
+
+#include <algorithm>
+#include <array>
+#include <sys/socket.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+
+namespace marigoldspool {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+// Some HTTP servers close a connection that has been idle for 5 s; a request that crosses their
+// closing counts as perhaps run, so connections are dropped before that.
+constexpr std::chrono::seconds IdleTime(4);
+
+constexpr std::size_t ScratchBytes = 65'536;
+
+// Fields that this client sets itself, and credentials of the caller, which no endpoint may see.
+bool isDropped(const HeaderField &field)
+{
+    constexpr std::array<std::string_view, 5> Names{"Host", "Content-Length", "Expect",
+                                                    "Authorization", "X-Request-Id"};
+    const auto matches = [&field](std::string_view name) {
+        return equalsIgnoringCase(field.name, name);
+    };
+    return std::any_of(Names.begin(), Names.end(), matches) || !isWritableField(field);
+}
+
+std::string formatHead(EndpointCall &call)
+{
+    removeHopByHopFields(call.headers);
+    std::string out;
+    out.reserve(512);
+    out.append(call.method).append(" ").append(call.target).append(" HTTP/1.1\r\n");
+    appendField(out, "Host", call.address);
+    const HeaderField id{"X-Request-Id", call.id.str()};
+    if (!call.id.empty() && isWritableField(id)) {
+        appendField(out, id.name, id.value);
+    }
+    for (const HeaderField &field : call.headers) {
+        if (!isDropped(field)) {
+            appendField(out, field.name, field.value);
+        }
+    }
+    if (!call.body.empty() || call.method == "POST" || call.method == "PUT") {
+        appendField(out, "Content-Length", std::to_string(call.body.size()));
+    }
+    return out.append("\r\n");
+}
+
+} // namespace
+
+EndpointClientContext::EndpointClientContext(asio::io_context &ioContext, const Clock &clientClock,
+                                             Metrics &clientMetrics)
+    : io(ioContext)
+    , clock(clientClock)
+    , metrics(clientMetrics)
+    , scratch(ScratchBytes)
+{ }
+
+EndpointConnection::EndpointConnection(std::shared_ptr<EndpointClientContext> context,
+                                       std::string address)
+    : m_context(std::move(context))
+    , m_address(std::move(address))
+    , m_socket(m_context->io)
+    , m_timer(m_context->io)
+{ }
+
+void EndpointConnection::begin(EndpointCall call, std::shared_ptr<EndpointCallHandler> handler)
+{
+    m_handler = std::move(handler);
+    m_head = formatHead(call);
+    m_body = std::move(call.body);
+    m_sent = 0;
+    m_id = std::move(call.id);
+    m_parser.emplace(call.method == "HEAD");
+    m_headDelivered = false;
+    m_silenceLimit = call.silenceLimit;
+    m_lastActivity = m_context->clock.now();
+    m_callDeadline = m_lastActivity + call.timeout;
+    armTimer();
+}
+
+void EndpointConnection::connect(const tcp::endpoint &endpoint, EndpointCall call,
+                                 std::shared_ptr<EndpointCallHandler> handler)
+{
+    begin(std::move(call), std::move(handler));
+    boost::system::error_code ec;
+    m_socket.open(endpoint.protocol(), ec);
+    if (!ec) {
+        m_socket.non_blocking(true, ec);
+    }
+    if (!ec) {
+        m_socket.set_option(tcp::no_delay(true), ec);
+    }
+    if (ec) {
+        onConnected(ec);
+        return;
+    }
+    m_socket.async_connect(endpoint,
+                           [self = shared_from_this()](const boost::system::error_code &result) {
+                               if (self->m_state == State::Connecting) {
+                                   self->onConnected(result);
+                               }
+                           });
+}
+
+void EndpointConnection::onConnected(const boost::system::error_code &ec)
+{
+    if (ec) {
+        fail(ErrorKind::Unavailable, "cannot connect to " + m_address + ": " + ec.message(),
+             "check that the endpoint runs and its address is right");
+        return;
+    }
+    m_state = State::Busy;
+    m_lastActivity = m_context->clock.now();
+    armRead();
+    flush();
+}
+
+void EndpointConnection::send(EndpointCall call, std::shared_ptr<EndpointCallHandler> handler)
+{
+    m_state = State::Busy;
+    begin(std::move(call), std::move(handler));
+    flush();
+}
+
+bool EndpointConnection::isReusable()
+{
+    if (m_state != State::Idle) {
+        return false;
+    }
+    char byte = 0;
+    const ssize_t n = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void EndpointConnection::flush()
+{
+    while (m_state == State::Busy && !isSent()) {
+        const std::size_t headSent = std::min(m_sent, m_head.size());
+        const std::size_t bodySent = m_sent - headSent;
+        const std::array<asio::const_buffer, 2> buffers{
+            asio::const_buffer(m_head.data() + headSent, m_head.size() - headSent),
+            asio::const_buffer(m_body.data() + bodySent, m_body.size() - bodySent)};
+        boost::system::error_code ec;
+        const std::size_t n = m_socket.write_some(buffers, ec);
+        if (ec == asio::error::would_block) {
+            m_socket.async_wait(tcp::socket::wait_write,
+                                [self = shared_from_this()](const boost::system::error_code &) {
+                                    self->flush();
+                                });
+            return;
+        }
+        if (ec) {
+            // An answer that refuses the rest of the request may already be there to be read.
+            if (m_sent == 0) {
+                fail(ErrorKind::Unavailable, "cannot send to " + m_address + ": " + ec.message(),
+                     "send the request again");
+            }
+            return;
+        }
+        m_sent += n;
+        m_lastActivity = m_context->clock.now();
+    }
+}
+
+// Stays armed while the connection is idle, so that its closing is seen at once.
+void EndpointConnection::armRead()
+{
+    m_socket.async_wait(tcp::socket::wait_read,
+                        [self = shared_from_this()](const boost::system::error_code &ec) {
+                            if (!ec && self->m_state != State::Closed) {
+                                self->onReadable();
+                            }
+                        });
+}
+
+void EndpointConnection::onReadable()
+{
+    boost::system::error_code ec;
+    const std::size_t n = m_socket.read_some(asio::buffer(m_context->scratch), ec);
+    if (ec == asio::error::would_block) {
+        armRead();
+        return;
+    }
+    if (m_state == State::Idle) {
+        // Closed by the endpoint, or bytes that belong to no call.
+        close();
+        return;
+    }
+    if (ec) {
+        onEndOfStream(ec);
+        return;
+    }
+    m_lastActivity = m_context->clock.now();
+    onBytes({m_context->scratch.data(), n});
+    if (m_state != State::Closed) {
+        armRead();
+    }
+}
+
+void EndpointConnection::onBytes(std::string_view bytes)
+{
+    // The parts of the body are views, so what they point into stays in this function.
+    std::string joined;
+    if (!m_unread.empty()) {
+        joined = std::move(m_unread);
+        m_unread.clear();
+        joined.append(bytes);
+        bytes = joined;
+    }
+    std::string problem;
+    const std::size_t used = m_parser->feed(bytes, problem);
+    if (!problem.empty()) {
+        fail(ErrorKind::Malformed, "malformed answer from " + m_address + ": " + problem,
+             "check that the endpoint speaks HTTP/1.1");
+        return;
+    }
+    const bool isDone = m_parser->isDone();
+    const bool hasMore = used < bytes.size();
+    const bool reusable = isDone && !hasMore && isSent() && m_parser->keepAlive();
+    if (!isDone) {
+        m_unread.assign(bytes.substr(used));
+    }
+    if (deliver() && isDone) {
+        complete(reusable);
+    }
+}
+
+// Returns false when the handler has cancelled the call.
+bool EndpointConnection::deliver()
+{
+    const std::shared_ptr<EndpointCallHandler> handler = m_handler;
+    if (!m_headDelivered && m_parser->isHeadDone()) {
+        m_headDelivered = true;
+        const std::vector<HeaderField> headers = m_parser->takeHeaders();
+        handler->onHead(m_parser->status(), headers);
+        if (m_state == State::Closed) {
+            return false;
+        }
+    }
+    const std::vector<std::string_view> &parts = m_parser->bodyParts();
+    if (parts.size() == 1) {
+        handler->onData(parts.front());
+    } else if (!parts.empty()) {
+        std::string joined;
+        for (const std::string_view part : parts) {
+            joined.append(part);
+        }
+        handler->onData(joined);
+    }
+    return m_state != State::Closed;
+}
+
+void EndpointConnection::complete(bool reusable)
+{
+    const std::shared_ptr<EndpointCallHandler> handler = endCall();
+    if (reusable) {
+        m_state = State::Idle;
+        m_lastActivity = m_context->clock.now();
+        armTimer();
+        m_context->onReusable(shared_from_this());
+    } else {
+        close();
+    }
+    handler->onComplete();
+}
+
+void EndpointConnection::onEndOfStream(const boost::system::error_code &ec)
+{
+    const bool endsHere = m_parser->endsWithConnection();
+    fail(ErrorKind::OutcomeUnknown,
+         endsHere ? "the answer of " + m_address + " has neither a length nor a last chunk"
+                  : m_address + " closed the connection before the answer ended: " + ec.message(),
+         "check the endpoint; the request may have run");
+}
+
+std::shared_ptr<EndpointCallHandler> EndpointConnection::endCall()
+{
+    if (m_handler) {
+        m_context->onCallEnded(m_id, this);
+    }
+    m_head.clear();
+    m_body.clear();
+    m_unread.clear();
+    return std::move(m_handler);
+}
+
+void EndpointConnection::fail(ErrorKind kind, std::string message, std::string remedy)
+{
+    const SendStage stage = m_sent == 0 ? SendStage::NotSent : SendStage::MaybeSent;
+    const std::shared_ptr<EndpointCallHandler> handler = endCall();
+    close();
+    m_context->metrics.add("marigoldspool_endpoint_call_failures_total", 1,
+                           {{"kind", std::string(errorKindName(kind))}});
+    asio::post(m_context->io,
+               [handler, stage, error = makeError(kind, std::move(message), std::move(remedy))] {
+                   handler->onFailure(stage, error);
+               });
+}
+
+void EndpointConnection::close()
+{
+    if (m_state == State::Closed) {
+        return;
+    }
+    m_state = State::Closed;
+    endCall();
+    boost::system::error_code ec;
+    m_socket.close(ec);
+    m_timer.cancel();
+    m_context->onClosed(shared_from_this());
+}
+
+SteadyTime EndpointConnection::nextDeadline() const
+{
+    if (m_state == State::Idle) {
+        return m_lastActivity + IdleTime;
+    }
+    return std::min(m_callDeadline, m_lastActivity + m_silenceLimit);
+}
+
+// The timer is set again only when it would fire too late; one that fires early sees what is left.
+void EndpointConnection::armTimer()
+{
+    const SteadyTime at = nextDeadline();
+    if (m_wakeAt && *m_wakeAt <= at) {
+        return;
+    }
+    m_wakeAt = at;
+    m_timer.expires_after(std::max(at - m_context->clock.now(), Duration::zero()));
+    m_timer.async_wait([self = shared_from_this()](const boost::system::error_code &ec) {
+        if (!ec && self->m_state != State::Closed) {
+            self->m_wakeAt.reset();
+            self->onTimer();
+        }
+    });
+}
+
+void EndpointConnection::onTimer()
+{
+    const SteadyTime now = m_context->clock.now();
+    if (now < nextDeadline()) {
+        armTimer();
+        return;
+    }
+    if (m_state == State::Idle) {
+        close();
+        return;
+    }
+    if (now >= m_callDeadline) {
+        fail(ErrorKind::Timeout, "the call to " + m_address + " took longer than its timeout",
+             "check the load of the endpoint or allow more time");
+        return;
+    }
+    fail(ErrorKind::Timeout, "the connection to " + m_address + " carried no byte in time",
+         "check the endpoint and the network path to it");
+}
+
+} // namespace marigoldspool
--- /dev/null
+++ b/lib/Gateway/EndpointConnection.h
@@ -0,0 +1,103 @@
+#ifndef MARIGOLDSPOOL_LIB_GATEWAY_ENDPOINTCONNECTION_H
+#define MARIGOLDSPOOL_LIB_GATEWAY_ENDPOINTCONNECTION_H
+
+#include "ResponseParser.h"
+
+#include "marigoldspool/Gateway/EndpointClient.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace marigoldspool {
+
+class EndpointConnection;
+
+/// What all connections of one client share.
+struct EndpointClientContext {
+    EndpointClientContext(boost::asio::io_context &ioContext, const Clock &clientClock,
+                          Metrics &clientMetrics);
+
+    boost::asio::io_context &io;
+    const Clock &clock;
+    Metrics &metrics;
+    /// Takes what a socket has received; one thread, so one buffer serves all connections.
+    std::vector<char> scratch;
+    /// The call has ended and the connection can take another one.
+    std::function<void(const std::shared_ptr<EndpointConnection> &)> onReusable;
+    std::function<void(const std::shared_ptr<EndpointConnection> &)> onClosed;
+    std::function<void(const RequestId &, EndpointConnection *)> onCallEnded;
+};
+
+/// One connection to an endpoint; carries one call at a time.
+class EndpointConnection final : public std::enable_shared_from_this<EndpointConnection>
+{
+public:
+    EndpointConnection(std::shared_ptr<EndpointClientContext> context, std::string address);
+
+    /// Opens the connection for its first call.
+    void connect(const boost::asio::ip::tcp::endpoint &endpoint, EndpointCall call,
+                 std::shared_ptr<EndpointCallHandler> handler);
+    /// Sends another call on an idle connection.
+    void send(EndpointCall call, std::shared_ptr<EndpointCallHandler> handler);
+    /// Open, without unread bytes.
+    bool isReusable();
+    void close();
+
+    const std::string &address() const { return m_address; }
+    bool isClosed() const { return m_state == State::Closed; }
+
+private:
+    enum class State {
+        Connecting,
+        Busy,
+        Idle,
+        Closed,
+    };
+
+    void begin(EndpointCall call, std::shared_ptr<EndpointCallHandler> handler);
+    void onConnected(const boost::system::error_code &ec);
+    void flush();
+    void armRead();
+    void onReadable();
+    void onBytes(std::string_view bytes);
+    bool deliver();
+    void complete(bool reusable);
+    void onEndOfStream(const boost::system::error_code &ec);
+    /// Closes and reports; the handler is called on a later turn of the event loop.
+    void fail(ErrorKind kind, std::string message, std::string remedy);
+    std::shared_ptr<EndpointCallHandler> endCall();
+    bool isSent() const { return m_sent == m_head.size() + m_body.size(); }
+    SteadyTime nextDeadline() const;
+    void armTimer();
+    void onTimer();
+
+    std::shared_ptr<EndpointClientContext> m_context;
+    std::string m_address;
+    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    State m_state = State::Connecting;
+    RequestId m_id;
+    std::shared_ptr<EndpointCallHandler> m_handler;
+    std::string m_head;
+    std::string m_body;
+    /// Bytes of head and body that the kernel has taken.
+    std::size_t m_sent = 0;
+    std::optional<ResponseParser> m_parser;
+    bool m_headDelivered = false;
+    /// Received bytes that the parser could not use yet.
+    std::string m_unread;
+    Duration m_silenceLimit = Duration::zero();
+    SteadyTime m_callDeadline;
+    SteadyTime m_lastActivity;
+    std::optional<SteadyTime> m_wakeAt;
+};
+
+} // namespace marigoldspool
+
+#endif
--- /dev/null
+++ b/lib/Gateway/HttpConnection.cpp
@@ -0,0 +1,358 @@
+#include "HttpConnection.h"
+
+#include "ResponseWriter.h"
+
+#include <algorithm>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+
+namespace marigoldspool {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// How long a closing connection waits for the caller to close. Closing at once while bytes of the
+// caller are unread would reset the connection and could destroy the answer on its way.
+constexpr std::chrono::seconds DrainTime(1);
+
+// The loop reads on until the socket is empty; the buffer only bounds one turn.
+constexpr std::size_t ScratchBytes = 65'536;
+
+} // namespace
+
+HttpServerContext::HttpServerContext(HttpServerOptions serverOptions, RequestHandler requestHandler,
+                                     Metrics &serverMetrics)
+    : options(std::move(serverOptions))
+    , handler(std::move(requestHandler))
+    , metrics(serverMetrics)
+    , scratch(ScratchBytes)
+{ }
+
+HttpConnection::HttpConnection(asio::ip::tcp::socket socket,
+                               std::shared_ptr<HttpServerContext> context)
+    : m_socket(std::move(socket))
+    , m_timer(m_socket.get_executor())
+    , m_context(std::move(context))
+{ }
+
+void HttpConnection::start()
+{
+    setDeadline(m_context->options.idleTimeout);
+    armRead();
+}
+
+void HttpConnection::refuse(const RequestFault &fault)
+{
+    reject(fault);
+    armRead();
+}
+
+void HttpConnection::closeIfIdle()
+{
+    if (m_phase == Phase::Idle) {
+        close();
+    }
+}
+
+void HttpConnection::close()
+{
+    if (m_phase == Phase::Closed) {
+        return;
+    }
+    if (m_phase == Phase::Serving) {
+        --m_context->openRequests;
+    }
+    m_phase = Phase::Closed;
+    boost::system::error_code ec;
+    if (m_resetOnClose) {
+        m_socket.set_option(asio::socket_base::linger(true, 0), ec);
+    }
+    m_socket.close(ec);
+    m_timer.cancel();
+    if (m_context->onClosed) {
+        m_context->onClosed(shared_from_this());
+    }
+    if (m_writer != nullptr) {
+        ResponseWriter *writer = m_writer;
+        m_writer = nullptr;
+        writer->callerGone();
+    }
+}
+
+// Waits for readiness instead of reading into a buffer of its own, so that idle connections hold
+// no buffer.
+void HttpConnection::armRead()
+{
+    if (m_reading || m_phase == Phase::Closed) {
+        return;
+    }
+    m_reading = true;
+    m_socket.async_wait(asio::ip::tcp::socket::wait_read,
+                        [self = shared_from_this()](const boost::system::error_code &ec) {
+                            self->m_reading = false;
+                            if (!ec) {
+                                self->onReadable();
+                            }
+                        });
+}
+
+void HttpConnection::onReadable()
+{
+    if (m_phase == Phase::Closed) {
+        return;
+    }
+    boost::system::error_code ec;
+    const std::size_t n = m_socket.read_some(asio::buffer(m_context->scratch), ec);
+    if (ec && ec != asio::error::would_block) {
+        onPeerClosed();
+        return;
+    }
+    if (n > 0 && m_phase != Phase::Draining && m_phase != Phase::Finishing) {
+        m_in.append(m_context->scratch.data(), n);
+        process();
+    }
+    // While an answer is made, reading goes on only to see the caller close and to take a few
+    // pipelined requests.
+    const bool isFull =
+        m_phase == Phase::Serving && m_in.size() >= m_context->options.maxHeaderBytes;
+    if (!isFull) {
+        armRead();
+    }
+}
+
+void HttpConnection::onPeerClosed()
+{
+    if (m_phase == Phase::Serving && !m_answerDone) {
+        m_context->metrics.add("marigoldspool_http_callers_gone_total");
+    }
+    close();
+}
+
+void HttpConnection::process()
+{
+    if (m_processing) {
+        return;
+    }
+    m_processing = true;
+    while (!m_in.empty() && (m_phase == Phase::Idle || m_phase == Phase::Receiving)) {
+        if (m_phase == Phase::Idle) {
+            beginRequest();
+        }
+        const RequestParser::Result result = m_parser->feed(m_in);
+        if (result == RequestParser::Result::Failed) {
+            reject(m_parser->fault());
+        } else if (result == RequestParser::Result::Complete) {
+            dispatch();
+        } else {
+            if (!m_continueSent && m_parser->isHeadDone() && m_in.empty()
+                && m_parser->expectsContinue()) {
+                m_continueSent = true;
+                write("HTTP/1.1 100 Continue\r\n\r\n");
+            }
+            break;
+        }
+    }
+    m_processing = false;
+}
+
+void HttpConnection::beginRequest()
+{
+    m_phase = Phase::Receiving;
+    m_continueSent = false;
+    m_parser.emplace(m_context->options.maxHeaderBytes, m_context->options.maxBodyBytes);
+    setDeadline(m_context->options.readTimeout);
+}
+
+void HttpConnection::dispatch()
+{
+    m_phase = Phase::Serving;
+    m_answerDone = false;
+    ++m_context->openRequests;
+    m_writeProgress = Steady::now();
+    const ResponseWriter::RequestShape shape{m_parser->isHead(), m_parser->isHttp11(),
+                                             m_parser->keepAlive()};
+    HttpRequest request = m_parser->takeRequest();
+    m_parser.reset();
+    const auto writer = std::make_shared<ResponseWriter>(shared_from_this(), shape);
+    m_writer = writer.get();
+    m_context->handler(std::move(request), writer);
+}
+
+void HttpConnection::reject(const RequestFault &fault)
+{
+    m_context->metrics.countRefusal(fault.reason);
+    m_context->metrics.add("marigoldspool_http_rejected_total", 1,
+                           {{"status", std::to_string(fault.status)}});
+    m_phase = Phase::Finishing;
+    m_keepAlive = false;
+    m_in.clear();
+    m_out.append(formatFault(fault));
+    m_writeProgress = Steady::now();
+    setDeadline(DrainTime);
+    flush();
+}
+
+void HttpConnection::write(std::string_view bytes)
+{
+    if (m_phase == Phase::Closed) {
+        return;
+    }
+    if (m_out.empty()) {
+        m_writeProgress = Steady::now();
+    }
+    m_out.append(bytes);
+    // Pieces that come in one turn of the loop go out in one system call.
+    if (!m_flushPosted && !m_waitingToWrite) {
+        m_flushPosted = true;
+        asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+            self->m_flushPosted = false;
+            self->flush();
+        });
+    }
+}
+
+void HttpConnection::endAnswer(bool keepAlive)
+{
+    if (m_phase != Phase::Serving) {
+        return;
+    }
+    m_answerDone = true;
+    m_keepAlive = keepAlive;
+    flush();
+}
+
+void HttpConnection::abortAnswer(bool reset)
+{
+    if (m_phase != Phase::Serving) {
+        return;
+    }
+    m_answerDone = true;
+    m_keepAlive = false;
+    m_resetOnClose = reset;
+    flush();
+}
+
+void HttpConnection::flush()
+{
+    if (m_phase == Phase::Closed || m_waitingToWrite) {
+        return;
+    }
+    while (m_outOffset < m_out.size()) {
+        boost::system::error_code ec;
+        const std::size_t n = m_socket.write_some(
+            asio::buffer(m_out.data() + m_outOffset, m_out.size() - m_outOffset), ec);
+        m_outOffset += n;
+        if (ec == asio::error::would_block) {
+            m_out.erase(0, m_outOffset);
+            m_outOffset = 0;
+            m_waitingToWrite = true;
+            m_socket.async_wait(asio::ip::tcp::socket::wait_write,
+                                [self = shared_from_this()](const boost::system::error_code &) {
+                                    self->m_waitingToWrite = false;
+                                    self->flush();
+                                });
+            return;
+        }
+        if (ec) {
+            onPeerClosed();
+            return;
+        }
+        m_writeProgress = Steady::now();
+    }
+    m_out.clear();
+    m_outOffset = 0;
+    onFlushed();
+}
+
+void HttpConnection::onFlushed()
+{
+    if (m_phase == Phase::Finishing) {
+        startDraining();
+    } else if (m_phase == Phase::Serving && m_answerDone) {
+        finishRequest();
+    }
+}
+
+void HttpConnection::finishRequest()
+{
+    --m_context->openRequests;
+    if (m_resetOnClose) {
+        m_phase = Phase::Draining;
+        close();
+        return;
+    }
+    if (!m_keepAlive || m_context->stopping) {
+        startDraining();
+        return;
+    }
+    m_phase = Phase::Idle;
+    setDeadline(m_context->options.idleTimeout);
+    process();
+    armRead();
+}
+
+void HttpConnection::startDraining()
+{
+    m_phase = Phase::Draining;
+    m_in.clear();
+    boost::system::error_code ec;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+    setDeadline(DrainTime);
+    armRead();
+}
+
+// The timer always fires within the read time, so that a new request, whose deadline is never
+// earlier than that, need not set it again.
+void HttpConnection::setDeadline(Duration fromNow)
+{
+    const Steady::time_point now = Steady::now();
+    m_deadline = now + fromNow;
+    const auto wake = std::min(m_deadline, now + m_context->options.readTimeout);
+    if (m_wakeAt == Steady::time_point() || wake < m_wakeAt) {
+        armTimer(wake);
+    }
+}
+
+void HttpConnection::armTimer(Steady::time_point at)
+{
+    m_wakeAt = at;
+    m_timer.expires_at(at);
+    m_timer.async_wait([self = shared_from_this()](const boost::system::error_code &ec) {
+        if (!ec && self->m_phase != Phase::Closed) {
+            self->onTimer();
+        }
+    });
+}
+
+bool HttpConnection::isWriteStalled(Steady::time_point now) const
+{
+    return pendingBytes() > 0 && now - m_writeProgress >= m_context->options.idleTimeout;
+}
+
+void HttpConnection::onTimer()
+{
+    const Steady::time_point now = Steady::now();
+    if (m_phase == Phase::Serving) {
+        if (isWriteStalled(now)) {
+            onPeerClosed();
+            return;
+        }
+    } else if (now >= m_deadline) {
+        if (m_phase != Phase::Receiving) {
+            close();
+            return;
+        }
+        reject({RefusalReason::Malformed, 408, "the request was not sent in time",
+                "send the whole request within "
+                    + std::to_string(toMilliseconds(m_context->options.readTimeout)) + " ms"});
+    }
+    if (m_phase == Phase::Closed) {
+        return;
+    }
+    const auto latest = now + m_context->options.readTimeout;
+    armTimer(m_phase == Phase::Serving ? latest : std::min(m_deadline, latest));
+}
+
+} // namespace marigoldspool
--- /dev/null
+++ b/lib/Gateway/HttpConnection.h
@@ -0,0 +1,117 @@
+#ifndef MARIGOLDSPOOL_LIB_GATEWAY_HTTPCONNECTION_H
+#define MARIGOLDSPOOL_LIB_GATEWAY_HTTPCONNECTION_H
+
+#include "RequestParser.h"
+
+#include "marigoldspool/Gateway/HttpServer.h"
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace marigoldspool {
+
+class HttpConnection;
+
+/// What all connections of one server share.
+struct HttpServerContext {
+    HttpServerContext(HttpServerOptions serverOptions, RequestHandler requestHandler,
+                      Metrics &serverMetrics);
+
+    HttpServerOptions options;
+    RequestHandler handler;
+    Metrics &metrics;
+    bool stopping = false;
+    std::size_t openRequests = 0;
+    /// Takes what a socket has received; one thread, so one buffer serves all connections.
+    std::vector<char> scratch;
+    std::function<void(const std::shared_ptr<HttpConnection> &)> onClosed;
+};
+
+class ResponseWriter;
+
+/// One connection of a caller: reads requests and writes their answers in order.
+class HttpConnection final : public std::enable_shared_from_this<HttpConnection>
+{
+public:
+    HttpConnection(boost::asio::ip::tcp::socket socket, std::shared_ptr<HttpServerContext> context);
+
+    void start();
+    /// Answers without reading a request, then closes.
+    void refuse(const RequestFault &fault);
+    void closeIfIdle();
+    void close();
+
+    /// \name For ResponseWriter
+    /// \{
+    /// Adds bytes of the answer; they are written on the next turn of the event loop.
+    void write(std::string_view bytes);
+    void endAnswer(bool keepAlive);
+    /// \p reset: the caller would take a plain close for the end of the answer.
+    void abortAnswer(bool reset);
+    void forgetWriter() { m_writer = nullptr; }
+    std::size_t pendingBytes() const { return m_out.size() - m_outOffset; }
+    bool isStopping() const { return m_context->stopping; }
+    /// \}
+
+private:
+    using Steady = std::chrono::steady_clock;
+
+    enum class Phase {
+        Idle,
+        Receiving,
+        Serving,
+        /// The last answer is being written.
+        Finishing,
+        /// Nothing more is sent; what the caller still sends is thrown away.
+        Draining,
+        Closed,
+    };
+
+    void armRead();
+    void onReadable();
+    void onPeerClosed();
+    void process();
+    void beginRequest();
+    void dispatch();
+    void reject(const RequestFault &fault);
+    void flush();
+    void onFlushed();
+    void finishRequest();
+    void startDraining();
+    void setDeadline(Duration fromNow);
+    void armTimer(Steady::time_point at);
+    void onTimer();
+    bool isWriteStalled(Steady::time_point now) const;
+
+    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    std::shared_ptr<HttpServerContext> m_context;
+    Phase m_phase = Phase::Idle;
+    std::string m_in;
+    std::string m_out;
+    std::size_t m_outOffset = 0;
+    std::optional<RequestParser> m_parser;
+    ResponseWriter *m_writer = nullptr;
+    bool m_reading = false;
+    bool m_processing = false;
+    bool m_flushPosted = false;
+    bool m_waitingToWrite = false;
+    bool m_answerDone = false;
+    bool m_keepAlive = true;
+    bool m_resetOnClose = false;
+    bool m_continueSent = false;
+    Steady::time_point m_deadline;
+    Steady::time_point m_wakeAt;
+    Steady::time_point m_writeProgress;
+};
+
+} // namespace marigoldspool
+
+#endif
--- /dev/null
+++ b/lib/Gateway/ResponseParser.cpp
@@ -0,0 +1,177 @@
+#include "ResponseParser.h"
+
+#include "HttpFields.h"
+
+#include <limits>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+
+namespace marigoldspool {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::uint32_t MaxHeadBytes = 65'536;
+constexpr int MaxInterimAnswers = 8;
+constexpr int FirstFinalStatus = 200;
+
+} // namespace
+
+class ResponseParser::Impl final : public http::basic_parser<false>
+{
+public:
+    int status = 0;
+    std::vector<HeaderField> headers;
+    std::vector<std::string_view> bodyParts;
+    std::size_t lengths = 0;
+    std::size_t encodings = 0;
+    bool badLength = false;
+    bool headComplete = false;
+
+private:
+    void on_request_impl(http::verb, boost::beast::string_view, boost::beast::string_view, int,
+                         boost::beast::error_code &) override
+    { }
+
+    void on_response_impl(int code, boost::beast::string_view, int,
+                          boost::beast::error_code &) override
+    {
+        status = code;
+    }
+
+    void on_field_impl(http::field field, boost::beast::string_view name,
+                       boost::beast::string_view value, boost::beast::error_code &) override
+    {
+        if (headComplete) {
+            return;
+        }
+        const std::string_view text(value.data(), value.size());
+        if (field == http::field::content_length) {
+            ++lengths;
+            badLength = badLength || text.find_first_not_of("0123456789") != std::string_view::npos;
+        } else if (field == http::field::transfer_encoding) {
+            ++encodings;
+            badLength = badLength || !equalsIgnoringCase(text, "chunked");
+        }
+        headers.push_back({std::string(name.data(), name.size()), std::string(text)});
+    }
+
+    // An answer whose length can be read in two ways could run into the next one.
+    void on_header_impl(boost::beast::error_code &ec) override
+    {
+        headComplete = true;
+        if (badLength || lengths + encodings > 1) {
+            ec = http::error::bad_content_length;
+        }
+    }
+
+    void on_body_init_impl(const boost::optional<std::uint64_t> &,
+                           boost::beast::error_code &) override
+    { }
+
+    std::size_t on_body_impl(boost::beast::string_view body, boost::beast::error_code &) override
+    {
+        bodyParts.emplace_back(body.data(), body.size());
+        return body.size();
+    }
+
+    void on_chunk_header_impl(std::uint64_t, boost::beast::string_view,
+                              boost::beast::error_code &) override
+    { }
+
+    std::size_t on_chunk_body_impl(std::uint64_t, boost::beast::string_view body,
+                                   boost::beast::error_code &) override
+    {
+        bodyParts.emplace_back(body.data(), body.size());
+        return body.size();
+    }
+
+    void on_finish_impl(boost::beast::error_code &) override { }
+};
+
+ResponseParser::ResponseParser(bool isHead)
+    : m_isHead(isHead)
+{
+    reset();
+}
+
+ResponseParser::~ResponseParser() = default;
+
+void ResponseParser::reset()
+{
+    m_impl = std::make_unique<Impl>();
+    m_impl->eager(true);
+    m_impl->skip(m_isHead);
+    m_impl->header_limit(MaxHeadBytes);
+    // Bodies are passed on as they come, so they need no limit.
+    m_impl->body_limit(std::numeric_limits<std::uint64_t>::max());
+}
+
+std::size_t ResponseParser::feed(std::string_view bytes, std::string &problem)
+{
+    std::size_t used = 0;
+    m_impl->bodyParts.clear();
+    while (used < bytes.size() && !m_impl->is_done()) {
+        boost::beast::error_code ec;
+        used += m_impl->put(boost::asio::buffer(bytes.data() + used, bytes.size() - used), ec);
+        if (ec && ec != http::error::need_more) {
+            problem = ec.message();
+            return used;
+        }
+        const bool isInterim = m_impl->is_done() && m_impl->status < FirstFinalStatus;
+        if (!isInterim) {
+            break;
+        }
+        if (++m_interimAnswers > MaxInterimAnswers || m_impl->status == 101) {
+            problem = "unexpected interim answers";
+            return used;
+        }
+        reset();
+    }
+    if (!m_impl->is_done() && bytes.size() - used >= MaxHeadBytes) {
+        problem = "the head or a chunk header is too long";
+    }
+    return used;
+}
+
+bool ResponseParser::isHeadDone() const
+{
+    return m_impl->headComplete;
+}
+
+bool ResponseParser::isDone() const
+{
+    return m_impl->is_done();
+}
+
+bool ResponseParser::endsWithConnection() const
+{
+    return m_impl->headComplete && m_impl->need_eof();
+}
+
+bool ResponseParser::keepAlive() const
+{
+    return m_impl->keep_alive();
+}
+
+int ResponseParser::status() const
+{
+    return m_impl->status;
+}
+
+std::vector<HeaderField> ResponseParser::takeHeaders()
+{
+    std::vector<HeaderField> headers = std::move(m_impl->headers);
+    m_impl->headers.clear();
+    removeHopByHopFields(headers);
+    return headers;
+}
+
+const std::vector<std::string_view> &ResponseParser::bodyParts() const
+{
+    return m_impl->bodyParts;
+}
+
+} // namespace marigoldspool
