Add the Limits component: divided rate limits with loans, and slots

A workspace's rate and burst are divided by zone weight and then equally among the members of the zone's roster. A limit's state is made when it is first used, by repeating the changes of this instance's share.

A releasing member leaves the roster only when what it has lent is back. - Fractions of several loans between the same two instances do not add up; the largest counts. A renewal therefore needs nothing in addition. - A borrower returns a loan early with a LoanGrant of term 0.

Slots are divided but not lent yet.

--- /dev/null
+++ b/include/marigoldspool/Limits/RosterKeeper.h
@@ -0,0 +1,90 @@
+#ifndef MARIGOLDSPOOL_LIMITS_ROSTERKEEPER_H
+#define MARIGOLDSPOOL_LIMITS_ROSTERKEEPER_H
+
+#include "marigoldspool/Limits/LimitTypes.h"
+#include "marigoldspool/Limits/Roster.h"
+#include "marigoldspool/Peer/PeerTable.h"
+#include "marigoldspool/Platform/ObjectStore.h"
+#include "marigoldspool/Support/RandomSource.h"
+
+#include <map>
+#include <optional>
+#include <set>
+
+namespace marigoldspool {
+
+/// Keeps this instance in its zone's roster and takes dead and released members out of it.
+class RosterKeeper
+{
+public:
+    RosterKeeper(const LimitOptions &options, InstanceId self, std::uint64_t incarnation,
+                 ZoneName zone, SteadyTime now, RandomSource &random);
+
+    const RosterState &state() const { return m_state; }
+    const RosterRecord &record() const { return m_state.record(); }
+
+    /// The roster as read; version 0 means that it does not exist. Returns whether the epoch is
+    /// new.
+    bool onRoster(const StoredObject &object);
+    bool onStoreReply(const WriteId &writeId, const Expected<std::uint64_t> &reply, SteadyTime now);
+    void onReadFailed(SteadyTime now);
+    void onAck(const InstanceId &from, std::uint64_t incarnation, const EpochAck &ack);
+    void onPeers(gsl::span<const PeerInfo> alive, SteadyTime now);
+    void onPlatformInstances(gsl::span<const PlatformInstance> list, SteadyTime now);
+
+    /// Acknowledges and grows as far as the rules allow. \p fits: what is used and lent fits in
+    /// the present share. Returns whether the share has changed.
+    bool advance(bool fits, SteadyTime now);
+    /// Uses no share from now on; the roster is written once what was lent is back.
+    void release();
+    bool released() const { return m_releasing; }
+    /// Nothing is expected from the store or from other members.
+    bool settled() const;
+
+    /// Adds the acknowledgements, reads and writes that are due.
+    void takeActions(LimitActions &actions, SteadyTime now);
+
+private:
+    struct Absence {
+        bool wasListed = false;
+        std::optional<SteadyTime> since;
+        SteadyTime confirmedAt;
+    };
+
+    bool adopt(RosterRecord record, std::uint64_t version);
+    void backOff(SteadyTime now);
+    void sendAcks(LimitActions &actions, SteadyTime now);
+    std::optional<RosterRecord> dueChange(SteadyTime now) const;
+    std::optional<InstanceId> removableMember(SteadyTime now) const;
+
+    const LimitOptions *m_options;
+    InstanceId m_self;
+    std::uint64_t m_incarnation;
+    ZoneName m_zone;
+    RandomSource *m_random;
+    RosterState m_state;
+    std::uint64_t m_version = 0;
+    bool m_known = false;
+    bool m_readDue = true;
+    std::optional<SteadyTime> m_readSentAt;
+    SteadyTime m_nextRefresh;
+    SteadyTime m_nextAttempt;
+    Duration m_pause = Duration::zero();
+    struct PendingWrite {
+        WriteId id;
+        RosterRecord record;
+        SteadyTime sentAt;
+    };
+    std::optional<PendingWrite> m_write;
+    bool m_releasing = false;
+    bool m_lentIsBack = false;
+    std::uint64_t m_ackSentEpoch = 0;
+    bool m_releaseSent = false;
+    SteadyTime m_nextAck;
+    std::map<InstanceId, Absence> m_absences;
+    std::map<InstanceId, std::uint64_t> m_releasedMembers;
+};
+
+} // namespace marigoldspool
+
+#endif
--- /dev/null
+++ b/include/marigoldspool/Limits/TokenBucket.h
@@ -0,0 +1,40 @@
+#ifndef MARIGOLDSPOOL_LIMITS_TOKENBUCKET_H
+#define MARIGOLDSPOOL_LIMITS_TOKENBUCKET_H
+
+#include "marigoldspool/Support/Clock.h"
+
+namespace marigoldspool {
+
+/// A token bucket that is filled when it is looked at. Times must not go back; an earlier time
+/// than the last one changes nothing.
+class TokenBucket
+{
+public:
+    /// \p rate in tokens per second, \p capacity and \p level in tokens.
+    TokenBucket(double rate, double capacity, double level, SteadyTime at);
+
+    /// Takes all of \p tokens or none.
+    bool tryTake(double tokens, SteadyTime now);
+    double level(SteadyTime now) const;
+    /// Changes rate and capacity from \p now on; tokens above the new capacity are lost.
+    void reshape(double rate, double capacity, SteadyTime now);
+    /// Adds tokens up to the capacity.
+    void add(double tokens, SteadyTime now);
+    /// How long until \p tokens are there; Duration::max() if they will never be.
+    Duration timeUntil(double tokens, SteadyTime now) const;
+
+    double rate() const { return m_rate; }
+    double capacity() const { return m_capacity; }
+
+private:
+    void fill(SteadyTime now);
+
+    double m_rate;
+    double m_capacity;
+    double m_level;
+    SteadyTime m_at;
+};
+
+} // namespace marigoldspool
+
+#endif
--- /dev/null
+++ b/lib/Limits/LimitService.cpp
@@ -0,0 +1,392 @@
+#include "marigoldspool/Limits/LimitService.h"
+
+#include "marigoldspool/Config/Configuration.h"
+#include "marigoldspool/Support/EventLog.h"
+
+#include <algorithm>
+
+namespace marigoldspool {
+
+namespace {
+
+constexpr std::string_view RatePrefix = "rate/";
+// Changes of the share kept for limits that are created later. A limit older than the first one
+// kept starts empty then, which is safe.
+constexpr std::size_t KeptShares = 32;
+constexpr Duration IdleWakeup = std::chrono::seconds(1);
+constexpr Duration SweepInterval = std::chrono::minutes(1);
+
+std::string rateName(const WorkspaceName &workspace)
+{
+    return std::string(RatePrefix) + workspace.str();
+}
+
+double fractionOf(const ZoneName &zone, const std::vector<ZoneWeight> &weights)
+{
+    double own = 0;
+    double sum = 0;
+    for (const ZoneWeight &entry : weights) {
+        sum += entry.weight;
+        own += entry.zone == zone ? entry.weight : 0;
+    }
+    return sum > 0 ? own / sum : 0;
+}
+
+} // namespace
+
+LimitRules limitRulesOf(const Configuration &configuration)
+{
+    LimitRules rules;
+    for (const WorkspaceRule &rule : configuration.workspaces()) {
+        rules.limits.push_back({rule.name, rule.rate, rule.burst});
+    }
+    for (const ZoneRule &rule : configuration.zones()) {
+        rules.zones.push_back({rule.name, rule.weight});
+    }
+    for (const EndpointRule &rule : configuration.endpoints()) {
+        rules.slots.push_back({rule.id, rule.zone});
+    }
+    return rules;
+}
+
+LimitService::LimitService(LimitOptions options, InstanceId self, std::uint64_t incarnation,
+                           ZoneName zone, const Clock &clock, RandomSource &random)
+    : m_options(options)
+    , m_self(self)
+    , m_zone(zone)
+    , m_clock(clock)
+    , m_random(random)
+    , m_roster(m_options, std::move(self), incarnation, std::move(zone), clock.now(), random)
+    , m_shares{{clock.now(), 0}}
+    , m_mayAsk([this](const InstanceId &peer) {
+        return takeFromBudget(peer);
+    })
+    , m_nextSweep(clock.now() + SweepInterval)
+{ }
+
+double LimitService::accrual() const
+{
+    return 1 / (1 + m_options.clockError);
+}
+
+LimitContext LimitService::context(std::vector<AddressedMessage> &send)
+{
+    return {m_options,
+            m_clock.now(),
+            m_random,
+            m_zonePeers,
+            m_otherPeers,
+            m_zoneFraction,
+            std::max<std::size_t>(1, m_roster.record().members.size()),
+            m_roster.released(),
+            m_mayAsk,
+            send};
+}
+
+bool LimitService::takeFromBudget(const InstanceId &peer)
+{
+    const SteadyTime now = m_clock.now();
+    const double rate = m_options.requestsPerPeer;
+    const auto [it, isNew] = m_budgets.try_emplace(peer, rate, rate, rate, now);
+    return it->second.tryTake(1, now);
+}
+
+void LimitService::applyConfiguration(const Configuration &configuration)
+{
+    applyRules(limitRulesOf(configuration));
+}
+
+void LimitService::applyRules(const LimitRules &rules)
+{
+    const SteadyTime now = m_clock.now();
+    std::unordered_map<std::string, Rule> next;
+    for (const LimitRule &rule : rules.limits) {
+        next[rateName(rule.workspace)] = {rule.rate, rule.burst};
+    }
+    for (const auto &[name, rule] : m_rules) {
+        const auto it = next.find(name);
+        const Rule changed = it != next.end() ? it->second : Rule{};
+        if (changed.rate != rule.rate || changed.burst != rule.burst) {
+            // The state is made under the old rule first: a larger burst must not come filled.
+            findOrCreate(name)->rate().setRule(changed.rate, changed.burst, now);
+        }
+    }
+    for (const auto &[name, rule] : next) {
+        const auto it = m_limits.find(name);
+        if (it != m_limits.end() && m_rules.count(name) == 0) {
+            it->second->rate().setRule(rule.rate, rule.burst, now);
+        }
+    }
+    m_rules = std::move(next);
+    for (const SlotRule &rule : rules.slots) {
+        Slots &slots = m_slots[rule.endpoint];
+        slots.zone = rule.zone;
+        updateSlots(rule.endpoint, slots);
+    }
+    setZoneFraction(rules.zones, !m_configured);
+    m_configured = true;
+}
+
+void LimitService::setZoneFraction(const std::vector<ZoneWeight> &weights, bool first)
+{
+    const double fraction = fractionOf(m_zone, weights);
+    if (first || fraction <= m_zoneFraction) {
+        m_zoneFraction = fraction;
+        m_nextZoneFraction = fraction;
+    } else if (fraction != m_nextZoneFraction) {
+        m_nextZoneFraction = fraction;
+        m_zoneFractionDue = m_clock.now() + m_options.weightDelay;
+    }
+    updateShare();
+}
+
+void LimitService::updateShare()
+{
+    const SteadyTime now = m_clock.now();
+    if (m_nextZoneFraction > m_zoneFraction && now >= m_zoneFractionDue) {
+        m_zoneFraction = m_nextZoneFraction;
+    }
+    const double share = m_zoneFraction * m_roster.state().share();
+    if (share == m_shares.back().share) {
+        return;
+    }
+    m_shares.push_back({now, share});
+    if (m_shares.size() > KeptShares) {
+        m_shares.erase(m_shares.begin());
+    }
+    for (auto &[name, limit] : m_limits) {
+        limit->rate().setShare(share, now);
+    }
+}
+
+RateLimit LimitService::makeRateLimit(const Rule &rule, SteadyTime now) const
+{
+    // Repeats the changes of the share, so that the tokens are those that the limit would have
+    // had if it had been there since the start.
+    const ShareChange &oldest = m_shares.front();
+    RateLimit rate(rule.rate, rule.burst, accrual(), oldest.share, 0, oldest.at);
+    for (const ShareChange &change : m_shares) {
+        rate.setShare(change.share, change.at);
+    }
+    rate.level(now);
+    return rate;
+}
+
+WorkspaceLimit *LimitService::findOrCreate(const std::string &name)
+{
+    const auto found = m_limits.find(name);
+    if (found != m_limits.end()) {
+        return found->second.get();
+    }
+    const auto rule = m_rules.find(name);
+    if (rule == m_rules.end()) {
+        return nullptr;
+    }
+    auto limit = std::make_unique<WorkspaceLimit>(name, makeRateLimit(rule->second, m_clock.now()),
+                                                  m_options);
+    return m_limits.emplace(name, std::move(limit)).first->second.get();
+}
+
+LimitDecision LimitService::admit(const WorkspaceName &workspace, double cost, AdmitAttempt attempt)
+{
+    WorkspaceLimit *limit = findOrCreate(rateName(workspace));
+    if (limit == nullptr) {
+        return {};
+    }
+    return limit->admit(cost, attempt, context(m_outbox));
+}
+
+void LimitService::reconcile(const WorkspaceName &workspace, double estimated, double used)
+{
+    WorkspaceLimit *limit = findOrCreate(rateName(workspace));
+    if (limit != nullptr && used < estimated) {
+        limit->rate().giveBack(estimated - std::max(0.0, used), m_clock.now());
+    }
+}
+
+bool LimitService::allFit()
+{
+    const SteadyTime now = m_clock.now();
+    return std::all_of(m_limits.begin(), m_limits.end(),
+                       [&](auto &entry) {
+                           return entry.second->rate().fits(now);
+                       })
+        && std::all_of(m_slots.begin(), m_slots.end(), [&](auto &entry) {
+               return entry.second.limit.fits(now);
+           });
+}
+
+void LimitService::updateSlots(const EndpointId &endpoint, Slots &slots)
+{
+    const RosterState &state = m_roster.state();
+    if (slots.ownedEpoch != state.record().epoch || slots.ownedTotal != slots.total) {
+        slots.ownedEpoch = state.record().epoch;
+        slots.ownedTotal = slots.total;
+        slots.owned = ownedSlots(endpoint, slots.total, state.record(), m_self);
+    }
+    const bool inZone = slots.zone == m_zone && state.isMember() && !m_roster.released();
+    slots.limit.setOwned(inZone ? slots.owned : 0, state.complete(m_clock.now()));
+}
+
+bool LimitService::tryTakeSlot(const EndpointId &endpoint, Duration deadline)
+{
+    const SteadyTime now = m_clock.now();
+    const auto it = m_slots.find(endpoint);
+    return it != m_slots.end() && it->second.limit.tryTake(now + deadline, now);
+}
+
+void LimitService::returnSlot(const EndpointId &endpoint)
+{
+    const auto it = m_slots.find(endpoint);
+    if (it != m_slots.end()) {
+        it->second.limit.giveBack();
+    }
+}
+
+void LimitService::setSlots(const EndpointId &endpoint, int slots)
+{
+    Slots &entry = m_slots[endpoint];
+    entry.total = slots;
+    updateSlots(endpoint, entry);
+}
+
+LimitActions LimitService::takeActions()
+{
+    const SteadyTime now = m_clock.now();
+    m_roster.advance(allFit(), now);
+    updateShares();
+    LimitActions actions;
+    std::swap(actions.send, m_outbox);
+    const LimitContext limitContext = context(actions.send);
+    for (auto &[name, limit] : m_limits) {
+        if (limit->wakeupAfter(now)) {
+            limit->plan(limitContext);
+        }
+    }
+    m_roster.takeActions(actions, now);
+    return actions;
+}
+
+SteadyTime LimitService::nextWakeup() const
+{
+    const SteadyTime now = m_clock.now();
+    Duration after = m_roster.settled() ? IdleWakeup : std::chrono::milliseconds(100);
+    for (const auto &[name, limit] : m_limits) {
+        after = std::min(after, limit->wakeupAfter(now).value_or(after));
+    }
+    return now + after;
+}
+
+void LimitService::onTick()
+{
+    const SteadyTime now = m_clock.now();
+    if (now < m_nextSweep) {
+        return;
+    }
+    m_nextSweep = now + SweepInterval;
+    for (auto it = m_limits.begin(); it != m_limits.end();) {
+        const bool dispose = m_rules.count(it->first) > 0 && it->second->disposable(now);
+        it = dispose ? m_limits.erase(it) : std::next(it);
+    }
+    m_budgets.clear();
+}
+
+void LimitService::onPeerMessage(const InstanceId &from, std::uint64_t incarnation,
+                                 const PeerMessage &message)
+{
+    if (const auto *ack = std::get_if<EpochAck>(&message)) {
+        m_roster.onAck(from, incarnation, *ack);
+    } else if (const auto *request = std::get_if<LoanRequest>(&message)) {
+        WorkspaceLimit *limit = findOrCreate(request->limit);
+        if (limit != nullptr) {
+            limit->onLoanRequest(from, *request, context(m_outbox));
+        } else {
+            // An answer keeps the borrower from waiting while the two configurations differ.
+            m_outbox.push_back({from, LoanGrant{request->limit, request->loanId, 0, 0, 0}});
+        }
+    } else if (const auto *grant = std::get_if<LoanGrant>(&message)) {
+        const auto it = m_limits.find(grant->limit);
+        if (it != m_limits.end()) {
+            it->second->onLoanGrant(from, *grant, context(m_outbox));
+        }
+    }
+}
+
+void LimitService::onPeers(gsl::span<const PeerInfo> alive)
+{
+    m_zonePeers.clear();
+    m_otherPeers.clear();
+    for (const PeerInfo &peer : alive) {
+        if (peer.id != m_self) {
+            (peer.zone == m_zone ? m_zonePeers : m_otherPeers).push_back(peer.id);
+        }
+    }
+    m_roster.onPeers(alive, m_clock.now());
+}
+
+void LimitService::updateShares()
+{
+    updateShare();
+    for (auto &[endpoint, slots] : m_slots) {
+        updateSlots(endpoint, slots);
+    }
+}
+
+void LimitService::onRoster(const StoredObject &roster)
+{
+    if (m_roster.onRoster(roster)) {
+        updateShares();
+    }
+}
+
+void LimitService::onRosterReadFailed()
+{
+    m_roster.onReadFailed(m_clock.now());
+}
+
+void LimitService::onStoreReply(const WriteId &writeId, const Expected<std::uint64_t> &reply)
+{
+    if (m_roster.onStoreReply(writeId, reply, m_clock.now())) {
+        updateShares();
+    }
+}
+
+void LimitService::onPlatformInstances(gsl::span<const PlatformInstance> list)
+{
+    m_roster.onPlatformInstances(list, m_clock.now());
+}
+
+LimitActions LimitService::release()
+{
+    if (!m_roster.released()) {
+        m_roster.release();
+        updateShare();
+    }
+    return takeActions();
+}
+
+bool LimitService::isReleased() const
+{
+    return m_roster.released() && !m_roster.state().isMember();
+}
+
+LimitSnapshot LimitService::snapshot()
+{
+    const SteadyTime now = m_clock.now();
+    LimitSnapshot snapshot;
+    snapshot.rosterEpoch = m_roster.record().epoch;
+    snapshot.acknowledgedEpoch = acknowledgedEpoch();
+    snapshot.members = m_roster.record().members.size();
+    snapshot.share = m_shares.back().share;
+    snapshot.missingAcks = m_roster.state().missingAcks();
+    for (auto &[name, limit] : m_limits) {
+        snapshot.limits.push_back(limit->status(now));
+    }
+    for (const auto &[endpoint, slots] : m_slots) {
+        snapshot.slots.push_back({endpoint, slots.limit.owned(), slots.limit.used(),
+                                  slots.limit.lentCount(now), slots.limit.borrowedCount(now)});
+    }
+    return snapshot;
+}
+
+} // namespace marigoldspool
--- /dev/null
+++ b/lib/Limits/RateLimit.cpp
@@ -0,0 +1,236 @@
+#include "marigoldspool/Limits/RateLimit.h"
+
+#include <algorithm>
+
+namespace marigoldspool {
+
+namespace {
+
+// Sums of shares such as 1/3 are off by a few units in the last place.
+constexpr double Rounding = 1e-9;
+
+bool endsFirst(const std::optional<SteadyTime> &a, const std::optional<SteadyTime> &b)
+{
+    return a && (!b || *a <= *b);
+}
+
+} // namespace
+
+RateLimit::RateLimit(double rate, double burst, double accrual, double share, double level,
+                     SteadyTime now)
+    : m_rate(rate)
+    , m_burst(burst)
+    , m_accrual(accrual)
+    , m_share(share)
+    , m_bucket(rate * accrual * share, burst * share, level, now)
+{ }
+
+void RateLimit::settle(SteadyTime now)
+{
+    for (;;) {
+        const std::optional<SteadyTime> lentEnd = m_lent.nextEnd();
+        const std::optional<SteadyTime> borrowedEnd = m_borrowed.nextEnd();
+        const std::optional<SteadyTime> end =
+            endsFirst(borrowedEnd, lentEnd) ? borrowedEnd : lentEnd;
+        if (!end || *end > now) {
+            return;
+        }
+        m_lent.removeExpired(*end);
+        m_borrowed.removeExpired(*end);
+        reshape(*end);
+    }
+}
+
+void RateLimit::reshape(SteadyTime now)
+{
+    m_bucket.reshape(std::max(0.0, fractionAfter(now)) * m_rate * m_accrual,
+                     std::max(0.0, capacityAfter(now)), now);
+}
+
+double RateLimit::fractionAfter(SteadyTime at) const
+{
+    return m_share + m_borrowed.fractionAfter(at) - m_lent.fractionAfter(at);
+}
+
+double RateLimit::capacityAfter(SteadyTime at) const
+{
+    return fractionAfter(at) * m_burst + m_borrowed.tokensAfter(at, m_burst)
+        - m_lent.tokensAfter(at, m_burst);
+}
+
+std::vector<SteadyTime> RateLimit::lowPoints(const InstanceId *peer, SteadyTime now,
+                                             SteadyTime until) const
+{
+    std::vector<SteadyTime> points{now};
+    const auto addEnd = [&](const Loan &loan) {
+        if (loan.end > now && loan.end < until) {
+            points.push_back(loan.end);
+        }
+    };
+    std::for_each(m_borrowed.loans().begin(), m_borrowed.loans().end(), addEnd);
+    for (const Loan &loan : m_lent.loans()) {
+        // A renewal covers the loan before it only until that one ends.
+        if (peer != nullptr && loan.peer == *peer) {
+            addEnd(loan);
+        }
+    }
+    return points;
+}
+
+void RateLimit::setRule(double rate, double burst, SteadyTime now)
+{
+    settle(now);
+    m_rate = rate;
+    m_burst = burst;
+    reshape(now);
+}
+
+void RateLimit::setShare(double share, SteadyTime now)
+{
+    settle(now);
+    m_share = share;
+    reshape(now);
+}
+
+bool RateLimit::tryTake(double tokens, SteadyTime now)
+{
+    settle(now);
+    return m_bucket.tryTake(tokens, now);
+}
+
+void RateLimit::giveBack(double tokens, SteadyTime now)
+{
+    settle(now);
+    m_bucket.add(tokens, now);
+}
+
+double RateLimit::level(SteadyTime now)
+{
+    settle(now);
+    return m_bucket.level(now);
+}
+
+double RateLimit::fraction(SteadyTime now)
+{
+    settle(now);
+    return std::max(0.0, fractionAfter(now));
+}
+
+double RateLimit::capacity(SteadyTime now)
+{
+    settle(now);
+    return m_bucket.capacity();
+}
+
+Duration RateLimit::timeUntil(double tokens, SteadyTime now)
+{
+    settle(now);
+    return m_bucket.timeUntil(tokens, now);
+}
+
+bool RateLimit::fits(SteadyTime now)
+{
+    settle(now);
+    const std::vector<SteadyTime> points = lowPoints(nullptr, now, SteadyTime::max());
+    return std::all_of(points.begin(), points.end(), [&](SteadyTime at) {
+        return fractionAfter(at) >= -Rounding && capacityAfter(at) >= -Rounding * (1 + m_burst);
+    });
+}
+
+RateLimit::Offer RateLimit::offer(const InstanceId &peer, const Offer &wanted, double keepFraction,
+                                  double keepTokens, SteadyTime now)
+{
+    settle(now);
+    const std::vector<SteadyTime> points = lowPoints(&peer, now, now + wanted.term);
+    Offer offer;
+    offer.term = wanted.term;
+    offer.fraction = wanted.fraction;
+    for (const SteadyTime at : points) {
+        const double reserved = m_lent.fractionWith(peer, at);
+        const double free = fractionAfter(at) + reserved - keepFraction;
+        const double covered = m_burst > 0 ? capacityAfter(at) / m_burst + reserved : 0;
+        offer.fraction = std::max(0.0, std::min({offer.fraction, free, covered}));
+    }
+    const bool first = m_lent.fractionWith(peer, now) <= 0;
+    const double included = first ? offer.fraction * m_burst : 0;
+    const double spare = std::max(0.0, m_bucket.level(now) - keepTokens);
+    offer.tokens = std::min(wanted.tokens, spare);
+    for (const SteadyTime at : points) {
+        const double covered =
+            std::max(offer.fraction, m_lent.fractionWith(peer, at)) - m_lent.fractionWith(peer, at);
+        const double free = capacityAfter(at) - covered * m_burst + included;
+        offer.tokens = std::clamp(free, 0.0, offer.tokens);
+    }
+    return offer;
+}
+
+bool RateLimit::lend(const InstanceId &peer, std::uint64_t id, const Offer &offer,
+                     SteadyTime reservedUntil, SteadyTime now)
+{
+    settle(now);
+    if (!m_bucket.tryTake(offer.tokens, now)) {
+        return false;
+    }
+    // The first loan's tokens fill the capacity of its fraction. Those of a renewal come in
+    // addition, since the borrower may have filled that capacity already.
+    const bool first = m_lent.fractionWith(peer, now) <= 0;
+    const double included = first ? offer.fraction * m_burst : 0;
+    m_lent.add(
+        {peer, id, offer.fraction, std::max(0.0, offer.tokens - included), m_burst, reservedUntil});
+    reshape(now);
+    return true;
+}
+
+void RateLimit::borrow(const InstanceId &peer, std::uint64_t id, double fraction, double tokens,
+                       SteadyTime end, SteadyTime now)
+{
+    settle(now);
+    if (end <= now) {
+        return;
+    }
+    const bool first = m_borrowed.fractionWith(peer, now) <= 0;
+    const double included = first ? fraction * m_burst : 0;
+    m_borrowed.add({peer, id, fraction, std::max(0.0, tokens - included), m_burst, end});
+    reshape(now);
+    m_bucket.add(tokens, now);
+}
+
+double RateLimit::returnLoan(const InstanceId &peer, std::uint64_t id, double keepTokens,
+                             SteadyTime now)
+{
+    settle(now);
+    const Loan *found = m_borrowed.find(peer, id);
+    if (found == nullptr) {
+        return -1;
+    }
+    const Loan loan = *found;
+    const double before = capacityAfter(now);
+    const double level = m_bucket.level(now);
+    m_borrowed.remove(peer, id);
+    if (!fits(now)) {
+        m_borrowed.add(loan);
+        return -1;
+    }
+    const double freed = std::max(0.0, before - capacityAfter(now));
+    const double tokens = std::clamp(level - keepTokens, 0.0, freed);
+    m_bucket.tryTake(std::min(tokens, level), now);
+    reshape(now);
+    return tokens;
+}
+
+bool RateLimit::onReturned(const InstanceId &peer, std::uint64_t id, double tokens, SteadyTime now)
+{
+    settle(now);
+    const double before = capacityAfter(now);
+    if (!m_lent.remove(peer, id)) {
+        return false;
+    }
+    // Only what the return frees here can come back: if a later loan to the same borrower holds
+    // the capacity, the borrower may fill it again while the tokens are still on their way.
+    const double freed = std::max(0.0, capacityAfter(now) - before);
+    reshape(now);
+    m_bucket.add(std::min(tokens, freed), now);
+    return true;
+}
+
+} // namespace marigoldspool
--- /dev/null
+++ b/lib/Limits/RosterKeeper.cpp
@@ -0,0 +1,270 @@
+#include "marigoldspool/Limits/RosterKeeper.h"
+
+#include "marigoldspool/Support/EventLog.h"
+
+#include <algorithm>
+
+namespace marigoldspool {
+
+namespace {
+
+// All members write the same object when a zone starts, so conflicts are normal at first.
+constexpr Duration FirstPause = std::chrono::milliseconds(100);
+constexpr Duration LongestPause = std::chrono::seconds(5);
+// An answer that has not come by then is taken for lost.
+constexpr Duration StoreTimeout = std::chrono::seconds(5);
+// Acknowledgements go to the whole zone; while a zone starts there is an epoch for each member.
+constexpr Duration AckInterval = std::chrono::milliseconds(500);
+// Keeps the members from removing a dead one all at once.
+constexpr Duration RemovalStagger = std::chrono::seconds(1);
+
+Duration scaled(Duration duration, double factor)
+{
+    return std::chrono::duration_cast<Duration>(duration * factor);
+}
+
+} // namespace
+
+RosterKeeper::RosterKeeper(const LimitOptions &options, InstanceId self, std::uint64_t incarnation,
+                           ZoneName zone, SteadyTime now, RandomSource &random)
+    : m_options(&options)
+    , m_self(self)
+    , m_incarnation(incarnation)
+    , m_zone(std::move(zone))
+    , m_random(&random)
+    , m_state(std::move(self), incarnation,
+              now + scaled(options.loanTerm, (1 + options.clockError) / (1 - options.clockError)))
+    , m_nextRefresh(now)
+    , m_nextAttempt(now)
+    , m_nextAck(now)
+{ }
+
+bool RosterKeeper::adopt(RosterRecord record, std::uint64_t version)
+{
+    m_known = true;
+    if (version <= m_version) {
+        return false;
+    }
+    m_version = version;
+    return m_state.onRosterSeen(std::move(record));
+}
+
+bool RosterKeeper::onRoster(const StoredObject &object)
+{
+    m_readSentAt.reset();
+    m_readDue = false;
+    if (object.version == 0) {
+        m_known = true;
+        return false;
+    }
+    Expected<RosterRecord> record = parseRoster(object.value);
+    if (!record) {
+        logEvent(LogLevel::Error, "roster_malformed", {{"error", describeError(record.error())}});
+        return false;
+    }
+    return adopt(std::move(*record), object.version);
+}
+
+bool RosterKeeper::onStoreReply(const WriteId &writeId, const Expected<std::uint64_t> &reply,
+                                SteadyTime now)
+{
+    if (!m_write || m_write->id != writeId) {
+        return false;
+    }
+    const RosterRecord record = std::move(m_write->record);
+    m_write.reset();
+    if (!reply) {
+        // Whether a write with a lost answer was done is seen when the roster is read.
+        m_readDue = true;
+        backOff(now);
+        return false;
+    }
+    m_pause = Duration::zero();
+    return adopt(record, *reply);
+}
+
+void RosterKeeper::onReadFailed(SteadyTime now)
+{
+    m_readSentAt.reset();
+    backOff(now);
+}
+
+void RosterKeeper::backOff(SteadyTime now)
+{
+    m_pause = std::clamp(2 * m_pause, FirstPause, LongestPause);
+    m_nextAttempt = now + scaled(m_pause, 0.5 + m_random->uniform());
+}
+
+void RosterKeeper::onAck(const InstanceId &from, std::uint64_t incarnation, const EpochAck &ack)
+{
+    if (ack.memberIncarnation != incarnation) {
+        return;
+    }
+    m_state.onAck(from, incarnation, ack.epoch);
+    if (ack.released) {
+        m_releasedMembers[from] = incarnation;
+    }
+    m_readDue = m_readDue || ack.epoch > record().epoch;
+}
+
+void RosterKeeper::onPeers(gsl::span<const PeerInfo> alive, SteadyTime now)
+{
+    for (const PeerInfo &peer : alive) {
+        if (peer.zone != m_zone) {
+            continue;
+        }
+        m_state.onAck(peer.id, peer.incarnation, peer.rosterEpoch);
+        m_readDue = m_readDue || peer.rosterEpoch > record().epoch;
+        const auto it = m_absences.find(peer.id);
+        if (it != m_absences.end() && it->second.since) {
+            it->second.since = now;
+        }
+    }
+}
+
+void RosterKeeper::onPlatformInstances(gsl::span<const PlatformInstance> list, SteadyTime now)
+{
+    for (const RosterMember &member : record().members) {
+        const bool listed = std::any_of(list.begin(), list.end(), [&](const auto &instance) {
+            return instance.id == member.id.str();
+        });
+        Absence &absence = m_absences[member.id];
+        if (listed) {
+            absence = {true, std::nullopt, now};
+        } else if (absence.wasListed && !absence.since) {
+            absence.since = now;
+        }
+        absence.confirmedAt = now;
+    }
+    for (auto it = m_absences.begin(); it != m_absences.end();) {
+        it = record().find(it->first) == nullptr ? m_absences.erase(it) : std::next(it);
+    }
+}
+
+bool RosterKeeper::advance(bool fits, SteadyTime now)
+{
+    if (fits) {
+        m_lentIsBack = m_releasing;
+        m_state.acknowledge();
+    }
+    if (!m_state.growthPossible(now)) {
+        return false;
+    }
+    m_state.grow();
+    logEvent(LogLevel::Info, "limit_share_grown",
+             {{"epoch", std::to_string(record().epoch)},
+              {"members", std::to_string(record().members.size())}});
+    return true;
+}
+
+void RosterKeeper::release()
+{
+    m_releasing = true;
+    m_state.release();
+}
+
+bool RosterKeeper::settled() const
+{
+    return m_known && !m_readDue && !m_readSentAt && !m_write && m_state.isMember() != m_releasing
+        && m_state.acknowledgedEpoch() == record().epoch && m_ackSentEpoch == record().epoch
+        && m_state.missingAcks().empty();
+}
+
+std::optional<InstanceId> RosterKeeper::removableMember(SteadyTime now) const
+{
+    Duration stagger = Duration::zero();
+    std::optional<InstanceId> found;
+    for (const RosterMember &member : record().members) {
+        if (member.id == m_self) {
+            break;
+        }
+        stagger += RemovalStagger;
+    }
+    for (const RosterMember &member : record().members) {
+        if (member.id == m_self) {
+            continue;
+        }
+        const auto released = m_releasedMembers.find(member.id);
+        if (released != m_releasedMembers.end() && released->second == member.incarnation) {
+            return member.id;
+        }
+        const auto it = m_absences.find(member.id);
+        if (it == m_absences.end() || !it->second.since) {
+            continue;
+        }
+        const SteadyTime due = *it->second.since + m_options->reclaimDelay;
+        // A list read after the delay must still lack the member.
+        if (it->second.confirmedAt >= due && now >= due + stagger) {
+            found = member.id;
+        }
+    }
+    return found;
+}
+
+std::optional<RosterRecord> RosterKeeper::dueChange(SteadyTime now) const
+{
+    if (m_releasing) {
+        if (m_state.isMember() && m_lentIsBack) {
+            return record().without(m_self);
+        }
+        return std::nullopt;
+    }
+    if (!m_state.isMember()) {
+        return record().with({m_self, m_incarnation});
+    }
+    const std::optional<InstanceId> dead = removableMember(now);
+    if (!dead) {
+        return std::nullopt;
+    }
+    logEvent(LogLevel::Info, "roster_member_removed", {{"member", dead->str()}});
+    return record().without(*dead);
+}
+
+void RosterKeeper::sendAcks(LimitActions &actions, SteadyTime now)
+{
+    const std::uint64_t epoch = m_state.acknowledgedEpoch();
+    const bool releaseDue = m_releasing && m_lentIsBack && !m_releaseSent;
+    if (now < m_nextAck || (epoch <= m_ackSentEpoch && !releaseDue)) {
+        return;
+    }
+    m_nextAck = now + AckInterval;
+    m_ackSentEpoch = epoch;
+    m_releaseSent = m_releasing && m_lentIsBack;
+    for (const RosterMember &member : record().members) {
+        if (member.id != m_self) {
+            actions.send.push_back({member.id, EpochAck{epoch, m_incarnation, m_releaseSent}});
+        }
+    }
+}
+
+void RosterKeeper::takeActions(LimitActions &actions, SteadyTime now)
+{
+    sendAcks(actions, now);
+    if (m_write && now - m_write->sentAt >= StoreTimeout) {
+        m_write.reset();
+        m_readDue = true;
+    }
+    if (m_readSentAt && now - *m_readSentAt >= StoreTimeout) {
+        onReadFailed(now);
+        m_readDue = true;
+    }
+    if (m_write || m_readSentAt || now < m_nextAttempt) {
+        return;
+    }
+    if (m_readDue || !m_known || now >= m_nextRefresh) {
+        m_readDue = true;
+        m_readSentAt = now;
+        m_nextRefresh = now + scaled(m_options->rosterRefresh, 0.5 + m_random->uniform());
+        actions.reads.push_back(rosterKey(m_zone));
+        return;
+    }
+    std::optional<RosterRecord> change = dueChange(now);
+    if (!change) {
+        return;
+    }
+    const WriteId id("roster-" + m_self.str() + "-" + m_random->hex(16));
+    actions.writes.push_back({rosterKey(m_zone), m_version, serializeRoster(*change), id});
+    m_write = PendingWrite{id, std::move(*change), now};
+}
+
+} // namespace marigoldspool
--- /dev/null
+++ b/lib/Limits/WorkspaceLimit.cpp
@@ -0,0 +1,434 @@
+#include "marigoldspool/Limits/WorkspaceLimit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace marigoldspool {
+
+namespace {
+
+// A fraction is borrowed and kept for a little more than the measured demand, as that varies.
+constexpr double DemandMargin = 1.15;
+// Below this many requests in the meter's window the demand is too uncertain to lend a fraction
+// for a whole term; single requests are served by loans of tokens.
+constexpr double LeastSamples = 4;
+// Seconds of its own demand for which a lender keeps tokens: several round trips between zones.
+constexpr double KeepSeconds = 0.25;
+// Seconds of demand for which tokens are borrowed at once, to save messages.
+constexpr double PrefetchSeconds = 0.2;
+constexpr Duration FractionCheckInterval = std::chrono::milliseconds(100);
+// A borrowed fraction is kept at least this long, so that it does not go back and forth.
+constexpr Duration LeastHolding = std::chrono::milliseconds(500);
+// Tokens above the own capacity are lost at the end of a loan, so they go back just before.
+constexpr Duration LastReturn = std::chrono::milliseconds(120);
+// A borrowed fraction that is lent on for less than this is of no use.
+constexpr Duration LeastTerm = std::chrono::milliseconds(500);
+// How long a request from another zone waits for loans from the own zone; leaves most of the
+// borrower's LimitOptions::loanWait for the way there and back.
+constexpr Duration DeferredWait = std::chrono::milliseconds(20);
+
+Duration scaled(Duration duration, double factor)
+{
+    return std::chrono::duration_cast<Duration>(duration * factor);
+}
+
+bool isAmount(double value)
+{
+    return std::isfinite(value) && value >= 0;
+}
+
+} // namespace
+
+WorkspaceLimit::WorkspaceLimit(std::string name, RateLimit rate, const LimitOptions &options)
+    : m_name(std::move(name))
+    , m_rate(std::move(rate))
+    , m_desk(options)
+{ }
+
+double WorkspaceLimit::demandFraction(SteadyTime now) const
+{
+    if (m_rate.rate() <= 0 || m_demand.samples(now) < LeastSamples) {
+        return 0;
+    }
+    return std::min(1.0, m_demand.perSecond(now) * DemandMargin / m_rate.rate());
+}
+
+double WorkspaceLimit::waitingTokens(SteadyTime now) const
+{
+    double sum = 0;
+    for (const Waiting &waiting : m_waiting) {
+        sum += waiting.until > now ? waiting.cost : 0;
+    }
+    return sum;
+}
+
+double WorkspaceLimit::keepFraction(const LimitContext &context) const
+{
+    return context.releasing ? 0 : demandFraction(context.now);
+}
+
+double WorkspaceLimit::keepTokens(const LimitContext &context) const
+{
+    if (context.releasing) {
+        return 0;
+    }
+    return waitingTokens(context.now) + KeepSeconds * m_demand.perSecond(context.now);
+}
+
+LimitDecision WorkspaceLimit::admit(double cost, AdmitAttempt attempt, const LimitContext &context)
+{
+    const SteadyTime now = context.now;
+    SteadyTime latest = now + context.options.loanWait;
+    m_lastUsed = now;
+    if (attempt == AdmitAttempt::First) {
+        m_demand.add(cost, now);
+    } else {
+        const auto it =
+            std::find_if(m_waiting.begin(), m_waiting.end(), [&](const Waiting &waiting) {
+                return waiting.cost == cost;
+            });
+        latest = it != m_waiting.end() ? it->until : now;
+        if (it != m_waiting.end()) {
+            m_waiting.erase(it);
+        }
+    }
+    if (cost > m_rate.burst()) {
+        return {LimitDecision::Outcome::Refused, RefusalReason::CostAboveBurst, Duration::zero()};
+    }
+    if (m_rate.tryTake(cost, now)) {
+        return {LimitDecision::Outcome::Admitted, RefusalReason::RateExceeded, Duration::zero()};
+    }
+    if (context.otherPeers.empty() && cost > context.zoneFraction * m_rate.burst()) {
+        return {LimitDecision::Outcome::Refused, RefusalReason::CostAboveZoneShare,
+                Duration::zero()};
+    }
+    return refuseOrWait(cost, latest, context);
+}
+
+LimitDecision WorkspaceLimit::refuseOrWait(double cost, SteadyTime latest,
+                                           const LimitContext &context)
+{
+    const SteadyTime now = context.now;
+    const auto mayAnswer = [&](const std::vector<InstanceId> &peers) {
+        const std::optional<SteadyTime> at = m_desk.nextRetry(peers, now);
+        return at && *at < latest;
+    };
+    if (now < latest
+        && (m_desk.underWay() > 0 || mayAnswer(context.zonePeers)
+            || mayAnswer(context.otherPeers))) {
+        m_waiting.push_back({cost, latest});
+        return {LimitDecision::Outcome::WaitForLoan, RefusalReason::RateExceeded, latest - now};
+    }
+    Duration wait = m_rate.timeUntil(cost, now);
+    if (wait == Duration::max()) {
+        // More than the own share can hold: by then the whole limit has accrued as much.
+        const double missing = cost - m_rate.level(now);
+        const double seconds = m_rate.rate() > 0 ? std::min(missing / m_rate.rate(), 3600.0) : 3600;
+        wait = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    }
+    return {LimitDecision::Outcome::Refused, RefusalReason::RateExceeded,
+            std::max<Duration>(wait, context.options.loanWait)};
+}
+
+RateLimit::Offer WorkspaceLimit::makeOffer(const InstanceId &from, const LoanRequest &request,
+                                           const LimitContext &context)
+{
+    const LimitOptions &options = context.options;
+    const SteadyTime now = context.now;
+    RateLimit::Offer wanted{request.fraction, request.tokens,
+                            request.fraction > 0 ? options.loanTerm : options.tokenTerm};
+    RateLimit::Offer offer =
+        m_rate.offer(from, wanted, keepFraction(context), keepTokens(context), now);
+    const std::optional<SteadyTime> end = m_rate.borrowed().nextEnd();
+    if (request.fraction > 0 && offer.fraction <= 0 && end) {
+        // What is borrowed can be lent on until the first of the borrowed loans ends.
+        wanted.term = scaled(*end - now, (1 - options.clockError) / (1 + options.clockError));
+        if (wanted.term >= LeastTerm && wanted.term < options.loanTerm) {
+            offer = m_rate.offer(from, wanted, keepFraction(context), keepTokens(context), now);
+        }
+    }
+    // A loan that carries next to nothing costs more messages than it is worth.
+    if (offer.fraction < 0.02 * m_rate.share()) {
+        offer.fraction = 0;
+    }
+    if (offer.fraction <= 0 && offer.term > options.tokenTerm) {
+        offer.term = options.tokenTerm;
+        offer =
+            m_rate.offer(from, {0, request.tokens, options.tokenTerm}, 0, keepTokens(context), now);
+    }
+    return offer;
+}
+
+void WorkspaceLimit::answer(const InstanceId &from, const LoanRequest &request,
+                            const RateLimit::Offer &offer, const LimitContext &context)
+{
+    const LimitOptions &options = context.options;
+    const std::int64_t termMs =
+        std::chrono::duration_cast<std::chrono::milliseconds>(offer.term).count();
+    LoanGrant grant{m_name, request.loanId, 0, 0, 0};
+    // The borrower's term counts from before this moment. Its clock may run slow and this one
+    // fast, each by the clock error.
+    const Duration reserve = scaled(offer.term, (1 + options.clockError) / (1 - options.clockError))
+        + std::chrono::nanoseconds(1);
+    if (!offer.empty() && termMs > 0
+        && m_rate.lend(from, request.loanId, offer, context.now + reserve, context.now)) {
+        grant.tokens = offer.tokens;
+        grant.fraction = offer.fraction;
+        grant.termMs = termMs;
+    }
+    context.send.push_back({from, grant});
+}
+
+void WorkspaceLimit::onLoanRequest(const InstanceId &from, const LoanRequest &request,
+                                   const LimitContext &context)
+{
+    const auto isSame = [&](const Deferred &d) {
+        return d.from == from && d.request.loanId == request.loanId;
+    };
+    if (!isAmount(request.tokens) || !isAmount(request.fraction)
+        || m_rate.lent().find(from, request.loanId) != nullptr
+        || std::any_of(m_deferred.begin(), m_deferred.end(), isSame)) {
+        return;
+    }
+    if (m_rate.borrowed().fractionWith(from, context.now) > 0
+        && m_rate.fraction(context.now) - m_rate.borrowed().fractionWith(from, context.now)
+            >= keepFraction(context)) {
+        returnTo(from, context);
+    }
+    const RateLimit::Offer offer = makeOffer(from, request, context);
+    const auto &others = context.otherPeers;
+    const bool fromElsewhere = std::find(others.begin(), others.end(), from) != others.end();
+    const bool enough =
+        offer.tokens >= 0.99 * request.tokens && offer.fraction >= 0.5 * request.fraction;
+    if (!enough && fromElsewhere && !context.zonePeers.empty() && !context.releasing) {
+        m_deferred.push_back({from, request, context.now + DeferredWait});
+        return;
+    }
+    answer(from, request, offer, context);
+}
+
+void WorkspaceLimit::onLoanGrant(const InstanceId &from, const LoanGrant &grant,
+                                 const LimitContext &context)
+{
+    if (!isAmount(grant.tokens) || !isAmount(grant.fraction) || grant.fraction > 1) {
+        return;
+    }
+    const std::optional<LoanDesk::Pending> pending = m_desk.take(from, grant.loanId);
+    if (!pending) {
+        if (grant.termMs == 0) {
+            m_rate.onReturned(from, grant.loanId, grant.tokens, context.now);
+        }
+        return;
+    }
+    m_desk.learn(*pending, grant.tokens, grant.fraction, context.now);
+    if (grant.tokens > 0 || grant.fraction > 0) {
+        const Duration term =
+            std::min<Duration>(std::chrono::milliseconds(grant.termMs), context.options.loanTerm);
+        m_rate.borrow(from, grant.loanId, grant.fraction, grant.tokens, pending->sentAt + term,
+                      context.now);
+    }
+}
+
+void WorkspaceLimit::expire(SteadyTime now)
+{
+    m_desk.onTick(now);
+    m_waiting.erase(std::remove_if(m_waiting.begin(), m_waiting.end(),
+                                   [&](const Waiting &waiting) {
+                                       return waiting.until <= now;
+                                   }),
+                    m_waiting.end());
+}
+
+void WorkspaceLimit::serveDeferred(const LimitContext &context)
+{
+    std::vector<Deferred> rest;
+    for (Deferred &deferred : m_deferred) {
+        const RateLimit::Offer offer = makeOffer(deferred.from, deferred.request, context);
+        const bool enough = offer.tokens >= 0.99 * deferred.request.tokens
+            && offer.fraction >= 0.5 * deferred.request.fraction;
+        if (enough || deferred.until <= context.now) {
+            answer(deferred.from, deferred.request, offer, context);
+        } else {
+            rest.push_back(std::move(deferred));
+        }
+    }
+    m_deferred = std::move(rest);
+}
+
+void WorkspaceLimit::plan(const LimitContext &context)
+{
+    expire(context.now);
+    serveDeferred(context);
+    if (context.releasing) {
+        returnLoans(context);
+        return;
+    }
+    reviewBorrowed(context);
+    askForTokens(context);
+    askForFraction(context);
+}
+
+void WorkspaceLimit::askForTokens(const LimitContext &context)
+{
+    const SteadyTime now = context.now;
+    const double waiting = std::min(waitingTokens(now), m_rate.burst());
+    double deferred = 0;
+    for (const Deferred &entry : m_deferred) {
+        deferred += std::min(entry.request.tokens, context.zoneFraction * m_rate.burst());
+    }
+    const double missing = waiting + deferred - m_rate.level(now) - m_desk.tokensUnderWay();
+    if ((m_waiting.empty() && m_deferred.empty()) || missing <= 0) {
+        return;
+    }
+    const double prefetch = std::min(PrefetchSeconds * m_demand.perSecond(now),
+                                     m_rate.capacity(now) - m_rate.level(now));
+    ask({missing + std::max(0.0, prefetch), 0, m_waiting.empty()}, context);
+}
+
+void WorkspaceLimit::askForFraction(const LimitContext &context)
+{
+    const SteadyTime now = context.now;
+    if (now < m_nextFractionCheck) {
+        return;
+    }
+    m_nextFractionCheck = now + FractionCheckInterval;
+    double foreign = 0;
+    for (const Deferred &entry : m_deferred) {
+        foreign += entry.request.fraction;
+    }
+    const double held = m_rate.fraction(now);
+    const double own = demandFraction(now) - held - m_desk.fractionUnderWay();
+    // While there are enough tokens a larger fraction would only take them from where they are.
+    const bool low = m_rate.level(now) < 0.5 * m_rate.capacity(now);
+    if (own > std::max(0.01, 0.1 * held) && low) {
+        ask({0, own, false}, context);
+    } else if (foreign > 0) {
+        ask({0, std::min(foreign, context.zoneFraction) - m_desk.fractionUnderWay(), true},
+            context);
+    }
+}
+
+void WorkspaceLimit::ask(const Target &target, const LimitContext &context)
+{
+    const double memberShare =
+        context.zoneFraction / static_cast<double>(std::max<std::size_t>(1, context.members));
+    std::vector<InstanceId> peers = context.zonePeers;
+    if (!target.zoneOnly) {
+        peers.insert(peers.end(), context.otherPeers.begin(), context.otherPeers.end());
+    }
+    double tokens = target.tokens;
+    double fraction = target.fraction;
+    for (const InstanceId &peer : m_desk.candidates(peers, context.now, context.random)) {
+        if ((tokens <= 0 && fraction <= 0)
+            || m_desk.underWay() >= context.options.parallelRequests) {
+            return;
+        }
+        if ((fraction > 0 && m_desk.mayReceiveFraction(peer)) || !context.mayAsk(peer)) {
+            continue;
+        }
+        const double expected =
+            m_desk.expectedTokens(peer).value_or(0.5 * memberShare * m_rate.burst());
+        const double part = std::min(tokens, std::max(expected, target.tokens / 4));
+        const double fractionPart = std::min(fraction, std::max(memberShare, fraction / 4));
+        // A fraction comes with tokens to fill it, as far as the lender has them to spare.
+        sendRequest(peer, tokens > 0 ? part : fractionPart * m_rate.burst(), fractionPart, context);
+        tokens -= part;
+        fraction -= fractionPart;
+    }
+}
+
+void WorkspaceLimit::sendRequest(const InstanceId &peer, double tokens, double fraction,
+                                 const LimitContext &context)
+{
+    const std::uint64_t id = context.random.next();
+    m_desk.sent({peer, id, tokens, fraction, context.now, false});
+    context.send.push_back({peer, LoanRequest{m_name, id, tokens, fraction}});
+}
+
+void WorkspaceLimit::reviewBorrowed(const LimitContext &context)
+{
+    for (const auto &[peer, end] : m_rate.borrowed().fractionEnds()) {
+        reviewPeer(peer, end, context);
+    }
+}
+
+void WorkspaceLimit::reviewPeer(const InstanceId &peer, SteadyTime end, const LimitContext &context)
+{
+    const SteadyTime now = context.now;
+    const Duration left = end - now;
+    const double held = m_rate.borrowed().fractionWith(peer, now);
+    const double others = m_rate.fraction(now) - held;
+    const double needed = std::clamp(demandFraction(now) - others, 0.0, held);
+    const Duration age = context.options.loanTerm - left;
+    const bool spare = demandFraction(now) < 0.9 * others;
+    if (left <= LastReturn || (spare && age >= LeastHolding)) {
+        returnTo(peer, context);
+        return;
+    }
+    const bool askable = !m_desk.candidates({peer}, now, context.random).empty();
+    if (left < context.options.loanTerm / 5 && needed > 0.1 * held && askable
+        && !m_desk.mayReceiveFraction(peer) && context.mayAsk(peer)) {
+        sendRequest(peer, 0, needed, context);
+    }
+}
+
+bool WorkspaceLimit::returnTo(const InstanceId &peer, const LimitContext &context)
+{
+    std::vector<std::uint64_t> ids;
+    for (const Loan &loan : m_rate.borrowed().loans()) {
+        if (loan.peer == peer && loan.fraction > 0) {
+            ids.push_back(loan.id);
+        }
+    }
+    bool any = false;
+    for (const std::uint64_t id : ids) {
+        const double tokens = m_rate.returnLoan(peer, id, keepTokens(context), context.now);
+        if (tokens >= 0) {
+            context.send.push_back({peer, LoanGrant{m_name, id, tokens, 0, 0}});
+            any = true;
+        }
+    }
+    return any;
+}
+
+void WorkspaceLimit::returnLoans(const LimitContext &context)
+{
+    for (const auto &[peer, end] : m_rate.borrowed().fractionEnds()) {
+        static_cast<void>(end);
+        returnTo(peer, context);
+    }
+}
+
+std::optional<Duration> WorkspaceLimit::wakeupAfter(SteadyTime now) const
+{
+    if (!m_waiting.empty() || !m_deferred.empty()) {
+        return std::chrono::milliseconds(10);
+    }
+    if (!m_desk.idle() || !m_rate.borrowed().empty() || !m_rate.lent().empty()
+        || demandFraction(now) > m_rate.share()) {
+        return std::chrono::milliseconds(50);
+    }
+    return std::nullopt;
+}
+
+bool WorkspaceLimit::disposable(SteadyTime now)
+{
+    static constexpr Duration KeepTime = std::chrono::minutes(10);
+    return now - m_lastUsed >= KeepTime && !wakeupAfter(now)
+        && m_rate.level(now) >= m_rate.capacity(now);
+}
+
+LimitStatus WorkspaceLimit::status(SteadyTime now)
+{
+    return {m_name,
+            m_rate.rate(),
+            m_rate.burst(),
+            m_rate.share(),
+            m_rate.fraction(now),
+            m_rate.level(now),
+            m_demand.perSecond(now),
+            m_rate.lent().loans().size(),
+            m_rate.borrowed().loans().size()};
+}
+
+} // namespace marigoldspool
