--- a/include/marigoldspool/Placement/PlacementEngine.h
+++ b/include/marigoldspool/Placement/PlacementEngine.h
@@ -39,9 +39,9 @@
     /// Another instance's step is taken over after this long without a change.
     Duration takeoverAfter = std::chrono::seconds(10);
     /// How long an unloading mark stands before the order, so that other instances read it.
-    Duration unloadNotice = std::chrono::seconds(6);
+    Duration unloadNotice = std::chrono::seconds(1);
     /// Longest wait for an engine that does not say which model its requests run on.
-    Duration unloadPatience = std::chrono::seconds(60);
+    Duration unloadPatience = std::chrono::seconds(30);
     Duration minIdleTimeout = std::chrono::seconds(30);
     Duration maxIdleTimeout = std::chrono::minutes(30);
 };
