--- /dev/null
+++ b/include/marigoldspool/Platform/PutAndSettle.h
@@ -0,0 +1,20 @@
+#ifndef MARIGOLDSPOOL_PLATFORM_PUTANDSETTLE_H
+#define MARIGOLDSPOOL_PLATFORM_PUTANDSETTLE_H
+
+#include "marigoldspool/Platform/ObjectStore.h"
+#include "marigoldspool/Support/Metrics.h"
+
+namespace marigoldspool {
+
+/// Conditional write that resolves a lost answer by reading the object back.
+///
+/// Success and Conflict are certain. OutcomeUnknown remains when the store cannot be read, or when
+/// another write has replaced the object since: this write may have taken effect before that one.
+/// \p store must outlive the call unless it abandons its calls when it is destroyed.
+void putAndSettle(ObjectStore &store, Metrics &metrics, std::string_view key,
+                  std::uint64_t expectedVersion, std::string value, WriteId writeId,
+                  Callback<std::uint64_t> done);
+
+} // namespace marigoldspool
+
+#endif
--- /dev/null
+++ b/include/marigoldspool/Platform/Watcher.h
@@ -0,0 +1,82 @@
+#ifndef MARIGOLDSPOOL_PLATFORM_WATCHER_H
+#define MARIGOLDSPOOL_PLATFORM_WATCHER_H
+
+#include "marigoldspool/Platform/ObjectStore.h"
+#include "marigoldspool/Support/RandomSource.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace marigoldspool {
+
+/// Receives the state of a prefix. Must not destroy the watcher from within a call.
+class WatchListener
+{
+public:
+    virtual ~WatchListener();
+    /// Versions of one key only grow. A removal found by listing has the list's revision.
+    virtual void onObject(const WatchEvent &event) = 0;
+    /// Everything written before \p asOf has been delivered.
+    virtual void onConfirmed(std::uint64_t revision, SteadyTime asOf) = 0;
+};
+
+struct WatcherOptions {
+    std::string prefix;
+    /// How long one watch call waits at the store. Bounds the age of a confirmation.
+    Duration wait = std::chrono::seconds(2);
+    /// Shortest time between two calls; bounds the calls that a busy prefix costs.
+    Duration minInterval = std::chrono::milliseconds(50);
+    Duration firstBackoff = std::chrono::milliseconds(200);
+    Duration longestBackoff = std::chrono::seconds(10);
+};
+
+/// Follows all objects under a prefix: lists, watches, and lists again after a gap or an outage.
+///
+/// Performs no I/O itself: the owner calls onTick(), which starts the calls that are due.
+class Watcher
+{
+public:
+    Watcher(ObjectStore &store, const Clock &clock, RandomSource &random, WatcherOptions options,
+            WatchListener &listener);
+    ~Watcher();
+    Watcher(const Watcher &) = delete;
+    Watcher &operator=(const Watcher &) = delete;
+
+    void start();
+    /// No listener call follows, even for calls under way.
+    void stop();
+    void onTick();
+
+    /// True from the first complete list until the next gap or failure.
+    bool synchronized() const { return m_synchronized; }
+    std::uint64_t revision() const { return m_revision; }
+
+private:
+    void beginList();
+    void beginWatch();
+    void onList(SteadyTime sent, Expected<ListResult> result);
+    void onWatch(SteadyTime sent, Expected<WatchBatch> result);
+    void applyList(const ListResult &result);
+    bool deliver(const WatchEvent &event);
+    void scheduleNext(Duration delay);
+    void fail(std::string_view call, const Error &error);
+
+    ObjectStore &m_store;
+    const Clock &m_clock;
+    RandomSource &m_random;
+    WatcherOptions m_options;
+    WatchListener &m_listener;
+    /// Replaced by stop(), so that answers to earlier calls are recognised and dropped.
+    std::shared_ptr<int> m_run;
+    std::map<std::string, std::uint64_t> m_versions;
+    std::uint64_t m_revision = 0;
+    bool m_synchronized = false;
+    bool m_calling = false;
+    SteadyTime m_nextCall;
+    unsigned m_failures = 0;
+};
+
+} // namespace marigoldspool
+
+#endif
--- /dev/null
+++ b/include/marigoldspool/Support/IpAddress.h
@@ -0,0 +1,23 @@
+#ifndef MARIGOLDSPOOL_SUPPORT_IPADDRESS_H
+#define MARIGOLDSPOOL_SUPPORT_IPADDRESS_H
+
+#include "marigoldspool/Support/Error.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace marigoldspool {
+
+struct IpAddress {
+    /// IPv4 or IPv6 number, without brackets.
+    std::string host;
+    std::uint16_t port = 0;
+};
+
+/// Splits `IP:PORT`, with an IPv6 number in brackets. Fails with InvalidArgument.
+Expected<IpAddress> splitAddress(std::string_view text);
+
+} // namespace marigoldspool
+
+#endif
--- /dev/null
+++ b/lib/Platform/HttpConnectionPool.cpp
@@ -0,0 +1,283 @@
+#include "HttpConnectionPool.h"
+
+#include <algorithm>
+#include <optional>
+#include <sys/socket.h>
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace marigoldspool {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+// Waiting calls beyond this are refused: during an outage the queue must not grow without bound.
+constexpr std::size_t MostQueuedCalls = 1024;
+// A list of many objects of up to 1 MB each.
+constexpr std::uint64_t MostAnswerBytes = 64U << 20U;
+
+} // namespace
+
+/// One connection, which carries one call at a time.
+class HttpConnection : public std::enable_shared_from_this<HttpConnection>
+{
+public:
+    HttpConnection(boost::asio::io_context &io, std::weak_ptr<HttpConnectionPool> pool,
+                   boost::asio::ip::tcp::endpoint server)
+        : m_stream(io)
+        , m_pool(std::move(pool))
+        , m_server(std::move(server))
+    { }
+
+    void run(HttpCall call)
+    {
+        m_call = std::move(call);
+        m_request = {};
+        m_request.method(m_call.verb);
+        m_request.target(m_call.target);
+        m_request.version(11);
+        m_request.set(http::field::host, m_server.address().to_string());
+        if (!m_call.body.empty()) {
+            m_request.set(http::field::content_type, "application/json");
+        }
+        m_request.body() = std::move(m_call.body);
+        m_request.prepare_payload();
+        if (m_connected && isStillOpen()) {
+            send();
+            return;
+        }
+        connect();
+    }
+
+    void close()
+    {
+        m_closed = true;
+        m_call.done = nullptr;
+        m_stream.close();
+    }
+
+private:
+    void connect()
+    {
+        m_connected = false;
+        m_stream.close();
+        m_stream.expires_at(m_call.deadline);
+        m_stream.async_connect(m_server, [self = shared_from_this()](beast::error_code ec) {
+            self->onConnect(ec);
+        });
+    }
+
+    void onConnect(beast::error_code ec)
+    {
+        if (ec) {
+            finish(unexpectedError(ErrorKind::Unavailable,
+                                   "connecting to the store: " + ec.message(),
+                                   "check that the platform's object API is reachable"),
+                   false);
+            return;
+        }
+        m_stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), ec);
+        m_connected = true;
+        m_reused = false;
+        send();
+    }
+
+    void send()
+    {
+        m_stream.expires_at(m_call.deadline);
+        http::async_write(m_stream, m_request,
+                          [self = shared_from_this()](beast::error_code ec, std::size_t) {
+                              if (ec) {
+                                  self->onBroken(ec);
+                                  return;
+                              }
+                              self->receive();
+                          });
+    }
+
+    void receive()
+    {
+        m_parser.emplace();
+        m_parser->body_limit(MostAnswerBytes);
+        http::async_read(m_stream, m_buffer, *m_parser,
+                         [self = shared_from_this()](beast::error_code ec, std::size_t) {
+                             if (ec) {
+                                 self->onBroken(ec);
+                                 return;
+                             }
+                             self->onAnswer();
+                         });
+    }
+
+    void onAnswer()
+    {
+        auto message = m_parser->release();
+        const bool reusable = message.keep_alive();
+        m_reused = true;
+        finish(HttpAnswer{message.result_int(), std::move(message.body())}, reusable);
+    }
+
+    // The request may have reached the store.
+    void onBroken(beast::error_code ec)
+    {
+        m_connected = false;
+        const bool timedOut = ec == beast::error::timeout;
+        // The server may close a kept-alive connection just when it is used again; a read can
+        // safely be sent a second time.
+        if (m_reused && !timedOut && !m_call.writes && !m_closed) {
+            m_buffer.clear();
+            connect();
+            return;
+        }
+        if (m_call.writes) {
+            finish(unexpectedError(ErrorKind::OutcomeUnknown,
+                                   "the answer to a write was lost: " + ec.message(),
+                                   "read the object back and compare the write id"),
+                   false);
+            return;
+        }
+        finish(unexpectedError(timedOut ? ErrorKind::Timeout : ErrorKind::Unavailable,
+                               "the store did not answer: " + ec.message(),
+                               "try again after a delay"),
+               false);
+    }
+
+    void finish(Expected<HttpAnswer> result, bool reusable)
+    {
+        m_parser.reset();
+        if (!reusable) {
+            m_connected = false;
+            m_buffer.clear();
+            m_stream.close();
+        } else {
+            m_stream.expires_never();
+        }
+        const std::shared_ptr<HttpConnection> self = shared_from_this();
+        const auto done = std::move(m_call.done);
+        m_call.done = nullptr;
+        if (const auto pool = m_pool.lock()) {
+            pool->release(self, reusable);
+        }
+        if (done && !m_closed) {
+            done(std::move(result));
+        }
+    }
+
+    // False if the server has closed the connection or sent something unasked for.
+    bool isStillOpen()
+    {
+        char byte = 0;
+        const auto n = ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    }
+
+    beast::tcp_stream m_stream;
+    std::weak_ptr<HttpConnectionPool> m_pool;
+    boost::asio::ip::tcp::endpoint m_server;
+    beast::flat_buffer m_buffer;
+    HttpCall m_call;
+    http::request<http::string_body> m_request;
+    std::optional<http::response_parser<http::string_body>> m_parser;
+    bool m_connected = false;
+    bool m_reused = false;
+    bool m_closed = false;
+};
+
+HttpConnectionPool::HttpConnectionPool(boost::asio::io_context &io,
+                                       boost::asio::ip::tcp::endpoint server,
+                                       std::size_t mostConnections)
+    : m_io(io)
+    , m_server(std::move(server))
+    , m_mostConnections(mostConnections)
+{ }
+
+HttpConnectionPool::~HttpConnectionPool() = default;
+
+void HttpConnectionPool::submit(HttpCall call)
+{
+    if (m_queue.size() >= MostQueuedCalls) {
+        reject(std::move(call), "too many calls are waiting for the store",
+               "try again after a delay");
+        return;
+    }
+    m_queue.push_back(std::move(call));
+    startNext();
+}
+
+void HttpConnectionPool::close()
+{
+    m_queue.clear();
+    for (const auto &connection : m_busy) {
+        connection->close();
+    }
+    for (const auto &connection : m_idle) {
+        connection->close();
+    }
+    m_busy.clear();
+    m_idle.clear();
+}
+
+void HttpConnectionPool::startNext()
+{
+    // No timer is needed for queued calls: a busy connection has an earlier deadline than any
+    // call queued behind it and comes here when it ends.
+    const auto now = std::chrono::steady_clock::now();
+    while (!m_queue.empty()) {
+        if (m_queue.front().deadline <= now) {
+            HttpCall late = std::move(m_queue.front());
+            m_queue.pop_front();
+            reject(std::move(late), "no connection to the store became free in time",
+                   "try again after a delay");
+            continue;
+        }
+        std::shared_ptr<HttpConnection> connection;
+        if (!m_idle.empty()) {
+            connection = std::move(m_idle.back());
+            m_idle.pop_back();
+        } else if (m_busy.size() < m_mostConnections) {
+            connection = std::make_shared<HttpConnection>(m_io, weak_from_this(), m_server);
+        } else {
+            return;
+        }
+        m_busy.push_back(connection);
+        HttpCall call = std::move(m_queue.front());
+        m_queue.pop_front();
+        connection->run(std::move(call));
+    }
+}
+
+void HttpConnectionPool::release(const std::shared_ptr<HttpConnection> &connection, bool reusable)
+{
+    const auto it = std::find(m_busy.begin(), m_busy.end(), connection);
+    if (it == m_busy.end()) {
+        return;
+    }
+    m_busy.erase(it);
+    if (reusable) {
+        m_idle.push_back(connection);
+    }
+    startNext();
+}
+
+void HttpConnectionPool::reject(HttpCall call, std::string message, std::string remedy)
+{
+    boost::asio::post(
+        m_io,
+        [pool = weak_from_this(), done = std::move(call.done),
+         error = makeError(ErrorKind::Unavailable, std::move(message), std::move(remedy))]() {
+            if (!pool.expired()) {
+                done(tl::unexpected<Error>(error));
+            }
+        });
+}
+
+} // namespace marigoldspool
--- /dev/null
+++ b/lib/Platform/HttpConnectionPool.h
@@ -0,0 +1,64 @@
+#ifndef MARIGOLDSPOOL_LIB_PLATFORM_HTTPCONNECTIONPOOL_H
+#define MARIGOLDSPOOL_LIB_PLATFORM_HTTPCONNECTIONPOOL_H
+
+#include "marigoldspool/Support/Error.h"
+
+#include <chrono>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/verb.hpp>
+
+namespace marigoldspool {
+
+struct HttpAnswer {
+    unsigned status = 0;
+    std::string body;
+};
+
+struct HttpCall {
+    boost::beast::http::verb verb = boost::beast::http::verb::get;
+    std::string target;
+    std::string body;
+    /// A call that changes something: once sent, its failure is OutcomeUnknown.
+    bool writes = false;
+    std::chrono::steady_clock::time_point deadline;
+    std::function<void(Expected<HttpAnswer>)> done;
+};
+
+class HttpConnection;
+
+/// At most a given number of kept-alive connections to one server; further calls queue.
+class HttpConnectionPool : public std::enable_shared_from_this<HttpConnectionPool>
+{
+public:
+    HttpConnectionPool(boost::asio::io_context &io, boost::asio::ip::tcp::endpoint server,
+                       std::size_t mostConnections);
+    ~HttpConnectionPool();
+
+    void submit(HttpCall call);
+    /// Abandons all calls without calling back.
+    void close();
+
+private:
+    friend class HttpConnection;
+    void startNext();
+    void release(const std::shared_ptr<HttpConnection> &connection, bool reusable);
+    void reject(HttpCall call, std::string message, std::string remedy);
+
+    boost::asio::io_context &m_io;
+    boost::asio::ip::tcp::endpoint m_server;
+    std::size_t m_mostConnections;
+    std::deque<HttpCall> m_queue;
+    std::vector<std::shared_ptr<HttpConnection>> m_busy;
+    std::vector<std::shared_ptr<HttpConnection>> m_idle;
+};
+
+} // namespace marigoldspool
+
+#endif
--- /dev/null
+++ b/lib/Platform/HttpObjectStore.cpp
@@ -0,0 +1,203 @@
+#include "marigoldspool/Platform/HttpObjectStore.h"
+
+#include "HttpConnectionPool.h"
+#include "ObjectJson.h"
+#include "marigoldspool/Support/IpAddress.h"
+
+#include <cassert>
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+
+namespace marigoldspool {
+
+namespace {
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+// A few connections carry the calls of one instance; its fair share of the store's rate is small.
+constexpr std::size_t MostCallConnections = 4;
+// A waiting watch occupies its connection; an instance watches a handful of prefixes.
+constexpr std::size_t MostWatchConnections = 32;
+
+Error statusError(const HttpAnswer &answer, bool writes)
+{
+    const std::string message = "the store answered " + std::to_string(answer.status);
+    switch (answer.status) {
+    case 404:
+        return makeError(ErrorKind::NotFound, message, "create the object first");
+    case 409:
+        return makeError(ErrorKind::Conflict, message, "read the object again and decide anew");
+    case 413:
+        return makeError(ErrorKind::TooLarge, message, "split the value into smaller objects");
+    case 429:
+        return makeError(ErrorKind::RateLimited, message, "try again after a delay");
+    case 503:
+        return makeError(ErrorKind::Unavailable, message, "try again after a delay");
+    default:
+        break;
+    }
+    if (answer.status >= 400 && answer.status < 500) {
+        return makeError(ErrorKind::InvalidArgument, message, "check the versions of both sides");
+    }
+    // Other server errors say nothing about whether a write took effect.
+    return makeError(writes ? ErrorKind::OutcomeUnknown : ErrorKind::Unavailable, message,
+                     writes ? "read the object back and compare the write id"
+                            : "try again after a delay");
+}
+
+class HttpObjectStore final : public ObjectStore
+{
+public:
+    HttpObjectStore(boost::asio::io_context &io, const tcp::endpoint &server, Duration timeout,
+                    Metrics &metrics)
+        : m_timeout(timeout)
+        , m_metrics(metrics)
+        , m_calls(std::make_shared<HttpConnectionPool>(io, server, MostCallConnections))
+        , m_watches(std::make_shared<HttpConnectionPool>(io, server, MostWatchConnections))
+        , m_io(io)
+    { }
+
+    ~HttpObjectStore() override
+    {
+        m_calls->close();
+        m_watches->close();
+    }
+
+    void get(std::string_view key, Callback<StoredObject> done) override
+    {
+        call<StoredObject>("get", read("/objects/" + percentEncode(key, false)), readObject,
+                           std::move(done));
+    }
+
+    void put(std::string_view key, std::uint64_t expectedVersion, std::string value,
+             WriteId writeId, Callback<std::uint64_t> done) override
+    {
+        Expected<std::string> body = value.size() > MaxObjectBytes
+            ? unexpectedError(ErrorKind::TooLarge,
+                              "the value has " + std::to_string(value.size()) + " bytes",
+                              "split the value into objects of at most 1 MiB")
+            : writePutBody(expectedVersion, value, writeId);
+        if (!body) {
+            boost::asio::post(m_io,
+                              [alive = std::weak_ptr<HttpConnectionPool>(m_calls),
+                               done = std::move(done), error = body.error()]() {
+                                  if (!alive.expired()) {
+                                      done(tl::unexpected<Error>(error));
+                                  }
+                              });
+            return;
+        }
+        HttpCall request = write(http::verb::put, "/objects/" + percentEncode(key, false));
+        request.body = std::move(*body);
+        call<std::uint64_t>("put", std::move(request), readVersion, std::move(done));
+    }
+
+    void remove(std::string_view key, std::uint64_t expectedVersion,
+                Callback<std::uint64_t> done) override
+    {
+        call<std::uint64_t>("remove",
+                            write(http::verb::delete_,
+                                  "/objects/" + percentEncode(key, false)
+                                      + "?expected_version=" + std::to_string(expectedVersion)),
+                            readVersion, std::move(done));
+    }
+
+    void list(std::string_view prefix, Callback<ListResult> done) override
+    {
+        call<ListResult>("list", read("/list?prefix=" + percentEncode(prefix, true)), readList,
+                         std::move(done));
+    }
+
+    void watch(std::string_view prefix, std::uint64_t fromRevision, Duration wait,
+               Callback<WatchBatch> done) override
+    {
+        HttpCall request = read("/watch?prefix=" + percentEncode(prefix, true)
+                                + "&from=" + std::to_string(fromRevision)
+                                + "&wait_ms=" + std::to_string(toMilliseconds(wait)));
+        request.deadline += wait;
+        call<WatchBatch>("watch", std::move(request), readWatchBatch, std::move(done));
+    }
+
+    void instances(Callback<std::vector<PlatformInstance>> done) override
+    {
+        call<std::vector<PlatformInstance>>("instances", read("/instances"), readInstances,
+                                            std::move(done));
+    }
+
+private:
+    HttpCall read(std::string target) const
+    {
+        HttpCall request;
+        request.target = std::move(target);
+        request.deadline = std::chrono::steady_clock::now() + m_timeout;
+        return request;
+    }
+
+    HttpCall write(http::verb verb, std::string target) const
+    {
+        HttpCall request = read(std::move(target));
+        request.verb = verb;
+        request.writes = true;
+        return request;
+    }
+
+    // The callback runs only while the store exists, because its pools drop their calls.
+    template <class T>
+    void call(std::string_view kind, HttpCall request, Expected<T> (*decode)(std::string_view),
+              Callback<T> done)
+    {
+        request.done = [this, kind, decode, writes = request.writes,
+                        done = std::move(done)](Expected<HttpAnswer> answer) {
+            Expected<T> result = interpret(std::move(answer), writes, decode);
+            count(kind, result ? "ok" : errorKindName(result.error().kind));
+            done(std::move(result));
+        };
+        (kind == "watch" ? m_watches : m_calls)->submit(std::move(request));
+    }
+
+    template <class T>
+    static Expected<T> interpret(Expected<HttpAnswer> answer, bool writes,
+                                 Expected<T> (*decode)(std::string_view))
+    {
+        if (!answer) {
+            return tl::unexpected<Error>(std::move(answer.error()));
+        }
+        if (answer->status != 200) {
+            return tl::unexpected<Error>(statusError(*answer, writes));
+        }
+        Expected<T> result = decode(answer->body);
+        if (!result && writes) {
+            result.error().kind = ErrorKind::OutcomeUnknown;
+        }
+        return result;
+    }
+
+    void count(std::string_view kind, std::string_view outcome)
+    {
+        m_metrics.add("marigoldspool_store_calls_total", 1,
+                      {{"kind", std::string(kind)}, {"outcome", std::string(outcome)}});
+    }
+
+    Duration m_timeout;
+    Metrics &m_metrics;
+    std::shared_ptr<HttpConnectionPool> m_calls;
+    std::shared_ptr<HttpConnectionPool> m_watches;
+    boost::asio::io_context &m_io;
+};
+
+} // namespace
+
+std::unique_ptr<ObjectStore> makeHttpObjectStore(boost::asio::io_context &io,
+                                                 std::string_view address, Duration timeout,
+                                                 Metrics &metrics)
+{
+    const Expected<IpAddress> parsed = splitAddress(address);
+    // The settings check the address at the start, so a bad one is a mistake in the program.
+    assert(parsed && "the address has been checked");
+    const tcp::endpoint server(boost::asio::ip::make_address(parsed->host), parsed->port);
+    return std::make_unique<HttpObjectStore>(io, server, timeout, metrics);
+}
+
+} // namespace marigoldspool
--- /dev/null
+++ b/lib/Platform/ObjectStore.cpp
@@ -0,0 +1,7 @@
+#include "marigoldspool/Platform/ObjectStore.h"
+
+namespace marigoldspool {
+
+ObjectStore::~ObjectStore() = default;
+
+} // namespace marigoldspool
