Add the peer message codec, PeerTable and rendezvous hashing

Messages go to and from CBOR through one list of fields per message that serves both directions. Amounts that are not finite are malformed. Bodies travel as byte strings because they need not be UTF-8.

The envelope and the heartbeat have one-letter field names: an instance exchanges hundreds of heartbeats a second at full size, and longer names would be most of their bytes.

--- /dev/null
+++ b/lib/Peer/Messages.cpp
@@ -0,0 +1,431 @@
+#include "marigoldspool/Peer/Messages.h"
+
+#include "CborReader.h"
+
+#include <array>
+#include <cmath>
+#include <limits>
+#include <type_traits>
+#include <utility>
+
+namespace marigoldspool {
+
+namespace {
+
+using nlohmann::json;
+
+// The numbers of the kinds on the wire are their places in the variant: append only.
+constexpr std::array<std::string_view, std::variant_size_v<PeerMessage>> KindNames{
+    "heartbeat",    "config_request",  "config_transfer", "loan_request",
+    "loan_grant",   "epoch_ack",       "forward_request", "forward_head",
+    "forward_data", "forward_refusal", "forward_cancel"};
+
+// The fields of each message, named once for both directions: V is the Encoder or the Decoder, M
+// the message, const when encoding. Heartbeats have one-letter names because an instance exchanges
+// hundreds of them each second in a large fleet and names would be most of their bytes.
+template <class M, class T>
+constexpr bool Is = std::is_same_v<std::remove_const_t<M>, T>;
+
+template <class V, class M>
+std::enable_if_t<Is<M, Heartbeat>> visitFields(V &visit, M &m)
+{
+    visit("z", m.zone);
+    visit("a", m.address);
+    visit("c", m.configVersion);
+    visit("g", m.configAgeMs);
+    visit("e", m.rosterEpoch);
+    visit("s", m.stopping);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, ConfigRequest>> visitFields(V &visit, M &m)
+{
+    visit("have_version", m.haveVersion);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, ConfigTransfer>> visitFields(V &visit, M &m)
+{
+    visit("version", m.version);
+    visit("rules", m.rules);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, LoanRequest>> visitFields(V &visit, M &m)
+{
+    visit("limit", m.limit);
+    visit("loan_id", m.loanId);
+    visit("tokens", m.tokens);
+    visit("fraction", m.fraction);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, LoanGrant>> visitFields(V &visit, M &m)
+{
+    visit("limit", m.limit);
+    visit("loan_id", m.loanId);
+    visit("tokens", m.tokens);
+    visit("fraction", m.fraction);
+    visit("term_ms", m.termMs);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, EpochAck>> visitFields(V &visit, M &m)
+{
+    visit("epoch", m.epoch);
+    visit("member_incarnation", m.memberIncarnation);
+    visit("released", m.released);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, ForwardRequest>> visitFields(V &visit, M &m)
+{
+    visit("id", m.id);
+    visit("workspace", m.workspace);
+    visit("key", m.key);
+    visit("route", m.route);
+    visit("model", m.model);
+    visit("target", m.target);
+    visit("method", m.method);
+    visit("headers", m.headers);
+    visit.bytes("body", m.body);
+    visit("cost", m.cost);
+    visit("deadline_ms", m.deadlineMs);
+    visit("idempotent", m.idempotent);
+    visit("stream", m.stream);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, ForwardHead>> visitFields(V &visit, M &m)
+{
+    visit("id", m.id);
+    visit("status", m.status);
+    visit("headers", m.headers);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, ForwardData>> visitFields(V &visit, M &m)
+{
+    visit("id", m.id);
+    visit("index", m.index);
+    visit.bytes("bytes", m.bytes);
+    visit("last", m.last);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, ForwardRefusal>> visitFields(V &visit, M &m)
+{
+    visit("id", m.id);
+    visit("reason", m.reason);
+    visit("ran", m.ran);
+    visit("message", m.message);
+    visit("remedy", m.remedy);
+    visit("retry_after_ms", m.retryAfterMs);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, ForwardCancel>> visitFields(V &visit, M &m)
+{
+    visit("id", m.id);
+}
+
+class Encoder
+{
+public:
+    template <class T>
+    void operator()(const char *name, const T &value)
+    {
+        m_fields[name] = toJson(value);
+    }
+
+    void bytes(const char *name, const std::string &value)
+    {
+        m_fields[name] = json::binary({value.begin(), value.end()});
+    }
+
+    json take() { return std::move(m_fields); }
+
+private:
+    template <class T>
+    static std::enable_if_t<std::is_arithmetic_v<T>, json> toJson(T value)
+    {
+        return value;
+    }
+
+    static json toJson(const std::string &text) { return text; }
+
+    template <class Tag>
+    static json toJson(const Identifier<Tag> &id)
+    {
+        return id.str();
+    }
+
+    static json toJson(RefusalReason reason) { return std::string(refusalCode(reason)); }
+    static json toJson(RanState ran) { return std::string(ranStateName(ran)); }
+
+    static json toJson(const std::vector<HeaderField> &headers)
+    {
+        json list = json::array();
+        for (const HeaderField &header : headers) {
+            list.push_back(json::array({header.name, header.value}));
+        }
+        return list;
+    }
+
+    json m_fields = json::object();
+};
+
+/// Reads fields of a map and keeps the name of the first one that is missing or mistyped.
+class Decoder
+{
+public:
+    explicit Decoder(const json &fields)
+        : m_fields(fields)
+    { }
+
+    template <class T>
+    void operator()(const char *name, T &value)
+    {
+        const json *field = find(name);
+        if (field == nullptr || !read(*field, value)) {
+            fail(name);
+        }
+    }
+
+    void bytes(const char *name, std::string &value)
+    {
+        const json *field = find(name);
+        if (field == nullptr || !field->is_binary()) {
+            fail(name);
+            return;
+        }
+        const auto &binary = field->get_binary();
+        value.assign(binary.begin(), binary.end());
+    }
+
+    const std::string &problem() const { return m_problem; }
+
+private:
+    const json *find(const char *name) const
+    {
+        const auto it = m_fields.is_object() ? m_fields.find(name) : m_fields.end();
+        return it == m_fields.end() ? nullptr : &*it;
+    }
+
+    void fail(const char *name)
+    {
+        if (m_problem.empty()) {
+            m_problem = name;
+        }
+    }
+
+    static bool read(const json &field, bool &value)
+    {
+        if (!field.is_boolean()) {
+            return false;
+        }
+        value = field.get<bool>();
+        return true;
+    }
+
+    static bool read(const json &field, std::uint64_t &value)
+    {
+        if (!field.is_number_unsigned()) {
+            return false;
+        }
+        value = field.get<std::uint64_t>();
+        return true;
+    }
+
+    static bool read(const json &field, std::uint32_t &value)
+    {
+        std::uint64_t wide = 0;
+        if (!read(field, wide) || wide > std::numeric_limits<std::uint32_t>::max()) {
+            return false;
+        }
+        value = static_cast<std::uint32_t>(wide);
+        return true;
+    }
+
+    static bool read(const json &field, std::int64_t &value)
+    {
+        constexpr std::uint64_t Most = std::numeric_limits<std::int64_t>::max();
+        if (!field.is_number_integer()
+            || (field.is_number_unsigned() && field.get<std::uint64_t>() > Most)) {
+            return false;
+        }
+        value = field.get<std::int64_t>();
+        return true;
+    }
+
+    static bool read(const json &field, int &value)
+    {
+        std::int64_t wide = 0;
+        if (!read(field, wide) || wide < std::numeric_limits<int>::min()
+            || wide > std::numeric_limits<int>::max()) {
+            return false;
+        }
+        value = static_cast<int>(wide);
+        return true;
+    }
+
+    // Amounts that are not finite would defeat every later comparison.
+    static bool read(const json &field, double &value)
+    {
+        if (!field.is_number() || !std::isfinite(field.get<double>())) {
+            return false;
+        }
+        value = field.get<double>();
+        return true;
+    }
+
+    static bool read(const json &field, std::string &value)
+    {
+        if (!field.is_string()) {
+            return false;
+        }
+        value = field.get_ref<const std::string &>();
+        return true;
+    }
+
+    template <class Tag>
+    static bool read(const json &field, Identifier<Tag> &id)
+    {
+        std::string text;
+        if (!read(field, text)) {
+            return false;
+        }
+        id = Identifier<Tag>(std::move(text));
+        return true;
+    }
+
+    static bool read(const json &field, RefusalReason &reason)
+    {
+        const auto known = field.is_string() ? refusalFromCode(field.get_ref<const std::string &>())
+                                             : std::nullopt;
+        if (!known) {
+            return false;
+        }
+        reason = *known;
+        return true;
+    }
+
+    static bool read(const json &field, RanState &ran)
+    {
+        for (const RanState state : {RanState::No, RanState::Unknown}) {
+            if (field.is_string() && field.get_ref<const std::string &>() == ranStateName(state)) {
+                ran = state;
+                return true;
+            }
+        }
+        return false;
+    }
+
+    static bool read(const json &field, std::vector<HeaderField> &headers)
+    {
+        if (!field.is_array()) {
+            return false;
+        }
+        for (const json &pair : field) {
+            HeaderField header;
+            if (!pair.is_array() || pair.size() != 2 || !read(pair[0], header.name)
+                || !read(pair[1], header.value)) {
+                return false;
+            }
+            headers.push_back(std::move(header));
+        }
+        return true;
+    }
+
+    const json &m_fields;
+    std::string m_problem;
+};
+
+tl::unexpected<Error> malformed(const std::string &what)
+{
+    return unexpectedError(ErrorKind::Malformed, "peer message: " + what,
+                           "check that both instances run compatible releases");
+}
+
+template <class M>
+Expected<PeerMessage> readMessage(const json &fields)
+{
+    M message;
+    Decoder decoder(fields);
+    visitFields(decoder, message);
+    if (!decoder.problem().empty()) {
+        return malformed("no valid field " + decoder.problem());
+    }
+    return PeerMessage(std::move(message));
+}
+
+using MessageReader = Expected<PeerMessage> (*)(const json &);
+
+template <std::size_t... Kinds>
+constexpr std::array<MessageReader, sizeof...(Kinds)>
+makeReaders(std::index_sequence<Kinds...> /*kinds*/)
+{
+    return {&readMessage<std::variant_alternative_t<Kinds, PeerMessage>>...};
+}
+
+constexpr auto Readers = makeReaders(std::make_index_sequence<KindNames.size()>());
+
+} // namespace
+
+std::vector<std::uint8_t> encodeMessage(const Envelope &envelope, const PeerMessage &message)
+{
+    Encoder fields;
+    std::visit(
+        [&](const auto &m) {
+            visitFields(fields, m);
+        },
+        message);
+    Encoder outer;
+    outer("v", envelope.protocol);
+    outer("f", envelope.from);
+    outer("i", envelope.incarnation);
+    outer("s", envelope.sequence);
+    outer("k", static_cast<std::uint64_t>(message.index()));
+    json frame = outer.take();
+    frame["m"] = fields.take();
+    return json::to_cbor(frame);
+}
+
+Expected<DecodedMessage> decodeMessage(gsl::span<const std::uint8_t> bytes)
+{
+    const std::optional<json> frame = readCbor(bytes);
+    if (!frame) {
+        return malformed("the frame is no CBOR value");
+    }
+    Envelope envelope;
+    std::uint64_t kind = 0;
+    Decoder outer(*frame);
+    outer("v", envelope.protocol);
+    outer("f", envelope.from);
+    outer("i", envelope.incarnation);
+    outer("s", envelope.sequence);
+    outer("k", kind);
+    if (!outer.problem().empty()) {
+        return malformed("no valid envelope field " + outer.problem());
+    }
+    if (envelope.protocol != PeerProtocol) {
+        return malformed("protocol " + std::to_string(envelope.protocol) + " instead of "
+                         + std::to_string(PeerProtocol));
+    }
+    const auto fields = frame->find("m");
+    if (kind >= Readers.size() || fields == frame->end()) {
+        return malformed("kind " + std::to_string(kind) + " is unknown or has no fields");
+    }
+    Expected<PeerMessage> message = Readers[kind](*fields);
+    if (!message) {
+        return tl::unexpected<Error>(message.error());
+    }
+    return DecodedMessage{std::move(envelope), std::move(*message)};
+}
+
+std::string_view messageName(const PeerMessage &message)
+{
+    return KindNames[message.index()];
+}
+
+} // namespace marigoldspool
--- /dev/null
+++ b/lib/Peer/PeerChannel.cpp
@@ -0,0 +1,7 @@
+#include "marigoldspool/Peer/PeerChannel.h"
+
+namespace marigoldspool {
+
+PeerChannel::~PeerChannel() = default;
+
+} // namespace marigoldspool
--- /dev/null
+++ b/tests/Peer/MessagesTest.cpp
@@ -0,0 +1,247 @@
+#include "marigoldspool/Peer/Messages.h"
+
+#include <limits>
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+
+using namespace marigoldspool;
+using nlohmann::json;
+
+namespace {
+
+std::string anyText()
+{
+    return *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
+}
+
+template <class Id>
+Id anyId()
+{
+    return Id(anyText());
+}
+
+template <class T>
+T any()
+{
+    return *rc::gen::arbitrary<T>();
+}
+
+std::vector<HeaderField> anyHeaders()
+{
+    std::vector<HeaderField> headers(*rc::gen::inRange<std::size_t>(0, 4));
+    for (HeaderField &header : headers) {
+        header = {anyText(), anyText()};
+    }
+    return headers;
+}
+
+RefusalReason anyReason()
+{
+    const auto reasons = allRefusalReasons();
+    return reasons[*rc::gen::inRange<std::size_t>(0, reasons.size())];
+}
+
+PeerMessage anyMessage()
+{
+    switch (*rc::gen::inRange(0, 11)) {
+    case 0:
+        return Heartbeat{anyId<ZoneName>(),    anyText(),
+                         any<std::uint64_t>(), any<std::int64_t>(),
+                         any<std::uint64_t>(), any<bool>()};
+    case 1:
+        return ConfigRequest{any<std::uint64_t>()};
+    case 2:
+        return ConfigTransfer{any<std::uint64_t>(), anyText()};
+    case 3:
+        return LoanRequest{anyText(), any<std::uint64_t>(), any<double>(), any<double>()};
+    case 4:
+        return LoanGrant{anyText(), any<std::uint64_t>(), any<double>(), any<double>(),
+                         any<std::int64_t>()};
+    case 5:
+        return EpochAck{any<std::uint64_t>(), any<std::uint64_t>(), any<bool>()};
+    case 6:
+        return ForwardRequest{anyId<RequestId>(), anyId<WorkspaceName>(), anyId<KeyDigest>(),
+                              anyId<RouteName>(), anyId<ModelName>(),     anyText(),
+                              anyText(),          anyHeaders(),           anyText(),
+                              any<double>(),      any<std::int64_t>(),    any<bool>(),
+                              any<bool>()};
+    case 7:
+        return ForwardHead{anyId<RequestId>(), any<int>(), anyHeaders()};
+    case 8:
+        return ForwardData{anyId<RequestId>(), any<std::uint64_t>(), anyText(), any<bool>()};
+    case 9:
+        return ForwardRefusal{
+            anyId<RequestId>(), anyReason(), any<bool>() ? RanState::No : RanState::Unknown,
+            anyText(),          anyText(),   any<std::int64_t>()};
+    default:
+        return ForwardCancel{anyId<RequestId>()};
+    }
+}
+
+Envelope anyEnvelope()
+{
+    return {PeerProtocol, anyId<InstanceId>(), any<std::uint64_t>(), any<std::uint64_t>()};
+}
+
+json sample()
+{
+    const auto bytes = encodeMessage({PeerProtocol, InstanceId("a-1"), 1, 2},
+                                     ForwardData{RequestId("r"), 3, "x", true});
+    return json::from_cbor(bytes);
+}
+
+bool isMalformed(const json &frame)
+{
+    const auto bytes = json::to_cbor(frame);
+    const auto decoded = decodeMessage(bytes);
+    return !decoded && decoded.error().kind == ErrorKind::Malformed;
+}
+
+} // namespace
+
+// Guards against a field that is left out, swapped or narrowed in one direction. The encoder is
+// deterministic, so equal bytes of the decoded message mean equal fields.
+TEST_CASE("every message survives the codec unchanged")
+{
+    CHECK(rc::check([]() {
+        const Envelope envelope = anyEnvelope();
+        const PeerMessage message = anyMessage();
+        const auto bytes = encodeMessage(envelope, message);
+        const auto decoded = decodeMessage(bytes);
+        RC_ASSERT(decoded.has_value());
+        RC_ASSERT(decoded->envelope.from == envelope.from);
+        RC_ASSERT(decoded->envelope.incarnation == envelope.incarnation);
+        RC_ASSERT(decoded->envelope.sequence == envelope.sequence);
+        RC_ASSERT(decoded->message.index() == message.index());
+        RC_ASSERT(encodeMessage(decoded->envelope, decoded->message) == bytes);
+    }));
+}
+
+TEST_CASE("fields are not swapped on their way")
+{
+    const ForwardRefusal refusal{
+        RequestId("r1"), RefusalReason::QueueFull, RanState::No, "message", "remedy", 1500};
+    const auto bytes = encodeMessage({PeerProtocol, InstanceId("a-1"), 7, 9}, refusal);
+    const auto decoded = decodeMessage(bytes);
+    REQUIRE(decoded);
+    const auto &back = std::get<ForwardRefusal>(decoded->message);
+    CHECK(back.id == RequestId("r1"));
+    CHECK(back.reason == RefusalReason::QueueFull);
+    CHECK(back.ran == RanState::No);
+    CHECK(back.message == "message");
+    CHECK(back.remedy == "remedy");
+    CHECK(back.retryAfterMs == 1500);
+    CHECK(messageName(decoded->message) == "forward_refusal");
+}
+
+// Guards against crashes and half-read messages when a frame was cut off.
+TEST_CASE("every truncation of every message is malformed")
+{
+    CHECK(rc::check([]() {
+        const auto bytes = encodeMessage(anyEnvelope(), anyMessage());
+        for (std::size_t n = 0; n < bytes.size(); ++n) {
+            const auto decoded = decodeMessage(gsl::span<const std::uint8_t>(bytes.data(), n));
+            RC_ASSERT(!decoded.has_value());
+            RC_ASSERT(decoded.error().kind == ErrorKind::Malformed);
+        }
+    }));
+}
+
+TEST_CASE("random and damaged bytes never crash the decoder")
+{
+    CHECK(rc::check([]() {
+        const auto noise = any<std::vector<std::uint8_t>>();
+        const auto first = decodeMessage(noise);
+        RC_ASSERT(first || first.error().kind == ErrorKind::Malformed);
+        auto bytes = encodeMessage(anyEnvelope(), anyMessage());
+        for (int i = 0; i < 20; ++i) {
+            bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] = any<std::uint8_t>();
+            const auto second = decodeMessage(bytes);
+            RC_ASSERT(second || second.error().kind == ErrorKind::Malformed);
+        }
+    }));
+}
+
+// Guards against a stack overflow by a frame of one million nested arrays.
+TEST_CASE("deeply nested frames are malformed")
+{
+    for (const std::uint8_t opening : {0x81, 0x9f, 0xbf}) {
+        const std::vector<std::uint8_t> nested(1U << 20U, opening);
+        CHECK_FALSE(decodeMessage(nested).has_value());
+    }
+    std::vector<std::uint8_t> maps;
+    for (int i = 0; i < 100000; ++i) {
+        maps.insert(maps.end(), {0xa1, 0x61, 'm'});
+    }
+    CHECK_FALSE(decodeMessage(maps).has_value());
+}
+
+// Guards against allocating what a frame only claims to contain.
+TEST_CASE("a frame that claims huge contents is malformed")
+{
+    for (const std::uint8_t kind : {0x5b, 0x7b, 0x9b, 0xbb}) {
+        const std::vector<std::uint8_t> claim{kind, 0x7f, 0xff, 0xff, 0xff,
+                                              0xff, 0xff, 0xff, 0xff, 0x00};
+        CHECK_FALSE(decodeMessage(claim).has_value());
+    }
+}
+
+TEST_CASE("missing and mistyped fields are malformed and unknown ones are ignored")
+{
+    CHECK_FALSE(isMalformed(sample()));
+    json extended = sample();
+    extended["future"] = {1, 2};
+    extended["m"]["future"] = "x";
+    CHECK_FALSE(isMalformed(extended));
+    const json wrong[] = {nullptr, -1, 1.5, "text", json::array(), json::object()};
+    for (const char *name : {"v", "f", "i", "s", "k", "m"}) {
+        json missing = sample();
+        missing.erase(name);
+        CHECK(isMalformed(missing));
+        for (const json &value : wrong) {
+            json mistyped = sample();
+            mistyped[name] = value;
+            CHECK((isMalformed(mistyped) || (std::string(name) == "f" && value.is_string())));
+        }
+    }
+    for (const char *name : {"id", "index", "bytes", "last"}) {
+        json missing = sample();
+        missing["m"].erase(name);
+        CHECK(isMalformed(missing));
+        json mistyped = sample();
+        mistyped["m"][name] = nullptr;
+        CHECK(isMalformed(mistyped));
+    }
+    for (const json &notMap : {json(1), json::array({1, 2}), json("x"), json(nullptr)}) {
+        CHECK(isMalformed(notMap));
+    }
+}
+
+TEST_CASE("another protocol version and an unknown kind are malformed")
+{
+    json other = sample();
+    other["v"] = PeerProtocol + 1;
+    CHECK(isMalformed(other));
+    json unknown = sample();
+    unknown["k"] = 11U;
+    CHECK(isMalformed(unknown));
+}
+
+// Guards against loans of "not a number" tokens, which pass every comparison with a bound.
+TEST_CASE("amounts that are not finite are malformed")
+{
+    for (const double amount :
+         {std::numeric_limits<double>::quiet_NaN(), std::numeric_limits<double>::infinity()}) {
+        const auto bytes = encodeMessage({}, LoanRequest{"l", 1, amount, 0.5});
+        CHECK_FALSE(decodeMessage(bytes).has_value());
+    }
+}
+
+TEST_CASE("a frame followed by more bytes is malformed")
+{
+    auto bytes = encodeMessage({}, ForwardCancel{RequestId("r")});
+    bytes.push_back(0);
+    CHECK_FALSE(decodeMessage(bytes).has_value());
+}
--- /dev/null
+++ b/tests/Peer/PeerTableTest.cpp
@@ -0,0 +1,117 @@
+#include "marigoldspool/Peer/PeerTable.h"
+
+#include <algorithm>
+#include <set>
+
+#include <doctest/doctest.h>
+
+using namespace marigoldspool;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct TableFixture {
+    ManualClock clock;
+    PeerTable table{InstanceId("b-2"), ZoneName("b"), clock};
+
+    void hear(const std::string &id, const std::string &zone, std::uint64_t incarnation = 1,
+              bool stopping = false)
+    {
+        Heartbeat heartbeat;
+        heartbeat.zone = ZoneName(zone);
+        heartbeat.address = "127.0.0.1:1";
+        heartbeat.stopping = stopping;
+        table.heard(InstanceId(id), incarnation, heartbeat);
+    }
+};
+
+std::vector<InstanceId> numbered(int count)
+{
+    std::vector<InstanceId> ids;
+    ids.reserve(static_cast<std::size_t>(count));
+    for (int i = 0; i < count; ++i) {
+        ids.emplace_back("n-" + std::to_string(i));
+    }
+    return ids;
+}
+
+} // namespace
+
+TEST_CASE_FIXTURE(TableFixture, "a silent peer is suspected after 3 s and forgotten after 5 min")
+{
+    hear("b-1", "b", 5);
+    clock.advance(2999ms);
+    CHECK(table.isAlive(InstanceId("b-1")));
+    clock.advance(1ms);
+    CHECK_FALSE(table.isAlive(InstanceId("b-1")));
+    CHECK(table.alive().empty());
+    hear("b-1", "b", 4);
+    CHECK_MESSAGE(table.alive().empty(), "an older run revived the peer");
+    clock.advance(5min);
+    table.onTick();
+    hear("b-1", "b", 4);
+    CHECK(table.alive().size() == 1);
+}
+
+TEST_CASE_FIXTURE(TableFixture, "a peer whose connection broke is suspected until heard again")
+{
+    hear("b-1", "b");
+    table.markDown(InstanceId("b-1"));
+    CHECK_FALSE(table.isAlive(InstanceId("b-1")));
+    hear("b-1", "b");
+    CHECK(table.isAlive(InstanceId("b-1")));
+}
+
+TEST_CASE_FIXTURE(TableFixture, "a late heartbeat of an earlier run changes nothing")
+{
+    hear("b-1", "b", 2);
+    hear("b-1", "c", 1);
+    REQUIRE(table.alive().size() == 1);
+    CHECK(table.alive().at(0).zone == ZoneName("b"));
+    CHECK(table.alive().at(0).incarnation == 2);
+}
+
+TEST_CASE_FIXTURE(TableFixture,
+                  "candidates are live, not stopping, in order and include this instance")
+{
+    hear("b-3", "b");
+    hear("b-1", "b");
+    hear("b-4", "b", 1, true);
+    hear("a-1", "a");
+    hear("b-2", "b", 9);
+    const std::vector<InstanceId> own{InstanceId("b-1"), InstanceId("b-2"), InstanceId("b-3")};
+    CHECK(table.candidatesInZone(ZoneName("b")) == own);
+    CHECK(table.candidatesInZone(ZoneName("a")) == std::vector<InstanceId>{InstanceId("a-1")});
+    CHECK(table.alive().size() == 4);
+}
+
+// Guards against home roles that move although their instance is still there.
+TEST_CASE("a leaving candidate moves only its own keys")
+{
+    const std::vector<InstanceId> all = numbered(10);
+    std::vector<InstanceId> fewer = all;
+    fewer.erase(fewer.begin() + 4);
+    std::map<InstanceId, int> owned;
+    for (int i = 0; i < 2000; ++i) {
+        const std::string key = "model-" + std::to_string(i);
+        const InstanceId before = rendezvousOwner(key, all);
+        ++owned[before];
+        if (before != all[4]) {
+            CHECK(rendezvousOwner(key, fewer) == before);
+        }
+    }
+    for (const InstanceId &id : all) {
+        CHECK(owned[id] > 120);
+        CHECK(owned[id] < 300);
+    }
+}
+
+TEST_CASE("the rendezvous order does not depend on the order of the candidates")
+{
+    std::vector<InstanceId> ids = numbered(7);
+    const auto order = rendezvousOrder("k", ids);
+    std::reverse(ids.begin(), ids.end());
+    CHECK(rendezvousOrder("k", ids) == order);
+    CHECK(order.front() == rendezvousOwner("k", ids));
+    CHECK(std::set<InstanceId>(order.begin(), order.end()).size() == 7);
+}
