--- a/cmake/Components.cmake
+++ b/cmake/Components.cmake
@@ -27,7 +27,8 @@
     endif()
     set(program ${name}Tests)
     add_executable(${program} ${tests} ${PROJECT_SOURCE_DIR}/tests/support/TestMain.cpp)
-    target_include_directories(${program} PRIVATE ${PROJECT_SOURCE_DIR}/tests)
+    target_include_directories(${program} PRIVATE ${PROJECT_SOURCE_DIR}/tests
+        ${PROJECT_SOURCE_DIR}/lib)
     target_link_libraries(${program} PRIVATE ${target} doctest::doctest rapidcheck)
     doctest_discover_tests(${program} TEST_PREFIX "${name}: " PROPERTIES
         TIMEOUT 300
--- a/lib/Peer/Messages.cpp
+++ b/lib/Peer/Messages.cpp
@@ -85,6 +85,7 @@
     visit("key", m.key);
     visit("route", m.route);
     visit("model", m.model);
+    visit("pool", m.pool);
     visit("target", m.target);
     visit("method", m.method);
     visit("headers", m.headers);
@@ -101,6 +102,7 @@
     visit("id", m.id);
     visit("status", m.status);
     visit("headers", m.headers);
+    visit("stream", m.stream);
 }
 
 template <class V, class M>
--- a/tests/Peer/MessagesTest.cpp
+++ b/tests/Peer/MessagesTest.cpp
@@ -62,13 +62,15 @@
     case 5:
         return EpochAck{any<std::uint64_t>(), any<std::uint64_t>(), any<bool>()};
     case 6:
-        return ForwardRequest{anyId<RequestId>(), anyId<WorkspaceName>(), anyId<KeyDigest>(),
-                              anyId<RouteName>(), anyId<ModelName>(),     anyText(),
-                              anyText(),          anyHeaders(),           anyText(),
-                              any<double>(),      any<std::int64_t>(),    any<bool>(),
-                              any<bool>()};
+        return ForwardRequest{anyId<RequestId>(), anyId<WorkspaceName>(),
+                              anyId<KeyDigest>(), anyId<RouteName>(),
+                              anyId<ModelName>(), anyText(),
+                              anyText(),          anyText(),
+                              anyHeaders(),       anyText(),
+                              any<double>(),      any<std::int64_t>(),
+                              any<bool>(),        any<bool>()};
     case 7:
-        return ForwardHead{anyId<RequestId>(), any<int>(), anyHeaders()};
+        return ForwardHead{anyId<RequestId>(), any<int>(), anyHeaders(), any<bool>()};
     case 8:
         return ForwardData{anyId<RequestId>(), any<std::uint64_t>(), anyText(), any<bool>()};
     case 9:
--- /dev/null
+++ b/tests/Routing/DispatcherTest.cpp
@@ -0,0 +1,298 @@
+#include "marigoldspool/Routing/Dispatcher.h"
+
+#include "marigoldspool/Support/RandomSource.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+
+#include <doctest/doctest.h>
+
+using namespace marigoldspool;
+using namespace std::chrono_literals;
+
+namespace {
+
+class CountingSlots final : public SlotSource
+{
+public:
+    bool tryTakeSlot(const EndpointId &endpoint, Duration) override
+    {
+        if (m_taken[endpoint] >= m_limit[endpoint]) {
+            return false;
+        }
+        ++m_taken[endpoint];
+        return true;
+    }
+    void returnSlot(const EndpointId &endpoint) override { --m_taken[endpoint]; }
+    void setSlots(const EndpointId &endpoint, int slots) override { m_limit[endpoint] = slots; }
+    int taken(const EndpointId &endpoint) { return m_taken[endpoint]; }
+
+private:
+    std::map<EndpointId, int> m_taken;
+    std::map<EndpointId, int> m_limit;
+};
+
+KeyRule makeKey(KeyState state)
+{
+    return {WorkspaceName("w0"), KeyDigest("k0"), state, "tests"};
+}
+
+RuleSet makeRules()
+{
+    RuleSet rules;
+    rules.zones.push_back({ZoneName("z"), ZoneState::Serving, 1, "tests"});
+    for (const char *id : {"e0", "e1"}) {
+        EndpointRule rule;
+        rule.id = EndpointId(id);
+        rule.zone = ZoneName("z");
+        rule.slots = 8;
+        rule.freshSlots = 2;
+        rules.endpoints.push_back(rule);
+    }
+    ModelRule model;
+    model.name = ModelName("m");
+    rules.models.push_back(model);
+    rules.workspaces.push_back({WorkspaceName("w0"), 100, 100, 1, OutageKeys::Serve, "tests"});
+    rules.keys.push_back(makeKey(KeyState::Active));
+    return rules;
+}
+
+struct Fixture {
+    ManualClock clock;
+    CountingSlots slots;
+    Metrics metrics;
+    Dispatcher dispatcher{DispatcherOptions{ZoneName("z"), 20, 2s, 30ms}, clock, slots, metrics};
+
+    explicit Fixture(const RuleSet &rules = makeRules())
+    {
+        dispatcher.onConfiguration(std::make_shared<Configuration>(rules));
+    }
+
+    Request makeRequest(const std::string &id, Duration timeout = 10s, bool idempotent = false)
+    {
+        Request request;
+        request.id = RequestId(id);
+        request.workspace = WorkspaceName("w0");
+        request.target = Target{ModelName("m"), {}};
+        request.deadline = clock.now() + timeout;
+        request.idempotent = idempotent;
+        return request;
+    }
+
+    void loadEverywhere()
+    {
+        dispatcher.onReplicas(ModelName("m"), {EndpointId("e0"), EndpointId("e1")});
+    }
+};
+
+template <class Action>
+std::vector<Action> actionsOf(const DispatchActions &actions)
+{
+    std::vector<Action> found;
+    for (const DispatchAction &action : actions) {
+        if (const auto *it = std::get_if<Action>(&action)) {
+            found.push_back(*it);
+        }
+    }
+    return found;
+}
+
+} // namespace
+
+TEST_CASE("a fresh endpoint gets no more than its fresh slots until it has answered")
+{
+    Fixture fixture;
+    fixture.dispatcher.onReplicas(ModelName("m"), {EndpointId("e0")});
+    for (int i = 0; i < 10; ++i) {
+        fixture.dispatcher.submit(fixture.makeRequest(std::to_string(i)));
+    }
+    CHECK(fixture.dispatcher.inFlight() == 2);
+    fixture.dispatcher.onEndpointResult(RequestId("0"), EndpointOutcome::Answered);
+    fixture.dispatcher.onEndpointResult(RequestId("1"), EndpointOutcome::Answered);
+    CHECK(fixture.dispatcher.inFlight() == 4);
+}
+
+TEST_CASE("an endpoint that restarted cold gets its fresh slots again")
+{
+    Fixture fixture;
+    fixture.dispatcher.onEndpointStatus(EndpointId("e0"), "run1", 0);
+    fixture.dispatcher.onEndpointStatus(EndpointId("e0"), "run1", 100);
+    CHECK(fixture.dispatcher.endpointViews()[0].slots == 8);
+    fixture.dispatcher.onEndpointStatus(EndpointId("e0"), "run2", 0);
+    CHECK(fixture.dispatcher.endpointViews()[0].slots == 2);
+}
+
+TEST_CASE("requests for a model that is not loaded wait and create demand")
+{
+    Fixture fixture;
+    const auto actions = fixture.dispatcher.submit(fixture.makeRequest("r"));
+    const auto demands = actionsOf<NoteDemand>(actions);
+    REQUIRE(demands.size() == 1);
+    CHECK(demands[0].waiting == 1);
+    fixture.loadEverywhere();
+    CHECK(fixture.dispatcher.inFlight() == 1);
+}
+
+TEST_CASE("a request whose predicted wait passes its deadline is refused at once")
+{
+    Fixture fixture;
+    const auto actions = fixture.dispatcher.submit(fixture.makeRequest("r", 500ms));
+    const auto refusals = actionsOf<AnswerRefusal>(actions);
+    REQUIRE(refusals.size() == 1);
+    CHECK(refusals[0].refusal.reason == RefusalReason::DeadlineTooShort);
+    CHECK(refusals[0].refusal.ran == RanState::No);
+    CHECK(refusals[0].refusal.retryAfter == 2s);
+    // The caller was told to come back, so the model has to be loaded by then.
+    CHECK(actionsOf<NoteDemand>(actions).size() == 1);
+}
+
+TEST_CASE("a queued request is refused before its deadline passes, not dropped")
+{
+    Fixture fixture;
+    fixture.dispatcher.submit(fixture.makeRequest("r", 3s));
+    fixture.clock.advance(2960ms);
+    CHECK(actionsOf<AnswerRefusal>(fixture.dispatcher.onTick()).empty());
+    fixture.clock.advance(20ms);
+    const auto refusals = actionsOf<AnswerRefusal>(fixture.dispatcher.onTick());
+    REQUIRE(refusals.size() == 1);
+    CHECK(refusals[0].refusal.reason == RefusalReason::DeadlinePassed);
+    CHECK(refusals[0].refusal.ran == RanState::No);
+}
+
+TEST_CASE("a withdrawn key ends queued and running requests")
+{
+    Fixture fixture;
+    Request queued = fixture.makeRequest("queued");
+    queued.key = KeyDigest("k0");
+    fixture.dispatcher.submit(queued);
+    fixture.loadEverywhere();
+    Request running = fixture.makeRequest("running");
+    running.key = KeyDigest("k0");
+    fixture.dispatcher.submit(running);
+    RuleSet rules = makeRules();
+    rules.keys[0] = makeKey(KeyState::Withdrawn);
+    const auto actions = fixture.dispatcher.onConfiguration(std::make_shared<Configuration>(rules));
+    CHECK(actionsOf<AnswerRefusal>(actions).size() == 2);
+    CHECK(actionsOf<CancelAtEndpoint>(actions).size() == 2);
+    Request later = fixture.makeRequest("later");
+    later.key = KeyDigest("k0");
+    const auto refused = actionsOf<AnswerRefusal>(fixture.dispatcher.submit(later));
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].refusal.reason == RefusalReason::KeyWithdrawn);
+}
+
+TEST_CASE("drained zones and leaving endpoints get no new work while running work ends")
+{
+    for (const bool drainZone : {true, false}) {
+        Fixture fixture;
+        fixture.loadEverywhere();
+        fixture.dispatcher.submit(fixture.makeRequest("running"));
+        RuleSet rules = makeRules();
+        if (drainZone) {
+            rules.zones[0].state = ZoneState::Drained;
+        } else {
+            rules.endpoints[0].state = EndpointState::Leaving;
+            rules.endpoints[1].state = EndpointState::Leaving;
+        }
+        const auto actions =
+            fixture.dispatcher.onConfiguration(std::make_shared<Configuration>(rules));
+        CHECK(actionsOf<CancelAtEndpoint>(actions).empty());
+        const auto later = fixture.dispatcher.submit(fixture.makeRequest("later"));
+        CHECK(actionsOf<SendToEndpoint>(later).empty());
+        CHECK(fixture.dispatcher.inFlight() == 1);
+    }
+}
+
+TEST_CASE("a cold answer removes the replica, is reported and the request waits for a load")
+{
+    Fixture fixture;
+    fixture.dispatcher.onReplicas(ModelName("m"), {EndpointId("e0")});
+    fixture.dispatcher.submit(fixture.makeRequest("r"));
+    const auto actions =
+        fixture.dispatcher.onEndpointResult(RequestId("r"), EndpointOutcome::RefusedCold);
+    CHECK(actionsOf<EndpointCold>(actions).size() == 1);
+    CHECK(actionsOf<NoteDemand>(actions).size() == 1);
+    CHECK(fixture.dispatcher.queued() == 1);
+}
+
+// Random submissions, failures, cancellations, withdrawals and time. Each request must end exactly
+// once, a non-idempotent one must not be sent again after it may have run, "not run" must be true,
+// and slots must balance.
+TEST_CASE("every request ends exactly once under random faults")
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        CAPTURE(seed);
+        SeededRandomSource random(seed);
+        Fixture fixture;
+        fixture.loadEverywhere();
+        std::map<RequestId, Request> open;
+        std::set<RequestId> running;
+        std::set<RequestId> mayHaveRunIds;
+        std::size_t submitted = 0;
+        std::size_t ended = 0;
+        const auto apply = [&](const DispatchActions &actions) {
+            for (const auto &send : actionsOf<SendToEndpoint>(actions)) {
+                REQUIRE(open.count(send.request) == 1);
+                CHECK(running.insert(send.request).second);
+                const bool ranBefore = mayHaveRunIds.count(send.request) == 1;
+                CHECK((open[send.request].idempotent || !ranBefore));
+            }
+            for (const auto &cancel : actionsOf<CancelAtEndpoint>(actions)) {
+                running.erase(cancel.request);
+                mayHaveRunIds.insert(cancel.request);
+            }
+            for (const auto &answer : actionsOf<AnswerRefusal>(actions)) {
+                REQUIRE(open.erase(answer.request) == 1);
+                ++ended;
+                const bool ran = mayHaveRunIds.count(answer.request) == 1;
+                CHECK((answer.refusal.ran == RanState::Unknown || !ran));
+            }
+        };
+        for (int step = 0; step < 600; ++step) {
+            const std::uint64_t kind = random.below(10);
+            if (kind < 4) {
+                const std::string id = std::to_string(submitted++);
+                const Request request = fixture.makeRequest(
+                    id, std::chrono::milliseconds(100 + random.below(3000)), random.below(2) == 0);
+                open[request.id] = request;
+                apply(fixture.dispatcher.submit(request));
+            } else if (kind < 7 && !running.empty()) {
+                auto it = running.begin();
+                std::advance(it, static_cast<long>(random.below(running.size())));
+                const RequestId id = *it;
+                running.erase(it);
+                const auto outcome = static_cast<EndpointOutcome>(random.below(6));
+                if (outcome == EndpointOutcome::Answered) {
+                    open.erase(id);
+                    ++ended;
+                } else if (mayHaveRun(outcome)) {
+                    mayHaveRunIds.insert(id);
+                }
+                if (outcome == EndpointOutcome::CutOff) {
+                    fixture.dispatcher.onAnswerStarted(id);
+                }
+                apply(fixture.dispatcher.onEndpointResult(id, outcome));
+            } else if (kind == 7 && !open.empty()) {
+                const RequestId id = open.begin()->first;
+                apply(fixture.dispatcher.cancel(id));
+                open.erase(id);
+                ++ended;
+            } else if (kind == 8) {
+                fixture.loadEverywhere();
+                apply(fixture.dispatcher.onReplicas(
+                    ModelName("m"), {EndpointId(random.below(2) == 0 ? "e0" : "e1")}));
+            } else {
+                fixture.clock.advance(std::chrono::milliseconds(random.below(300)));
+                apply(fixture.dispatcher.onTick());
+            }
+        }
+        fixture.clock.advance(1min);
+        apply(fixture.dispatcher.onTick());
+        CHECK(open.empty());
+        CHECK(ended == submitted);
+        CHECK(fixture.slots.taken(EndpointId("e0")) == 0);
+        CHECK(fixture.slots.taken(EndpointId("e1")) == 0);
+    }
+}
