Give the pooled store connection a name of its own

Cause: Platform and Gateway both defined marigoldspool::HttpConnection. The linker took one destructor for both, and each daemon freed memory twice when it stopped. Ruled out: the order in which the supervisor destroys its children; the trace showed HttpObjectStore running the Gateway's destructor.

The platform stand-in read its instance list from a parsed document that no longer existed, and so took every list for empty.

--- a/lib/Platform/HttpObjectStore.cpp
+++ b/lib/Platform/HttpObjectStore.cpp
@@ -1,7 +1,7 @@
 #include "marigoldspool/Platform/HttpObjectStore.h"
 
-#include "HttpConnectionPool.h"
 #include "ObjectJson.h"
+#include "StoreConnectionPool.h"
 #include "marigoldspool/Support/IpAddress.h"
 
 #include <cassert>
@@ -54,8 +54,8 @@
                     Metrics &metrics)
         : m_timeout(timeout)
         , m_metrics(metrics)
-        , m_calls(std::make_shared<HttpConnectionPool>(io, server, MostCallConnections))
-        , m_watches(std::make_shared<HttpConnectionPool>(io, server, MostWatchConnections))
+        , m_calls(std::make_shared<StoreConnectionPool>(io, server, MostCallConnections))
+        , m_watches(std::make_shared<StoreConnectionPool>(io, server, MostWatchConnections))
         , m_io(io)
     { }
 
@@ -81,7 +81,7 @@
             : writePutBody(expectedVersion, value, writeId);
         if (!body) {
             boost::asio::post(m_io,
-                              [alive = std::weak_ptr<HttpConnectionPool>(m_calls),
+                              [alive = std::weak_ptr<StoreConnectionPool>(m_calls),
                                done = std::move(done), error = body.error()]() {
                                   if (!alive.expired()) {
                                       done(tl::unexpected<Error>(error));
@@ -182,8 +182,8 @@
 
     Duration m_timeout;
     Metrics &m_metrics;
-    std::shared_ptr<HttpConnectionPool> m_calls;
-    std::shared_ptr<HttpConnectionPool> m_watches;
+    std::shared_ptr<StoreConnectionPool> m_calls;
+    std::shared_ptr<StoreConnectionPool> m_watches;
     boost::asio::io_context &m_io;
 };
 
--- a/lib/Platform/HttpConnectionPool.cpp
+++ b/lib/Platform/StoreConnectionPool.cpp
@@ -1,4 +1,4 @@
-#include "HttpConnectionPool.h"
+#include "StoreConnectionPool.h"
 
 #include <algorithm>
 #include <optional>
@@ -28,11 +28,11 @@
 } // namespace
 
 /// One connection, which carries one call at a time.
-class HttpConnection : public std::enable_shared_from_this<HttpConnection>
+class StoreConnection : public std::enable_shared_from_this<StoreConnection>
 {
 public:
-    HttpConnection(boost::asio::io_context &io, std::weak_ptr<HttpConnectionPool> pool,
-                   boost::asio::ip::tcp::endpoint server)
+    StoreConnection(boost::asio::io_context &io, std::weak_ptr<StoreConnectionPool> pool,
+                    boost::asio::ip::tcp::endpoint server)
         : m_stream(io)
         , m_pool(std::move(pool))
         , m_server(std::move(server))
@@ -161,7 +161,7 @@
         } else {
             m_stream.expires_never();
         }
-        const std::shared_ptr<HttpConnection> self = shared_from_this();
+        const std::shared_ptr<StoreConnection> self = shared_from_this();
         const auto done = std::move(m_call.done);
         m_call.done = nullptr;
         if (const auto pool = m_pool.lock()) {
@@ -181,7 +181,7 @@
     }
 
     beast::tcp_stream m_stream;
-    std::weak_ptr<HttpConnectionPool> m_pool;
+    std::weak_ptr<StoreConnectionPool> m_pool;
     boost::asio::ip::tcp::endpoint m_server;
     beast::flat_buffer m_buffer;
     HttpCall m_call;
@@ -192,17 +192,17 @@
     bool m_closed = false;
 };
 
-HttpConnectionPool::HttpConnectionPool(boost::asio::io_context &io,
-                                       boost::asio::ip::tcp::endpoint server,
-                                       std::size_t mostConnections)
+StoreConnectionPool::StoreConnectionPool(boost::asio::io_context &io,
+                                         boost::asio::ip::tcp::endpoint server,
+                                         std::size_t mostConnections)
     : m_io(io)
     , m_server(std::move(server))
     , m_mostConnections(mostConnections)
 { }
 
-HttpConnectionPool::~HttpConnectionPool() = default;
+StoreConnectionPool::~StoreConnectionPool() = default;
 
-void HttpConnectionPool::submit(HttpCall call)
+void StoreConnectionPool::submit(HttpCall call)
 {
     if (m_queue.size() >= MostQueuedCalls) {
         reject(std::move(call), "too many calls are waiting for the store",
@@ -213,7 +213,7 @@
     startNext();
 }
 
-void HttpConnectionPool::close()
+void StoreConnectionPool::close()
 {
     m_queue.clear();
     for (const auto &connection : m_busy) {
@@ -226,7 +226,7 @@
     m_idle.clear();
 }
 
-void HttpConnectionPool::startNext()
+void StoreConnectionPool::startNext()
 {
     // No timer is needed for queued calls: a busy connection has an earlier deadline than any
     // call queued behind it and comes here when it ends.
@@ -239,12 +239,12 @@
                    "try again after a delay");
             continue;
         }
-        std::shared_ptr<HttpConnection> connection;
+        std::shared_ptr<StoreConnection> connection;
         if (!m_idle.empty()) {
             connection = std::move(m_idle.back());
             m_idle.pop_back();
         } else if (m_busy.size() < m_mostConnections) {
-            connection = std::make_shared<HttpConnection>(m_io, weak_from_this(), m_server);
+            connection = std::make_shared<StoreConnection>(m_io, weak_from_this(), m_server);
         } else {
             return;
         }
@@ -255,7 +255,7 @@
     }
 }
 
-void HttpConnectionPool::release(const std::shared_ptr<HttpConnection> &connection, bool reusable)
+void StoreConnectionPool::release(const std::shared_ptr<StoreConnection> &connection, bool reusable)
 {
     const auto it = std::find(m_busy.begin(), m_busy.end(), connection);
     if (it == m_busy.end()) {
@@ -268,7 +268,7 @@
     startNext();
 }
 
-void HttpConnectionPool::reject(HttpCall call, std::string message, std::string remedy)
+void StoreConnectionPool::reject(HttpCall call, std::string message, std::string remedy)
 {
     boost::asio::post(
         m_io,
--- a/lib/Platform/HttpConnectionPool.h
+++ b/lib/Platform/StoreConnectionPool.h
@@ -1,5 +1,5 @@
-#ifndef MARIGOLDSPOOL_LIB_PLATFORM_HTTPCONNECTIONPOOL_H
-#define MARIGOLDSPOOL_LIB_PLATFORM_HTTPCONNECTIONPOOL_H
+#ifndef MARIGOLDSPOOL_LIB_PLATFORM_STORECONNECTIONPOOL_H
+#define MARIGOLDSPOOL_LIB_PLATFORM_STORECONNECTIONPOOL_H
 
 #include "marigoldspool/Support/Error.h"
 
@@ -31,32 +31,32 @@
     std::function<void(Expected<HttpAnswer>)> done;
 };
 
-class HttpConnection;
+class StoreConnection;
 
 /// At most a given number of kept-alive connections to one server; further calls queue.
-class HttpConnectionPool : public std::enable_shared_from_this<HttpConnectionPool>
+class StoreConnectionPool : public std::enable_shared_from_this<StoreConnectionPool>
 {
 public:
-    HttpConnectionPool(boost::asio::io_context &io, boost::asio::ip::tcp::endpoint server,
-                       std::size_t mostConnections);
-    ~HttpConnectionPool();
+    StoreConnectionPool(boost::asio::io_context &io, boost::asio::ip::tcp::endpoint server,
+                        std::size_t mostConnections);
+    ~StoreConnectionPool();
 
     void submit(HttpCall call);
     /// Abandons all calls without calling back.
     void close();
 
 private:
-    friend class HttpConnection;
+    friend class StoreConnection;
     void startNext();
-    void release(const std::shared_ptr<HttpConnection> &connection, bool reusable);
+    void release(const std::shared_ptr<StoreConnection> &connection, bool reusable);
     void reject(HttpCall call, std::string message, std::string remedy);
 
     boost::asio::io_context &m_io;
     boost::asio::ip::tcp::endpoint m_server;
     std::size_t m_mostConnections;
     std::deque<HttpCall> m_queue;
-    std::vector<std::shared_ptr<HttpConnection>> m_busy;
-    std::vector<std::shared_ptr<HttpConnection>> m_idle;
+    std::vector<std::shared_ptr<StoreConnection>> m_busy;
+    std::vector<std::shared_ptr<StoreConnection>> m_idle;
 };
 
 } // namespace marigoldspool
--- a/tests/standins/platform-standin/PlatformServer.h
+++ b/tests/standins/platform-standin/PlatformServer.h
@@ -291,7 +291,9 @@
     {
         std::vector<PlatformInstance> list;
         try {
-            for (const Json &item : Json::parse(body).at("instances")) {
+            // A range-based loop does not extend the life of the parsed document.
+            const Json fields = Json::parse(body);
+            for (const Json &item : fields.at("instances")) {
                 list.push_back(
                     {item.at("id"), item.at("zone"), item.at("address"),
                      item.at("state") == "leaving" ? PlatformState::Leaving : PlatformState::Live});
