--- /dev/null
+++ b/include/marigoldspool/Limits/EndpointSlots.h
@@ -0,0 +1,57 @@
+#ifndef MARIGOLDSPOOL_LIMITS_ENDPOINTSLOTS_H
+#define MARIGOLDSPOOL_LIMITS_ENDPOINTSLOTS_H
+
+#include "marigoldspool/Limits/LoanDesk.h"
+#include "marigoldspool/Limits/SlotLimit.h"
+#include "marigoldspool/Limits/WorkspaceLimit.h"
+
+#include <string>
+
+namespace marigoldspool {
+
+/// The slots of one endpoint at one instance: takes, lends and borrows them.
+class EndpointSlots
+{
+public:
+    EndpointSlots(EndpointId endpoint, const LimitOptions &options);
+
+    void setZone(const ZoneName &zone) { m_zone = zone; }
+    void setTotal(int total) { m_total = total; }
+    /// Brings the owned slots up to date with the roster.
+    void update(const RosterState &state, const InstanceId &self, bool inZone, bool mayGrow);
+
+    bool tryTake(Duration deadline, SteadyTime now);
+    void giveBack();
+    void onLoanRequest(const InstanceId &from, const LoanRequest &request,
+                       const LimitContext &context);
+    void onLoanGrant(const InstanceId &from, const LoanGrant &grant, const LimitContext &context);
+    /// Sends requests for slots that were missing and returns loans that are not used.
+    void plan(const std::vector<InstanceId> &zonePeers, const LimitContext &context);
+
+    std::optional<Duration> wakeupAfter() const;
+    SlotStatus status(SteadyTime now) const;
+    SlotLimit &limit() { return m_limit; }
+    const ZoneName &zone() const { return m_zone; }
+
+private:
+    void returnLoans(const InstanceId *peer, const LimitContext &context);
+
+    EndpointId m_endpoint;
+    std::string m_name;
+    ZoneName m_zone;
+    int m_total = 0;
+    SlotLimit m_limit;
+    LoanDesk m_desk;
+    /// Requests that found no slot and may still be waiting.
+    int m_missing = 0;
+    SteadyTime m_missingUntil;
+    SteadyTime m_lastTaken;
+    /// The result of ownedSlots() for this epoch and total.
+    std::uint64_t m_ownedEpoch = 0;
+    int m_ownedTotal = 0;
+    int m_owned = 0;
+};
+
+} // namespace marigoldspool
+
+#endif
--- a/include/marigoldspool/Limits/LimitService.h
+++ b/include/marigoldspool/Limits/LimitService.h
@@ -1,9 +1,9 @@
 #ifndef MARIGOLDSPOOL_LIMITS_LIMITSERVICE_H
 #define MARIGOLDSPOOL_LIMITS_LIMITSERVICE_H
 
+#include "marigoldspool/Limits/EndpointSlots.h"
 #include "marigoldspool/Limits/LimitTypes.h"
 #include "marigoldspool/Limits/RosterKeeper.h"
-#include "marigoldspool/Limits/SlotLimit.h"
 #include "marigoldspool/Limits/TokenBucket.h"
 #include "marigoldspool/Limits/WorkspaceLimit.h"
 
@@ -83,17 +83,10 @@
         double burst = 0;
     };
 
-    struct Slots {
-        ZoneName zone;
-        int total = 0;
-        SlotLimit limit;
-        /// The result of ownedSlots() for this epoch and total.
-        std::uint64_t ownedEpoch = 0;
-        int ownedTotal = 0;
-        int owned = 0;
-    };
-
-    void updateSlots(const EndpointId &endpoint, Slots &slots);
+    EndpointSlots &slotsOf(const EndpointId &endpoint);
+    const std::vector<InstanceId> &peersIn(const ZoneName &zone) const;
+    void onLoanRequest(const InstanceId &from, const LoanRequest &request);
+    void onLoanGrant(const InstanceId &from, const LoanGrant &grant);
     LimitContext context(std::vector<AddressedMessage> &send);
     WorkspaceLimit *findOrCreate(const std::string &name);
     RateLimit makeRateLimit(const Rule &rule, SteadyTime now) const;
@@ -110,16 +103,18 @@
     const Clock &m_clock;
     RandomSource &m_random;
     RosterKeeper m_roster;
+    /// Before then a predecessor of this instance, if there was one, may have slots lent out.
+    SteadyTime m_firstSlotGrowth;
     std::unordered_map<std::string, Rule> m_rules;
     std::unordered_map<std::string, std::unique_ptr<WorkspaceLimit>> m_limits;
-    std::map<EndpointId, Slots> m_slots;
+    std::map<std::string, EndpointSlots> m_slots;
     /// The part of the whole that this instance has had since the given times, oldest first.
     std::vector<ShareChange> m_shares;
     double m_zoneFraction = 0;
     double m_nextZoneFraction = 0;
     SteadyTime m_zoneFractionDue;
     bool m_configured = false;
-    std::vector<InstanceId> m_zonePeers;
+    std::map<ZoneName, std::vector<InstanceId>> m_peersByZone;
     std::vector<InstanceId> m_otherPeers;
     std::unordered_map<InstanceId, TokenBucket> m_budgets;
     std::function<bool(const InstanceId &)> m_mayAsk;
--- a/include/marigoldspool/Limits/RateLimit.h
+++ b/include/marigoldspool/Limits/RateLimit.h
@@ -42,9 +42,10 @@
     /// Whether what is lent fits in what is held, now and until all loans are over.
     bool fits(SteadyTime now);
 
-    /// The most that can be lent to \p peer for \p term beside \p keepFraction and \p keepTokens.
+    /// The most of \p wanted that can be lent to \p peer beside \p keepFraction and
+    /// \p keepTokens, and that what is held covers until \p reservedUntil.
     Offer offer(const InstanceId &peer, const Offer &wanted, double keepFraction, double keepTokens,
-                SteadyTime now);
+                SteadyTime reservedUntil, SteadyTime now);
     /// Subtracts the tokens for good and the fraction until \p reservedUntil. \p offer must come
     /// from offer() at the same time. False, with nothing changed, if the tokens are not there.
     bool lend(const InstanceId &peer, std::uint64_t id, const Offer &offer,
--- a/include/marigoldspool/Limits/RosterKeeper.h
+++ b/include/marigoldspool/Limits/RosterKeeper.h
@@ -38,6 +38,8 @@
     /// Uses no share from now on; the roster is written once what was lent is back.
     void release();
     bool released() const { return m_releasing; }
+    /// This instance has joined a roster that surely held no earlier incarnation of it.
+    bool joinedFresh() const { return m_joinedFresh; }
     /// Nothing is expected from the store or from other members.
     bool settled() const;
 
@@ -74,8 +76,11 @@
         WriteId id;
         RosterRecord record;
         SteadyTime sentAt;
+        /// Adds this instance where no incarnation of it is.
+        bool joinsFresh = false;
     };
     std::optional<PendingWrite> m_write;
+    bool m_joinedFresh = false;
     bool m_releasing = false;
     bool m_lentIsBack = false;
     std::uint64_t m_ackSentEpoch = 0;
--- a/include/marigoldspool/Limits/WorkspaceLimit.h
+++ b/include/marigoldspool/Limits/WorkspaceLimit.h
@@ -79,6 +79,8 @@
     double keepFraction(const LimitContext &context) const;
     double keepTokens(const LimitContext &context) const;
     LimitDecision refuseOrWait(double cost, SteadyTime latest, const LimitContext &context);
+    RateLimit::Offer offerFor(const InstanceId &from, const RateLimit::Offer &wanted,
+                              const LimitContext &context);
     RateLimit::Offer makeOffer(const InstanceId &from, const LoanRequest &request,
                                const LimitContext &context);
     void answer(const InstanceId &from, const LoanRequest &request, const RateLimit::Offer &offer,
--- /dev/null
+++ b/lib/Limits/EndpointSlots.cpp
@@ -0,0 +1,155 @@
+#include "marigoldspool/Limits/EndpointSlots.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace marigoldspool {
+
+namespace {
+
+// Slots that were in use so recently are likely to be wanted again.
+constexpr Duration RecentUse = std::chrono::seconds(1);
+// More slots than any endpoint has; a larger number in a message is not believed.
+constexpr double MostSlots = 1'000'000;
+
+} // namespace
+
+EndpointSlots::EndpointSlots(EndpointId endpoint, const LimitOptions &options)
+    : m_endpoint(std::move(endpoint))
+    , m_name("slots/" + m_endpoint.str())
+    , m_desk(options)
+{ }
+
+void EndpointSlots::update(const RosterState &state, const InstanceId &self, bool inZone,
+                           bool mayGrow)
+{
+    if (m_ownedEpoch != state.record().epoch || m_ownedTotal != m_total) {
+        m_ownedEpoch = state.record().epoch;
+        m_ownedTotal = m_total;
+        m_owned = ownedSlots(m_endpoint, m_total, state.record(), self);
+    }
+    m_limit.setOwned(inZone ? m_owned : 0, mayGrow);
+}
+
+bool EndpointSlots::tryTake(Duration deadline, SteadyTime now)
+{
+    if (m_limit.tryTake(now + deadline, now)) {
+        m_lastTaken = now;
+        return true;
+    }
+    m_missing = std::min(m_total, now < m_missingUntil ? m_missing + 1 : 1);
+    m_missingUntil = now + RecentUse / 10;
+    return false;
+}
+
+void EndpointSlots::giveBack()
+{
+    m_limit.giveBack();
+}
+
+void EndpointSlots::onLoanRequest(const InstanceId &from, const LoanRequest &request,
+                                  const LimitContext &context)
+{
+    const SteadyTime now = context.now;
+    if (m_limit.lent().find(from, request.loanId) != nullptr || !std::isfinite(request.tokens)
+        || request.tokens < 0 || request.tokens > MostSlots) {
+        return;
+    }
+    returnLoans(&from, context);
+    const double error = context.options.clockError;
+    const SteadyTime until = now
+        + std::chrono::duration_cast<Duration>(context.options.slotTerm * (1 + error) / (1 - error))
+        + Duration(1);
+    const int free = m_limit.freeUntil(until, now);
+    const bool recent = now - m_lastTaken < RecentUse;
+    const int keep = now < m_missingUntil ? m_missing : (recent ? free / 2 : 0);
+    const int slots = std::min(static_cast<int>(request.tokens), free - keep);
+    LoanGrant grant{m_name, request.loanId, 0, 0, 0};
+    if (slots > 0 && !context.releasing) {
+        m_limit.lend(from, request.loanId, slots, until);
+        grant.tokens = slots;
+        grant.termMs =
+            std::chrono::duration_cast<std::chrono::milliseconds>(context.options.slotTerm).count();
+    }
+    context.send.push_back({from, grant});
+}
+
+void EndpointSlots::onLoanGrant(const InstanceId &from, const LoanGrant &grant,
+                                const LimitContext &context)
+{
+    if (!std::isfinite(grant.tokens) || grant.tokens < 0 || grant.tokens > MostSlots) {
+        return;
+    }
+    const std::optional<LoanDesk::Pending> pending = m_desk.take(from, grant.loanId);
+    if (!pending) {
+        if (grant.termMs == 0) {
+            m_limit.onReturned(from, grant.loanId);
+        }
+        return;
+    }
+    m_desk.learn(*pending, grant.tokens, 0, context.now);
+    if (grant.tokens >= 1) {
+        const Duration term =
+            std::min<Duration>(std::chrono::milliseconds(grant.termMs), context.options.slotTerm);
+        m_limit.borrow(from, grant.loanId, static_cast<int>(grant.tokens), pending->sentAt + term,
+                       context.now);
+    }
+}
+
+void EndpointSlots::returnLoans(const InstanceId *peer, const LimitContext &context)
+{
+    const std::vector<Loan> loans = m_limit.borrowed().loans();
+    for (const Loan &loan : loans) {
+        if ((peer == nullptr || loan.peer == *peer)
+            && m_limit.returnLoan(loan.peer, loan.id, context.now)) {
+            context.send.push_back({loan.peer, LoanGrant{m_name, loan.id, loan.tokens, 0, 0}});
+        }
+    }
+}
+
+void EndpointSlots::plan(const std::vector<InstanceId> &zonePeers, const LimitContext &context)
+{
+    const SteadyTime now = context.now;
+    m_desk.onTick(now);
+    if (now >= m_missingUntil) {
+        m_missing = 0;
+        if (now - m_lastTaken >= RecentUse || context.releasing) {
+            returnLoans(nullptr, context);
+        }
+        return;
+    }
+    double wanted = m_missing - m_desk.tokensUnderWay();
+    for (const InstanceId &peer : m_desk.candidates(zonePeers, now, context.random)) {
+        if (wanted < 1 || m_desk.underWay() >= context.options.parallelRequests) {
+            return;
+        }
+        if (!context.mayAsk(peer)) {
+            continue;
+        }
+        const std::uint64_t id = context.random.next();
+        const double part =
+            std::min(wanted, std::max(1.0, m_desk.expectedTokens(peer).value_or(1)));
+        m_desk.sent({peer, id, std::floor(part), 0, now, false});
+        context.send.push_back({peer, LoanRequest{m_name, id, std::floor(part), 0}});
+        wanted -= std::floor(part);
+    }
+}
+
+std::optional<Duration> EndpointSlots::wakeupAfter() const
+{
+    if (m_missing > 0) {
+        return std::chrono::milliseconds(10);
+    }
+    if (!m_desk.idle() || !m_limit.borrowed().empty() || !m_limit.lent().empty()) {
+        return std::chrono::milliseconds(200);
+    }
+    return std::nullopt;
+}
+
+SlotStatus EndpointSlots::status(SteadyTime now) const
+{
+    return {m_endpoint, m_limit.owned(), m_limit.used(), m_limit.lentCount(now),
+            m_limit.borrowedCount(now)};
+}
+
+} // namespace marigoldspool
--- a/lib/Limits/LimitService.cpp
+++ b/lib/Limits/LimitService.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::string_view RatePrefix = "rate/";
+constexpr std::string_view SlotPrefix = "slots/";
 // Changes of the share kept for limits that are created later. A limit older than the first one
 // kept starts empty then, which is safe.
 constexpr std::size_t KeptShares = 32;
@@ -21,6 +22,16 @@
     return std::string(RatePrefix) + workspace.str();
 }
 
+std::string slotName(const EndpointId &endpoint)
+{
+    return std::string(SlotPrefix) + endpoint.str();
+}
+
+bool isSlotName(std::string_view limit)
+{
+    return limit.substr(0, SlotPrefix.size()) == SlotPrefix;
+}
+
 double fractionOf(const ZoneName &zone, const std::vector<ZoneWeight> &weights)
 {
     double own = 0;
@@ -57,6 +68,9 @@
     , m_clock(clock)
     , m_random(random)
     , m_roster(m_options, std::move(self), incarnation, std::move(zone), clock.now(), random)
+    , m_firstSlotGrowth(clock.now()
+                        + std::chrono::duration_cast<Duration>(
+                            options.slotTerm * (1 + options.clockError) / (1 - options.clockError)))
     , m_shares{{clock.now(), 0}}
     , m_mayAsk([this](const InstanceId &peer) {
         return takeFromBudget(peer);
@@ -69,12 +83,19 @@
     return 1 / (1 + m_options.clockError);
 }
 
+const std::vector<InstanceId> &LimitService::peersIn(const ZoneName &zone) const
+{
+    static const std::vector<InstanceId> none;
+    const auto it = m_peersByZone.find(zone);
+    return it != m_peersByZone.end() ? it->second : none;
+}
+
 LimitContext LimitService::context(std::vector<AddressedMessage> &send)
 {
     return {m_options,
             m_clock.now(),
             m_random,
-            m_zonePeers,
+            peersIn(m_zone),
             m_otherPeers,
             m_zoneFraction,
             std::max<std::size_t>(1, m_roster.record().members.size()),
@@ -119,12 +140,11 @@
     }
     m_rules = std::move(next);
     for (const SlotRule &rule : rules.slots) {
-        Slots &slots = m_slots[rule.endpoint];
-        slots.zone = rule.zone;
-        updateSlots(rule.endpoint, slots);
+        slotsOf(rule.endpoint).setZone(rule.zone);
     }
     setZoneFraction(rules.zones, !m_configured);
     m_configured = true;
+    updateShares();
 }
 
 void LimitService::setZoneFraction(const std::vector<ZoneWeight> &weights, bool first)
@@ -212,42 +232,29 @@
                            return entry.second->rate().fits(now);
                        })
         && std::all_of(m_slots.begin(), m_slots.end(), [&](auto &entry) {
-               return entry.second.limit.fits(now);
+               return entry.second.limit().fits(now);
            });
 }
 
-void LimitService::updateSlots(const EndpointId &endpoint, Slots &slots)
+EndpointSlots &LimitService::slotsOf(const EndpointId &endpoint)
 {
-    const RosterState &state = m_roster.state();
-    if (slots.ownedEpoch != state.record().epoch || slots.ownedTotal != slots.total) {
-        slots.ownedEpoch = state.record().epoch;
-        slots.ownedTotal = slots.total;
-        slots.owned = ownedSlots(endpoint, slots.total, state.record(), m_self);
-    }
-    const bool inZone = slots.zone == m_zone && state.isMember() && !m_roster.released();
-    slots.limit.setOwned(inZone ? slots.owned : 0, state.complete(m_clock.now()));
+    return m_slots.try_emplace(slotName(endpoint), endpoint, m_options).first->second;
 }
 
 bool LimitService::tryTakeSlot(const EndpointId &endpoint, Duration deadline)
 {
-    const SteadyTime now = m_clock.now();
-    const auto it = m_slots.find(endpoint);
-    return it != m_slots.end() && it->second.limit.tryTake(now + deadline, now);
+    return slotsOf(endpoint).tryTake(deadline, m_clock.now());
 }
 
 void LimitService::returnSlot(const EndpointId &endpoint)
 {
-    const auto it = m_slots.find(endpoint);
-    if (it != m_slots.end()) {
-        it->second.limit.giveBack();
-    }
+    slotsOf(endpoint).giveBack();
 }
 
 void LimitService::setSlots(const EndpointId &endpoint, int slots)
 {
-    Slots &entry = m_slots[endpoint];
-    entry.total = slots;
-    updateSlots(endpoint, entry);
+    slotsOf(endpoint).setTotal(slots);
+    updateShares();
 }
 
 LimitActions LimitService::takeActions()
@@ -263,6 +270,11 @@
             limit->plan(limitContext);
         }
     }
+    for (auto &[name, slots] : m_slots) {
+        if (slots.wakeupAfter()) {
+            slots.plan(peersIn(slots.zone()), limitContext);
+        }
+    }
     m_roster.takeActions(actions, now);
     return actions;
 }
@@ -274,6 +286,9 @@
     for (const auto &[name, limit] : m_limits) {
         after = std::min(after, limit->wakeupAfter(now).value_or(after));
     }
+    for (const auto &[name, slots] : m_slots) {
+        after = std::min(after, slots.wakeupAfter().value_or(after));
+    }
     return now + after;
 }
 
@@ -284,11 +299,11 @@
         return;
     }
     m_nextSweep = now + SweepInterval;
+    m_budgets.clear();
     for (auto it = m_limits.begin(); it != m_limits.end();) {
         const bool dispose = m_rules.count(it->first) > 0 && it->second->disposable(now);
         it = dispose ? m_limits.erase(it) : std::next(it);
     }
-    m_budgets.clear();
 }
 
 void LimitService::onPeerMessage(const InstanceId &from, std::uint64_t incarnation,
@@ -297,28 +312,52 @@
     if (const auto *ack = std::get_if<EpochAck>(&message)) {
         m_roster.onAck(from, incarnation, *ack);
     } else if (const auto *request = std::get_if<LoanRequest>(&message)) {
-        WorkspaceLimit *limit = findOrCreate(request->limit);
-        if (limit != nullptr) {
-            limit->onLoanRequest(from, *request, context(m_outbox));
-        } else {
-            // An answer keeps the borrower from waiting while the two configurations differ.
-            m_outbox.push_back({from, LoanGrant{request->limit, request->loanId, 0, 0, 0}});
-        }
+        onLoanRequest(from, *request);
     } else if (const auto *grant = std::get_if<LoanGrant>(&message)) {
-        const auto it = m_limits.find(grant->limit);
-        if (it != m_limits.end()) {
-            it->second->onLoanGrant(from, *grant, context(m_outbox));
+        onLoanGrant(from, *grant);
+    }
+}
+
+void LimitService::onLoanRequest(const InstanceId &from, const LoanRequest &request)
+{
+    if (isSlotName(request.limit)) {
+        const auto it = m_slots.find(request.limit);
+        if (it != m_slots.end()) {
+            it->second.onLoanRequest(from, request, context(m_outbox));
+            return;
         }
+    } else if (WorkspaceLimit *limit = findOrCreate(request.limit)) {
+        limit->onLoanRequest(from, request, context(m_outbox));
+        return;
+    }
+    // An answer keeps the borrower from waiting while the two configurations differ.
+    m_outbox.push_back({from, LoanGrant{request.limit, request.loanId, 0, 0, 0}});
+}
+
+void LimitService::onLoanGrant(const InstanceId &from, const LoanGrant &grant)
+{
+    const auto slots = m_slots.find(grant.limit);
+    if (slots != m_slots.end()) {
+        slots->second.onLoanGrant(from, grant, context(m_outbox));
+        return;
+    }
+    const auto limit = m_limits.find(grant.limit);
+    if (limit != m_limits.end()) {
+        limit->second->onLoanGrant(from, grant, context(m_outbox));
     }
 }
 
 void LimitService::onPeers(gsl::span<const PeerInfo> alive)
 {
-    m_zonePeers.clear();
+    m_peersByZone.clear();
     m_otherPeers.clear();
     for (const PeerInfo &peer : alive) {
-        if (peer.id != m_self) {
-            (peer.zone == m_zone ? m_zonePeers : m_otherPeers).push_back(peer.id);
+        if (peer.id == m_self) {
+            continue;
+        }
+        m_peersByZone[peer.zone].push_back(peer.id);
+        if (peer.zone != m_zone) {
+            m_otherPeers.push_back(peer.id);
         }
     }
     m_roster.onPeers(alive, m_clock.now());
@@ -327,8 +366,13 @@
 void LimitService::updateShares()
 {
     updateShare();
-    for (auto &[endpoint, slots] : m_slots) {
-        updateSlots(endpoint, slots);
+    const RosterState &state = m_roster.state();
+    const SteadyTime now = m_clock.now();
+    const bool mayGrow =
+        state.complete(now) && (m_roster.joinedFresh() || now >= m_firstSlotGrowth);
+    for (auto &[name, slots] : m_slots) {
+        const bool inZone = slots.zone() == m_zone && state.isMember() && !m_roster.released();
+        slots.update(state, m_self, inZone, mayGrow);
     }
 }
 
@@ -360,7 +404,8 @@
 {
     if (!m_roster.released()) {
         m_roster.release();
-        updateShare();
+        // Before takeActions() looks whether what is used and lent still fits.
+        updateShares();
     }
     return takeActions();
 }
@@ -382,9 +427,8 @@
     for (auto &[name, limit] : m_limits) {
         snapshot.limits.push_back(limit->status(now));
     }
-    for (const auto &[endpoint, slots] : m_slots) {
-        snapshot.slots.push_back({endpoint, slots.limit.owned(), slots.limit.used(),
-                                  slots.limit.lentCount(now), slots.limit.borrowedCount(now)});
+    for (const auto &[name, slots] : m_slots) {
+        snapshot.slots.push_back(slots.status(now));
     }
     return snapshot;
 }
--- a/lib/Limits/RateLimit.cpp
+++ b/lib/Limits/RateLimit.cpp
@@ -138,10 +138,10 @@
 }
 
 RateLimit::Offer RateLimit::offer(const InstanceId &peer, const Offer &wanted, double keepFraction,
-                                  double keepTokens, SteadyTime now)
+                                  double keepTokens, SteadyTime reservedUntil, SteadyTime now)
 {
     settle(now);
-    const std::vector<SteadyTime> points = lowPoints(&peer, now, now + wanted.term);
+    const std::vector<SteadyTime> points = lowPoints(&peer, now, reservedUntil);
     Offer offer;
     offer.term = wanted.term;
     offer.fraction = wanted.fraction;
--- a/lib/Limits/RosterKeeper.cpp
+++ b/lib/Limits/RosterKeeper.cpp
@@ -71,7 +71,7 @@
     if (!m_write || m_write->id != writeId) {
         return false;
     }
-    const RosterRecord record = std::move(m_write->record);
+    const PendingWrite write = std::move(*m_write);
     m_write.reset();
     if (!reply) {
         // Whether a write with a lost answer was done is seen when the roster is read.
@@ -80,7 +80,8 @@
         return false;
     }
     m_pause = Duration::zero();
-    return adopt(record, *reply);
+    m_joinedFresh = m_joinedFresh || write.joinsFresh;
+    return adopt(write.record, *reply);
 }
 
 void RosterKeeper::onReadFailed(SteadyTime now)
@@ -264,7 +265,7 @@
     }
     const WriteId id("roster-" + m_self.str() + "-" + m_random->hex(16));
     actions.writes.push_back({rosterKey(m_zone), m_version, serializeRoster(*change), id});
-    m_write = PendingWrite{id, std::move(*change), now};
+    m_write = PendingWrite{id, std::move(*change), now, record().find(m_self) == nullptr};
 }
 
 } // namespace marigoldspool
--- a/lib/Limits/WorkspaceLimit.cpp
+++ b/lib/Limits/WorkspaceLimit.cpp
@@ -32,6 +32,20 @@
     return std::chrono::duration_cast<Duration>(duration * factor);
 }
 
+// How long a lender reserves a loan. The borrower's term counts from earlier, but its clock may run
+// slow and the lender's fast, each by the clock error.
+Duration reservedFor(Duration term, const LimitOptions &options)
+{
+    return scaled(term, (1 + options.clockError) / (1 - options.clockError)) + Duration(1);
+}
+
+// The longest term that is reserved for no more than \p left.
+Duration longestTermWithin(Duration left, const LimitOptions &options)
+{
+    return scaled(left, (1 - options.clockError) / (1 + options.clockError))
+        - std::chrono::microseconds(1);
+}
+
 bool isAmount(double value)
 {
     return std::isfinite(value) && value >= 0;
@@ -130,48 +144,46 @@
             std::max<Duration>(wait, context.options.loanWait)};
 }
 
+RateLimit::Offer WorkspaceLimit::offerFor(const InstanceId &from, const RateLimit::Offer &wanted,
+                                          const LimitContext &context)
+{
+    return m_rate.offer(from, wanted, wanted.fraction > 0 ? keepFraction(context) : 0,
+                        keepTokens(context),
+                        context.now + reservedFor(wanted.term, context.options), context.now);
+}
+
 RateLimit::Offer WorkspaceLimit::makeOffer(const InstanceId &from, const LoanRequest &request,
                                            const LimitContext &context)
 {
     const LimitOptions &options = context.options;
-    const SteadyTime now = context.now;
-    RateLimit::Offer wanted{request.fraction, request.tokens,
-                            request.fraction > 0 ? options.loanTerm : options.tokenTerm};
-    RateLimit::Offer offer =
-        m_rate.offer(from, wanted, keepFraction(context), keepTokens(context), now);
-    const std::optional<SteadyTime> end = m_rate.borrowed().nextEnd();
-    if (request.fraction > 0 && offer.fraction <= 0 && end) {
-        // What is borrowed can be lent on until the first of the borrowed loans ends.
-        wanted.term = scaled(*end - now, (1 - options.clockError) / (1 + options.clockError));
-        if (wanted.term >= LeastTerm && wanted.term < options.loanTerm) {
-            offer = m_rate.offer(from, wanted, keepFraction(context), keepTokens(context), now);
+    if (request.fraction > 0) {
+        RateLimit::Offer wanted{request.fraction, request.tokens, options.loanTerm};
+        RateLimit::Offer offer = offerFor(from, wanted, context);
+        const std::optional<SteadyTime> end = m_rate.borrowed().nextEnd();
+        if (offer.fraction <= 0 && end) {
+            // What is borrowed can be lent on until the first of the borrowed loans ends.
+            wanted.term = longestTermWithin(*end - context.now, options);
+            if (wanted.term >= LeastTerm && wanted.term < options.loanTerm) {
+                offer = offerFor(from, wanted, context);
+            }
+        }
+        // A loan that carries next to nothing costs more messages than it is worth.
+        if (offer.fraction > 0.02 * m_rate.share()) {
+            return offer;
         }
     }
-    // A loan that carries next to nothing costs more messages than it is worth.
-    if (offer.fraction < 0.02 * m_rate.share()) {
-        offer.fraction = 0;
-    }
-    if (offer.fraction <= 0 && offer.term > options.tokenTerm) {
-        offer.term = options.tokenTerm;
-        offer =
-            m_rate.offer(from, {0, request.tokens, options.tokenTerm}, 0, keepTokens(context), now);
-    }
-    return offer;
+    return offerFor(from, {0, request.tokens, options.tokenTerm}, context);
 }
 
 void WorkspaceLimit::answer(const InstanceId &from, const LoanRequest &request,
                             const RateLimit::Offer &offer, const LimitContext &context)
 {
-    const LimitOptions &options = context.options;
     const std::int64_t termMs =
         std::chrono::duration_cast<std::chrono::milliseconds>(offer.term).count();
     LoanGrant grant{m_name, request.loanId, 0, 0, 0};
-    // The borrower's term counts from before this moment. Its clock may run slow and this one
-    // fast, each by the clock error.
-    const Duration reserve = scaled(offer.term, (1 + options.clockError) / (1 - options.clockError))
-        + std::chrono::nanoseconds(1);
+    const SteadyTime until = context.now + reservedFor(offer.term, context.options);
     if (!offer.empty() && termMs > 0
-        && m_rate.lend(from, request.loanId, offer, context.now + reserve, context.now)) {
+        && m_rate.lend(from, request.loanId, offer, until, context.now)) {
         grant.tokens = offer.tokens;
         grant.fraction = offer.fraction;
         grant.termMs = termMs;
--- /dev/null
+++ b/tests/Limits/Fleet.h
@@ -0,0 +1,565 @@
+#ifndef MARIGOLDSPOOL_TESTS_LIMITS_FLEET_H
+#define MARIGOLDSPOOL_TESTS_LIMITS_FLEET_H
+
+#include "marigoldspool/Limits/LimitService.h"
+#include "marigoldspool/Support/Digest.h"
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <set>
+
+namespace marigoldspool {
+
+/// A clock that runs at its own rate, driven by the true time of a simulated fleet.
+class DriftingClock final : public Clock
+{
+public:
+    DriftingClock(const std::int64_t &trueNow, double rate, Duration offset)
+        : m_trueNow(trueNow)
+        , m_rate(rate)
+        , m_offset(offset)
+    { }
+    SteadyTime now() const override
+    {
+        const auto elapsed = static_cast<std::int64_t>(static_cast<double>(m_trueNow) * m_rate);
+        return SteadyTime(m_offset + Duration(elapsed));
+    }
+    WallTime wallNow() const override { return WallTime(Duration(m_trueNow)); }
+    Duration toTrue(Duration own) const
+    {
+        return Duration(static_cast<std::int64_t>(static_cast<double>(own.count()) / m_rate) + 1);
+    }
+
+private:
+    const std::int64_t &m_trueNow;
+    double m_rate;
+    Duration m_offset;
+};
+
+struct FleetOptions {
+    int zones = 2;
+    int perZone = 3;
+    std::uint64_t seed = 1;
+    LimitOptions limits;
+    LimitRules rules;
+    /// Slots of the endpoints in the rules.
+    int slots = 0;
+    /// Largest deviation of a clock's rate.
+    double clockError = 0;
+    double loss = 0;
+    double duplicate = 0;
+    /// Part of the messages that take up to \c longDelay.
+    double late = 0;
+    Duration longDelay = std::chrono::seconds(4);
+    Duration delayInZone = std::chrono::microseconds(250);
+    Duration delayAcross = std::chrono::microseconds(750);
+    double staleReads = 0;
+    double lostAnswers = 0;
+    /// Connections to all instances instead of those of the design: the own zone's and two in
+    /// each other zone.
+    bool fullMesh = false;
+};
+
+struct FleetCounts {
+    std::uint64_t heartbeats = 0;
+    std::uint64_t loanMessages = 0;
+    std::uint64_t acks = 0;
+    std::uint64_t storeCalls = 0;
+};
+
+/// Many LimitServices, a channel and a store in simulated true time.
+class Fleet
+{
+public:
+    struct Node {
+        InstanceId id;
+        ZoneName zone;
+        std::uint64_t incarnation = 0;
+        std::unique_ptr<DriftingClock> clock;
+        std::unique_ptr<SeededRandomSource> random;
+        std::unique_ptr<LimitService> service;
+        bool up = false;
+        bool paused = false;
+        bool stopping = false;
+        bool listed = true;
+        std::vector<std::function<void()>> backlog;
+        std::map<InstanceId, PeerInfo> heard;
+        std::uint64_t wakeup = 0;
+        std::vector<std::function<void()>> waiting;
+        int slotsInUse = 0;
+        /// Which of Fleet::ruleVersions() it has.
+        std::size_t ruleVersion = 0;
+    };
+
+    using Done = std::function<void(const LimitDecision &)>;
+
+    explicit Fleet(FleetOptions options)
+        : m_options(std::move(options))
+        , m_random(m_options.seed)
+        , m_rules{m_options.rules}
+    {
+        for (int zone = 0; zone < m_options.zones; ++zone) {
+            for (int i = 0; i < m_options.perZone; ++i) {
+                join(zone);
+            }
+        }
+    }
+
+    std::int64_t now() const { return m_now; }
+    double seconds() const { return static_cast<double>(m_now) * 1e-9; }
+    RandomSource &random() { return m_random; }
+    std::vector<std::unique_ptr<Node>> &nodes() { return m_nodes; }
+    Node &node(std::size_t i) { return *m_nodes[i]; }
+    FleetCounts &counts() { return m_counts; }
+    /// Called whenever rules have come into force at an instance.
+    void setOnRules(std::function<void()> handler) { m_onRules = std::move(handler); }
+    const std::vector<LimitRules> &ruleVersions() const { return m_rules; }
+    static ZoneName zoneName(int zone) { return ZoneName("z" + std::to_string(zone)); }
+
+    void after(Duration delay, std::function<void()> action)
+    {
+        m_events.push(
+            {m_now + std::max<std::int64_t>(0, delay.count()), ++m_sequence, std::move(action)});
+    }
+
+    void run(Duration duration)
+    {
+        const std::int64_t end = m_now + duration.count();
+        while (!m_events.empty() && m_events.top().at <= end) {
+            const Event event = m_events.top();
+            m_events.pop();
+            m_now = event.at;
+            event.action();
+        }
+        m_now = end;
+    }
+
+    void join(int zone)
+    {
+        auto node = std::make_unique<Node>();
+        node->zone = zoneName(zone);
+        node->id = InstanceId(node->zone.str() + "-" + std::to_string(m_nodes.size()));
+        m_nodes.push_back(std::move(node));
+        start(*m_nodes.back());
+    }
+
+    void start(Node &node)
+    {
+        ++node.incarnation;
+        const double rate = 1 + m_options.clockError * (2 * m_random.uniform() - 1);
+        // One clock in three runs at the bound, where the margins matter.
+        const double bound = 1 + (m_random.below(2) == 0 ? 1 : -1) * m_options.clockError;
+        node.clock = std::make_unique<DriftingClock>(m_now, m_random.below(3) == 0 ? bound : rate,
+                                                     Duration(m_random.below(1'000'000'000'000)));
+        node.random = std::make_unique<SeededRandomSource>(m_random.next());
+        node.service = std::make_unique<LimitService>(m_options.limits, node.id, node.incarnation,
+                                                      node.zone, *node.clock, *node.random);
+        node.up = true;
+        node.stopping = false;
+        node.heard.clear();
+        applyRules(node);
+        for (const SlotRule &rule : m_options.rules.slots) {
+            node.service->setSlots(rule.endpoint, m_options.slots);
+        }
+        tick(node, node.incarnation);
+        pollPlatform(node, node.incarnation);
+    }
+
+    void crash(Node &node)
+    {
+        node.up = false;
+        node.paused = false;
+        node.backlog.clear();
+        node.waiting.clear();
+        node.slotsInUse = 0;
+        node.service.reset();
+    }
+
+    void stop(Node &node)
+    {
+        deliver(node, node.incarnation, [this, &node] {
+            node.stopping = true;
+            perform(node, node.service->release());
+        });
+    }
+
+    void pause(Node &node, Duration duration)
+    {
+        node.paused = true;
+        after(duration, [&node, incarnation = node.incarnation] {
+            if (!node.up || node.incarnation != incarnation) {
+                return;
+            }
+            node.paused = false;
+            const std::vector<std::function<void()>> backlog = std::move(node.backlog);
+            node.backlog.clear();
+            for (const auto &action : backlog) {
+                action();
+            }
+        });
+    }
+
+    void changeRules(LimitRules rules, Duration spread)
+    {
+        m_rules.push_back(std::move(rules));
+        for (auto &node : m_nodes) {
+            after(Duration(m_random.below(1 + static_cast<std::uint64_t>(spread.count()))),
+                  [this, &node = *node, incarnation = node->incarnation] {
+                      deliver(node, incarnation, [this, &node] {
+                          applyRules(node);
+                      });
+                  });
+        }
+    }
+
+    void cutZone(const ZoneName &zone, bool cut) { setCut(m_cutZones, zone, cut); }
+    void cutStore(const ZoneName &zone, bool cut) { setCut(m_cutFromStore, zone, cut); }
+    void setStoreAway(bool away) { m_storeAway = away; }
+
+    /// Asks until the request is admitted or refused, as the daemon does.
+    void request(Node &node, const WorkspaceName &workspace, double cost, Done done)
+    {
+        deliver(node, node.incarnation, [this, &node, workspace, cost, done = std::move(done)] {
+            attempt(node, workspace, cost, AdmitAttempt::First, done);
+        });
+    }
+
+    /// Runs an action at the node, later if the node is paused.
+    void deliver(Node &node, std::uint64_t incarnation, std::function<void()> action)
+    {
+        if (!node.up || node.incarnation != incarnation) {
+            return;
+        }
+        if (node.paused) {
+            node.backlog.push_back([this, &node, incarnation, action = std::move(action)] {
+                deliver(node, incarnation, action);
+            });
+            return;
+        }
+        action();
+        if (node.up) {
+            perform(node, node.service->takeActions());
+            scheduleWakeup(node);
+        }
+    }
+
+    bool connected(const Node &a, const Node &b) const
+    {
+        return m_options.fullMesh || a.zone == b.zone || isGateway(b, a.zone)
+            || isGateway(a, b.zone);
+    }
+
+private:
+    struct Event {
+        std::int64_t at;
+        std::uint64_t sequence;
+        std::function<void()> action;
+
+        bool operator<(const Event &other) const
+        {
+            return at != other.at ? at > other.at : sequence > other.sequence;
+        }
+    };
+
+    void applyRules(Node &node)
+    {
+        node.ruleVersion = m_rules.size() - 1;
+        node.service->applyRules(m_rules.back());
+        if (m_onRules) {
+            m_onRules();
+        }
+    }
+
+    static void setCut(std::set<ZoneName> &zones, const ZoneName &zone, bool cut)
+    {
+        if (cut) {
+            zones.insert(zone);
+        } else {
+            zones.erase(zone);
+        }
+    }
+
+    void attempt(Node &node, const WorkspaceName &workspace, double cost, AdmitAttempt which,
+                 const Done &done)
+    {
+        const LimitDecision decision = node.service->admit(workspace, cost, which);
+        if (decision.outcome != LimitDecision::Outcome::WaitForLoan) {
+            done(decision);
+            return;
+        }
+        // Asked again after each grant and when the wait is over.
+        auto answered = std::make_shared<bool>(false);
+        const auto again = [this, &node, workspace, cost, done, answered] {
+            if (!std::exchange(*answered, true)) {
+                attempt(node, workspace, cost, AdmitAttempt::Again, done);
+            }
+        };
+        node.waiting.push_back(again);
+        after(node.clock->toTrue(decision.retryAfter),
+              [this, &node, incarnation = node.incarnation, again] {
+                  deliver(node, incarnation, again);
+              });
+    }
+
+    void tick(Node &node, std::uint64_t incarnation)
+    {
+        if (!node.up || node.incarnation != incarnation) {
+            return;
+        }
+        deliver(node, incarnation, [this, &node] {
+            node.service->onTick();
+            refreshPeers(node);
+            sendHeartbeats(node);
+        });
+        after(std::chrono::seconds(1), [this, &node, incarnation] {
+            tick(node, incarnation);
+        });
+    }
+
+    void pollPlatform(Node &node, std::uint64_t incarnation)
+    {
+        if (!node.up || node.incarnation != incarnation) {
+            return;
+        }
+        if (!m_storeAway && m_cutFromStore.count(node.zone) == 0) {
+            std::vector<PlatformInstance> list;
+            for (const auto &other : m_nodes) {
+                if (other->listed) {
+                    list.push_back({other->id.str(), other->zone.str(), "", PlatformState::Live});
+                }
+            }
+            deliver(node, incarnation, [&node, list] {
+                node.service->onPlatformInstances(list);
+            });
+        }
+        after(std::chrono::milliseconds(700), [this, &node, incarnation] {
+            pollPlatform(node, incarnation);
+        });
+    }
+
+    void refreshPeers(Node &node)
+    {
+        std::vector<PeerInfo> alive;
+        for (const auto &[id, info] : node.heard) {
+            if (node.clock->now() - info.lastHeard < std::chrono::seconds(3)) {
+                alive.push_back(info);
+            }
+        }
+        node.service->onPeers(alive);
+    }
+
+    void sendHeartbeats(Node &node)
+    {
+        const Heartbeat heartbeat{node.zone,    "", 0, -1, node.service->acknowledgedEpoch(),
+                                  node.stopping};
+        for (auto &other : m_nodes) {
+            if (other.get() != &node && connected(node, *other)) {
+                send(node, *other, heartbeat);
+            }
+        }
+    }
+
+    bool isGateway(const Node &node, const ZoneName &other) const
+    {
+        const auto rank = [&](const Node &n) {
+            return stableHash(std::min(n.zone, other).str() + std::max(n.zone, other).str()
+                              + n.id.str());
+        };
+        const auto key = std::pair(node.id, other);
+        const auto found = m_gateways.find(key);
+        if (found != m_gateways.end()) {
+            return found->second;
+        }
+        int better = 0;
+        for (const auto &n : m_nodes) {
+            better += n->zone == node.zone && rank(*n) > rank(node) ? 1 : 0;
+        }
+        return m_gateways[key] = better < 2;
+    }
+
+    void perform(Node &node, const LimitActions &actions)
+    {
+        for (const AddressedMessage &message : actions.send) {
+            const auto it = std::find_if(m_nodes.begin(), m_nodes.end(), [&](const auto &n) {
+                return n->id == message.to;
+            });
+            if (it != m_nodes.end()) {
+                send(node, **it, message.message);
+            }
+        }
+        for (const std::string &key : actions.reads) {
+            read(node, key);
+        }
+        for (const StoreWrite &write : actions.writes) {
+            put(node, write);
+        }
+    }
+
+    Duration messageDelay(const Node &from, const Node &to)
+    {
+        const Duration base = from.zone == to.zone ? m_options.delayInZone : m_options.delayAcross;
+        if (m_random.uniform() < m_options.late) {
+            return Duration(
+                m_random.below(static_cast<std::uint64_t>(m_options.longDelay.count())));
+        }
+        return base + Duration(m_random.below(static_cast<std::uint64_t>(base.count()) + 1));
+    }
+
+    void send(Node &from, Node &to, const PeerMessage &message)
+    {
+        count(message);
+        const bool cut = from.zone != to.zone
+            && (m_cutZones.count(from.zone) > 0 || m_cutZones.count(to.zone) > 0);
+        if (cut || m_random.uniform() < m_options.loss) {
+            return;
+        }
+        const int copies = m_random.uniform() < m_options.duplicate ? 2 : 1;
+        for (int i = 0; i < copies; ++i) {
+            after(messageDelay(from, to),
+                  [this, &to, id = from.id, incarnation = from.incarnation, message] {
+                      deliver(to, to.incarnation, [this, &to, id, incarnation, message] {
+                          receive(to, id, incarnation, message);
+                      });
+                  });
+        }
+    }
+
+    void count(const PeerMessage &message)
+    {
+        m_counts.heartbeats += std::holds_alternative<Heartbeat>(message) ? 1 : 0;
+        m_counts.acks += std::holds_alternative<EpochAck>(message) ? 1 : 0;
+        m_counts.loanMessages += std::holds_alternative<LoanRequest>(message)
+                || std::holds_alternative<LoanGrant>(message)
+            ? 1
+            : 0;
+    }
+
+    void receive(Node &to, const InstanceId &from, std::uint64_t incarnation,
+                 const PeerMessage &message)
+    {
+        if (const auto *heartbeat = std::get_if<Heartbeat>(&message)) {
+            PeerInfo &info = to.heard[from];
+            if (incarnation < info.incarnation) {
+                return;
+            }
+            const bool isNew = info.incarnation != incarnation;
+            info = {from,
+                    incarnation,
+                    heartbeat->zone,
+                    "",
+                    0,
+                    -1,
+                    heartbeat->rosterEpoch,
+                    heartbeat->stopping,
+                    to.clock->now()};
+            if (isNew) {
+                refreshPeers(to);
+            }
+            return;
+        }
+        to.service->onPeerMessage(from, incarnation, message);
+        const std::vector<std::function<void()>> waiting = std::move(to.waiting);
+        to.waiting.clear();
+        for (const auto &again : waiting) {
+            again();
+        }
+    }
+
+    void scheduleWakeup(Node &node)
+    {
+        const Duration wait = node.service->nextWakeup() - node.clock->now();
+        const std::uint64_t wakeup = ++node.wakeup;
+        after(node.clock->toTrue(wait), [this, &node, wakeup, incarnation = node.incarnation] {
+            if (node.wakeup == wakeup) {
+                deliver(node, incarnation, [] {});
+            }
+        });
+    }
+
+    bool storeFails(const Node &node) const
+    {
+        return m_storeAway || m_cutFromStore.count(node.zone) > 0;
+    }
+
+    Duration storeDelay() { return std::chrono::milliseconds(2 + m_random.below(20)); }
+
+    void read(Node &node, const std::string &key)
+    {
+        ++m_counts.storeCalls;
+        const std::vector<StoredObject> &versions = m_objects[key];
+        StoredObject object;
+        if (!versions.empty()) {
+            const bool stale = m_random.uniform() < m_options.staleReads;
+            object = stale ? versions[m_random.below(versions.size())] : versions.back();
+        }
+        const bool fails = storeFails(node);
+        after(storeDelay(), [this, &node, incarnation = node.incarnation, object, fails] {
+            deliver(node, incarnation, [&node, object, fails] {
+                if (fails) {
+                    node.service->onRosterReadFailed();
+                } else {
+                    node.service->onRoster(object);
+                }
+            });
+        });
+    }
+
+    void put(Node &node, const StoreWrite &write)
+    {
+        ++m_counts.storeCalls;
+        if (storeFails(node)) {
+            reply(node, write.writeId, unexpectedError(ErrorKind::Unavailable, "away", "retry"));
+            return;
+        }
+        // The write takes effect some time after it was sent, even if the writer dies meanwhile.
+        after(storeDelay(), [this, &node, write, incarnation = node.incarnation] {
+            std::vector<StoredObject> &versions = m_objects[write.key];
+            const std::uint64_t version = versions.empty() ? 0 : versions.back().version;
+            const bool done = version == write.expectedVersion;
+            if (done) {
+                versions.push_back({write.key, version + 1, write.value, write.writeId});
+            }
+            if (node.incarnation != incarnation) {
+                return;
+            }
+            if (m_random.uniform() < m_options.lostAnswers) {
+                reply(node, write.writeId,
+                      unexpectedError(ErrorKind::OutcomeUnknown, "lost", "read back"));
+            } else if (done) {
+                reply(node, write.writeId, version + 1);
+            } else {
+                reply(node, write.writeId, unexpectedError(ErrorKind::Conflict, "old", "read"));
+            }
+        });
+    }
+
+    void reply(Node &node, const WriteId &id, const Expected<std::uint64_t> &answer)
+    {
+        after(storeDelay(), [this, &node, id, answer, incarnation = node.incarnation] {
+            deliver(node, incarnation, [&node, id, answer] {
+                node.service->onStoreReply(id, answer);
+            });
+        });
+    }
+
+    FleetOptions m_options;
+    SeededRandomSource m_random;
+    std::vector<LimitRules> m_rules;
+    std::function<void()> m_onRules;
+    std::int64_t m_now = 0;
+    std::uint64_t m_sequence = 0;
+    std::priority_queue<Event> m_events;
+    std::vector<std::unique_ptr<Node>> m_nodes;
+    FleetCounts m_counts;
+    std::map<std::string, std::vector<StoredObject>> m_objects;
+    std::set<ZoneName> m_cutZones;
+    std::set<ZoneName> m_cutFromStore;
+    bool m_storeAway = false;
+    mutable std::map<std::pair<InstanceId, ZoneName>, bool> m_gateways;
+};
+
+} // namespace marigoldspool
+
+#endif
--- a/tests/Limits/LimitServiceTest.cpp
+++ b/tests/Limits/LimitServiceTest.cpp
@@ -139,3 +139,18 @@
     alone.run(2s);
     CHECK(alone.service.isReleased());
 }
+
+TEST_CASE("a member that stops stays in the roster while one of its slots is in use")
+{
+    Alone alone;
+    alone.service.applyRules(rulesFor(100, 400));
+    alone.service.setSlots(EndpointId("e"), 2);
+    alone.run(30s);
+    CHECK(alone.service.tryTakeSlot(EndpointId("e")));
+    alone.carryOut(alone.service.release());
+    alone.run(10s);
+    CHECK_FALSE(alone.service.isReleased());
+    alone.service.returnSlot(EndpointId("e"));
+    alone.run(2s);
+    CHECK(alone.service.isReleased());
+}
--- /dev/null
+++ b/tests/Limits/Soak.h
@@ -0,0 +1,374 @@
+#ifndef MARIGOLDSPOOL_TESTS_LIMITS_SOAK_H
+#define MARIGOLDSPOOL_TESTS_LIMITS_SOAK_H
+
+#include "Limits/Fleet.h"
+
+#include <cmath>
+#include <cstdio>
+#include <deque>
+
+namespace marigoldspool {
+
+struct SoakResult {
+    std::uint64_t admitted = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t slotsTaken = 0;
+    std::uint64_t faults = 0;
+    std::uint64_t loanMessages = 0;
+    std::vector<std::string> violations;
+};
+
+/// The single token bucket that a limit is equivalent to, in true time.
+class CentralBucket
+{
+public:
+    void allow(double rate, double burst, double now)
+    {
+        m_level = m_started ? std::min(m_burst, m_level + m_rate * (now - m_at)) : burst;
+        m_started = true;
+        m_at = now;
+        m_rate = rate;
+        m_burst = burst;
+        m_level = std::min(m_level, burst);
+    }
+    void take(double tokens, double now)
+    {
+        allow(m_rate, m_burst, now);
+        m_level -= tokens;
+    }
+    double level() const { return m_level; }
+    double tolerance() const { return 1e-6 * (1 + m_burst); }
+
+private:
+    bool m_started = false;
+    double m_rate = 0;
+    double m_burst = 0;
+    double m_level = 0;
+    double m_at = 0;
+};
+
+/// One randomised run of a fleet under load and faults, with short terms so that many fit in it.
+/// Checks on the true clock that no limit is ever exceeded: neither by what was admitted, nor by
+/// what all instances together could admit at once.
+class SoakRun
+{
+public:
+    explicit SoakRun(std::uint64_t seed)
+        : m_seed(seed)
+        , m_fleet(options(seed))
+    { }
+
+    SoakResult run(Duration duration)
+    {
+        m_end = m_fleet.now() + duration.count();
+        for (std::size_t i = 0; i < m_fleet.nodes().size(); ++i) {
+            addLoad(i);
+        }
+        m_fleet.setOnRules([this] {
+            followRules();
+        });
+        sample();
+        scheduleFault();
+        m_fleet.run(duration);
+        m_result.loanMessages = m_fleet.counts().loanMessages;
+        return m_result;
+    }
+
+private:
+    static constexpr int Slots = 7;
+    static constexpr std::size_t MostNodes = 18;
+
+    static LimitRules rulesWith(double factor)
+    {
+        return {{{WorkspaceName("derwent"), 200 * factor, 400 * factor},
+                 {WorkspaceName("esk"), 1000 * factor, 300 * factor}},
+                {{ZoneName("z0"), 1}, {ZoneName("z1"), 2}, {ZoneName("z2"), 1}},
+                {{EndpointId("e"), ZoneName("z0")}}};
+    }
+
+    static FleetOptions options(std::uint64_t seed)
+    {
+        SeededRandomSource random(seed * 7919 + 1);
+        FleetOptions options;
+        options.seed = seed;
+        options.zones = 1 + static_cast<int>(random.below(3));
+        options.perZone = 1 + static_cast<int>(random.below(4));
+        options.rules = rulesWith(1);
+        options.slots = Slots;
+        options.clockError = 0.01;
+        options.loss = 0.05 * random.uniform();
+        options.duplicate = 0.1 * random.uniform();
+        options.late = 0.05 * random.uniform();
+        options.staleReads = 0.3 * random.uniform();
+        options.lostAnswers = 0.3 * random.uniform();
+        options.fullMesh = random.below(2) == 0;
+        options.limits.loanTerm = std::chrono::seconds(2);
+        options.limits.slotTerm = std::chrono::seconds(4);
+        options.limits.reclaimDelay = std::chrono::seconds(6);
+        options.limits.rosterRefresh = std::chrono::seconds(2);
+        return options;
+    }
+
+    Duration randomDuration(double least, double most)
+    {
+        const double seconds = least + (most - least) * m_fleet.random().uniform();
+        return Duration(static_cast<std::int64_t>(seconds * 1e9));
+    }
+
+    void violate(const std::string &text)
+    {
+        if (m_result.violations.size() < 5) {
+            char at[64];
+            std::snprintf(at, sizeof(at),
+                          "seed %llu at %.3f s: ", static_cast<unsigned long long>(m_seed),
+                          m_fleet.seconds());
+            m_result.violations.push_back(at + text);
+        }
+    }
+
+    // Load: phases of five seconds with a weight for each instance, from idle to several times
+    // the whole rate.
+    void addLoad(std::size_t index)
+    {
+        if (m_fleet.now() >= m_end) {
+            return;
+        }
+        const auto phase = static_cast<std::uint64_t>(m_fleet.seconds() / 5);
+        const double weight = static_cast<double>(
+            (stableHash(std::to_string(m_seed * 1000 + phase) + "/" + std::to_string(index)) % 4));
+        Fleet::Node &node = m_fleet.node(index);
+        if (weight > 0 && node.up) {
+            requestOne(node);
+            takeSlot(node);
+        }
+        m_fleet.after(randomDuration(0, 0.2 / (weight + 0.2)), [this, index] {
+            addLoad(index);
+        });
+    }
+
+    void requestOne(Fleet::Node &node)
+    {
+        const bool first = m_fleet.random().below(2) == 0;
+        const std::size_t limit = first ? 0 : 1;
+        const auto &rule = m_fleet.ruleVersions().front().limits[limit];
+        const double size = m_fleet.random().uniform();
+        const double cost = std::ceil(rule.burst * 0.4 * size * size * size);
+        m_fleet.request(node, rule.workspace, cost, [this, limit, cost](const LimitDecision &d) {
+            if (d.outcome != LimitDecision::Outcome::Admitted) {
+                ++m_result.refused;
+                return;
+            }
+            ++m_result.admitted;
+            m_central[limit].take(cost, m_fleet.seconds());
+            if (m_central[limit].level() < -m_central[limit].tolerance()) {
+                violate("admitted beyond rate and burst, central level "
+                        + std::to_string(m_central[limit].level()));
+            }
+        });
+    }
+
+    // A slot is in use until the request ends at the endpoint, even if its instance is paused.
+    void takeSlot(Fleet::Node &node)
+    {
+        m_fleet.deliver(node, node.incarnation, [this, &node] {
+            const Duration deadline = randomDuration(0.1, 2);
+            if (!node.service->tryTakeSlot(EndpointId("e"), deadline)) {
+                return;
+            }
+            ++node.slotsInUse;
+            ++m_result.slotsTaken;
+            checkSlots();
+            const Duration use = randomDuration(0, 0.98) * deadline.count() / 1'000'000'000;
+            m_fleet.after(use, [this, &node, incarnation = node.incarnation] {
+                if (!node.up || node.incarnation != incarnation) {
+                    return;
+                }
+                --node.slotsInUse;
+                m_fleet.deliver(node, incarnation, [&node] {
+                    node.service->returnSlot(EndpointId("e"));
+                });
+            });
+        });
+    }
+
+    void checkSlots()
+    {
+        int used = 0;
+        for (const auto &node : m_fleet.nodes()) {
+            used += node->slotsInUse;
+        }
+        if (used > Slots) {
+            violate("slots in use: " + std::to_string(used) + " of " + std::to_string(Slots));
+        }
+    }
+
+    // A lower rate or burst counts once every instance has it and the loans made before have
+    // ended.
+    LimitRule largestInForce(std::size_t limit)
+    {
+        LimitRule largest;
+        for (const auto &node : m_fleet.nodes()) {
+            if (node->up) {
+                const LimitRule &rule = m_fleet.ruleVersions()[node->ruleVersion].limits[limit];
+                largest.rate = std::max(largest.rate, rule.rate);
+                largest.burst = std::max(largest.burst, rule.burst);
+            }
+        }
+        auto &history = m_inForce[limit];
+        history.emplace_back(m_fleet.seconds(), largest);
+        while (history.front().first < m_fleet.seconds() - 2.1) {
+            history.pop_front();
+        }
+        for (const auto &[at, rule] : history) {
+            largest.rate = std::max(largest.rate, rule.rate);
+            largest.burst = std::max(largest.burst, rule.burst);
+        }
+        return largest;
+    }
+
+    void followRules()
+    {
+        for (std::size_t limit = 0; limit < 2; ++limit) {
+            const LimitRule rule = largestInForce(limit);
+            m_central[limit].allow(rule.rate, rule.burst, m_fleet.seconds());
+        }
+    }
+
+    void sample()
+    {
+        double levels[2] = {0, 0};
+        followRules();
+        for (const auto &node : m_fleet.nodes()) {
+            if (!node->up) {
+                continue;
+            }
+            for (const LimitStatus &status : node->service->snapshot().limits) {
+                levels[status.limit == "rate/derwent" ? 0 : 1] += status.level;
+            }
+        }
+        for (std::size_t limit = 0; limit < 2; ++limit) {
+            const CentralBucket &central = m_central[limit];
+            if (levels[limit] > central.level() + central.tolerance()) {
+                violate("tokens at all instances " + std::to_string(levels[limit])
+                        + ", central level " + std::to_string(central.level()));
+            }
+        }
+        if (m_fleet.now() < m_end) {
+            m_fleet.after(std::chrono::milliseconds(5), [this] {
+                sample();
+            });
+        }
+    }
+
+    void scheduleFault()
+    {
+        m_fleet.after(randomDuration(0.5, 4), [this] {
+            injectFault();
+            if (m_fleet.random().below(2) == 0) {
+                injectFault();
+            }
+            if (m_fleet.now() < m_end) {
+                scheduleFault();
+            }
+        });
+    }
+
+    Fleet::Node *randomNode()
+    {
+        Fleet::Node &node = m_fleet.node(m_fleet.random().below(m_fleet.nodes().size()));
+        return node.up && !node.paused && !node.stopping ? &node : nullptr;
+    }
+
+    void injectFault()
+    {
+        const std::uint64_t kind = m_fleet.random().below(9);
+        ++m_result.faults;
+        const ZoneName zone = Fleet::zoneName(static_cast<int>(m_fleet.random().below(3)));
+        const Duration time = randomDuration(0.1, 6);
+        switch (kind) {
+        case 0:
+            m_fleet.cutZone(zone, true);
+            m_fleet.after(time, [this, zone] {
+                m_fleet.cutZone(zone, false);
+            });
+            return;
+        case 1:
+            m_fleet.cutStore(zone, true);
+            m_fleet.after(time, [this, zone] {
+                m_fleet.cutStore(zone, false);
+            });
+            return;
+        case 2:
+            m_fleet.setStoreAway(true);
+            m_fleet.after(time, [this] {
+                m_fleet.setStoreAway(false);
+            });
+            return;
+        case 3:
+            m_fleet.changeRules(rulesWith(0.25 + m_fleet.random().uniform()), randomDuration(0, 2));
+            return;
+        case 4:
+            if (m_fleet.nodes().size() < MostNodes) {
+                m_fleet.join(static_cast<int>(m_fleet.random().below(3)));
+                addLoad(m_fleet.nodes().size() - 1);
+            }
+            return;
+        default:
+            if (Fleet::Node *node = randomNode()) {
+                injectNodeFault(*node, kind, time);
+            }
+        }
+    }
+
+    void injectNodeFault(Fleet::Node &node, std::uint64_t kind, Duration time)
+    {
+        switch (kind) {
+        case 5:
+            m_fleet.pause(node, time);
+            return;
+        case 6:
+            m_fleet.crash(node);
+            m_fleet.after(time / 2, [this, &node] {
+                if (!node.up && node.listed) {
+                    m_fleet.start(node);
+                }
+            });
+            return;
+        case 7:
+            m_fleet.crash(node);
+            m_fleet.after(time / 2, [&node] {
+                node.listed = node.up;
+            });
+            return;
+        default:
+            m_fleet.stop(node);
+            awaitRelease(node, node.incarnation);
+        }
+    }
+
+    void awaitRelease(Fleet::Node &node, std::uint64_t incarnation)
+    {
+        m_fleet.after(std::chrono::milliseconds(100), [this, &node, incarnation] {
+            if (!node.up || node.incarnation != incarnation) {
+                return;
+            }
+            if (node.service->isReleased()) {
+                m_fleet.crash(node);
+                node.listed = false;
+                return;
+            }
+            awaitRelease(node, incarnation);
+        });
+    }
+
+    std::uint64_t m_seed;
+    Fleet m_fleet;
+    std::int64_t m_end = 0;
+    CentralBucket m_central[2];
+    std::deque<std::pair<double, LimitRule>> m_inForce[2];
+    SoakResult m_result;
+};
+
+} // namespace marigoldspool
+
+#endif
--- /dev/null
+++ b/tests/Limits/SoakTest.cpp
@@ -0,0 +1,32 @@
+#include "Limits/Soak.h"
+
+#include "marigoldspool/Support/EventLog.h"
+
+#include <doctest/doctest.h>
+
+using namespace marigoldspool;
+
+namespace {
+
+class SilentLog final : public EventLog
+{
+public:
+    SilentLog() { setEventLog(this); }
+    ~SilentLog() override { setEventLog(nullptr); }
+    void write(LogLevel, std::string_view, gsl::span<const LogField>) override { }
+};
+
+} // namespace
+
+TEST_CASE("no faults or message losses make all instances together exceed a rate, burst or slots")
+{
+    const SilentLog log;
+    for (std::uint64_t seed = 1; seed <= 15; ++seed) {
+        const SoakResult result = SoakRun(seed).run(std::chrono::seconds(60));
+        CHECK(result.admitted > 0);
+        CHECK(result.slotsTaken > 0);
+        for (const std::string &violation : result.violations) {
+            FAIL_CHECK(violation);
+        }
+    }
+}
