--- a/include/marigoldspool/Gateway/OpenAi.h
+++ b/include/marigoldspool/Gateway/OpenAi.h
@@ -31,6 +31,9 @@
 /// `{"error":{"code","message","remedy","ran","retry_after_ms","request_id"}}`
 std::string errorBody(const Refusal &refusal, const RequestId &requestId);
 
+/// The last event of a stream that cannot be completed; the connection closes after it.
+std::string errorEvent(const Refusal &refusal, const RequestId &requestId);
+
 /// Value of the Retry-After field: whole seconds, rounded up; empty when waiting cannot help.
 std::optional<std::string> retryAfterValue(const Refusal &refusal);
 
--- a/lib/Gateway/OpenAi.cpp
+++ b/lib/Gateway/OpenAi.cpp
@@ -215,6 +215,11 @@
     return body.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
+std::string errorEvent(const Refusal &refusal, const RequestId &requestId)
+{
+    return "event: error\ndata: " + errorBody(refusal, requestId) + "\n\n";
+}
+
 std::optional<std::string> retryAfterValue(const Refusal &refusal)
 {
     if (refusal.retryAfter <= Duration::zero()) {
--- a/tests/Gateway/OpenAiTest.cpp
+++ b/tests/Gateway/OpenAiTest.cpp
@@ -95,6 +95,18 @@
     CHECK(!retryAfterValue(Refusal{}));
 }
 
+TEST_CASE("an error event stays one event and does not end a stream as the marker does")
+{
+    const Refusal refusal{RefusalReason::AnswerIncomplete, RanState::Unknown, "two\n\nlines",
+                          "data: [DONE]"};
+    const std::string event = errorEvent(refusal, RequestId("r-1"));
+    SseScanner scanner;
+    scanner.feed(event);
+    CHECK(scanner.dataEvents() == 1);
+    CHECK(!scanner.isDone());
+    CHECK(event.find("\n\n") == event.size() - 2);
+}
+
 TEST_CASE("the model list names each model")
 {
     const std::vector<ModelName> models{ModelName("a"), ModelName("b")};
