Refuse dot segments and unknown statuses, release large buffers

A target such as /open/../pickups would be admitted as the open route and run as the other one by an endpoint that resolves it; it is refused, also when percent-encoded. An endpoint's status outside 100 to 599 would have reached an assertion of the answer's writer and is a malformed answer now. Connections give back buffers above 64 KiB, and a partial write of a large answer no longer moves the whole rest each time.

--- a/lib/Gateway/HttpConnection.cpp
+++ b/lib/Gateway/HttpConnection.cpp
@@ -20,6 +20,15 @@
 // The loop reads on until the socket is empty; the buffer only bounds one turn.
 constexpr std::size_t ScratchBytes = 65'536;
 
+constexpr std::size_t MaxKeptCapacity = 65'536;
+
+void releaseLargeBuffer(std::string &buffer)
+{
+    if (buffer.capacity() > MaxKeptCapacity) {
+        std::string().swap(buffer);
+    }
+}
+
 } // namespace
 
 HttpServerContext::HttpServerContext(HttpServerOptions serverOptions, RequestHandler requestHandler,
@@ -245,8 +254,7 @@
             asio::buffer(m_out.data() + m_outOffset, m_out.size() - m_outOffset), ec);
         m_outOffset += n;
         if (ec == asio::error::would_block) {
-            m_out.erase(0, m_outOffset);
-            m_outOffset = 0;
+            compactOutput();
             m_waitingToWrite = true;
             m_socket.async_wait(asio::ip::tcp::socket::wait_write,
                                 [self = shared_from_this()](const boost::system::error_code &) {
@@ -263,9 +271,20 @@
     }
     m_out.clear();
     m_outOffset = 0;
+    // A connection that once carried a large message must not keep its memory while it is idle.
+    releaseLargeBuffer(m_out);
     onFlushed();
 }
 
+// Moving the rest on each partial write would cost the square of a large answer's size.
+void HttpConnection::compactOutput()
+{
+    if (m_outOffset >= m_out.size() / 2) {
+        m_out.erase(0, m_outOffset);
+        m_outOffset = 0;
+    }
+}
+
 void HttpConnection::onFlushed()
 {
     if (m_phase == Phase::Finishing) {
@@ -289,6 +308,9 @@
     }
     m_phase = Phase::Idle;
     setDeadline(m_context->options.idleTimeout);
+    if (m_in.empty()) {
+        releaseLargeBuffer(m_in);
+    }
     process();
     armRead();
 }
--- a/lib/Gateway/HttpConnection.h
+++ b/lib/Gateway/HttpConnection.h
@@ -82,6 +82,7 @@
     void dispatch();
     void reject(const RequestFault &fault);
     void flush();
+    void compactOutput();
     void onFlushed();
     void finishRequest();
     void startDraining();
--- a/lib/Gateway/HttpFields.cpp
+++ b/lib/Gateway/HttpFields.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <ostream>
 
 #include <boost/beast/http/rfc7230.hpp>
@@ -40,6 +41,25 @@
     return names;
 }
 
+// The path of a target without its query; an escape that is not valid stays as it is.
+std::string decodePath(std::string_view target)
+{
+    const std::string_view path = target.substr(0, target.find('?'));
+    std::string decoded;
+    for (std::size_t i = 0; i < path.size(); ++i) {
+        unsigned code = 0;
+        const char *digits = path.data() + i + 1;
+        const bool hasDigits = path[i] == '%' && i + 2 < path.size();
+        if (hasDigits && std::from_chars(digits, digits + 2, code, 16).ptr == digits + 2) {
+            decoded.push_back(static_cast<char>(code));
+            i += 2;
+        } else {
+            decoded.push_back(path[i]);
+        }
+    }
+    return decoded;
+}
+
 } // namespace
 
 bool isHopByHopField(std::string_view name)
@@ -89,6 +109,22 @@
         && std::all_of(target.begin(), target.end(), isVisible);
 }
 
+bool hasDotSegment(std::string_view target)
+{
+    std::string path = decodePath(target);
+    std::replace(path.begin(), path.end(), '\\', '/');
+    std::string_view rest = path;
+    while (!rest.empty()) {
+        const std::size_t end = rest.find('/');
+        const std::string_view segment = rest.substr(0, end);
+        if (segment == "." || segment == "..") {
+            return true;
+        }
+        rest.remove_prefix(end == std::string_view::npos ? rest.size() : end + 1);
+    }
+    return false;
+}
+
 std::string_view reasonPhrase(int status)
 {
     if (status == 431) {
--- a/lib/Gateway/HttpFields.h
+++ b/lib/Gateway/HttpFields.h
@@ -24,6 +24,10 @@
 /// Whether \p target can be written into a request line.
 bool isWritableTarget(std::string_view target);
 
+/// Whether the path of \p target, once percent-decoded, has a segment `.` or `..`, so that an
+/// endpoint that resolves such segments would see another path than the one that was checked.
+bool hasDotSegment(std::string_view target);
+
 std::string_view reasonPhrase(int status);
 
 void appendField(std::string &out, std::string_view name, std::string_view value);
--- a/lib/Gateway/RequestParser.cpp
+++ b/lib/Gateway/RequestParser.cpp
@@ -232,6 +232,9 @@
     if (!isWritableTarget(request.target)) {
         return malformed("the request target does not begin with a slash");
     }
+    if (request.target.find('#') != std::string::npos || hasDotSegment(request.target)) {
+        return malformed("the request target has a fragment or a segment \".\" or \"..\"");
+    }
     return Result::Complete;
 }
 
--- a/lib/Gateway/ResponseParser.cpp
+++ b/lib/Gateway/ResponseParser.cpp
@@ -16,6 +16,7 @@
 constexpr std::uint32_t MaxHeadBytes = 65'536;
 constexpr int MaxInterimAnswers = 8;
 constexpr int FirstFinalStatus = 200;
+constexpr int LastStatus = 599;
 
 } // namespace
 
@@ -36,9 +37,12 @@
     { }
 
     void on_response_impl(int code, boost::beast::string_view, int,
-                          boost::beast::error_code &) override
+                          boost::beast::error_code &ec) override
     {
         status = code;
+        if (code < 100 || code > LastStatus) {
+            ec = http::error::bad_status;
+        }
     }
 
     void on_field_impl(http::field field, boost::beast::string_view name,
--- a/tests/Gateway/EndpointClientTest.cpp
+++ b/tests/Gateway/EndpointClientTest.cpp
@@ -237,12 +237,14 @@
     }
 }
 
-TEST_CASE("an answer whose length can be read in two ways is refused")
+TEST_CASE("an answer without a known status, or with two lengths, is refused")
 {
     for (const char *text :
          {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n",
           "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\n",
           "HTTP/1.1 200 OK\r\nContent-Length: 4, 4\r\n\r\n",
+          "HTTP/1.1 999 No\r\nContent-Length: 0\r\n\r\n",
+          "HTTP/1.1 099 No\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 101 Switching\r\n\r\n",
           "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n", "SMTP ready\r\n\r\n",
           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"}) {
         CAPTURE(text);
--- a/tests/Gateway/RefusedRequestTest.cpp
+++ b/tests/Gateway/RefusedRequestTest.cpp
@@ -120,6 +120,28 @@
     }
 }
 
+TEST_CASE("a path that an endpoint could resolve to another route is refused")
+{
+    for (const char *target :
+         {"/open/../pickups", "/open/..", "/open/.", "/open/%2e%2E/pickups", "/open/.%2e/pickups",
+          "/open/..%2fpickups", "/open\\..\\pickups", "/open/..?a", "/open#/pickups"}) {
+        CAPTURE(target);
+        StrictServer server;
+        RawSocket caller = server.connect();
+        caller.send(std::string("GET ") + target + " HTTP/1.1\r\nHost: x\r\n\r\n");
+        server.expectRefusal(caller, 400, "malformed");
+    }
+    for (const char *target : {"/a..b/.c/..d", "/a?x=../..", "/a%", "/a%zz/%2"}) {
+        CAPTURE(target);
+        StrictServer server;
+        RawSocket caller = server.connect();
+        caller.send(std::string("GET ") + target + " HTTP/1.1\r\nHost: x\r\n\r\n");
+        CHECK(server.loop.runUntil([&] {
+            return server.handled == 1;
+        }));
+    }
+}
+
 TEST_CASE("malformed chunks are refused")
 {
     for (const char *chunks : {"zz\r\n", "3\nabc", "3\r\nabcX\r\n", "-1\r\n", "3 \r\nabc\r\n",
