--- a/lib/Config/FetchConfig.cpp
+++ b/lib/Config/FetchConfig.cpp
@@ -114,7 +114,7 @@
                 makeError(ErrorKind::Malformed,
                           "piece " + piece.sha256 + " of version " + std::to_string(m_root.version)
                               + " does not match its digest",
-                          "apply the rule file again; that stores the piece anew");
+                          repairRemedy());
         } else {
             m_known[piece.sha256] = std::move(object->value);
         }
@@ -134,11 +134,17 @@
             m_failure =
                 makeError(ErrorKind::Malformed,
                           "a piece of version " + std::to_string(m_root.version) + " is missing",
-                          "apply the rule file again; that stores the piece anew");
+                          repairRemedy());
         }
         finish(tl::make_unexpected(*std::move(m_failure)));
     }
 
+    std::string repairRemedy() const
+    {
+        return "apply the rule file again with --expect-version=" + std::to_string(m_root.version)
+            + "; that stores the piece anew";
+    }
+
     void finish(Expected<VersionedRules> result) { m_done(std::move(result)); }
 
     ObjectStore &m_store;
