Add the Operator component and marigoldspoolctl

The logic is a component of its own, so that the tests run every command in memory; the program only connects it to the process.

- apply is conditional on the version that was compared; losing a race has its own exit code.
Reformatting the whole file was ruled out: it would lose comments.
- A new key comes from the cryptographic generator of OpenSSL and is printed only once its digest is in force.
- InstanceStatus and ExplainAnswer define the JSON of GET /status and GET /explain for the daemon.

--- a/cmake/Components.cmake
+++ b/cmake/Components.cmake
@@ -29,6 +29,8 @@
     add_executable(${program} ${tests} ${PROJECT_SOURCE_DIR}/tests/support/TestMain.cpp)
     target_include_directories(${program} PRIVATE ${PROJECT_SOURCE_DIR}/tests
         ${PROJECT_SOURCE_DIR}/lib)
+    target_compile_definitions(${program} PRIVATE
+        MARIGOLDSPOOL_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
     target_link_libraries(${program} PRIVATE ${target} doctest::doctest rapidcheck)
     doctest_discover_tests(${program} TEST_PREFIX "${name}: " PROPERTIES
         TIMEOUT 300
--- /dev/null
+++ b/lib/Operator/RuleEdit.cpp
@@ -0,0 +1,218 @@
+#include "marigoldspool/Operator/RuleEdit.h"
+
+#include <algorithm>
+#include <optional>
+#include <vector>
+
+namespace marigoldspool {
+
+namespace {
+
+constexpr std::string_view Blanks = " \t\r";
+constexpr std::string_view Asker = "# asked for by: ";
+constexpr std::string_view DigestPrefix = "sha256:";
+
+/// Where a line stands in the text, without its line end.
+struct LinePlace {
+    std::size_t begin = 0;
+    std::size_t end = 0;
+};
+
+/// Calls \p visit with each line and its words, without its comment, until it returns true.
+template <class Visit>
+void forEachRule(std::string_view rules, Visit visit)
+{
+    std::size_t begin = 0;
+    while (begin < rules.size()) {
+        const std::size_t end = std::min(rules.find('\n', begin), rules.size());
+        const std::string_view line = rules.substr(begin, end - begin);
+        const std::string_view words = line.substr(0, line.find('#'));
+        std::vector<std::string_view> parts;
+        std::size_t at = 0;
+        while ((at = words.find_first_not_of(Blanks, at)) != std::string_view::npos) {
+            const std::size_t stop = std::min(words.find_first_of(Blanks, at), words.size());
+            parts.push_back(words.substr(at, stop - at));
+            at = stop;
+        }
+        if (parts.size() >= 2 && visit(LinePlace{begin, end}, parts)) {
+            return;
+        }
+        begin = end + 1;
+    }
+}
+
+bool hasWord(const std::vector<std::string_view> &parts, std::string_view word)
+{
+    return std::find(parts.begin() + 2, parts.end(), word) != parts.end();
+}
+
+/// Replaces the value of \p key in the line, or adds the key after the last word.
+std::string withKey(std::string_view line, const std::vector<std::string_view> &parts,
+                    std::string_view key, std::string_view value)
+{
+    const std::string prefix = std::string(key) + "=";
+    for (const std::string_view word : parts) {
+        if (word.substr(0, prefix.size()) == prefix) {
+            const auto at = static_cast<std::size_t>(word.data() - line.data());
+            return std::string(line.substr(0, at)) + prefix + std::string(value)
+                + std::string(line.substr(at + word.size()));
+        }
+    }
+    const auto at =
+        static_cast<std::size_t>(parts.back().data() - line.data()) + parts.back().size();
+    return std::string(line.substr(0, at)) + " " + prefix + std::string(value)
+        + std::string(line.substr(at));
+}
+
+std::string withAsker(std::string line, std::string_view askedBy)
+{
+    if (!askedBy.empty()) {
+        const std::size_t hash = std::min(line.find('#'), line.size());
+        const bool hasReturn = !line.empty() && line.back() == '\r';
+        line = line.substr(0, hash) + std::string(Asker) + std::string(askedBy)
+            + (hasReturn ? "\r" : "");
+    }
+    return line;
+}
+
+/// The name must not be able to end the line and begin another rule.
+std::optional<Error> checkAsker(std::string_view askedBy)
+{
+    const bool hasControl = std::any_of(askedBy.begin(), askedBy.end(), [](char c) {
+        return static_cast<unsigned char>(c) < 0x20 || c == 0x7f;
+    });
+    const bool isBlank =
+        !askedBy.empty() && askedBy.find_first_not_of(Blanks) == std::string_view::npos;
+    if (hasControl || isBlank) {
+        return makeError(ErrorKind::InvalidArgument,
+                         "the name of who asked is blank or has control characters",
+                         "give a name in one line of text");
+    }
+    return std::nullopt;
+}
+
+std::string replaceLine(std::string_view rules, const LinePlace &place, std::string_view line)
+{
+    return std::string(rules.substr(0, place.begin)) + std::string(line)
+        + std::string(rules.substr(place.end));
+}
+
+/// Sets key \p key to \p value in the rule that \p matches picks.
+template <class Matches>
+std::optional<std::string> editRule(std::string_view rules, std::string_view key,
+                                    std::string_view value, std::string_view askedBy,
+                                    Matches matches)
+{
+    std::optional<std::string> edited;
+    forEachRule(rules, [&](const LinePlace &place, const std::vector<std::string_view> &parts) {
+        if (!matches(parts)) {
+            return false;
+        }
+        const std::string_view line = rules.substr(place.begin, place.end - place.begin);
+        edited = replaceLine(rules, place, withAsker(withKey(line, parts, key, value), askedBy));
+        return true;
+    });
+    return edited;
+}
+
+tl::unexpected<Error> noRule(const std::string &what)
+{
+    return unexpectedError(ErrorKind::NotFound, "there is no rule for " + what,
+                           "list the rules in force with marigoldspoolctl show");
+}
+
+} // namespace
+
+Expected<std::string> setZoneState(std::string_view rules, const ZoneName &zone, ZoneState state,
+                                   std::string_view askedBy)
+{
+    if (const std::optional<Error> error = checkAsker(askedBy)) {
+        return tl::make_unexpected(*error);
+    }
+    const bool isDrained = state == ZoneState::Drained;
+    bool isAlready = false;
+    std::optional<std::string> edited =
+        editRule(rules, "state", isDrained ? "drained" : "serving", askedBy,
+                 [&](const std::vector<std::string_view> &parts) {
+                     isAlready = hasWord(parts, "state=drained") == isDrained;
+                     return parts[0] == "zone" && parts[1] == zone.str();
+                 });
+    if (!edited) {
+        return noRule("zone \"" + zone.str() + "\"");
+    }
+    return isAlready ? std::string(rules) : *std::move(edited);
+}
+
+Expected<std::string> withdrawKey(std::string_view rules, const KeyDigest &digest,
+                                  std::string_view askedBy)
+{
+    if (const std::optional<Error> error = checkAsker(askedBy)) {
+        return tl::make_unexpected(*error);
+    }
+    const std::string word = "digest=" + std::string(DigestPrefix) + digest.str();
+    bool isAlready = false;
+    std::optional<std::string> edited = editRule(
+        rules, "state", "withdrawn", askedBy, [&](const std::vector<std::string_view> &parts) {
+            isAlready = hasWord(parts, "state=withdrawn");
+            return parts[0] == "key" && hasWord(parts, word);
+        });
+    if (!edited) {
+        return noRule("key digest " + digest.str());
+    }
+    return isAlready ? std::string(rules) : *std::move(edited);
+}
+
+Expected<std::string> addKey(std::string_view rules, const WorkspaceName &workspace,
+                             const KeyDigest &digest, std::string_view askedBy)
+{
+    const std::optional<Error> error = checkAsker(askedBy);
+    if (error || askedBy.empty()) {
+        return tl::make_unexpected(error ? *error
+                                         : makeError(ErrorKind::InvalidArgument,
+                                                     "nobody is named who asked for the key",
+                                                     "pass --asked-by=NAME"));
+    }
+    const std::string word = "digest=" + std::string(DigestPrefix) + digest.str();
+    std::optional<LinePlace> last;
+    bool isWorkspaceKnown = false;
+    bool isAlready = false;
+    forEachRule(rules, [&](const LinePlace &place, const std::vector<std::string_view> &parts) {
+        if (parts[1] == workspace.str() && (parts[0] == "workspace" || parts[0] == "key")) {
+            last = place;
+            isWorkspaceKnown = isWorkspaceKnown || parts[0] == "workspace";
+            isAlready = isAlready || hasWord(parts, word);
+        }
+        return false;
+    });
+    if (!isWorkspaceKnown) {
+        return noRule("workspace \"" + workspace.str() + "\"");
+    }
+    if (isAlready) {
+        return std::string(rules);
+    }
+    const std::string rule = "key " + workspace.str() + " " + word + " state=active "
+        + std::string(Asker) + std::string(askedBy);
+    return std::string(rules.substr(0, last->end)) + "\n" + rule
+        + std::string(rules.substr(last->end));
+}
+
+Expected<KeyDigest> parseKeyDigest(std::string_view text)
+{
+    static constexpr std::size_t DigestDigits = 64;
+    std::string digits(text);
+    if (text.substr(0, DigestPrefix.size()) == DigestPrefix) {
+        digits.erase(0, DigestPrefix.size());
+    }
+    std::transform(digits.begin(), digits.end(), digits.begin(), [](char c) {
+        return c >= 'A' && c <= 'F' ? static_cast<char>(c + 32) : c;
+    });
+    if (digits.size() != DigestDigits
+        || digits.find_first_not_of("0123456789abcdef") != std::string::npos) {
+        // The text is not repeated: it may be the key itself.
+        return unexpectedError(ErrorKind::InvalidArgument, "that is no SHA-256 digest",
+                               "give the 64 hexadecimal digits of the key rule, not the key");
+    }
+    return KeyDigest(digits);
+}
+
+} // namespace marigoldspool
--- /dev/null
+++ b/tests/Operator/HttpInstanceClientTest.cpp
@@ -0,0 +1,109 @@
+#include "marigoldspool/Operator/InstanceClient.h"
+
+#include <array>
+#include <optional>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+using namespace marigoldspool;
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+// Accepts one connection, reads the request and sends fixed bytes.
+struct Fixture {
+    boost::asio::io_context io;
+    tcp::acceptor acceptor{io, {boost::asio::ip::make_address("127.0.0.1"), 0}};
+    tcp::socket socket{io};
+    std::array<char, 4096> buf{};
+    std::string request;
+    std::string answer;
+    std::unique_ptr<InstanceClient> client = makeHttpInstanceClient(io);
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    }
+
+    void serve(std::string bytes, bool closes)
+    {
+        answer = std::move(bytes);
+        acceptor.async_accept(socket, [this, closes](boost::system::error_code accepted) {
+            REQUIRE_FALSE(accepted);
+            socket.async_read_some(boost::asio::buffer(buf),
+                                   [this, closes](boost::system::error_code, std::size_t n) {
+                                       request.assign(buf.data(), n);
+                                       reply(closes);
+                                   });
+        });
+    }
+
+    void reply(bool closes)
+    {
+        boost::asio::async_write(socket, boost::asio::buffer(answer),
+                                 [this, closes](boost::system::error_code, std::size_t) {
+                                     if (closes) {
+                                         socket.close();
+                                     }
+                                 });
+    }
+
+    Expected<InstanceAnswer> ask(const std::string &where, Duration timeout)
+    {
+        std::optional<Expected<InstanceAnswer>> result;
+        client->get(where, "/status?x=1", timeout, [&](Expected<InstanceAnswer> value) {
+            CHECK_FALSE(result.has_value());
+            result = std::move(value);
+        });
+        CHECK_FALSE(result.has_value());
+        while (!result && io.run_one() > 0) {
+        }
+        REQUIRE(result.has_value());
+        return *result;
+    }
+};
+
+constexpr Duration Generous = std::chrono::seconds(60);
+
+} // namespace
+
+TEST_CASE_FIXTURE(Fixture, "an answer with a length and one in chunks both arrive whole")
+{
+    serve("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", false);
+    Expected<InstanceAnswer> result = ask(address(), Generous);
+    REQUIRE(result);
+    CHECK(result->status == 200);
+    CHECK(result->body == "hello");
+    CHECK(request.substr(0, 26) == "GET /status?x=1 HTTP/1.1\r\n");
+    socket.close();
+    serve("HTTP/1.1 404 Not Found\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n", true);
+    result = ask(address(), Generous);
+    REQUIRE(result);
+    CHECK(result->status == 404);
+    CHECK(result->body == "no");
+}
+
+TEST_CASE_FIXTURE(Fixture, "a truncated answer and one that is no HTTP are errors, not empty pages")
+{
+    serve("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhello", true);
+    CHECK(ask(address(), Generous).error().kind == ErrorKind::Malformed);
+    serve("SSH-2.0-x\r\n", true);
+    CHECK(ask(address(), Generous).error().kind == ErrorKind::Malformed);
+}
+
+TEST_CASE_FIXTURE(Fixture, "an instance that accepts but never answers does not hang the command")
+{
+    serve("", false);
+    CHECK(ask(address(), std::chrono::milliseconds(50)).error().kind == ErrorKind::Timeout);
+}
+
+TEST_CASE_FIXTURE(Fixture, "an instance that is gone and a wrong address are told apart")
+{
+    const std::string gone = address();
+    acceptor.close();
+    CHECK(ask(gone, Generous).error().kind == ErrorKind::Unavailable);
+    CHECK(ask("localhost:1", Generous).error().kind == ErrorKind::InvalidArgument);
+}
