Add the WebSocket peer channel

Instances exchange heartbeats, loans and forwarded requests over one connection per pair; the instance with the lower id dials.

--- /dev/null
+++ b/include/marigoldspool/Peer/WebSocketPeerChannel.h
@@ -0,0 +1,70 @@
+#ifndef MARIGOLDSPOOL_PEER_WEBSOCKETPEERCHANNEL_H
+#define MARIGOLDSPOOL_PEER_WEBSOCKETPEERCHANNEL_H
+
+#include "marigoldspool/Peer/PeerChannel.h"
+#include "marigoldspool/Support/Clock.h"
+#include "marigoldspool/Support/Metrics.h"
+
+#include <memory>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+namespace marigoldspool {
+
+struct PeerAddress {
+    InstanceId id;
+    /// `IP:PORT`.
+    std::string address;
+};
+
+struct PeerChannelOptions {
+    /// Visible ASCII characters only, because it travels in a header field.
+    InstanceId self;
+    /// Must grow from one run of an instance to the next.
+    std::uint64_t incarnation = 0;
+    /// Where to listen, `IP:PORT`; port 0 picks a free one.
+    std::string address;
+    /// The same on all instances.
+    std::string secret;
+    /// Larger messages are neither sent nor accepted. A configuration of 1 MB has to fit.
+    std::size_t maxMessageBytes = 4U << 20U;
+    /// Messages beyond this are refused by send(); those just being written are not counted.
+    std::size_t maxQueuedBytes = 8U << 20U;
+    /// A connection on which nothing was received for this long is abandoned.
+    Duration silenceLimit = std::chrono::seconds(3);
+    Duration firstReconnectDelay = std::chrono::milliseconds(100);
+    Duration longestReconnectDelay = std::chrono::seconds(5);
+    /// How long stop() waits for queued messages and the closing handshakes.
+    Duration closeTimeout = std::chrono::seconds(2);
+};
+
+/// One WebSocket connection to each peer; of two instances the one with the lower id dials.
+///
+/// An accepted connection is kept even if the dialler is not among the peers named here, since
+/// views of the fleet differ for a while. All callbacks run on the io_context; they may not
+/// destroy the channel.
+class WebSocketPeerChannel : public PeerChannel
+{
+public:
+    /// Starts to listen. Fails with InvalidArgument or Unavailable.
+    virtual Expected<void> start() = 0;
+    /// The port that is listened on.
+    virtual std::uint16_t port() const = 0;
+    /// Replaces the peers to stay connected with; an entry for this instance is left out.
+    virtual void setPeers(std::vector<PeerAddress> peers) = 0;
+    /// Peers with an open connection, ordered by id.
+    virtual std::vector<InstanceId> connectedPeers() const = 0;
+    /// Sends what is queued and closes all connections, without calls of the down handler.
+    /// \p stopped is never called from within the call.
+    virtual void stop(std::function<void()> stopped) = 0;
+};
+
+std::unique_ptr<WebSocketPeerChannel> makeWebSocketPeerChannel(boost::asio::io_context &io,
+                                                               PeerChannelOptions options,
+                                                               const Clock &clock,
+                                                               Metrics &metrics);
+
+} // namespace marigoldspool
+
+#endif
