Show that the randomised run fails without each key step

Half of the runs now have exact clocks, no lost messages and fewer faults, since lost tokens hide tokens created elsewhere; a paused instance gets a batch of requests before its timers run; and one burst takes longer to fill than a crashed member's share stays unused.

--- a/tests/Limits/Soak.h
+++ b/tests/Limits/Soak.h
@@ -80,12 +80,21 @@
 
     static LimitRules rulesWith(double factor)
     {
-        return {{{WorkspaceName("derwent"), 200 * factor, 400 * factor},
+        // The first one's burst takes longer to fill than a crashed member's share stays unused.
+        return {{{WorkspaceName("derwent"), 100 * factor, 1500 * factor},
                  {WorkspaceName("esk"), 1000 * factor, 300 * factor}},
                 {{ZoneName("z0"), 1}, {ZoneName("z1"), 2}, {ZoneName("z2"), 1}},
                 {{EndpointId("e"), ZoneName("z0")}}};
     }
 
+    static void setShortTerms(LimitOptions &limits)
+    {
+        limits.loanTerm = std::chrono::seconds(2);
+        limits.slotTerm = std::chrono::seconds(4);
+        limits.reclaimDelay = std::chrono::seconds(6);
+        limits.rosterRefresh = std::chrono::seconds(2);
+    }
+
     static FleetOptions options(std::uint64_t seed)
     {
         SeededRandomSource random(seed * 7919 + 1);
@@ -96,16 +105,19 @@
         options.rules = rulesWith(1);
         options.slots = Slots;
         options.clockError = 0.01;
+        options.fullMesh = random.below(2) == 0;
+        setShortTerms(options.limits);
+        // Lost tokens and slow clocks hide tokens created elsewhere; every other run has none.
+        if (seed % 2 == 0) {
+            options.clockError = 0;
+            options.limits.clockError = 0;
+            return options;
+        }
         options.loss = 0.05 * random.uniform();
         options.duplicate = 0.1 * random.uniform();
         options.late = 0.05 * random.uniform();
         options.staleReads = 0.3 * random.uniform();
         options.lostAnswers = 0.3 * random.uniform();
-        options.fullMesh = random.below(2) == 0;
-        options.limits.loanTerm = std::chrono::seconds(2);
-        options.limits.slotTerm = std::chrono::seconds(4);
-        options.limits.reclaimDelay = std::chrono::seconds(6);
-        options.limits.rosterRefresh = std::chrono::seconds(2);
         return options;
     }
 
@@ -146,23 +158,46 @@
         });
     }
 
-    void requestOne(Fleet::Node &node)
+    double randomCost(std::size_t limit)
     {
-        const bool first = m_fleet.random().below(2) == 0;
-        const std::size_t limit = first ? 0 : 1;
-        const auto &rule = m_fleet.ruleVersions().front().limits[limit];
         const double size = m_fleet.random().uniform();
-        const double cost = std::ceil(rule.burst * 0.4 * size * size * size);
-        m_fleet.request(node, rule.workspace, cost, [this, limit, cost](const LimitDecision &d) {
-            if (d.outcome != LimitDecision::Outcome::Admitted) {
-                ++m_result.refused;
-                return;
-            }
-            ++m_result.admitted;
-            m_central[limit].take(cost, m_fleet.seconds());
-            if (m_central[limit].level() < -m_central[limit].tolerance()) {
-                violate("admitted beyond rate and burst, central level "
-                        + std::to_string(m_central[limit].level()));
+        return std::ceil(m_fleet.ruleVersions().front().limits[limit].burst * 0.4 * size * size
+                         * size);
+    }
+
+    void requestOne(Fleet::Node &node)
+    {
+        const std::size_t limit = m_fleet.random().below(2);
+        const double cost = randomCost(limit);
+        m_fleet.request(node, m_fleet.ruleVersions().front().limits[limit].workspace, cost,
+                        [this, limit, cost](const LimitDecision &decision) {
+                            onDecision(limit, cost, decision);
+                        });
+    }
+
+    void onDecision(std::size_t limit, double cost, const LimitDecision &decision)
+    {
+        if (decision.outcome != LimitDecision::Outcome::Admitted) {
+            ++m_result.refused;
+            return;
+        }
+        ++m_result.admitted;
+        m_central[limit].take(cost, m_fleet.seconds());
+        if (m_central[limit].level() < -m_central[limit].tolerance()) {
+            violate("admitted beyond rate and burst, central level "
+                    + std::to_string(m_central[limit].level()));
+        }
+    }
+
+    // Requests that have come in during a pause are decided on before any timer runs.
+    void requestMany(Fleet::Node &node)
+    {
+        m_fleet.deliver(node, node.incarnation, [this, &node] {
+            for (int i = 0; i < 20; ++i) {
+                const std::size_t limit = m_fleet.random().below(2);
+                const double cost = randomCost(limit);
+                const auto &rule = m_fleet.ruleVersions().front().limits[limit];
+                onDecision(limit, cost, node.service->admit(rule.workspace, cost));
             }
         });
     }
@@ -239,7 +274,8 @@
         double levels[2] = {0, 0};
         followRules();
         for (const auto &node : m_fleet.nodes()) {
-            if (!node->up) {
+            // A paused instance is left alone: looking at it would end its loans for it.
+            if (!node->up || node->paused) {
                 continue;
             }
             for (const LimitStatus &status : node->service->snapshot().limits) {
@@ -262,7 +298,8 @@
 
     void scheduleFault()
     {
-        m_fleet.after(randomDuration(0.5, 4), [this] {
+        const double most = m_seed % 2 == 0 ? 12 : 4;
+        m_fleet.after(randomDuration(0.5, most), [this] {
             injectFault();
             if (m_fleet.random().below(2) == 0) {
                 injectFault();
@@ -325,6 +362,7 @@
         switch (kind) {
         case 5:
             m_fleet.pause(node, time);
+            requestMany(node);
             return;
         case 6:
             m_fleet.crash(node);
