--- /dev/null
+++ b/tests/Peer/PeerTopologyTest.cpp
@@ -0,0 +1,127 @@
+#include "marigoldspool/Peer/PeerTopology.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace marigoldspool;
+
+namespace {
+
+std::vector<TopologyMember> fleet(int zones, int perZone)
+{
+    std::vector<TopologyMember> members;
+    members.reserve(static_cast<std::size_t>(zones) * static_cast<std::size_t>(perZone));
+    for (int z = 0; z < zones; ++z) {
+        const std::string zone = "zone-" + std::to_string(z);
+        for (int i = 0; i < perZone; ++i) {
+            members.push_back({InstanceId(zone + "-" + std::to_string(i)), ZoneName(zone)});
+        }
+    }
+    return members;
+}
+
+bool lists(const InstanceId &self, const InstanceId &peer,
+           const std::vector<TopologyMember> &members)
+{
+    const auto peers = choosePeers(self, members);
+    return std::binary_search(peers.begin(), peers.end(), peer);
+}
+
+} // namespace
+
+// Guards against links that only one end keeps up: the other end would never dial or would drop it.
+TEST_CASE("both ends agree on every link of the same view")
+{
+    CHECK(rc::check([]() {
+        const int zones = *rc::gen::inRange(1, 6);
+        std::vector<TopologyMember> members;
+        for (int z = 0; z < zones; ++z) {
+            const int count = *rc::gen::inRange(0, 7);
+            for (int i = 0; i < count; ++i) {
+                members.push_back({InstanceId(std::to_string(z) + "-" + std::to_string(i)),
+                                   ZoneName("z" + std::to_string(z))});
+            }
+        }
+        for (const TopologyMember &a : members) {
+            for (const TopologyMember &b : members) {
+                RC_ASSERT(lists(a.id, b.id, members) == lists(b.id, a.id, members));
+                RC_ASSERT(a.zone != b.zone || a.id == b.id || lists(a.id, b.id, members));
+            }
+        }
+    }));
+}
+
+TEST_CASE("the order of the view does not matter and an instance never lists itself")
+{
+    std::vector<TopologyMember> members = fleet(3, 5);
+    const auto peers = choosePeers(members[0].id, members);
+    std::reverse(members.begin(), members.end());
+    CHECK(choosePeers(members.back().id, members) == peers);
+    CHECK_FALSE(lists(members[0].id, members[0].id, members));
+    CHECK(choosePeers(InstanceId("stranger"), members).empty());
+}
+
+TEST_CASE("every instance reaches each other zone through two instances at least")
+{
+    const std::vector<TopologyMember> members = fleet(5, 8);
+    for (const TopologyMember &self : members) {
+        std::map<ZoneName, int> links;
+        for (const TopologyMember &peer : members) {
+            links[peer.zone] += lists(self.id, peer.id, members) ? 1 : 0;
+        }
+        for (const auto &[zone, count] : links) {
+            CHECK(count >= (zone == self.zone ? 7 : 2));
+        }
+    }
+}
+
+TEST_CASE("a small fleet is a full mesh")
+{
+    const std::vector<TopologyMember> members = fleet(3, 2);
+    for (const TopologyMember &self : members) {
+        CHECK(choosePeers(self.id, members).size() == 5);
+    }
+}
+
+// Guards against losing the bound on connections for which this topology exists.
+TEST_CASE("at 370 nodes most instances have 81 links and gateways fewer than a full mesh")
+{
+    const std::vector<TopologyMember> members = fleet(5, 74);
+    std::map<std::size_t, int> degrees;
+    for (const TopologyMember &self : members) {
+        ++degrees[choosePeers(self.id, members).size()];
+    }
+    for (const auto &[degree, count] : degrees) {
+        MESSAGE("links " << degree << ", instances " << count);
+    }
+    CHECK(degrees.begin()->first == 73 + 4 * 2);
+    CHECK(degrees.begin()->second >= 370 - 5 * 4 * 2);
+    CHECK(degrees.rbegin()->first < 300);
+}
+
+// Guards against a link between zones moving when instances that are no gateways come and go.
+TEST_CASE("a member that leaves changes only its own links and those of its successor")
+{
+    const std::vector<TopologyMember> members = fleet(4, 10);
+    for (std::size_t gone = 0; gone < members.size(); ++gone) {
+        std::vector<TopologyMember> fewer = members;
+        fewer.erase(fewer.begin() + static_cast<std::ptrdiff_t>(gone));
+        for (std::size_t n = 0; n < members.size(); n += 7) {
+            if (n == gone) {
+                continue;
+            }
+            std::set<InstanceId> lost;
+            for (const InstanceId &peer : choosePeers(members[n].id, members)) {
+                if (!lists(members[n].id, peer, fewer)) {
+                    lost.insert(peer);
+                }
+            }
+            lost.erase(members[gone].id);
+            CHECK(lost.empty());
+        }
+    }
+}
