Publish above the versions that instances still hold

Instances never go back to a lower version.

A lost answer is settled by looking for the write id anywhere in the root's history, since version numbers need not be consecutive any more. If the history no longer reaches back to the version that was replaced, the outcome stays unknown; a test publishes 17 versions over a lost request.

Queues in /status are named by target, because pools of services have queues too.

--- a/include/marigoldspool/Operator/InstanceStatus.h
+++ b/include/marigoldspool/Operator/InstanceStatus.h
@@ -59,11 +59,10 @@
     };
 
     struct Queue {
-        ModelName model;
+        /// `model:NAME` or `pool:NAME`, as Target::key() yields it.
+        std::string target;
         /// Requests that wait at this instance.
         std::size_t length = 0;
-        /// How long the oldest of them has waited, in milliseconds.
-        std::int64_t oldestMs = 0;
     };
 
     InstanceId instance;
--- a/lib/Config/PublishConfig.cpp
+++ b/lib/Config/PublishConfig.cpp
@@ -40,10 +40,11 @@
 public:
     ConfigPublication(ObjectStore &store, const Clock &clock, RandomSource &random,
                       std::string rules, std::uint64_t expectedVersion, std::string author,
-                      Callback<std::uint64_t> done)
+                      std::uint64_t leastVersion, Callback<std::uint64_t> done)
         : m_store(store)
         , m_rules(std::move(rules))
         , m_expectedVersion(expectedVersion)
+        , m_leastVersion(leastVersion)
         , m_author(std::move(author))
         , m_done(std::move(done))
         , m_nowMs(std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -200,7 +201,7 @@
 
     void planRetirement()
     {
-        m_next.version = m_expectedVersion + 1;
+        m_next.version = std::max(m_expectedVersion + 1, m_leastVersion);
         m_next.author = m_author;
         m_next.history = m_root.history;
         m_next.history.insert(m_next.history.begin(), {m_next.version, m_writeId, m_author});
@@ -316,21 +317,16 @@
         const Expected<void> isRead = readRoot(std::move(object));
         m_objectVersion = formerObjectVersion;
         if (isRead) {
-            const auto it = std::find_if(m_root.history.begin(), m_root.history.end(),
-                                         [this](const ConfigWrite &write) {
-                                             return write.version == m_next.version;
-                                         });
-            if (it != m_root.history.end()) {
-                if (it->writeId == m_writeId) {
-                    removeOldPieces();
-                } else {
-                    failWithConflict();
-                }
+            const bool isOwn = std::any_of(m_root.history.begin(), m_root.history.end(),
+                                           [this](const ConfigWrite &write) {
+                                               return write.writeId == m_writeId;
+                                           });
+            if (isOwn) {
+                removeOldPieces();
                 return;
             }
-            if (m_root.version > m_next.version) {
-                // Too many versions have followed to tell whose was the first of them.
-                failUndecided();
+            if (m_root.version > m_expectedVersion) {
+                failOvertaken();
                 return;
             }
         }
@@ -371,6 +367,19 @@
                        });
     }
 
+    // Others have published, and this write is not in the history that the root holds.
+    void failOvertaken()
+    {
+        const bool isWholeHistory = m_root.history.size() < MaxHistory
+            || m_root.history.back().version <= m_expectedVersion + 1;
+        if (isWholeHistory || !m_mayBeWritten) {
+            failWithConflict();
+        } else {
+            // Too many versions have followed to tell whose was the first of them.
+            failUndecided();
+        }
+    }
+
     void failWithConflict()
     {
         std::string message = "version " + std::to_string(m_expectedVersion)
@@ -398,6 +407,7 @@
     ObjectStore &m_store;
     std::string m_rules;
     std::uint64_t m_expectedVersion;
+    std::uint64_t m_leastVersion;
     std::string m_author;
     Callback<std::uint64_t> m_done;
     std::int64_t m_nowMs;
@@ -419,10 +429,11 @@
 } // namespace
 
 void publishConfig(ObjectStore &store, const Clock &clock, RandomSource &random, std::string rules,
-                   std::uint64_t expectedVersion, std::string author, Callback<std::uint64_t> done)
+                   std::uint64_t expectedVersion, std::string author, Callback<std::uint64_t> done,
+                   std::uint64_t leastVersion)
 {
     std::make_shared<ConfigPublication>(store, clock, random, std::move(rules), expectedVersion,
-                                        std::move(author), std::move(done))
+                                        std::move(author), leastVersion, std::move(done))
         ->start();
 }
 
--- a/lib/Operator/CommandRun.cpp
+++ b/lib/Operator/CommandRun.cpp
@@ -45,7 +45,8 @@
     return rules;
 }
 
-Expected<std::uint64_t> CommandRun::publish(const std::string &rules, std::uint64_t expectedVersion)
+Expected<std::uint64_t> CommandRun::publish(const std::string &rules, std::uint64_t expectedVersion,
+                                            std::uint64_t leastVersion)
 {
     const Expected<ObjectStore *> opened = store();
     if (!opened) {
@@ -53,7 +54,7 @@
     }
     return await<std::uint64_t>([&](Callback<std::uint64_t> done) {
         publishConfig(**opened, m_context.clock, m_context.random, rules, expectedVersion,
-                      m_settings.text("author"), std::move(done));
+                      m_settings.text("author"), std::move(done), leastVersion);
     });
 }
 
--- a/lib/Operator/FleetCommands.cpp
+++ b/lib/Operator/FleetCommands.cpp
@@ -86,13 +86,13 @@
 struct ModelSummary {
     std::set<std::string> states;
     std::set<std::string> endpoints;
-    std::size_t queued = 0;
 };
 
 struct FleetSummary {
     std::map<std::string, ZoneSummary> zones;
     std::map<EndpointId, EndpointSummary> endpoints;
     std::map<ModelName, ModelSummary> models;
+    std::map<std::string, std::size_t> queues;
 };
 
 void addStatus(FleetSummary &summary, const InstanceStatus &status)
@@ -116,7 +116,7 @@
         }
     }
     for (const InstanceStatus::Queue &queue : status.queues) {
-        summary.models[queue.model].queued += queue.length;
+        summary.queues[queue.target] += queue.length;
     }
 }
 
@@ -143,12 +143,15 @@
                              std::to_string(endpoint.inFlight), std::to_string(endpoint.slots),
                              yesNo(endpoint.fresh)});
     }
-    Rows models{{"MODEL", "STATE", "QUEUED", "ENDPOINTS"}};
+    Rows models{{"MODEL", "STATE", "ENDPOINTS"}};
     for (const auto &[name, model] : summary.models) {
-        models.push_back({name.str(), joined(model.states), std::to_string(model.queued),
-                          joined(model.endpoints)});
+        models.push_back({name.str(), joined(model.states), joined(model.endpoints)});
     }
-    for (const Rows &rows : {zones, endpoints, models}) {
+    Rows queues{{"QUEUE", "LENGTH"}};
+    for (const auto &[target, length] : summary.queues) {
+        queues.push_back({target, std::to_string(length)});
+    }
+    for (const Rows &rows : {zones, endpoints, models, queues}) {
         if (rows.size() > 1) {
             out << "\n";
             printTable(out, rows);
--- a/lib/Operator/InstanceStatus.cpp
+++ b/lib/Operator/InstanceStatus.cpp
@@ -62,7 +62,7 @@
 
 Json toJson(const InstanceStatus::Queue &queue)
 {
-    return {{"model", queue.model.str()}, {"length", queue.length}, {"oldest_ms", queue.oldestMs}};
+    return {{"target", queue.target}, {"length", queue.length}};
 }
 
 template <class Item>
@@ -104,7 +104,7 @@
 
 InstanceStatus::Queue queueFrom(const Json &json)
 {
-    return {ModelName(json.at("model")), json.at("length"), json.at("oldest_ms")};
+    return {json.at("target"), json.at("length")};
 }
 
 template <class Item>
--- a/lib/Operator/OperatorCommand.cpp
+++ b/lib/Operator/OperatorCommand.cpp
@@ -58,6 +58,9 @@
                      "version that must still be in force; without it the one in force when the "
                      "command compared the rules",
                      false, false});
+    specs.push_back({"least-version", "0",
+                     "the new version is at least this, after the store lost its content", false,
+                     false});
     return specs;
 }
 
--- a/lib/Operator/RuleCommands.cpp
+++ b/lib/Operator/RuleCommands.cpp
@@ -120,7 +120,7 @@
 }
 
 /// Publishes without a comparison, for rules in force that cannot be read.
-ExitCode repairInForce(CommandRun &run, std::uint64_t expected)
+ExitCode repairInForce(CommandRun &run, std::uint64_t expected, std::uint64_t least)
 {
     const Expected<std::string> text = readFile(run.word(0));
     if (!text) {
@@ -128,7 +128,7 @@
     }
     run.context().err << "warning: the rules in force cannot be read; publishing without a "
                          "comparison\n";
-    const Expected<std::uint64_t> version = run.publish(*text, expected);
+    const Expected<std::uint64_t> version = run.publish(*text, expected, least);
     if (!version) {
         return run.fail(version.error());
     }
@@ -272,10 +272,16 @@
     if (!expected) {
         return run.fail(expected.error());
     }
+    const Expected<std::int64_t> leastVersion =
+        run.settings().integer("least-version", 0, INT64_MAX);
+    if (!leastVersion) {
+        return run.fail(leastVersion.error());
+    }
+    const auto least = static_cast<std::uint64_t>(*leastVersion);
     const Expected<Comparison> comparison = compareWithInForce(run);
     if (!comparison) {
         if (comparison.error().kind == ErrorKind::Malformed && *expected) {
-            return repairInForce(run, **expected);
+            return repairInForce(run, **expected, least);
         }
         return failComparison(run, comparison.error());
     }
@@ -287,14 +293,14 @@
     if (!run.isJson()) {
         printChanges(run.context().out, comparison->changes);
     }
-    if (inForce.version > 0 && comparison->text == inForce.text) {
+    if (inForce.version > 0 && inForce.version >= least && comparison->text == inForce.text) {
         if (!run.isJson()) {
             run.context().out << "nothing to change\n";
         }
         reportPublished(run, inForce.version, {{"changed", false}, {"changes", changes}});
         return ExitCode::Success;
     }
-    const Expected<std::uint64_t> version = run.publish(comparison->text, inForce.version);
+    const Expected<std::uint64_t> version = run.publish(comparison->text, inForce.version, least);
     if (!version) {
         return run.fail(version.error());
     }
--- a/tests/Config/ConfigStoreTest.cpp
+++ b/tests/Config/ConfigStoreTest.cpp
@@ -218,6 +218,48 @@
     CHECK((*lost)->error().kind == ErrorKind::Conflict);
 }
 
+TEST_CASE_FIXTURE(Fixture, "a lost request that many others have overtaken is reported as unknown")
+{
+    // Guards against claiming a conflict although the first of the later versions may be one's own.
+    failRoot("put", Fault::LoseRequest, 1);
+    const Outcome lost = begin(rulesOf(3, "a"), 0, "first");
+    while (store.operations() < 5) {
+        store.step();
+    }
+    store.setFaults({});
+    for (std::uint64_t version = 0; version < 17; ++version) {
+        const Outcome next = begin(rulesOf(3, std::to_string(version)), version);
+        while (!next->has_value()) {
+            store.stepNewest();
+        }
+        REQUIRE(next->value() == version + 1);
+    }
+    store.runAll();
+    REQUIRE(lost->has_value());
+    REQUIRE_FALSE((*lost)->has_value());
+    CHECK((*lost)->error().kind == ErrorKind::OutcomeUnknown);
+}
+
+TEST_CASE_FIXTURE(Fixture,
+                  "after the store lost its content a version above the old ones is published")
+{
+    std::optional<Expected<std::uint64_t>> outcome;
+    const auto publishAtLeast = [&](std::uint64_t expected, std::uint64_t least) {
+        publishConfig(
+            store, clock, random, rulesOf(3, "a"), expected, "op",
+            [&](Expected<std::uint64_t> result) {
+                outcome = std::move(result);
+            },
+            least);
+        store.runAll();
+        return *outcome;
+    };
+    failRoot("put", Fault::LoseAnswer, 1);
+    CHECK(publishAtLeast(0, 1208) == 1208U);
+    CHECK(publishAtLeast(1208, 5) == 1209U);
+    CHECK(fetch()->version == 1209);
+}
+
 TEST_CASE_FIXTURE(Fixture, "a store that stays away after a lost answer leaves the outcome unknown")
 {
     REQUIRE(publish(rulesOf(3, "a"), 0));
--- a/tests/Operator/RuleCommandTest.cpp
+++ b/tests/Operator/RuleCommandTest.cpp
@@ -127,6 +127,16 @@
     CHECK(inForce().version == 2);
 }
 
+TEST_CASE_FIXTURE(CommandFixture,
+                  "rules can be published above the version that instances still hold")
+{
+    CHECK(run({"apply", file(rulesWith("")), Platform}) == ExitCode::Success);
+    CHECK(run({"apply", file(rulesWith("")), Platform, "--least-version=1208"})
+          == ExitCode::Success);
+    CHECK(inForce().version == 1208);
+    CHECK(run({"apply", file(rulesWith("")), Platform, "--least-version=-1"}) == ExitCode::Usage);
+}
+
 TEST_CASE_FIXTURE(CommandFixture, "draining and returning a zone edits one line and keeps comments")
 {
     CHECK(run({"zone", "drain", "a", Platform}) == ExitCode::NotFound);
