--- a/lib/Config/RuleLine.cpp
+++ b/lib/Config/RuleLine.cpp
@@ -128,18 +128,17 @@
     return rule;
 }
 
-bool RuleLine::readAsker(std::string_view comment)
+void RuleLine::readAsker(std::string_view comment)
 {
     std::string_view name = trimmed(comment.substr(std::min<std::size_t>(1, comment.size())));
     if (name.substr(0, AskerPrefix.size()) == AskerPrefix) {
         name = trimmed(name.substr(AskerPrefix.size()));
         if (!name.empty()) {
             m_askedBy = name;
-            return true;
+            return;
         }
     }
     error("the rule does not say who asked for it", "end the line with \"# asked for by: NAME\"");
-    return false;
 }
 
 void RuleLine::readWords(std::string_view words)
@@ -155,6 +154,7 @@
         error(quoted(m_name) + " is no name",
               "use at most 128 letters, digits and . _ : -, starting with a letter or a digit");
     }
+    m_words.reserve(parts.size());
     for (std::size_t i = 2; i < parts.size(); ++i) {
         const std::size_t equals = parts[i].find('=');
         if (equals == std::string_view::npos || equals == 0) {
@@ -162,12 +162,12 @@
                   "write key=value without blanks around the equals sign");
             continue;
         }
-        std::string key(parts[i].substr(0, equals));
+        const std::string_view key = parts[i].substr(0, equals);
         if (has(key)) {
             error("key " + quoted(key) + " is given twice", "remove one of the two");
             continue;
         }
-        m_words.push_back({std::move(key), std::string(parts[i].substr(equals + 1)), false});
+        m_words.push_back({key, parts[i].substr(equals + 1), false});
     }
 }
 
@@ -178,7 +178,7 @@
     });
 }
 
-std::optional<std::string> RuleLine::takeText(std::string_view key)
+std::optional<std::string_view> RuleLine::takeText(std::string_view key)
 {
     const auto it = std::find_if(m_words.begin(), m_words.end(), [&](const Word &word) {
         return word.key == key;
@@ -192,12 +192,12 @@
 
 std::string RuleLine::takeRequired(std::string_view key)
 {
-    std::optional<std::string> text = takeText(key);
+    const std::optional<std::string_view> text = takeText(key);
     if (!text) {
         error("key " + quoted(key) + " is missing", "add " + std::string(key) + "=VALUE");
         return {};
     }
-    return *std::move(text);
+    return std::string(*text);
 }
 
 std::string RuleLine::takeName(std::string_view key, bool isRequired)
@@ -216,7 +216,7 @@
 std::vector<std::string> RuleLine::takeNames(std::string_view key)
 {
     std::vector<std::string> names;
-    const std::optional<std::string> text = takeText(key);
+    const std::optional<std::string_view> text = takeText(key);
     if (!text) {
         return names;
     }
@@ -234,7 +234,7 @@
 
 double RuleLine::takeNumber(std::string_view key, double defaultValue, double least, double most)
 {
-    const std::optional<std::string> text = takeText(key);
+    const std::optional<std::string_view> text = takeText(key);
     if (!text) {
         return defaultValue;
     }
@@ -254,7 +254,7 @@
 
 int RuleLine::takeCount(std::string_view key, int defaultValue, int least, int most)
 {
-    const std::optional<std::string> text = takeText(key);
+    const std::optional<std::string_view> text = takeText(key);
     if (!text) {
         return defaultValue;
     }
@@ -292,7 +292,7 @@
 Duration RuleLine::takeDuration(std::string_view key, Duration defaultValue, Duration least,
                                 Duration most)
 {
-    const std::optional<std::string> text = takeText(key);
+    const std::optional<std::string_view> text = takeText(key);
     if (!text) {
         return defaultValue;
     }
--- a/lib/Config/RuleLine.h
+++ b/lib/Config/RuleLine.h
@@ -32,8 +32,8 @@
     bool m_hasErrors = false;
 };
 
-/// The words of one rule. The take functions check one key each and note what is wrong with it;
-/// they yield the default when the key is missing or wrong.
+/// The words of one rule, in the text that was read. The take functions check one key each and note
+/// what is wrong with it; they yield the default when the key is missing or wrong.
 class RuleLine
 {
 public:
@@ -51,7 +51,7 @@
     bool has(std::string_view key) const;
     /// Empty, with an error, when the key is missing.
     std::string takeRequired(std::string_view key);
-    std::optional<std::string> takeText(std::string_view key);
+    std::optional<std::string_view> takeText(std::string_view key);
     /// A name, with an error when it has other characters than names may have.
     std::string takeName(std::string_view key, bool isRequired);
     std::vector<std::string> takeNames(std::string_view key);
@@ -64,7 +64,7 @@
     template <class Value>
     Value takeChoice(std::string_view key, Value defaultValue, Choices<Value> choices)
     {
-        const std::optional<std::string> text = takeText(key);
+        const std::optional<std::string_view> text = takeText(key);
         if (!text) {
             return defaultValue;
         }
@@ -86,8 +86,8 @@
 
 private:
     struct Word {
-        std::string key;
-        std::string value;
+        std::string_view key;
+        std::string_view value;
         bool isTaken = false;
     };
 
@@ -95,7 +95,7 @@
         : m_line(line)
         , m_problems(&problems)
     { }
-    bool readAsker(std::string_view comment);
+    void readAsker(std::string_view comment);
     void readWords(std::string_view words);
 
     int m_line;
