--- /dev/null
+++ b/include/marigoldspool/Daemon/Daemon.h
@@ -0,0 +1,39 @@
+#ifndef MARIGOLDSPOOL_DAEMON_DAEMON_H
+#define MARIGOLDSPOOL_DAEMON_DAEMON_H
+
+#include "marigoldspool/Daemon/DaemonSettings.h"
+#include "marigoldspool/Support/Error.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+#include <boost/asio/io_context.hpp>
+
+namespace marigoldspool {
+
+/// One entry instance: all services in their supervisor tree, on one thread.
+class Daemon
+{
+public:
+    Daemon(boost::asio::io_context &io, DaemonSettings settings);
+    ~Daemon();
+    Daemon(const Daemon &) = delete;
+    Daemon &operator=(const Daemon &) = delete;
+
+    Expected<void> start();
+    /// Planned stop: takes no new work, finishes what is open, then calls \p stopped.
+    void stop(std::function<void()> stopped);
+    /// Called when a service keeps failing and the process has to end.
+    void setFailureHandler(std::function<void(Error)> handler);
+    /// The port for callers that is in use.
+    std::uint16_t port() const;
+
+private:
+    class Parts;
+    std::unique_ptr<Parts> m_parts;
+};
+
+} // namespace marigoldspool
+
+#endif
--- /dev/null
+++ b/include/marigoldspool/Daemon/DaemonSettings.h
@@ -0,0 +1,48 @@
+#ifndef MARIGOLDSPOOL_DAEMON_DAEMONSETTINGS_H
+#define MARIGOLDSPOOL_DAEMON_DAEMONSETTINGS_H
+
+#include "marigoldspool/Support/Identifiers.h"
+#include "marigoldspool/Support/Settings.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <gsl/span>
+
+namespace marigoldspool {
+
+/// The checked settings of one daemon.
+struct DaemonSettings {
+    InstanceId instance;
+    ZoneName zone;
+    /// Address for callers and operators.
+    std::string listenAddress;
+    /// Address for other instances.
+    std::string peerListenAddress;
+    std::string platformAddress;
+    /// Shared by all instances; a peer without it is refused.
+    std::string peerSecret;
+    /// The peer port of an instance on the platform's list is its port plus this.
+    std::uint16_t peerPortOffset = 0;
+    /// Between `/readyz` failing and the end of accepting, for the load balancer to notice.
+    Duration drainNotice = Duration::zero();
+    /// Longest time that a planned stop waits for open requests.
+    Duration stopTimeout = Duration::zero();
+    Duration storeTimeout = Duration::zero();
+    /// Model loads started a second over all instances.
+    std::size_t loadsPerSecond = 0;
+    /// Expected time of a cold start while a model has no history.
+    Duration assumedColdStart = Duration::zero();
+};
+
+std::vector<SettingSpec> daemonSettingSpecs();
+/// Fails with InvalidArgument on the first setting that is wrong.
+Expected<DaemonSettings> readDaemonSettings(const Settings &settings);
+
+/// \p address with its port moved by \p offset; fails with InvalidArgument beyond 65535.
+Expected<std::string> shiftPort(std::string_view address, std::uint16_t offset);
+
+} // namespace marigoldspool
+
+#endif
--- /dev/null
+++ b/lib/Daemon/Answer.cpp
@@ -0,0 +1,106 @@
+#include "Daemon/Answer.h"
+
+#include "marigoldspool/Gateway/OpenAi.h"
+
+#include <utility>
+
+namespace marigoldspool {
+
+namespace {
+
+// Small enough that one large answer does not hold up other messages to the same peer.
+constexpr std::size_t ForwardChunkBytes = std::size_t{64} * 1024;
+
+std::vector<HeaderField> refusalHeaders(const Refusal &refusal, const RequestId &id)
+{
+    std::vector<HeaderField> headers{{"Content-Type", "application/json"},
+                                     {"X-Request-Id", id.str()}};
+    if (std::optional<std::string> retryAfter = retryAfterValue(refusal)) {
+        headers.push_back({"Retry-After", std::move(*retryAfter)});
+    }
+    if (refusalHttpStatus(refusal.reason) == 401) {
+        headers.push_back({"WWW-Authenticate", "Bearer"});
+    }
+    return headers;
+}
+
+} // namespace
+
+AnswerTarget::~AnswerTarget() = default;
+
+HttpAnswer::HttpAnswer(RequestId id, std::shared_ptr<ResponseSink> sink)
+    : m_id(std::move(id))
+    , m_sink(std::move(sink))
+{ }
+
+void HttpAnswer::head(int status, gsl::span<const HeaderField> headers, bool stream)
+{
+    std::vector<HeaderField> fields(headers.begin(), headers.end());
+    fields.push_back({"X-Request-Id", m_id.str()});
+    m_started = true;
+    m_stream = stream;
+    m_sink->head(status, fields, stream);
+}
+
+void HttpAnswer::data(std::string_view bytes)
+{
+    if (m_stream) {
+        m_events.feed(bytes);
+    }
+    m_sink->data(bytes);
+}
+
+void HttpAnswer::finish()
+{
+    m_sink->finish();
+}
+
+void HttpAnswer::refuse(const Refusal &refusal)
+{
+    const std::string body = errorBody(refusal, m_id);
+    if (!m_started) {
+        m_started = true;
+        m_sink->head(refusalHttpStatus(refusal.reason), refusalHeaders(refusal, m_id), false);
+        m_sink->data(body);
+        m_sink->finish();
+        return;
+    }
+    if (m_stream) {
+        m_sink->data("data: " + body + "\n\n");
+    }
+    m_sink->abort();
+}
+
+PeerAnswer::PeerAnswer(RequestId id, InstanceId taker, PeerService &peers)
+    : m_id(std::move(id))
+    , m_taker(std::move(taker))
+    , m_peers(peers)
+{ }
+
+void PeerAnswer::head(int status, gsl::span<const HeaderField> headers, bool stream)
+{
+    m_peers.send(m_taker, ForwardHead{m_id, status, {headers.begin(), headers.end()}, stream});
+}
+
+void PeerAnswer::data(std::string_view bytes)
+{
+    while (!bytes.empty()) {
+        const std::string_view part = bytes.substr(0, ForwardChunkBytes);
+        m_peers.send(m_taker, ForwardData{m_id, m_nextIndex++, std::string(part), false});
+        bytes.remove_prefix(part.size());
+    }
+}
+
+void PeerAnswer::finish()
+{
+    m_peers.send(m_taker, ForwardData{m_id, m_nextIndex++, {}, true});
+}
+
+void PeerAnswer::refuse(const Refusal &refusal)
+{
+    m_peers.send(m_taker,
+                 ForwardRefusal{m_id, refusal.reason, refusal.ran, refusal.message, refusal.remedy,
+                                toMilliseconds(refusal.retryAfter)});
+}
+
+} // namespace marigoldspool
--- /dev/null
+++ b/lib/Daemon/Answer.h
@@ -0,0 +1,82 @@
+#ifndef MARIGOLDSPOOL_LIB_DAEMON_ANSWER_H
+#define MARIGOLDSPOOL_LIB_DAEMON_ANSWER_H
+
+#include "Daemon/PeerService.h"
+#include "marigoldspool/Gateway/HttpServer.h"
+#include "marigoldspool/Gateway/SseScanner.h"
+#include "marigoldspool/Support/Identifiers.h"
+#include "marigoldspool/Support/Refusal.h"
+
+#include <memory>
+#include <string>
+
+namespace marigoldspool {
+
+/// Head and body of a request, passed on to the endpoint.
+struct RequestContent {
+    std::string method;
+    std::string target;
+    std::vector<HeaderField> headers;
+    std::string body;
+};
+
+/// Where the answer to one request goes: head(), data() and finish(), or one refusal.
+class AnswerTarget
+{
+public:
+    virtual ~AnswerTarget();
+    virtual void head(int status, gsl::span<const HeaderField> headers, bool stream) = 0;
+    virtual void data(std::string_view bytes) = 0;
+    virtual void finish() = 0;
+    /// The final answer when no whole answer comes, before or after head().
+    virtual void refuse(const Refusal &refusal) = 0;
+    /// Bytes not yet written.
+    virtual std::size_t pendingBytes() const = 0;
+};
+
+/// Answers a caller of this instance.
+class HttpAnswer final : public AnswerTarget
+{
+public:
+    HttpAnswer(RequestId id, std::shared_ptr<ResponseSink> sink);
+
+    void head(int status, gsl::span<const HeaderField> headers, bool stream) override;
+    void data(std::string_view bytes) override;
+    void finish() override;
+    void refuse(const Refusal &refusal) override;
+    std::size_t pendingBytes() const override { return m_sink->pendingBytes(); }
+
+    bool hasStarted() const { return m_started; }
+    /// Events of a stream so far; about one token each.
+    std::size_t streamedEvents() const { return m_events.dataEvents(); }
+
+private:
+    RequestId m_id;
+    std::shared_ptr<ResponseSink> m_sink;
+    SseScanner m_events;
+    bool m_started = false;
+    bool m_stream = false;
+};
+
+/// Answers the instance that took the request.
+class PeerAnswer final : public AnswerTarget
+{
+public:
+    PeerAnswer(RequestId id, InstanceId taker, PeerService &peers);
+
+    void head(int status, gsl::span<const HeaderField> headers, bool stream) override;
+    void data(std::string_view bytes) override;
+    void finish() override;
+    void refuse(const Refusal &refusal) override;
+    std::size_t pendingBytes() const override { return 0; }
+
+private:
+    RequestId m_id;
+    InstanceId m_taker;
+    PeerService &m_peers;
+    std::uint64_t m_nextIndex = 0;
+};
+
+} // namespace marigoldspool
+
+#endif
--- /dev/null
+++ b/lib/Daemon/ConfigService.h
@@ -0,0 +1,73 @@
+#ifndef MARIGOLDSPOOL_LIB_DAEMON_CONFIGSERVICE_H
+#define MARIGOLDSPOOL_LIB_DAEMON_CONFIGSERVICE_H
+
+#include "Daemon/PeerService.h"
+#include "Daemon/PeriodicTimer.h"
+#include "Daemon/Runtime.h"
+#include "marigoldspool/Config/ConfigReplica.h"
+#include "marigoldspool/Config/ConfigStore.h"
+#include "marigoldspool/Platform/Watcher.h"
+#include "marigoldspool/Supervisor/Supervisor.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace marigoldspool {
+
+/// Keeps this instance's configuration current: the first two instances of the zone watch the
+/// store, the others take versions and their confirmation from peers.
+class ConfigService final : public Service, private PeerListener, private WatchListener
+{
+public:
+    using ChangeHandler = std::function<void(std::shared_ptr<const Configuration>)>;
+
+    ConfigService(Runtime &runtime, PeerService &peers);
+
+    std::string_view name() const override { return "config"; }
+    Expected<void> start() override;
+    void stop(std::function<void()> stopped) override;
+
+    /// Handlers are called in the order in which they were added.
+    void addChangeHandler(ChangeHandler handler) { m_handlers.push_back(std::move(handler)); }
+    const ConfigReplica &replica() const { return m_replica; }
+    /// The configuration in force, with the endpoints that the platform reports as leaving marked
+    /// so. Never null.
+    std::shared_ptr<const Configuration> current() const { return m_effective; }
+    /// False until the first version is in force.
+    bool hasConfiguration() const { return m_replica.version() > 0; }
+
+private:
+    void onPeerMessage(const InstanceId &from, std::uint64_t incarnation,
+                       const PeerMessage &message) override;
+    void onPlatformList(gsl::span<const PlatformInstance> list) override;
+    void onObject(const WatchEvent &event) override;
+    void onConfirmed(std::uint64_t revision, SteadyTime asOf) override;
+    void onHeartbeat(const InstanceId &from, const Heartbeat &heartbeat);
+    void onTick();
+    bool isWatcher() const;
+    void fetch(SteadyTime asOf);
+    void putInForce();
+    void offer(std::uint64_t version, std::string_view rules, std::string_view source);
+
+    Runtime &m_runtime;
+    PeerService &m_peers;
+    ConfigReplica m_replica;
+    std::shared_ptr<const Configuration> m_effective;
+    std::set<std::string> m_leaving;
+    Watcher m_watcher;
+    bool m_watching = false;
+    bool m_fetching = false;
+    /// Version of the newest root that the watch has shown.
+    std::uint64_t m_newestRoot = 0;
+    SteadyTime m_nextFetch;
+    SteadyTime m_lastRequest;
+    std::vector<ChangeHandler> m_handlers;
+    PeriodicTimer m_timer;
+};
+
+} // namespace marigoldspool
+
+#endif
--- /dev/null
+++ b/lib/Daemon/Daemon.cpp
@@ -0,0 +1,130 @@
+#include "marigoldspool/Daemon/Daemon.h"
+
+#include "Daemon/ConfigService.h"
+#include "Daemon/FrontService.h"
+#include "Daemon/GatewayService.h"
+#include "Daemon/HomeService.h"
+#include "Daemon/LimitsService.h"
+#include "Daemon/OperatorPages.h"
+#include "Daemon/PeerService.h"
+#include "Daemon/PlacementService.h"
+#include "Daemon/Runtime.h"
+#include "marigoldspool/Support/EventLog.h"
+#include "marigoldspool/Support/Invariant.h"
+
+#include <utility>
+
+namespace marigoldspool {
+
+namespace {
+
+// The tree owns the services; the daemon keeps references to those it talks to.
+template <class T>
+T &adopt(SupervisorNode &root, std::unique_ptr<T> service)
+{
+    T &reference = *service;
+    root.add(std::move(service));
+    return reference;
+}
+
+} // namespace
+
+class Daemon::Parts
+{
+public:
+    // Placement stops after routing, since requests that are still queued may need a load.
+    Parts(boost::asio::io_context &io, DaemonSettings settings)
+        : runtime(io, std::move(settings))
+        , root("root", io, runtime.clock)
+        , peers(adopt(root, std::make_unique<PeerService>(runtime)))
+        , config(adopt(root, std::make_unique<ConfigService>(runtime, peers)))
+        , limits(adopt(root, std::make_unique<LimitsService>(runtime, config, peers)))
+        , m_home(std::make_unique<HomeService>(runtime, config, peers, limits))
+        , placement(
+              adopt(root, std::make_unique<PlacementService>(runtime, config, peers, *m_home)))
+        , home(adopt(root, std::move(m_home)))
+        , front(adopt(root, std::make_unique<FrontService>(runtime, config, peers, limits, home)))
+        , gateway(adopt(root, std::make_unique<GatewayService>(runtime, config, front)))
+        , pages(runtime, config, peers, limits, home, placement)
+    {
+        gateway.setReadyCheck([this] {
+            return limits.isReady();
+        });
+        gateway.addPage("/status", [this](std::string_view) {
+            return serializeStatus(pages.status(gateway.isReady()));
+        });
+        gateway.addPage("/explain", [this](std::string_view query) {
+            return pages.explain(query);
+        });
+        limits.setSlotHandler([this] {
+            home.poke();
+        });
+    }
+
+    Runtime runtime;
+    SupervisorNode root;
+    PeerService &peers;
+    ConfigService &config;
+    LimitsService &limits;
+
+private:
+    std::unique_ptr<HomeService> m_home;
+
+public:
+    PlacementService &placement;
+    HomeService &home;
+    FrontService &front;
+    GatewayService &gateway;
+    OperatorPages pages;
+};
+
+Daemon::Daemon(boost::asio::io_context &io, DaemonSettings settings)
+    : m_parts(std::make_unique<Parts>(io, std::move(settings)))
+{
+    setInvariantHandler([this](std::string_view name, std::string_view detail) {
+        m_parts->runtime.metrics.add("marigoldspool_invariant_violations_total", 1,
+                                     {{"invariant", std::string(name)}});
+        logEvent(LogLevel::Error, "invariant_violated",
+                 {{"name", std::string(name)}, {"detail", std::string(detail)}});
+    });
+}
+
+Daemon::~Daemon()
+{
+    setInvariantHandler(nullptr);
+}
+
+Expected<void> Daemon::start()
+{
+    Expected<void> started = m_parts->root.start();
+    if (started) {
+        const DaemonSettings &settings = m_parts->runtime.settings;
+        logEvent(LogLevel::Info, "started",
+                 {{"instance", settings.instance.str()},
+                  {"zone", settings.zone.str()},
+                  {"listen", settings.listenAddress},
+                  {"port", std::to_string(port())},
+                  {"incarnation", std::to_string(m_parts->runtime.incarnation)}});
+    }
+    return started;
+}
+
+void Daemon::stop(std::function<void()> stopped)
+{
+    logEvent(LogLevel::Info, "stopping", {{"open", std::to_string(m_parts->front.openRequests())}});
+    m_parts->runtime.stopping = true;
+    m_parts->peers.announceStopping();
+    m_parts->root.stop(std::move(stopped));
+}
+
+void Daemon::setFailureHandler(std::function<void(Error)> handler)
+{
+    m_parts->root.setFailureHandler(std::move(handler));
+}
+
+std::uint16_t Daemon::port() const
+{
+    return m_parts->gateway.port();
+}
+
+} // namespace marigoldspool
--- /dev/null
+++ b/lib/Daemon/EndpointAttempt.cpp
@@ -0,0 +1,123 @@
+#include "Daemon/EndpointAttempt.h"
+
+#include "marigoldspool/Support/EventLog.h"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace marigoldspool {
+
+namespace {
+
+// An answer beyond this is passed on before it is whole, to bound the memory it takes.
+constexpr std::size_t MaxBufferedAnswer = std::size_t{4} * 1024 * 1024;
+
+bool isEventStream(gsl::span<const HeaderField> headers)
+{
+    const std::string *type = findHeader(headers, "Content-Type");
+    return type != nullptr && type->rfind("text/event-stream", 0) == 0;
+}
+
+// The length and the connection belong to the hop; the others describe the answer.
+bool isPassedOn(const HeaderField &field)
+{
+    for (const std::string_view name :
+         {"Content-Length", "Transfer-Encoding", "Connection", "Keep-Alive", "X-Request-Id"}) {
+        if (equalsIgnoringCase(field.name, name)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+AttemptObserver::~AttemptObserver() = default;
+
+EndpointAttempt::EndpointAttempt(RequestId request, AttemptObserver &observer)
+    : m_request(std::move(request))
+    , m_observer(observer)
+{ }
+
+void EndpointAttempt::onHead(int status, gsl::span<const HeaderField> headers)
+{
+    m_status = status;
+    m_eventStream = isEventStream(headers);
+    for (const HeaderField &field : headers) {
+        if (isPassedOn(field)) {
+            m_headers.push_back(field);
+        }
+    }
+}
+
+void EndpointAttempt::passOnHead()
+{
+    if (!m_headPassedOn) {
+        m_headPassedOn = true;
+        m_observer.onAnswerHead(m_request, m_status, m_headers, m_eventStream);
+    }
+}
+
+void EndpointAttempt::onData(std::string_view bytes)
+{
+    if (m_eventStream) {
+        passOnHead();
+        m_events.feed(bytes);
+        m_observer.onAnswerData(m_request, bytes);
+        return;
+    }
+    m_buffer.append(bytes);
+    if (m_buffer.size() > MaxBufferedAnswer) {
+        passOnHead();
+        m_observer.onAnswerData(m_request, std::exchange(m_buffer, {}));
+    }
+}
+
+void EndpointAttempt::onComplete()
+{
+    if (m_eventStream && !m_events.isDone()) {
+        m_observer.onAttemptEnded(
+            m_request, m_headPassedOn ? EndpointOutcome::CutOff : EndpointOutcome::MaybeSent);
+        return;
+    }
+    const EndpointOutcome outcome = refusedOutcome();
+    if (outcome == EndpointOutcome::Answered) {
+        passOnHead();
+        if (!m_buffer.empty()) {
+            m_observer.onAnswerData(m_request, m_buffer);
+        }
+    }
+    m_observer.onAttemptEnded(m_request, outcome);
+}
+
+// Only an endpoint's own word that it did not run the request counts; any other 503 is an answer.
+EndpointOutcome EndpointAttempt::refusedOutcome() const
+{
+    if (m_status != 503 || m_headPassedOn) {
+        return EndpointOutcome::Answered;
+    }
+    const nlohmann::json body = nlohmann::json::parse(m_buffer, nullptr, false);
+    if (!body.is_object() || !body.contains("error") || !body["error"].is_object()
+        || body["error"].value("ran", nlohmann::json()) != "no") {
+        return EndpointOutcome::Answered;
+    }
+    return body["error"].value("code", nlohmann::json()) == "model_not_loaded"
+        ? EndpointOutcome::RefusedCold
+        : EndpointOutcome::RefusedOverloaded;
+}
+
+void EndpointAttempt::onFailure(SendStage stage, Error error)
+{
+    logEvent(LogLevel::Warning, "endpoint_call_failed",
+             {{"request", m_request.str()}, {"error", describeError(error)}});
+    if (m_headPassedOn) {
+        m_observer.onAttemptEnded(m_request, EndpointOutcome::CutOff);
+        return;
+    }
+    m_observer.onAttemptEnded(m_request,
+                              stage == SendStage::NotSent ? EndpointOutcome::NotSent
+                                                          : EndpointOutcome::MaybeSent);
+}
+
+} // namespace marigoldspool
--- /dev/null
+++ b/lib/Daemon/FrontService.h
@@ -0,0 +1,89 @@
+#ifndef MARIGOLDSPOOL_LIB_DAEMON_FRONTSERVICE_H
+#define MARIGOLDSPOOL_LIB_DAEMON_FRONTSERVICE_H
+
+#include "Daemon/Answer.h"
+#include "Daemon/ConfigService.h"
+#include "Daemon/HomeService.h"
+#include "Daemon/IdempotencyClaims.h"
+#include "Daemon/LimitsService.h"
+#include "Daemon/PeerService.h"
+#include "Daemon/PeriodicTimer.h"
+#include "Daemon/Runtime.h"
+#include "marigoldspool/Gateway/HttpServer.h"
+#include "marigoldspool/Routing/ForwardTable.h"
+#include "marigoldspool/Supervisor/Supervisor.h"
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+namespace marigoldspool {
+
+/// Takes callers' requests: checks key and route, charges the workspace, and hands each request to
+/// its home instance, which may be this one.
+class FrontService final : public Service, private PeerListener
+{
+public:
+    FrontService(Runtime &runtime, ConfigService &config, PeerService &peers, LimitsService &limits,
+                 HomeService &home);
+
+    std::string_view name() const override { return "front"; }
+    Expected<void> start() override;
+    /// Waits for the requests taken here.
+    void stop(std::function<void()> stopped) override;
+
+    void take(HttpRequest http, std::shared_ptr<ResponseSink> sink);
+    std::size_t openRequests() const { return m_taken.size(); }
+
+private:
+    class Answer;
+    struct Taken {
+        Request request;
+        RequestContent content;
+        std::shared_ptr<Answer> answer;
+        std::optional<IdempotencyClaim> claim;
+        std::string idempotencyKey;
+        /// Tokens taken from the workspace's limit.
+        double charged = 0;
+        /// Tokens of the prompt.
+        double promptCost = 0;
+        int placements = 0;
+        ZoneName homeZone;
+        /// Zones that could not serve it.
+        std::set<ZoneName> refusedZones;
+        SteadyTime takenAt;
+    };
+
+    void onPeerMessage(const InstanceId &from, std::uint64_t incarnation,
+                       const PeerMessage &message) override;
+    void onPeerDown(const InstanceId &peer) override;
+    void onForwardHead(const InstanceId &from, const ForwardHead &head);
+    void onForwardData(const InstanceId &from, const ForwardData &data);
+    void onForwardRefusal(const InstanceId &from, const ForwardRefusal &refusal);
+    void admit(const RequestId &id);
+    void claim(const RequestId &id);
+    void place(const RequestId &id);
+    bool forward(Taken &taken, const InstanceId &home);
+    bool triesOtherZone(const RequestId &id, const Refusal &refusal);
+    void refuse(const RequestId &id, const Refusal &refusal);
+    void onCallerGone(const RequestId &id);
+    void onFinished(const RequestId &id, std::optional<Refusal> refusal);
+    void onTick();
+
+    Runtime &m_runtime;
+    ConfigService &m_config;
+    PeerService &m_peers;
+    LimitsService &m_limits;
+    HomeService &m_home;
+    IdempotencyClaims m_claims;
+    ForwardTable m_forwards;
+    std::unordered_map<RequestId, Taken> m_taken;
+    PeriodicTimer m_timer;
+    std::function<void()> m_stopped;
+    SteadyTime m_stopBy;
+};
+
+} // namespace marigoldspool
+
+#endif
--- /dev/null
+++ b/lib/Daemon/HomeService.h
@@ -0,0 +1,82 @@
+#ifndef MARIGOLDSPOOL_LIB_DAEMON_HOMESERVICE_H
+#define MARIGOLDSPOOL_LIB_DAEMON_HOMESERVICE_H
+
+#include "Daemon/Answer.h"
+#include "Daemon/ConfigService.h"
+#include "Daemon/EndpointAttempt.h"
+#include "Daemon/PeerService.h"
+#include "Daemon/PeriodicTimer.h"
+#include "Daemon/Runtime.h"
+#include "marigoldspool/Gateway/EndpointClient.h"
+#include "marigoldspool/Routing/Dispatcher.h"
+#include "marigoldspool/Supervisor/Supervisor.h"
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+namespace marigoldspool {
+
+/// Serves the requests whose home this instance is, taken here or forwarded by peers.
+class HomeService final : public Service, private PeerListener, private AttemptObserver
+{
+public:
+    using DemandHandler = std::function<void(const NoteDemand &)>;
+    using ColdHandler = std::function<void(const EndpointCold &)>;
+
+    HomeService(Runtime &runtime, ConfigService &config, PeerService &peers, SlotSource &slots);
+
+    std::string_view name() const override { return "routing"; }
+    Expected<void> start() override;
+    /// Waits for the requests that are open here.
+    void stop(std::function<void()> stopped) override;
+
+    void submit(Request request, RequestContent content, std::shared_ptr<AnswerTarget> answer);
+    /// The caller has gone; nothing more is sent to the answer.
+    void cancel(const RequestId &id);
+    void setDemandHandler(DemandHandler handler) { m_onDemand = std::move(handler); }
+    void setColdHandler(ColdHandler handler) { m_onCold = std::move(handler); }
+    /// Tries to send queued requests again, after slots came free.
+    void poke() { apply(m_dispatcher.onTick()); }
+    void apply(const DispatchActions &actions);
+    Dispatcher &dispatcher() { return m_dispatcher; }
+    EndpointClient &endpointClient() { return *m_client; }
+
+private:
+    struct Served {
+        Request request;
+        RequestContent content;
+        std::shared_ptr<AnswerTarget> answer;
+        /// The instance that took the request; empty when it was taken here.
+        InstanceId taker;
+    };
+
+    void onPeerMessage(const InstanceId &from, std::uint64_t incarnation,
+                       const PeerMessage &message) override;
+    void onPeerDown(const InstanceId &peer) override;
+    void onAnswerHead(const RequestId &request, int status, gsl::span<const HeaderField> headers,
+                      bool stream) override;
+    void onAnswerData(const RequestId &request, std::string_view bytes) override;
+    void onAttemptEnded(const RequestId &request, EndpointOutcome outcome) override;
+    void onForwardRequest(const InstanceId &from, const ForwardRequest &forward);
+    void send(const SendToEndpoint &action);
+    void refuse(const AnswerRefusal &action);
+    void add(Served served);
+    void stopWhenIdle();
+
+    Runtime &m_runtime;
+    ConfigService &m_config;
+    PeerService &m_peers;
+    Dispatcher m_dispatcher;
+    std::unique_ptr<EndpointClient> m_client;
+    std::unordered_map<RequestId, Served> m_served;
+    DemandHandler m_onDemand;
+    ColdHandler m_onCold;
+    PeriodicTimer m_timer;
+    std::function<void()> m_stopped;
+    SteadyTime m_stopBy;
+};
+
+} // namespace marigoldspool
+
+#endif
--- /dev/null
+++ b/lib/Daemon/IdempotencyClaims.h
@@ -0,0 +1,42 @@
+#ifndef MARIGOLDSPOOL_LIB_DAEMON_IDEMPOTENCYCLAIMS_H
+#define MARIGOLDSPOOL_LIB_DAEMON_IDEMPOTENCYCLAIMS_H
+
+#include "Daemon/Runtime.h"
+#include "marigoldspool/Support/Refusal.h"
+
+#include <functional>
+#include <string>
+
+#include <tl/expected.hpp>
+
+namespace marigoldspool {
+
+/// A caller's idempotency key, claimed for one request.
+struct IdempotencyClaim {
+    std::string key;
+    std::uint64_t version = 0;
+};
+
+/// Claims callers' idempotency keys through conditional creates in the store, so that over all
+/// instances at most one request of each key is run.
+class IdempotencyClaims
+{
+public:
+    using ClaimHandler = std::function<void(tl::expected<IdempotencyClaim, Refusal>)>;
+
+    explicit IdempotencyClaims(Runtime &runtime);
+
+    /// Refused as DuplicateRequest when the key is claimed already, and as StoreUnavailable when
+    /// that cannot be found out.
+    void claim(const WorkspaceName &workspace, std::string_view idempotencyKey,
+               const RequestId &request, ClaimHandler done);
+    /// Frees the key of a request that surely has not run, so that it can be sent again.
+    void release(const IdempotencyClaim &claim);
+
+private:
+    Runtime &m_runtime;
+};
+
+} // namespace marigoldspool
+
+#endif
--- /dev/null
+++ b/lib/Daemon/LimitsService.h
@@ -0,0 +1,77 @@
+#ifndef MARIGOLDSPOOL_LIB_DAEMON_LIMITSSERVICE_H
+#define MARIGOLDSPOOL_LIB_DAEMON_LIMITSSERVICE_H
+
+#include "Daemon/ConfigService.h"
+#include "Daemon/PeerService.h"
+#include "Daemon/PeriodicTimer.h"
+#include "Daemon/Runtime.h"
+#include "marigoldspool/Limits/LimitService.h"
+#include "marigoldspool/Routing/Dispatcher.h"
+#include "marigoldspool/Supervisor/Supervisor.h"
+
+#include <deque>
+#include <functional>
+#include <optional>
+
+namespace marigoldspool {
+
+/// Carries out what the limits of this instance ask for: messages, roster reads and writes, and
+/// requests that wait for a loan.
+class LimitsService final : public Service, public SlotSource, private PeerListener
+{
+public:
+    /// Receives the refusal, or nothing when the request was admitted.
+    using AdmitHandler = std::function<void(std::optional<Refusal>)>;
+
+    LimitsService(Runtime &runtime, ConfigService &config, PeerService &peers);
+
+    std::string_view name() const override { return "limits"; }
+    Expected<void> start() override;
+    /// Gives this instance's share back, if the store answers in time.
+    void stop(std::function<void()> stopped) override;
+
+    void admit(const WorkspaceName &workspace, double cost, AdmitHandler done);
+    void reconcile(const WorkspaceName &workspace, double estimated, double used);
+    bool tryTakeSlot(const EndpointId &endpoint, Duration left) override;
+    void returnSlot(const EndpointId &endpoint) override;
+    void setSlots(const EndpointId &endpoint, int slots) override;
+    /// Called when slots may have come free.
+    void setSlotHandler(std::function<void()> handler) { m_onSlots = std::move(handler); }
+    LimitSnapshot snapshot() { return m_limits.snapshot(); }
+    /// Whether requests can be admitted: from this instance's own share, or on loan from a peer.
+    bool isReady();
+
+private:
+    struct Waiting {
+        WorkspaceName workspace;
+        double cost = 0;
+        SteadyTime until;
+        AdmitHandler done;
+    };
+
+    void onPeerMessage(const InstanceId &from, std::uint64_t incarnation,
+                       const PeerMessage &message) override;
+    void onPlatformList(gsl::span<const PlatformInstance> list) override;
+    void onTick();
+    void carryOut(LimitActions actions);
+    void readRoster(const std::string &key);
+    void retryWaiting();
+    std::optional<Refusal> refusalOf(const WorkspaceName &workspace, double cost,
+                                     const LimitDecision &decision) const;
+    void finishStop();
+
+    Runtime &m_runtime;
+    PeerService &m_peers;
+    LimitService m_limits;
+    std::deque<Waiting> m_waiting;
+    std::function<void()> m_onSlots;
+    PeriodicTimer m_timer;
+    SteadyTime m_nextPeers;
+    SteadyTime m_startedAt;
+    std::function<void()> m_stopped;
+    SteadyTime m_stopBy;
+};
+
+} // namespace marigoldspool
+
+#endif
--- /dev/null
+++ b/lib/Daemon/PeerService.h
@@ -0,0 +1,74 @@
+#ifndef MARIGOLDSPOOL_LIB_DAEMON_PEERSERVICE_H
+#define MARIGOLDSPOOL_LIB_DAEMON_PEERSERVICE_H
+
+#include "Daemon/PeriodicTimer.h"
+#include "Daemon/Runtime.h"
+#include "marigoldspool/Peer/PeerChannel.h"
+#include "marigoldspool/Peer/PeerTable.h"
+#include "marigoldspool/Peer/WebSocketPeerChannel.h"
+#include "marigoldspool/Supervisor/Supervisor.h"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace marigoldspool {
+
+/// Receives what peers send and what becomes of them.
+class PeerListener
+{
+public:
+    virtual ~PeerListener();
+    virtual void onPeerMessage(const InstanceId &from, std::uint64_t incarnation,
+                               const PeerMessage &message) = 0;
+    /// The connection is lost; what was last sent on it may not have arrived.
+    virtual void onPeerDown(const InstanceId &) { }
+    virtual void onPlatformList(gsl::span<const PlatformInstance>) { }
+};
+
+/// Keeps the connections to other instances, sends heartbeats and follows the platform's list.
+class PeerService final : public Service
+{
+public:
+    using HeartbeatSource = std::function<void(Heartbeat &)>;
+
+    explicit PeerService(Runtime &runtime);
+
+    std::string_view name() const override { return "peer"; }
+    Expected<void> start() override;
+    void stop(std::function<void()> stopped) override;
+
+    /// Listeners are called in the order in which they were added.
+    void addListener(PeerListener &listener) { m_listeners.push_back(&listener); }
+    /// Fills in a part of each heartbeat.
+    void addHeartbeatSource(HeartbeatSource source) { m_sources.push_back(std::move(source)); }
+    /// False when the message was surely not sent.
+    bool send(const InstanceId &to, const PeerMessage &message);
+    void send(gsl::span<const AddressedMessage> messages);
+    PeerTable &table() { return m_table; }
+    /// When the platform last answered a read of its list.
+    SteadyTime storeHeardAt() const { return m_storeHeardAt; }
+    /// Tells all peers at once that this instance takes no new work.
+    void announceStopping();
+
+private:
+    void beat();
+    void readPlatformList();
+    void onPlatformList(const std::vector<PlatformInstance> &list);
+    void connectToPeers();
+
+    Runtime &m_runtime;
+    PeerTable m_table;
+    std::unique_ptr<WebSocketPeerChannel> m_channel;
+    std::vector<PeerListener *> m_listeners;
+    std::vector<HeartbeatSource> m_sources;
+    std::vector<PlatformInstance> m_platformList;
+    PeriodicTimer m_heartbeatTimer;
+    PeriodicTimer m_listTimer;
+    bool m_listCallOpen = false;
+    SteadyTime m_storeHeardAt;
+};
+
+} // namespace marigoldspool
+
+#endif
--- /dev/null
+++ b/lib/Daemon/PeriodicTimer.h
@@ -0,0 +1,59 @@
+#ifndef MARIGOLDSPOOL_LIB_DAEMON_PERIODICTIMER_H
+#define MARIGOLDSPOOL_LIB_DAEMON_PERIODICTIMER_H
+
+#include "marigoldspool/Support/Clock.h"
+
+#include <functional>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace marigoldspool {
+
+/// Calls a function again and again, counting the interval from the end of each call.
+class PeriodicTimer
+{
+public:
+    explicit PeriodicTimer(boost::asio::io_context &io)
+        : m_timer(io)
+    { }
+
+    void start(Duration interval, std::function<void()> task)
+    {
+        m_interval = interval;
+        m_task = std::move(task);
+        m_running = true;
+        schedule();
+    }
+
+    void stop()
+    {
+        m_running = false;
+        m_timer.cancel();
+    }
+
+private:
+    void schedule()
+    {
+        m_timer.expires_after(m_interval);
+        m_timer.async_wait([this](boost::system::error_code ec) {
+            if (ec || !m_running) {
+                return;
+            }
+            m_task();
+            if (m_running) {
+                schedule();
+            }
+        });
+    }
+
+    boost::asio::steady_timer m_timer;
+    Duration m_interval{};
+    std::function<void()> m_task;
+    bool m_running = false;
+};
+
+} // namespace marigoldspool
+
+#endif
--- /dev/null
+++ b/lib/Daemon/PlacementService.cpp
@@ -0,0 +1,302 @@
+#include "Daemon/PlacementService.h"
+
+#include "Daemon/EngineProtocol.h"
+#include "marigoldspool/Support/EventLog.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace marigoldspool {
+
+namespace {
+
+constexpr Duration LoopInterval = std::chrono::milliseconds(25);
+constexpr Duration TickInterval = std::chrono::milliseconds(100);
+constexpr Duration PollInterval = std::chrono::seconds(1);
+// While an order is under way; adapters load in 5 to 15 ms.
+constexpr Duration AwaitedPollInterval = std::chrono::milliseconds(50);
+// One lost status says little; three in a row are an outage.
+constexpr int UnreachableAfter = 3;
+constexpr Duration StatusTimeout = std::chrono::seconds(2);
+constexpr Duration OrderTimeout = std::chrono::seconds(5);
+
+PlacementOptions placementOptions(const DaemonSettings &settings)
+{
+    PlacementOptions options;
+    options.zone = settings.zone;
+    options.loadsPerSecond = settings.loadsPerSecond;
+    return options;
+}
+
+// Gathers one whole answer.
+class CollectingCall : public EndpointCallHandler
+{
+public:
+    void onHead(int status, gsl::span<const HeaderField>) override { m_status = status; }
+    void onData(std::string_view bytes) override { m_body.append(bytes); }
+
+protected:
+    int status() const { return m_status; }
+    const std::string &body() const { return m_body; }
+
+private:
+    int m_status = 0;
+    std::string m_body;
+};
+
+} // namespace
+
+class PlacementService::StatusCall final : public CollectingCall
+{
+public:
+    StatusCall(PlacementService &service, EndpointId endpoint, SteadyTime askedAt)
+        : m_service(service)
+        , m_endpoint(std::move(endpoint))
+        , m_askedAt(askedAt)
+    { }
+    void onComplete() override
+    {
+        m_service.onStatus(m_endpoint, m_askedAt, status() == 200 ? body() : std::string());
+    }
+    void onFailure(SendStage, Error) override { m_service.onStatus(m_endpoint, m_askedAt, {}); }
+
+private:
+    PlacementService &m_service;
+    EndpointId m_endpoint;
+    SteadyTime m_askedAt;
+};
+
+class PlacementService::OrderCall final : public CollectingCall
+{
+public:
+    OrderCall(PlacementService &service, OrderId order)
+        : m_service(service)
+        , m_order(std::move(order))
+    { }
+    void onComplete() override
+    {
+        m_service.handle(OrderReply{m_order, parseOrderReply(status(), body())});
+    }
+    void onFailure(SendStage stage, Error error) override
+    {
+        error.kind =
+            stage == SendStage::NotSent ? ErrorKind::Unavailable : ErrorKind::OutcomeUnknown;
+        m_service.handle(OrderReply{m_order, tl::make_unexpected(std::move(error))});
+    }
+
+private:
+    PlacementService &m_service;
+    OrderId m_order;
+};
+
+PlacementService::PlacementService(Runtime &runtime, ConfigService &config, PeerService &peers,
+                                   HomeService &home)
+    : m_runtime(runtime)
+    , m_config(config)
+    , m_peers(peers)
+    , m_home(home)
+    , m_engine(placementOptions(runtime.settings), runtime.settings.instance, runtime.clock,
+               runtime.random)
+    , m_client(makeEndpointClient(runtime.io, runtime.clock, runtime.metrics))
+    , m_timer(runtime.io)
+{
+    config.addChangeHandler([this](std::shared_ptr<const Configuration> configuration) {
+        handle(ConfigurationChanged{std::move(configuration)});
+    });
+    home.setDemandHandler([this](const NoteDemand &note) {
+        Demand demand;
+        demand.model = note.model;
+        demand.waiting = note.waiting;
+        demand.earliestDeadline = note.earliestDeadline;
+        demand.latestDeadline = note.latestDeadline;
+        demand.arrived = note.arrived;
+        demand.predictedWait = note.predictedWait;
+        demand.zone = m_runtime.settings.zone;
+        handle(DemandSeen{demand});
+    });
+    home.setColdHandler([this](const EndpointCold &cold) {
+        m_polls[cold.endpoint].next = SteadyTime();
+    });
+}
+
+Expected<void> PlacementService::start()
+{
+    m_timer.start(LoopInterval, [this] {
+        onTick();
+    });
+    return {};
+}
+
+void PlacementService::stop(std::function<void()> stopped)
+{
+    m_timer.stop();
+    stopped();
+}
+
+void PlacementService::onTick()
+{
+    if (!m_config.hasConfiguration()) {
+        return;
+    }
+    pollEngines();
+    const SteadyTime now = m_runtime.clock.now();
+    if (now >= m_nextTick) {
+        m_nextTick = now + TickInterval;
+        handle(makeTick());
+    }
+}
+
+Tick PlacementService::makeTick()
+{
+    Tick tick;
+    tick.instances = m_peers.table().alive().size() + 1;
+    for (const Dispatcher::RunningView &running : m_home.dispatcher().runningViews()) {
+        tick.running.push_back({running.endpoint, running.model, running.count});
+    }
+    return tick;
+}
+
+bool PlacementService::isReachable(const EndpointId &endpoint) const
+{
+    const auto it = m_polls.find(endpoint);
+    return it == m_polls.end() || it->second.failures < UnreachableAfter;
+}
+
+void PlacementService::pollEngines()
+{
+    const SteadyTime now = m_runtime.clock.now();
+    for (const EndpointId &endpoint : m_engine.awaitedEndpoints()) {
+        Poll &awaited = m_polls[endpoint];
+        awaited.next = std::min(awaited.next, now + AwaitedPollInterval);
+    }
+    const std::shared_ptr<const Configuration> configuration = m_config.current();
+    for (const EndpointRule &rule : configuration->endpoints()) {
+        if (rule.kind != EndpointKind::Engine || rule.zone != m_runtime.settings.zone) {
+            continue;
+        }
+        Poll &state = m_polls[rule.id];
+        if (!state.open && now >= state.next) {
+            state.open = true;
+            state.next = now + PollInterval;
+            poll(rule);
+        }
+    }
+}
+
+void PlacementService::poll(const EndpointRule &rule)
+{
+    EndpointCall call;
+    call.id = RequestId("status/" + std::to_string(m_nextCall++));
+    call.address = rule.address;
+    call.method = "GET";
+    call.target = "/engine/status";
+    call.timeout = StatusTimeout;
+    call.silenceLimit = StatusTimeout;
+    m_client->call(std::move(call),
+                   std::make_shared<StatusCall>(*this, rule.id, m_runtime.clock.now()));
+}
+
+void PlacementService::onStatus(const EndpointId &endpoint, SteadyTime askedAt,
+                                std::string_view body)
+{
+    Poll &state = m_polls[endpoint];
+    state.open = false;
+    if (body.empty()) {
+        ++state.failures;
+        return;
+    }
+    state.failures = 0;
+    Expected<EngineStatus> status = parseEngineStatus(body, endpoint, askedAt);
+    if (!status) {
+        logEvent(LogLevel::Warning, "engine_status_refused",
+                 {{"endpoint", endpoint.str()}, {"error", describeError(status.error())}});
+        return;
+    }
+    m_home.apply(
+        m_home.dispatcher().onEndpointStatus(endpoint, status->incarnation, status->completed));
+    handle(*status);
+}
+
+void PlacementService::handle(const PlacementEvent &event)
+{
+    for (const PlacementAction &action : m_engine.handle(event)) {
+        carryOut(action);
+    }
+}
+
+void PlacementService::carryOut(const PlacementAction &action)
+{
+    if (const auto *get = std::get_if<StoreGet>(&action)) {
+        m_runtime.store->get(get->key, [this, token = get->token](Expected<StoredObject> object) {
+            handle(StoreReply{token, std::move(object)});
+        });
+    } else if (const auto *put = std::get_if<StorePut>(&action)) {
+        m_runtime.store->put(put->key, put->expectedVersion, put->value, put->writeId,
+                             [this, token = put->token](const Expected<std::uint64_t> &version) {
+                                 handle(StoreReply{token, version.map([](std::uint64_t n) {
+                                                       StoredObject object;
+                                                       object.version = n;
+                                                       return object;
+                                                   })});
+                             });
+    } else if (const auto *order = std::get_if<SendOrder>(&action)) {
+        sendOrder(order->order);
+    } else if (const auto *ready = std::get_if<ReplicaReady>(&action)) {
+        logEvent(LogLevel::Info, "replica_ready",
+                 {{"model", ready->model.str()}, {"endpoint", ready->endpoint.str()}});
+        updateReplicas(ready->model);
+    } else if (const auto *gone = std::get_if<ReplicaGone>(&action)) {
+        logEvent(LogLevel::Info, "replica_gone",
+                 {{"model", gone->model.str()}, {"endpoint", gone->endpoint.str()}});
+        updateReplicas(gone->model);
+    } else if (const auto *refused = std::get_if<LoadRefused>(&action)) {
+        refuseLoad(*refused);
+    }
+}
+
+void PlacementService::updateReplicas(const ModelName &model)
+{
+    m_home.apply(m_home.dispatcher().onReplicas(model, m_engine.readyEndpoints(model)));
+}
+
+void PlacementService::refuseLoad(const LoadRefused &refused)
+{
+    logEvent(
+        LogLevel::Warning, "load_refused",
+        {{"model", refused.model.str()}, {"reason", std::string(refusalCode(refused.reason))}});
+    m_home.apply(m_home.dispatcher().onLoadRefused(
+        refused.model,
+        {refused.reason, RanState::No, refused.message, refused.remedy, refused.retryAfter}));
+}
+
+// The bound on the order's age is checked here, right before the call is handed to the socket: a
+// process that was paused must not send an order that others take for expired.
+void PlacementService::sendOrder(const EngineOrder &order)
+{
+    const SteadyTime now = m_runtime.clock.now();
+    const EndpointRule *rule = m_config.current()->findEndpoint(order.endpoint.str());
+    if (rule == nullptr || !maySendOrder(order, now)) {
+        handle(OrderReply{order.id,
+                          unexpectedError(ErrorKind::Unavailable, "the order was not sent",
+                                          "decide again from the current ledger")});
+        return;
+    }
+    logEvent(LogLevel::Info, "order_sent",
+             {{"order", order.id.str()},
+              {"endpoint", order.endpoint.str()},
+              {"model", order.model.str()},
+              {"action", order.action == OrderAction::Load ? "load" : "unload"},
+              {"fencing", std::to_string(order.fencing)}});
+    EndpointCall call;
+    call.id = RequestId("order/" + order.id.str());
+    call.address = rule->address;
+    call.method = "POST";
+    call.target = "/engine/orders";
+    call.headers = {{"Content-Type", "application/json"}};
+    call.body = formatOrder(order, orderValidMs(order, now));
+    call.timeout = std::min(OrderTimeout, order.notAfter - now);
+    call.silenceLimit = call.timeout;
+    m_client->call(std::move(call), std::make_shared<OrderCall>(*this, order.id));
+}
+
+} // namespace marigoldspool
--- /dev/null
+++ b/lib/Daemon/PlacementService.h
@@ -0,0 +1,66 @@
+#ifndef MARIGOLDSPOOL_LIB_DAEMON_PLACEMENTSERVICE_H
+#define MARIGOLDSPOOL_LIB_DAEMON_PLACEMENTSERVICE_H
+
+#include "Daemon/ConfigService.h"
+#include "Daemon/HomeService.h"
+#include "Daemon/PeriodicTimer.h"
+#include "Daemon/Runtime.h"
+#include "marigoldspool/Placement/PlacementEngine.h"
+#include "marigoldspool/Supervisor/Supervisor.h"
+
+#include <map>
+#include <string>
+
+namespace marigoldspool {
+
+/// Carries out placement: store calls, orders to engines, and status reports of the engines of
+/// this instance's zone.
+class PlacementService final : public Service
+{
+public:
+    PlacementService(Runtime &runtime, ConfigService &config, PeerService &peers,
+                     HomeService &home);
+
+    std::string_view name() const override { return "placement"; }
+    Expected<void> start() override;
+    void stop(std::function<void()> stopped) override;
+
+    const PlacementEngine &engine() const { return m_engine; }
+    /// False when an engine of this zone has not answered its latest status calls.
+    bool isReachable(const EndpointId &endpoint) const;
+
+private:
+    class StatusCall;
+    class OrderCall;
+    struct Poll {
+        bool open = false;
+        SteadyTime next;
+        int failures = 0;
+    };
+
+    void handle(const PlacementEvent &event);
+    void carryOut(const PlacementAction &action);
+    void onTick();
+    void pollEngines();
+    void poll(const EndpointRule &rule);
+    void onStatus(const EndpointId &endpoint, SteadyTime askedAt, std::string_view body);
+    void sendOrder(const EngineOrder &order);
+    void refuseLoad(const LoadRefused &refused);
+    void updateReplicas(const ModelName &model);
+    Tick makeTick();
+
+    Runtime &m_runtime;
+    ConfigService &m_config;
+    PeerService &m_peers;
+    HomeService &m_home;
+    PlacementEngine m_engine;
+    std::unique_ptr<EndpointClient> m_client;
+    std::map<EndpointId, Poll> m_polls;
+    std::uint64_t m_nextCall = 1;
+    PeriodicTimer m_timer;
+    SteadyTime m_nextTick;
+};
+
+} // namespace marigoldspool
+
+#endif
--- /dev/null
+++ b/lib/Daemon/Runtime.h
@@ -0,0 +1,35 @@
+#ifndef MARIGOLDSPOOL_LIB_DAEMON_RUNTIME_H
+#define MARIGOLDSPOOL_LIB_DAEMON_RUNTIME_H
+
+#include "marigoldspool/Daemon/DaemonSettings.h"
+#include "marigoldspool/Platform/ObjectStore.h"
+#include "marigoldspool/Support/Clock.h"
+#include "marigoldspool/Support/Metrics.h"
+#include "marigoldspool/Support/RandomSource.h"
+
+#include <cstdint>
+#include <memory>
+
+#include <boost/asio/io_context.hpp>
+
+namespace marigoldspool {
+
+/// What all services of one daemon share. Everything runs on the thread of `io`.
+struct Runtime {
+    Runtime(boost::asio::io_context &ioContext, DaemonSettings daemonSettings);
+
+    boost::asio::io_context &io;
+    DaemonSettings settings;
+    SystemClock clock;
+    SeededRandomSource random;
+    Metrics metrics;
+    /// Grows with each start of this instance.
+    std::uint64_t incarnation;
+    std::unique_ptr<ObjectStore> store;
+    /// Set by a planned stop: no new work is taken from then on.
+    bool stopping = false;
+};
+
+} // namespace marigoldspool
+
+#endif
--- a/lib/Routing/Dispatcher.cpp
+++ b/lib/Routing/Dispatcher.cpp
@@ -526,7 +526,6 @@
 {
     checkInvariant(refusal.ran == RanState::Unknown || !request.mayHaveRun, "not_run_is_true",
                    request.id.str());
-    m_metrics.countRefusal(refusal.reason);
     actions.push_back(AnswerRefusal{request.id, std::move(refusal)});
 }
 
@@ -554,6 +553,7 @@
         }
     }
     std::vector<RunningView> views;
+    views.reserve(counts.size());
     for (const auto &[key, count] : counts) {
         views.push_back({key.first, key.second, count});
     }
@@ -574,6 +574,7 @@
 std::vector<Dispatcher::EndpointView> Dispatcher::endpointViews() const
 {
     std::vector<EndpointView> views;
+    views.reserve(m_endpoints.size());
     for (const auto &[id, endpoint] : m_endpoints) {
         views.push_back({id, endpoint.slowStart().slots(), endpoint.inFlight(),
                          endpoint.isAvailable(m_clock.now())});
--- a/lib/Routing/HomeSelector.cpp
+++ b/lib/Routing/HomeSelector.cpp
@@ -23,6 +23,17 @@
         && configuration.mayRunIn(*model, endpoint.zone);
 }
 
+// An adapter can only be loaded where its base model is.
+std::string zoneKey(const Configuration &configuration, const Target &target)
+{
+    if (!target.isModel()) {
+        return target.key();
+    }
+    const ModelRule *model = configuration.findModel(target.model.str());
+    const bool isAdapter = model != nullptr && model->kind == ModelKind::Adapter;
+    return Target{isAdapter ? model->base : target.model, {}}.key();
+}
+
 } // namespace
 
 std::vector<ZoneName> servingZones(const Configuration &configuration, const Target &target,
@@ -35,9 +46,9 @@
         }
     }
     std::vector<ZoneName> ordered(zones.begin(), zones.end());
-    const std::string key = target.key();
+    const std::string key = zoneKey(configuration, target);
     std::sort(ordered.begin(), ordered.end(), [&](const ZoneName &a, const ZoneName &b) {
-        if ((a == own) != (b == own)) {
+        if (!target.isModel() && (a == own) != (b == own)) {
             return a == own;
         }
         return stableHash(key + "/" + a.str()) > stableHash(key + "/" + b.str());
@@ -45,15 +56,18 @@
     return ordered;
 }
 
-tl::expected<InstanceId, Refusal> selectHome(const Configuration &configuration,
-                                             const PeerTable &peers, const Target &target,
-                                             const ZoneName &own)
+tl::expected<Home, Refusal> selectHome(const Configuration &configuration, const PeerTable &peers,
+                                       const Target &target, const ZoneName &own,
+                                       const std::set<ZoneName> &excluded)
 {
     const std::vector<ZoneName> zones = servingZones(configuration, target, own);
     for (const ZoneName &zone : zones) {
+        if (excluded.count(zone) > 0) {
+            continue;
+        }
         const std::vector<InstanceId> candidates = peers.candidatesInZone(zone);
         if (!candidates.empty()) {
-            return rendezvousOwner(target.key(), candidates);
+            return Home{zone, rendezvousOwner(target.key(), candidates)};
         }
     }
     const bool drained = zones.empty() && !configuration.isZoneServing(own);
--- /dev/null
+++ b/tests/Daemon/EngineProtocolTest.cpp
@@ -0,0 +1,88 @@
+#include "Daemon/EngineProtocol.h"
+
+#include "marigoldspool/Daemon/DaemonSettings.h"
+
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace marigoldspool;
+
+namespace {
+
+const std::string Status = R"({"endpoint":"e","incarnation":"i","memory_total":100,
+    "memory_used":14,"loaded":[{"model":"m","version":"1","bytes":14,"state":"loaded"}],
+    "running":1,"waiting":0,"slots":8,"completed":3,"last_fencing":7,
+    "cached":[{"model":"m","place":"disk"}]})";
+
+} // namespace
+
+TEST_CASE("a status is read with all that placement decides on")
+{
+    const auto status = parseEngineStatus(Status, EndpointId("e"), SteadyTime());
+    REQUIRE(status);
+    CHECK(status->memoryTotal == 100);
+    REQUIRE(status->loaded.size() == 1);
+    CHECK(status->loaded[0].state == EngineModelState::Loaded);
+    CHECK(status->lastFencing == 7);
+    REQUIRE(status->cached.size() == 1);
+    CHECK(status->cached[0].place == CheckpointPlace::Disk);
+}
+
+TEST_CASE("another engine's status is refused, so that a wrong address cannot mix up ledgers")
+{
+    CHECK(!parseEngineStatus(Status, EndpointId("other"), SteadyTime()));
+}
+
+TEST_CASE("truncated and mistyped statuses are refused and never crash")
+{
+    for (std::size_t n = 0; n < Status.size(); ++n) {
+        CHECK(!parseEngineStatus(Status.substr(0, n), EndpointId("e"), SteadyTime()));
+    }
+    for (const char *body : {"[]", "null", R"({"endpoint":1})"}) {
+        CHECK(!parseEngineStatus(body, EndpointId("e"), SteadyTime()));
+    }
+}
+
+TEST_CASE("replies to orders keep stale fencing and lack of memory apart")
+{
+    CHECK(parseOrderReply(202, ""));
+    CHECK(parseOrderReply(409, "").error().kind == ErrorKind::StaleFencing);
+    CHECK(parseOrderReply(507, "").error().kind == ErrorKind::InsufficientMemory);
+    CHECK(parseOrderReply(500, "").error().kind == ErrorKind::Internal);
+}
+
+TEST_CASE("an order carries its fencing number and its remaining validity")
+{
+    EngineOrder order;
+    order.id = OrderId("o");
+    order.model = ModelName("m");
+    order.fencing = 42;
+    const auto body = nlohmann::json::parse(formatOrder(order, 1500));
+    CHECK(body["fencing"] == 42);
+    CHECK(body["valid_ms"] == 1500);
+    CHECK(body["action"] == "load");
+}
+
+TEST_CASE("daemon settings are refused with the name of the wrong one")
+{
+    const auto read = [](std::vector<const char *> arguments) {
+        arguments.insert(
+            arguments.begin(),
+            {"--instance=a1", "--zone=a", "--platform=127.0.0.1:1", "--peer-secret=s"});
+        return readDaemonSettings(
+            *Settings::parse("marigoldspoold", daemonSettingSpecs(), arguments));
+    };
+    CHECK(read({}));
+    CHECK(read({"--listen=127.0.0.1:8080"})->peerListenAddress == "127.0.0.1:9080");
+    for (const char *wrong :
+         {"--instance=Upper", "--zone=a b", "--listen=nowhere", "--listen=127.0.0.1:65000",
+          "--drain-notice=5", "--loads-per-second=0", "--peer-port-offset=-1"}) {
+        CAPTURE(wrong);
+        const auto settings = read({wrong});
+        REQUIRE(!settings);
+        CHECK(!settings.error().remedy.empty());
+    }
+}
