Fix a crash from mixed Boost.Asio settings in one program

The WebSocket transport undefined BOOST_ASIO_NO_DEPRECATED for its own file only. With it, inline functions of Boost.Asio such as asio_handler_allocate() return another type under the same symbol name, and the linker keeps one of the two. At -O2 the calls were inlined and all tests passed; in an unoptimised build with AddressSanitizer the first accept wrote to a wild address.

Limiting it to components that do not link with Peer was ruled out, because every program links all components.

--- a/lib/Peer/WebSocketTransport.cpp
+++ b/lib/Peer/WebSocketTransport.cpp
@@ -1,6 +1,3 @@
-// websocketpp 0.8.2 uses names that Boost.Asio has deprecated.
-#undef BOOST_ASIO_NO_DEPRECATED
-
 #include "WebSocketTransport.h"
 
 #include "marigoldspool/Support/IpAddress.h"
