--- a/tests/standins/common/StandinBase.h
+++ b/tests/standins/common/StandinBase.h
@@ -59,10 +59,15 @@
 class StandinBase
 {
 public:
+    explicit StandinBase(boost::asio::io_context &io)
+        : m_io(io)
+    { }
     virtual ~StandinBase() = default;
+    StandinBase(const StandinBase &) = delete;
+    StandinBase &operator=(const StandinBase &) = delete;
 
-    /// Serves until SIGTERM or SIGINT and returns the exit code.
-    int run(const std::string &address)
+    /// Starts to serve and returns the port.
+    Expected<std::uint16_t> open(const std::string &address)
     {
         HttpServerOptions options;
         options.address = address;
@@ -73,17 +78,18 @@
             },
             m_metrics);
         if (!server) {
-            std::cerr << describeError(server.error()) << '\n';
-            return 1;
+            return tl::unexpected<Error>(server.error());
         }
-        const std::string host = address.substr(0, address.rfind(':'));
-        std::cout << "listening address=" << host << ':' << (*server)->port() << std::endl;
-        boost::asio::signal_set signals(m_io, SIGTERM, SIGINT);
-        signals.async_wait([this](const boost::system::error_code &, int) {
-            m_io.stop();
-        });
-        m_io.run();
-        return 0;
+        m_server = std::move(*server);
+        return m_server->port();
+    }
+
+    /// The answer to `GET /control/counts`.
+    Json counts() const
+    {
+        Json result{{"runs", m_runs}, {"runs_total", m_runsTotal}, {"headers", m_headers}};
+        addCounts(result);
+        return result;
     }
 
 protected:
@@ -93,7 +99,8 @@
     virtual void becomeCold() = 0;
     virtual void addCounts(Json &counts) const = 0;
 
-    boost::asio::io_context &io() { return m_io; }
+    /// For destructors of derived classes: closing connections calls their handlers.
+    void close() { m_server.reset(); }
     Mode mode() const { return m_mode; }
 
     static std::string requestId(const HttpRequest &request)
@@ -187,13 +194,6 @@
         sendJson(sink, 200, "{}");
     }
 
-    Json counts() const
-    {
-        Json result{{"runs", m_runs}, {"runs_total", m_runsTotal}, {"headers", m_headers}};
-        addCounts(result);
-        return result;
-    }
-
     void noteHeaders(const HttpRequest &request)
     {
         constexpr std::size_t MaxValues = 20;
@@ -229,7 +229,7 @@
 
     static std::vector<HeaderField> jsonHeaders() { return {{"Content-Type", "application/json"}}; }
 
-    boost::asio::io_context m_io;
+    boost::asio::io_context &m_io;
     Metrics m_metrics;
     Mode m_mode = Mode::Normal;
     Duration m_delay = std::chrono::seconds(1);
@@ -237,8 +237,27 @@
     std::map<std::string, std::uint64_t> m_runs;
     std::uint64_t m_runsTotal = 0;
     std::map<std::string, std::set<std::string>> m_headers;
+    std::unique_ptr<HttpServer> m_server;
 };
 
+/// Serves until SIGTERM or SIGINT and returns the exit code.
+inline int serve(boost::asio::io_context &io, StandinBase &standin, const std::string &address)
+{
+    const Expected<std::uint16_t> port = standin.open(address);
+    if (!port) {
+        std::cerr << describeError(port.error()) << '\n';
+        return 1;
+    }
+    const std::string host = address.substr(0, address.rfind(':'));
+    std::cout << "listening address=" << host << ':' << *port << std::endl;
+    boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+    signals.async_wait([&io](const boost::system::error_code &, int) {
+        io.stop();
+    });
+    io.run();
+    return 0;
+}
+
 /// Prints help or the problem and returns the exit code; empty when the program shall go on.
 inline std::optional<int> checkSettings(const Expected<Settings> &settings)
 {
--- a/tests/standins/engine-standin/Engine.cpp
+++ b/tests/standins/engine-standin/Engine.cpp
@@ -23,8 +23,9 @@
 
 } // namespace
 
-Engine::Engine(EngineOptions options)
-    : m_options(std::move(options))
+Engine::Engine(boost::asio::io_context &io, EngineOptions options)
+    : StandinBase(io)
+    , m_options(std::move(options))
     , m_startedAt(Steady::now())
 {
     m_incarnation = std::to_string(::getpid()) + "-0";
--- a/tests/standins/engine-standin/Engine.h
+++ b/tests/standins/engine-standin/Engine.h
@@ -36,7 +36,10 @@
 class Engine final : public StandinBase
 {
 public:
-    explicit Engine(EngineOptions options);
+    Engine(boost::asio::io_context &io, EngineOptions options);
+    ~Engine() override { close(); }
+    Engine(const Engine &) = delete;
+    Engine &operator=(const Engine &) = delete;
 
 protected:
     void handle(HttpRequest request, Sink sink) override;
--- a/tests/standins/engine-standin/main.cpp
+++ b/tests/standins/engine-standin/main.cpp
@@ -60,6 +60,7 @@
     if (const auto code = checkSettings(settings)) {
         return *code;
     }
-    Engine engine(readOptions(*settings));
-    return engine.run(valueOrExit(settings->address("listen")));
+    boost::asio::io_context io;
+    Engine engine(io, readOptions(*settings));
+    return serve(io, engine, valueOrExit(settings->address("listen")));
 }
--- a/tests/standins/service-standin/main.cpp
+++ b/tests/standins/service-standin/main.cpp
@@ -11,9 +11,13 @@
 class PlainService final : public StandinBase
 {
 public:
-    explicit PlainService(Duration runTime)
-        : m_runTime(runTime)
+    PlainService(boost::asio::io_context &io, Duration runTime)
+        : StandinBase(io)
+        , m_runTime(runTime)
     { }
+    ~PlainService() override { close(); }
+    PlainService(const PlainService &) = delete;
+    PlainService &operator=(const PlainService &) = delete;
 
 protected:
     void handle(HttpRequest request, Sink sink) override
@@ -68,7 +72,8 @@
         return *code;
     }
     const auto address = valueOrExit(settings->address("listen"));
+    boost::asio::io_context io;
     PlainService service(
-        valueOrExit(settings->duration("run-time", Duration::zero(), std::chrono::hours(1))));
-    return service.run(address);
+        io, valueOrExit(settings->duration("run-time", Duration::zero(), std::chrono::hours(1))));
+    return serve(io, service, address);
 }
