Keep a loan's capacity when the burst changes while it is out

The tokens that came with a fraction were split when the loan was made into a part that fills the fraction's capacity and a part above it. The loan now keeps the tokens and the split is made under the burst in force. A test repeats the case.

--- a/include/marigoldspool/Limits/LoanBook.h
+++ b/include/marigoldspool/Limits/LoanBook.h
@@ -19,6 +19,8 @@
     double fraction = 0;
     /// Tokens, which also are burst capacity in addition to that of the fraction.
     double tokens = 0;
+    /// The tokens fill the capacity of the fraction; only what is above it comes in addition.
+    bool tokensIncluded = false;
     /// The limit's burst when the loan was made; a lower burst lowers the tokens' capacity.
     double burst = 0;
     SteadyTime end;
--- a/lib/Limits/LoanBook.cpp
+++ b/lib/Limits/LoanBook.cpp
@@ -73,9 +73,11 @@
 {
     double sum = 0;
     for (const Loan &loan : m_loans) {
-        if (loan.end > at && loan.tokens > 0) {
-            sum += loan.tokens * (burst < loan.burst ? burst / loan.burst : 1);
+        if (loan.end <= at || loan.tokens <= 0) {
+            continue;
         }
+        const double tokens = loan.tokens * (burst < loan.burst ? burst / loan.burst : 1);
+        sum += loan.tokensIncluded ? std::max(0.0, tokens - loan.fraction * burst) : tokens;
     }
     return sum;
 }
--- a/lib/Limits/RateLimit.cpp
+++ b/lib/Limits/RateLimit.cpp
@@ -174,9 +174,7 @@
     // The first loan's tokens fill the capacity of its fraction. Those of a renewal come in
     // addition, since the borrower may have filled that capacity already.
     const bool first = m_lent.fractionWith(peer, now) <= 0;
-    const double included = first ? offer.fraction * m_burst : 0;
-    m_lent.add(
-        {peer, id, offer.fraction, std::max(0.0, offer.tokens - included), m_burst, reservedUntil});
+    m_lent.add({peer, id, offer.fraction, offer.tokens, first, m_burst, reservedUntil});
     reshape(now);
     return true;
 }
@@ -189,8 +187,7 @@
         return;
     }
     const bool first = m_borrowed.fractionWith(peer, now) <= 0;
-    const double included = first ? fraction * m_burst : 0;
-    m_borrowed.add({peer, id, fraction, std::max(0.0, tokens - included), m_burst, end});
+    m_borrowed.add({peer, id, fraction, tokens, first, m_burst, end});
     reshape(now);
     m_bucket.add(tokens, now);
 }
--- a/lib/Limits/SlotLimit.cpp
+++ b/lib/Limits/SlotLimit.cpp
@@ -111,7 +111,7 @@
 
 void SlotLimit::lend(const InstanceId &peer, std::uint64_t id, int slots, SteadyTime reservedUntil)
 {
-    m_lent.add({peer, id, 0, static_cast<double>(slots), 0, reservedUntil});
+    m_lent.add({peer, id, 0, static_cast<double>(slots), false, 0, reservedUntil});
 }
 
 void SlotLimit::borrow(const InstanceId &peer, std::uint64_t id, int slots, SteadyTime end,
@@ -119,7 +119,7 @@
 {
     settle(now);
     if (end > now) {
-        m_borrowed.add({peer, id, 0, static_cast<double>(slots), 0, end});
+        m_borrowed.add({peer, id, 0, static_cast<double>(slots), false, 0, end});
     }
 }
 
--- a/tests/Limits/RateLimitTest.cpp
+++ b/tests/Limits/RateLimitTest.cpp
@@ -110,3 +110,14 @@
     CHECK_FALSE(lender.fits(start + 4s));
     CHECK(lender.fits(start + 5s));
 }
+
+TEST_CASE("a loan between two configurations is no larger for the borrower after the change")
+{
+    // The lender has the larger burst already when it lends, the borrower when the loan is there.
+    RateLimit lender(100, 400, 1, 0.5, 200, start);
+    RateLimit borrower = half();
+    REQUIRE(lender.lend(peer, 1, {0.1, 60, 5s}, start + 5s, start));
+    borrower.borrow(peer, 1, 0.1, 60, start + 5s, start);
+    borrower.setRule(100, 400, start);
+    CHECK(lender.capacity(start) + borrower.capacity(start) == doctest::Approx(400));
+}
