--- a/utils/run-local.sh
+++ b/utils/run-local.sh
@@ -6,64 +6,9 @@
 set -uo pipefail
 cd "$(dirname "$0")/.."
 build="${1:-build}"
-for program in platform-standin engine-standin service-standin marigoldspoold marigoldspoolctl; do
-    if [ ! -x "$build/$program" ]; then
-        echo "run-local: $build/$program is missing; run utils/build.sh $build first"
-        exit 1
-    fi
-done
-work="$(mktemp -d)"
-pids=()
 failures=0
 calls=()
-
-cleanUp() {
-    for pid in "${pids[@]}"; do
-        kill -KILL "$pid" 2>/dev/null
-    done
-    wait 2>/dev/null
-    [ -n "${KEEP_LOGS:-}" ] || rm -rf "$work"
-}
-trap cleanUp EXIT
-
-# A port whose neighbour 1000 above, the peer port, is free as well.
-nextPort=$((20000 + RANDOM % 8000))
-pickPort() {
-    while :; do
-        nextPort=$((nextPort + 1))
-        if ! (exec 3<>"/dev/tcp/127.0.0.1/$nextPort") 2>/dev/null \
-            && ! (exec 3<>"/dev/tcp/127.0.0.1/$((nextPort + 1000))") 2>/dev/null; then
-            port=$nextPort
-            return
-        fi
-    done
-}
-
-# start NAME PROGRAM ARGS...: runs a program with its output in files of that name.
-start() {
-    local name="$1"
-    shift
-    "$@" >"$work/$name.out" 2>"$work/$name.err" &
-    pids+=("$!")
-    declare -g "pid_${name//-/_}=$!"
-}
-
-# waitFor SECONDS COMMAND...: until the command succeeds.
-waitFor() {
-    local end=$((SECONDS + $1))
-    shift
-    until "$@" >/dev/null 2>&1; do
-        if [ "$SECONDS" -ge "$end" ]; then
-            return 1
-        fi
-        sleep 0.05
-    done
-}
-
-standinAddress() {
-    waitFor 20 grep -q '^listening address=' "$work/$1.out" || return 1
-    sed -n 's/^listening address=//p' "$work/$1.out" | head -n 1
-}
+source utils/local-fleet.sh
 
 check() {
     if [ "$2" = "$3" ]; then
@@ -75,8 +20,7 @@
 }
 
 began="$(date +%s%N)"
-start platform "$build/platform-standin" --listen=127.0.0.1:0
-platform="$(standinAddress platform)" || { echo "FAIL  the platform stand-in did not start"; exit 1; }
+startPlatform
 
 for zone in a b; do
     start "engine-$zone" "$build/engine-standin" --listen=127.0.0.1:0 --endpoint="engine-$zone" \
@@ -100,28 +44,15 @@
 route pickups kind=service pool=bookings path=/pickups idempotent=no deadline=5s cost=1   # asked for by: the drivers' team
 RULES
 
-instances=()
-list=""
 for name in a1 a2 b1 b2; do
-    pickPort
-    instances+=("127.0.0.1:$port")
-    list="$list{\"id\":\"$name\",\"zone\":\"zone-${name:0:1}\",\"address\":\"127.0.0.1:$port\",\"state\":\"live\"},"
-    start "$name" "$build/marigoldspoold" --instance="$name" --zone="zone-${name:0:1}" \
-        --listen="127.0.0.1:$port" --platform="$platform" --peer-secret=local --drain-notice=200ms
+    startInstance "$name" "zone-${name:0:1}"
 done
-curl -fsS -X PUT "http://$platform/instances" -H 'Content-Type: application/json' \
-    -d "{\"instances\":[${list%,}]}" >/dev/null || failures=$((failures + 1))
+publishInstances || failures=$((failures + 1))
 
 "$build/marigoldspoolctl" check "$work/rules" || failures=$((failures + 1))
 "$build/marigoldspoolctl" apply "$work/rules" --platform="$platform" --author=run-local \
     || failures=$((failures + 1))
-for address in "${instances[@]}"; do
-    waitFor 30 curl -fsS "http://$address/readyz" || {
-        echo "FAIL  $address is not ready"
-        tail -n 5 "$work"/*.err
-        exit 1
-    }
-done
+waitUntilReady
 
 # request INSTANCE PATH BODY [CURL_ARGS...]: prints the status, leaves the body in $work/body.
 request() {
