--- a/include/marigoldspool/Limits/LimitTypes.h
+++ b/include/marigoldspool/Limits/LimitTypes.h
@@ -42,7 +42,7 @@
     Duration loanTerm = std::chrono::seconds(5);
     /// Term of a loan of tokens alone. They are meant for requests that wait now, and the lender
     /// misses their burst capacity until the term ends.
-    Duration tokenTerm = std::chrono::milliseconds(500);
+    Duration tokenTerm = std::chrono::milliseconds(100);
     /// Term of a loan of a slot. A borrowed slot serves only requests whose deadline is within it.
     /// Must be below reclaimDelay, after which a dead member's slots are given to others.
     Duration slotTerm = std::chrono::seconds(50);
--- a/include/marigoldspool/Limits/LoanDesk.h
+++ b/include/marigoldspool/Limits/LoanDesk.h
@@ -41,11 +41,23 @@
 
     explicit LoanDesk(const LimitOptions &options);
 
+    struct Candidate {
+        InstanceId peer;
+        /// What it is likely to give, learned from its earlier answers.
+        double tokens = 0;
+    };
+
+    /// What a peer is taken to have that has not answered yet, and what it accrues.
+    struct Guess {
+        double tokens = 0;
+        double perSecond = 0;
+    };
+
     /// Peers that may be asked now, the likeliest to have spare tokens first.
-    std::vector<InstanceId> candidates(const std::vector<InstanceId> &peers, SteadyTime now,
-                                       RandomSource &random) const;
-    /// What \p peer could give, learned from its earlier answers; empty when nothing is known.
-    std::optional<double> expectedTokens(const InstanceId &peer) const;
+    std::vector<Candidate> candidates(const std::vector<InstanceId> &peers, const Guess &guess,
+                                      SteadyTime now, RandomSource &random) const;
+    /// No request to \p peer is under way, and it has not refused one just now.
+    bool mayAsk(const InstanceId &peer, SteadyTime now) const;
     void sent(Pending pending);
     /// Takes the request that an answer belongs to; each can be taken once.
     std::optional<Pending> take(const InstanceId &peer, std::uint64_t id);
@@ -57,7 +69,8 @@
 
     /// Requests that are likely to be answered still.
     std::size_t underWay() const;
-    double tokensUnderWay() const;
+    /// Tokens asked for so recently that the answer is not overdue.
+    double tokensUnderWay(SteadyTime now) const;
     double fractionUnderWay() const;
     /// A fraction was asked for and the answer, if it comes, could still be used.
     bool mayReceiveFraction(const InstanceId &peer) const;
@@ -68,6 +81,7 @@
 private:
     struct Hint {
         double tokens = -1;
+        SteadyTime at;
         SteadyTime notBefore;
         Duration pause = Duration::zero();
     };
--- a/include/marigoldspool/Limits/RateLimit.h
+++ b/include/marigoldspool/Limits/RateLimit.h
@@ -39,6 +39,8 @@
     double fraction(SteadyTime now);
     double capacity(SteadyTime now);
     Duration timeUntil(double tokens, SteadyTime now);
+    /// Whether tokens held now would be lost when \p loan, a borrowed one, ends.
+    bool losesAtEnd(const Loan &loan, SteadyTime now);
     /// Whether what is lent fits in what is held, now and until all loans are over.
     bool fits(SteadyTime now);
 
@@ -53,8 +55,9 @@
     /// Adds a grant that ends at \p end; a grant that is over is dropped.
     void borrow(const InstanceId &peer, std::uint64_t id, double fraction, double tokens,
                 SteadyTime end, SteadyTime now);
-    /// Ends a borrowed loan early and takes out the tokens that go back with it. Returns a
-    /// negative number and changes nothing when the loan is needed for what is lent.
+    /// Ends a borrowed loan early and takes out the tokens that go back with it: those above
+    /// \p keepTokens and those that would be lost. Returns a negative number and changes nothing
+    /// when the loan is needed for what is lent.
     double returnLoan(const InstanceId &peer, std::uint64_t id, double keepTokens, SteadyTime now);
     /// A borrower has returned a loan; false when it is not known any more.
     bool onReturned(const InstanceId &peer, std::uint64_t id, double tokens, SteadyTime now);
--- a/include/marigoldspool/Limits/Roster.h
+++ b/include/marigoldspool/Limits/Roster.h
@@ -70,6 +70,7 @@
     bool isMember() const;
     /// Members of the latest epoch without this instance that have not acknowledged it.
     std::vector<InstanceId> missingAcks() const;
+    bool allAcknowledged() const { return m_allAcknowledged; }
 
 private:
     double targetShare() const;
@@ -82,6 +83,8 @@
     double m_share = 0;
     bool m_released = false;
     std::uint64_t m_acknowledged = 0;
+    /// missingAcks() is empty; kept because it is asked for at every event.
+    bool m_allAcknowledged = true;
     /// Incarnation and the epoch it acknowledged last.
     std::map<InstanceId, std::pair<std::uint64_t, std::uint64_t>> m_acks;
 };
--- a/include/marigoldspool/Limits/WorkspaceLimit.h
+++ b/include/marigoldspool/Limits/WorkspaceLimit.h
@@ -95,6 +95,9 @@
     void reviewBorrowed(const LimitContext &context);
     void reviewPeer(const InstanceId &peer, SteadyTime end, const LimitContext &context);
     bool returnTo(const InstanceId &peer, const LimitContext &context);
+    /// Returns loans whose tokens would be lost with them.
+    void rescueTokens(const LimitContext &context);
+    RateLimit::Offer tokenOffer(const InstanceId &from, double tokens, const LimitContext &context);
 
     std::string m_name;
     RateLimit m_rate;
--- a/lib/Limits/EndpointSlots.cpp
+++ b/lib/Limits/EndpointSlots.cpp
@@ -118,8 +118,8 @@
         }
         return;
     }
-    double wanted = m_missing - m_desk.tokensUnderWay();
-    for (const InstanceId &peer : m_desk.candidates(zonePeers, now, context.random)) {
+    double wanted = m_missing - m_desk.tokensUnderWay(now);
+    for (const auto &[peer, expected] : m_desk.candidates(zonePeers, {1, 0}, now, context.random)) {
         if (wanted < 1 || m_desk.underWay() >= context.options.parallelRequests) {
             return;
         }
@@ -127,8 +127,7 @@
             continue;
         }
         const std::uint64_t id = context.random.next();
-        const double part =
-            std::min(wanted, std::max(1.0, m_desk.expectedTokens(peer).value_or(1)));
+        const double part = std::min(wanted, std::max(1.0, expected));
         m_desk.sent({peer, id, std::floor(part), 0, now, false});
         context.send.push_back({peer, LoanRequest{m_name, id, std::floor(part), 0}});
         wanted -= std::floor(part);
--- a/lib/Limits/LoanDesk.cpp
+++ b/lib/Limits/LoanDesk.cpp
@@ -14,6 +14,10 @@
 constexpr Duration FirstPause = std::chrono::milliseconds(50);
 constexpr Duration LongestPause = std::chrono::seconds(1);
 
+// Other peers are asked for the same tokens when an answer takes longer than several round trips
+// between zones: the peer may be borrowing itself, and a request waits for 50 ms only.
+constexpr Duration HedgeDelay = std::chrono::milliseconds(5);
+
 double secondsOf(Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -42,46 +46,44 @@
     : m_options(&options)
 { }
 
-std::vector<InstanceId> LoanDesk::candidates(const std::vector<InstanceId> &peers, SteadyTime now,
-                                             RandomSource &random) const
+bool LoanDesk::mayAsk(const InstanceId &peer, SteadyTime now) const
 {
-    struct Ranked {
-        double tokens;
-        std::uint64_t tie;
-        const InstanceId *peer;
+    const auto busy = [&](const Pending &p) {
+        return !p.late && p.peer == peer;
     };
-    std::vector<Ranked> ranked;
+    const auto hint = m_hints.find(peer);
+    return std::none_of(m_pending.begin(), m_pending.end(), busy)
+        && (hint == m_hints.end() || hint->second.notBefore <= now);
+}
+
+std::vector<LoanDesk::Candidate> LoanDesk::candidates(const std::vector<InstanceId> &peers,
+                                                      const Guess &guess, SteadyTime now,
+                                                      RandomSource &random) const
+{
+    std::vector<std::pair<std::uint64_t, Candidate>> ranked;
     for (const InstanceId &peer : peers) {
-        const auto busy = [&](const Pending &p) {
-            return !p.late && p.peer == peer;
-        };
-        if (std::any_of(m_pending.begin(), m_pending.end(), busy)) {
+        if (!mayAsk(peer, now)) {
             continue;
         }
         const auto it = m_hints.find(peer);
-        if (it != m_hints.end() && it->second.notBefore > now) {
-            continue;
+        double tokens = guess.tokens;
+        if (it != m_hints.end() && it->second.tokens >= 0) {
+            // An exhausted peer fills up again; a generous one has given some of it away.
+            tokens = std::min(std::max(guess.tokens, it->second.tokens),
+                              it->second.tokens + guess.perSecond * secondsOf(now - it->second.at));
         }
-        ranked.push_back({it != m_hints.end() ? it->second.tokens : -1, random.next(), &peer});
+        ranked.push_back({random.next(), {peer, tokens}});
     }
-    std::sort(ranked.begin(), ranked.end(), [](const Ranked &a, const Ranked &b) {
-        return a.tokens != b.tokens ? a.tokens > b.tokens : a.tie < b.tie;
+    std::sort(ranked.begin(), ranked.end(), [](const auto &a, const auto &b) {
+        return a.second.tokens != b.second.tokens ? a.second.tokens > b.second.tokens
+                                                  : a.first < b.first;
     });
-    std::vector<InstanceId> ids;
-    ids.reserve(ranked.size());
-    for (const Ranked &entry : ranked) {
-        ids.push_back(*entry.peer);
-    }
-    return ids;
-}
-
-std::optional<double> LoanDesk::expectedTokens(const InstanceId &peer) const
-{
-    const auto it = m_hints.find(peer);
-    if (it == m_hints.end() || it->second.tokens < 0) {
-        return std::nullopt;
+    std::vector<Candidate> candidates;
+    candidates.reserve(ranked.size());
+    for (auto &entry : ranked) {
+        candidates.push_back(std::move(entry.second));
     }
-    return it->second.tokens;
+    return candidates;
 }
 
 void LoanDesk::sent(Pending pending)
@@ -107,6 +109,7 @@
     const bool askedTokens = pending.tokens > 0;
     const bool full = askedTokens ? tokens >= pending.tokens : fraction > 0;
     Hint &hint = m_hints[pending.peer];
+    hint.at = now;
     if (full) {
         hint.pause = Duration::zero();
         hint.notBefore = now;
@@ -119,7 +122,7 @@
         // It gave what it had; by the time it is asked again it has about as much.
         hint.tokens = tokens;
     }
-    if (tokens > 0 || fraction > 0) {
+    if (tokens > 0.25 * pending.tokens || fraction > 0) {
         hint.pause = Duration::zero();
     }
     postpone(pending.peer, now);
@@ -160,11 +163,11 @@
         }));
 }
 
-double LoanDesk::tokensUnderWay() const
+double LoanDesk::tokensUnderWay(SteadyTime now) const
 {
     double sum = 0;
     for (const Pending &pending : m_pending) {
-        sum += pending.late ? 0 : pending.tokens;
+        sum += pending.late || now - pending.sentAt >= HedgeDelay ? 0 : pending.tokens;
     }
     return sum;
 }
--- a/lib/Limits/RateLimit.cpp
+++ b/lib/Limits/RateLimit.cpp
@@ -122,6 +122,12 @@
     return m_bucket.capacity();
 }
 
+bool RateLimit::losesAtEnd(const Loan &loan, SteadyTime now)
+{
+    settle(now);
+    return m_bucket.level(now) > capacityAfter(loan.end) + Rounding * m_burst;
+}
+
 Duration RateLimit::timeUntil(double tokens, SteadyTime now)
 {
     settle(now);
@@ -152,9 +158,18 @@
         offer.fraction = std::max(0.0, std::min({offer.fraction, free, covered}));
     }
     const bool first = m_lent.fractionWith(peer, now) <= 0;
+    const double level = m_bucket.level(now);
+    const double room = capacityAfter(now) - level;
+    if (!first) {
+        // A larger renewal would cut the level without being able to carry the tokens along.
+        const double reserved = m_lent.fractionWith(peer, now);
+        offer.fraction = std::min(offer.fraction, reserved + std::max(0.0, room) / m_burst);
+    }
     const double included = first ? offer.fraction * m_burst : 0;
-    const double spare = std::max(0.0, m_bucket.level(now) - keepTokens);
-    offer.tokens = std::min(wanted.tokens, spare);
+    // Tokens that do not fit in what is left of the capacity go along unasked.
+    const double unfit = std::clamp(included - room, 0.0, included);
+    offer.tokens = std::min(wanted.tokens, std::max(0.0, level - keepTokens));
+    offer.tokens = std::min(std::max(offer.tokens, unfit), level);
     for (const SteadyTime at : points) {
         const double covered =
             std::max(offer.fraction, m_lent.fractionWith(peer, at)) - m_lent.fractionWith(peer, at);
@@ -209,7 +224,8 @@
         return -1;
     }
     const double freed = std::max(0.0, before - capacityAfter(now));
-    const double tokens = std::clamp(level - keepTokens, 0.0, freed);
+    const double above = level - std::min(keepTokens, std::max(0.0, capacityAfter(now)));
+    const double tokens = std::clamp(above, 0.0, freed);
     m_bucket.tryTake(std::min(tokens, level), now);
     reshape(now);
     return tokens;
--- a/lib/Limits/Roster.cpp
+++ b/lib/Limits/Roster.cpp
@@ -109,6 +109,7 @@
     }
     m_record = std::move(record);
     m_share = std::min(m_share, targetShare());
+    m_allAcknowledged = missingAcks().empty();
     return true;
 }
 
@@ -118,6 +119,7 @@
     if (std::pair(incarnation, epoch) > std::pair(knownIncarnation, knownEpoch)) {
         knownIncarnation = incarnation;
         knownEpoch = epoch;
+        m_allAcknowledged = missingAcks().empty();
     }
 }
 
@@ -151,7 +153,7 @@
 bool RosterState::complete(SteadyTime now) const
 {
     return isMember() && !m_released && now >= m_firstGrowth && m_acknowledged == m_record.epoch
-        && missingAcks().empty();
+        && m_allAcknowledged;
 }
 
 void RosterState::grow()
--- a/lib/Limits/RosterKeeper.cpp
+++ b/lib/Limits/RosterKeeper.cpp
@@ -168,7 +168,7 @@
 {
     return m_known && !m_readDue && !m_readSentAt && !m_write && m_state.isMember() != m_releasing
         && m_state.acknowledgedEpoch() == record().epoch && m_ackSentEpoch == record().epoch
-        && m_state.missingAcks().empty();
+        && m_state.allAcknowledged();
 }
 
 std::optional<InstanceId> RosterKeeper::removableMember(SteadyTime now) const
--- a/lib/Limits/WorkspaceLimit.cpp
+++ b/lib/Limits/WorkspaceLimit.cpp
@@ -19,8 +19,10 @@
 constexpr Duration FractionCheckInterval = std::chrono::milliseconds(100);
 // A borrowed fraction is kept at least this long, so that it does not go back and forth.
 constexpr Duration LeastHolding = std::chrono::milliseconds(500);
-// Tokens above the own capacity are lost at the end of a loan, so they go back just before.
-constexpr Duration LastReturn = std::chrono::milliseconds(120);
+// Tokens above the own capacity are lost at the end of a loan, so they go back just before. Twice
+// the wake-up interval of a limit with loans and the way to another zone.
+constexpr Duration LastRescue = std::chrono::milliseconds(30);
+constexpr Duration BusyWakeup = std::chrono::milliseconds(10);
 // A borrowed fraction that is lent on for less than this is of no use.
 constexpr Duration LeastTerm = std::chrono::milliseconds(500);
 // How long a request from another zone waits for loans from the own zone; leaves most of the
@@ -172,7 +174,25 @@
             return offer;
         }
     }
-    return offerFor(from, {0, request.tokens, options.tokenTerm}, context);
+    return tokenOffer(from, request.tokens, context);
+}
+
+RateLimit::Offer WorkspaceLimit::tokenOffer(const InstanceId &from, double tokens,
+                                            const LimitContext &context)
+{
+    // Borrowed tokens can be lent on for a shorter term than they were borrowed for.
+    RateLimit::Offer best;
+    for (const double part : {1.0, 0.6, 0.3}) {
+        const RateLimit::Offer offer =
+            offerFor(from, {0, tokens, scaled(context.options.tokenTerm, part)}, context);
+        if (offer.tokens > 1.2 * best.tokens) {
+            best = offer;
+        }
+        if (best.tokens >= tokens) {
+            break;
+        }
+    }
+    return best;
 }
 
 void WorkspaceLimit::answer(const InstanceId &from, const LoanRequest &request,
@@ -288,7 +308,7 @@
     for (const Deferred &entry : m_deferred) {
         deferred += std::min(entry.request.tokens, context.zoneFraction * m_rate.burst());
     }
-    const double missing = waiting + deferred - m_rate.level(now) - m_desk.tokensUnderWay();
+    const double missing = waiting + deferred - m_rate.level(now) - m_desk.tokensUnderWay(now);
     if ((m_waiting.empty() && m_deferred.empty()) || missing <= 0) {
         return;
     }
@@ -330,7 +350,13 @@
     }
     double tokens = target.tokens;
     double fraction = target.fraction;
-    for (const InstanceId &peer : m_desk.candidates(peers, context.now, context.random)) {
+    const LoanDesk::Guess guess{0.5 * memberShare * m_rate.burst(), memberShare * m_rate.rate()};
+    auto candidates = m_desk.candidates(peers, guess, context.now, context.random);
+    // Who holds a fraction of this instance is likely to have the tokens that came with it.
+    std::stable_partition(candidates.begin(), candidates.end(), [&](const auto &candidate) {
+        return m_rate.lent().fractionWith(candidate.peer, context.now) > 0;
+    });
+    for (const auto &[peer, expected] : candidates) {
         if ((tokens <= 0 && fraction <= 0)
             || m_desk.underWay() >= context.options.parallelRequests) {
             return;
@@ -338,13 +364,11 @@
         if ((fraction > 0 && m_desk.mayReceiveFraction(peer)) || !context.mayAsk(peer)) {
             continue;
         }
-        const double expected =
-            m_desk.expectedTokens(peer).value_or(0.5 * memberShare * m_rate.burst());
         const double part = std::min(tokens, std::max(expected, target.tokens / 4));
         const double fractionPart = std::min(fraction, std::max(memberShare, fraction / 4));
         // A fraction comes with tokens to fill it, as far as the lender has them to spare.
         sendRequest(peer, tokens > 0 ? part : fractionPart * m_rate.burst(), fractionPart, context);
-        tokens -= part;
+        tokens -= std::min(part, expected);
         fraction -= fractionPart;
     }
 }
@@ -357,8 +381,23 @@
     context.send.push_back({peer, LoanRequest{m_name, id, tokens, fraction}});
 }
 
+void WorkspaceLimit::rescueTokens(const LimitContext &context)
+{
+    const std::vector<Loan> loans = m_rate.borrowed().loans();
+    for (const Loan &loan : loans) {
+        if (loan.end - context.now > LastRescue || !m_rate.losesAtEnd(loan, context.now)) {
+            continue;
+        }
+        const double tokens = m_rate.returnLoan(loan.peer, loan.id, m_rate.burst(), context.now);
+        if (tokens >= 0) {
+            context.send.push_back({loan.peer, LoanGrant{m_name, loan.id, tokens, 0, 0}});
+        }
+    }
+}
+
 void WorkspaceLimit::reviewBorrowed(const LimitContext &context)
 {
+    rescueTokens(context);
     for (const auto &[peer, end] : m_rate.borrowed().fractionEnds()) {
         reviewPeer(peer, end, context);
     }
@@ -373,12 +412,11 @@
     const double needed = std::clamp(demandFraction(now) - others, 0.0, held);
     const Duration age = context.options.loanTerm - left;
     const bool spare = demandFraction(now) < 0.9 * others;
-    if (left <= LastReturn || (spare && age >= LeastHolding)) {
+    if (spare && age >= LeastHolding) {
         returnTo(peer, context);
         return;
     }
-    const bool askable = !m_desk.candidates({peer}, now, context.random).empty();
-    if (left < context.options.loanTerm / 5 && needed > 0.1 * held && askable
+    if (left < context.options.loanTerm / 5 && needed > 0.1 * held && m_desk.mayAsk(peer, now)
         && !m_desk.mayReceiveFraction(peer) && context.mayAsk(peer)) {
         sendRequest(peer, 0, needed, context);
     }
@@ -414,11 +452,13 @@
 std::optional<Duration> WorkspaceLimit::wakeupAfter(SteadyTime now) const
 {
     if (!m_waiting.empty() || !m_deferred.empty()) {
-        return std::chrono::milliseconds(10);
+        return BusyWakeup / 2;
+    }
+    if (!m_rate.borrowed().empty()) {
+        return BusyWakeup;
     }
-    if (!m_desk.idle() || !m_rate.borrowed().empty() || !m_rate.lent().empty()
-        || demandFraction(now) > m_rate.share()) {
-        return std::chrono::milliseconds(50);
+    if (!m_desk.idle() || !m_rate.lent().empty() || demandFraction(now) > m_rate.share()) {
+        return 5 * BusyWakeup;
     }
     return std::nullopt;
 }
--- a/tests/Limits/Fleet.h
+++ b/tests/Limits/Fleet.h
@@ -57,6 +57,8 @@
     Duration delayAcross = std::chrono::microseconds(750);
     double staleReads = 0;
     double lostAnswers = 0;
+    /// Messages between two instances arrive in the order in which they were sent.
+    bool inOrder = false;
     /// Connections to all instances instead of those of the design: the own zone's and two in
     /// each other zone.
     bool fullMesh = false;
@@ -128,7 +130,8 @@
     {
         const std::int64_t end = m_now + duration.count();
         while (!m_events.empty() && m_events.top().at <= end) {
-            const Event event = m_events.top();
+            // The queue only lends its top; the event is removed in the next line.
+            const Event event = std::move(const_cast<Event &>(m_events.top()));
             m_events.pop();
             m_now = event.at;
             event.action();
@@ -407,6 +410,17 @@
         return base + Duration(m_random.below(static_cast<std::uint64_t>(base.count()) + 1));
     }
 
+    Duration arrivalDelay(const Node &from, const Node &to)
+    {
+        const Duration delay = messageDelay(from, to);
+        if (!m_options.inOrder) {
+            return delay;
+        }
+        std::int64_t &last = m_lastArrivals[{&from, &to}];
+        last = std::max(last + 1, m_now + delay.count());
+        return Duration(last - m_now);
+    }
+
     void send(Node &from, Node &to, const PeerMessage &message)
     {
         count(message);
@@ -417,7 +431,7 @@
         }
         const int copies = m_random.uniform() < m_options.duplicate ? 2 : 1;
         for (int i = 0; i < copies; ++i) {
-            after(messageDelay(from, to),
+            after(arrivalDelay(from, to),
                   [this, &to, id = from.id, incarnation = from.incarnation, message] {
                       deliver(to, to.incarnation, [this, &to, id, incarnation, message] {
                           receive(to, id, incarnation, message);
@@ -558,6 +572,7 @@
     std::set<ZoneName> m_cutFromStore;
     bool m_storeAway = false;
     mutable std::map<std::pair<InstanceId, ZoneName>, bool> m_gateways;
+    std::map<std::pair<const Node *, const Node *>, std::int64_t> m_lastArrivals;
 };
 
 } // namespace marigoldspool
