--- a/include/marigoldspool/Placement/IdlePolicy.h
+++ b/include/marigoldspool/Placement/IdlePolicy.h
@@ -14,7 +14,7 @@
     Duration shortest = std::chrono::seconds(30);
     Duration longest = std::chrono::minutes(30);
     /// Seconds of idle accelerator time that one second of cold start is worth.
-    double coldStartWeight = 40;
+    double coldStartWeight = 80;
 };
 
 /// Derives each model's idle timeout from the times between its own requests.
--- a/lib/Placement/IdlePolicy.cpp
+++ b/lib/Placement/IdlePolicy.cpp
@@ -10,7 +10,7 @@
 // A gap counts half after 70 later gaps, so that a model that becomes active or idle is noticed.
 constexpr double Decay = 0.99;
 // Weight of the assumed gaps, spread evenly over all buckets, against the observed ones.
-constexpr double PriorWeight = 2;
+constexpr double PriorWeight = 1;
 // Gaps needed before a history justifies a load that helps none of the waiting requests.
 constexpr double LeastEvidence = 2;
 
--- a/lib/Placement/LoadDecision.cpp
+++ b/lib/Placement/LoadDecision.cpp
@@ -181,13 +181,16 @@
     if (rule.kind == ModelKind::Adapter && requestBase(demand, rule)) {
         return;
     }
-    const auto unordered = std::count_if(m_works.begin(), m_works.end(), [](const auto &item) {
-        return item.second.step != Work::Step::Await && item.second.step != Work::Step::Clear;
+    const auto rank = loadRank(rule.name);
+    const auto ahead = std::count_if(m_works.begin(), m_works.end(), [&](const auto &item) {
+        const Work &work = item.second;
+        return work.step != Work::Step::Await && work.step != Work::Step::Clear
+            && loadRank(work.model) <= rank;
     });
     // Memory reserved by a load that waits long for its turn is lost to others.
     const std::size_t most =
         rule.kind == ModelKind::Adapter ? m_options.maxAdapterLoads : m_options.maxActiveLoads;
-    if (static_cast<std::size_t>(unordered) >= most) {
+    if (static_cast<std::size_t>(ahead) >= most) {
         return;
     }
     EndpointView *view = chooseEndpoint(rule, demand.demand.zone);
--- a/lib/Placement/PlacementEngine.cpp
+++ b/lib/Placement/PlacementEngine.cpp
@@ -17,6 +17,8 @@
 // rarely, because every instance of a zone reads them and the store takes 2,000 reads a second.
 constexpr Duration UnsettledLedgerRead = std::chrono::seconds(2);
 constexpr Duration SettledLedgerRead = std::chrono::seconds(30);
+// Requests wait for a replica that an instance of another zone loads.
+constexpr Duration AwaitedLedgerRead = std::chrono::milliseconds(500);
 constexpr Duration RemoteLedgerRead = std::chrono::seconds(5);
 // A ledger read this long ago still says what is loaded on an endpoint of another zone.
 constexpr Duration RemoteLedgerExpiry = std::chrono::seconds(15);
@@ -97,7 +99,7 @@
               [this](const std::string &key, const KnownObject &object) {
                   onObject(key, object);
               })
-    , m_idlePolicy({m_options.minIdleTimeout, m_options.maxIdleTimeout, 40})
+    , m_idlePolicy({m_options.minIdleTimeout, m_options.maxIdleTimeout})
 { }
 
 std::vector<PlacementAction> PlacementEngine::State::handle(const PlacementEvent &event)
@@ -328,22 +330,28 @@
 void PlacementEngine::State::readLedgers()
 {
     const SteadyTime now = m_clock.now();
-    std::set<EndpointId> wanted;
+    // Endpoints with a decided replica of a demanded model; true where it is not yet ready.
+    std::map<EndpointId, bool> wanted;
     for (const auto &[model, demand] : m_demands) {
         const Placement *placement = isActive(demand) ? findPlacement(model) : nullptr;
-        if (placement) {
-            for (const PlacedReplica &replica : placement->replicas) {
-                wanted.insert(replica.endpoint);
-            }
+        if (!placement) {
+            continue;
+        }
+        for (const PlacedReplica &replica : placement->replicas) {
+            const EndpointView *view = findView(replica.endpoint);
+            wanted[replica.endpoint] |= view && !isReady(*view, model);
         }
     }
     for (auto &[id, view] : m_views) {
-        if (view.rule.zone != m_options.zone && wanted.count(id) == 0) {
+        const auto use = wanted.find(id);
+        const bool isRemote = view.rule.zone != m_options.zone;
+        if (isRemote && use == wanted.end()) {
             continue;
         }
         Duration interval = ledgerReadInterval(view);
-        if (wanted.count(id) != 0 && !view.ledgerKnown) {
-            interval = Duration::zero();
+        if (use != wanted.end() && use->second) {
+            interval = view.ledgerKnown ? Duration(isRemote ? AwaitedLedgerRead : interval)
+                                        : Duration::zero();
         }
         const SteadyTime latest = view.ledgerCheckedAt + interval;
         if (now >= view.nextLedgerRead && now >= latest) {
--- /dev/null
+++ b/tests/Placement/FakeFleetEvents.h
@@ -0,0 +1,494 @@
+#ifndef MARIGOLDSPOOL_TESTS_PLACEMENT_FAKEFLEETEVENTS_H
+#define MARIGOLDSPOOL_TESTS_PLACEMENT_FAKEFLEETEVENTS_H
+
+// The events of a Fleet: instances, store, orders and engines. Included by FakeFleet.h.
+#include "Placement/FakeFleet.h"
+
+namespace marigoldspool::fake {
+
+inline Fleet::Fleet(FleetOptions options)
+    : m_options(std::move(options))
+    , m_random(m_options.seed)
+{
+    buildRules();
+    for (int zone = 0; zone < m_options.zones; ++zone) {
+        for (int n = 0; n < m_options.instancesPerZone; ++n) {
+            auto instance = std::make_unique<FakeInstance>();
+            instance->zone = ZoneName("zone-" + std::to_string(zone));
+            instance->id = InstanceId("i" + std::to_string(zone) + "-" + std::to_string(n));
+            // Monotonic clocks of different machines have nothing in common.
+            instance->clock.advance(upTo(seconds(100'000)));
+            startInstance(*instance);
+            m_instances.push_back(std::move(instance));
+        }
+    }
+    for (FakeEngine &engine : m_engines) {
+        publish(engine);
+    }
+    after(seconds(1), [this] {
+        everySecond();
+    });
+}
+
+inline void Fleet::buildRules()
+{
+    for (int zone = 0; zone < m_options.zones; ++zone) {
+        const ZoneName name("zone-" + std::to_string(zone));
+        m_rules.zones.push_back({name, ZoneState::Serving, 1, "test"});
+        for (int n = 0; n < m_options.enginesPerZone; ++n) {
+            EndpointRule rule;
+            rule.id = EndpointId("e" + std::to_string(zone) + "-" + std::to_string(n));
+            rule.zone = name;
+            rule.memoryBytes = m_options.engineMemory;
+            const bool checked = m_options.allChecked || n % 2 == 1;
+            rule.fencing = checked ? FencingMode::Checked : FencingMode::Ignored;
+            m_rules.endpoints.push_back(rule);
+            FakeEngine engine;
+            engine.rule = rule;
+            m_engines.push_back(std::move(engine));
+        }
+    }
+    m_rules.models = m_options.models;
+    m_configuration = std::make_shared<Configuration>(m_rules);
+}
+
+inline void Fleet::changeRules(const std::function<void(RuleSet &)> &change)
+{
+    change(m_rules);
+    m_configuration = std::make_shared<Configuration>(m_rules);
+    for (auto &instance : m_instances) {
+        pass(*instance, instance->life, ConfigurationChanged{m_configuration});
+    }
+}
+
+inline void Fleet::startInstance(FakeInstance &instance)
+{
+    instance.random = std::make_unique<SeededRandomSource>(m_random.next());
+    PlacementOptions options = m_options.placement;
+    options.zone = instance.zone;
+    instance.placement =
+        std::make_unique<PlacementEngine>(options, instance.id, instance.clock, *instance.random);
+    instance.statusAsked.clear();
+    const std::uint64_t life = instance.life;
+    after(upTo(milliseconds(100)), [this, &instance, life] {
+        pass(instance, life, ConfigurationChanged{m_configuration});
+        tick(instance, life);
+    });
+}
+
+inline void Fleet::die(FakeInstance &instance)
+{
+    ++instance.life;
+    instance.pausedUntil = Duration::zero();
+    after(seconds(2) + upTo(seconds(25)), [this, &instance] {
+        startInstance(instance);
+    });
+}
+
+inline void Fleet::after(Duration delay, std::function<void()> run)
+{
+    m_events.push({m_now + delay, ++m_eventNumber, std::move(run)});
+}
+
+inline Duration Fleet::upTo(Duration longest)
+{
+    return Duration(
+        static_cast<std::int64_t>(static_cast<double>(longest.count()) * m_random.uniform()));
+}
+
+inline void Fleet::run(Duration duration)
+{
+    const Duration end = m_now + duration;
+    while (!m_events.empty() && m_events.top().at <= end && m_violations.empty()) {
+        const Event event = m_events.top();
+        m_events.pop();
+        for (auto &instance : m_instances) {
+            instance->clock.advance(event.at - m_now);
+        }
+        m_now = event.at;
+        event.run();
+    }
+    if (m_violations.empty()) {
+        for (auto &instance : m_instances) {
+            instance->clock.advance(end - m_now);
+        }
+        m_now = end;
+    }
+}
+
+// A paused process takes its events when it wakes up.
+inline void Fleet::pass(FakeInstance &instance, std::uint64_t life, PlacementEvent event)
+{
+    if (instance.life != life) {
+        return;
+    }
+    if (m_now < instance.pausedUntil) {
+        after(instance.pausedUntil - m_now, [this, &instance, life, event = std::move(event)] {
+            pass(instance, life, event);
+        });
+        return;
+    }
+    for (PlacementAction &action : instance.placement->handle(event)) {
+        if (instance.life == life) {
+            carryOut(instance, std::move(action));
+        }
+    }
+}
+
+// Returns true when the process dies or is paused right before the action.
+inline bool Fleet::interrupt(FakeInstance &instance, const PlacementAction &action)
+{
+    const bool isStep =
+        std::holds_alternative<StorePut>(action) || std::holds_alternative<SendOrder>(action);
+    if (!isStep) {
+        return m_now < instance.pausedUntil;
+    }
+    if (chance(m_options.faults.dieAtStep)) {
+        die(instance);
+        return true;
+    }
+    if (m_now >= instance.pausedUntil && chance(m_options.faults.pauseAtStep)) {
+        instance.pausedUntil = m_now + seconds(1) + upTo(seconds(40));
+        // Half of the pauses begin after the action.
+        return chance(0.5);
+    }
+    return m_now < instance.pausedUntil;
+}
+
+inline void Fleet::carryOut(FakeInstance &instance, PlacementAction action)
+{
+    const std::uint64_t life = instance.life;
+    if (interrupt(instance, action)) {
+        if (instance.life == life) {
+            after(instance.pausedUntil - m_now, [this, &instance, life, action] {
+                if (instance.life == life) {
+                    carryOut(instance, action);
+                }
+            });
+        }
+        return;
+    }
+    if (const auto *read = std::get_if<StoreGet>(&action)) {
+        get(instance, *read);
+    } else if (const auto *written = std::get_if<StorePut>(&action)) {
+        put(instance, *written);
+    } else if (const auto *sent = std::get_if<SendOrder>(&action)) {
+        sendOrder(instance, sent->order);
+    } else {
+        instance.seen.push_back(action);
+        if (onReport) {
+            onReport(instance, action);
+        }
+    }
+}
+
+inline void Fleet::get(FakeInstance &instance, const StoreGet &action)
+{
+    const std::uint64_t life = instance.life;
+    const bool fails = m_storeAway || chance(m_options.faults.storeUnavailable);
+    const bool stale = chance(m_options.faults.storeStaleRead);
+    after(upTo(m_options.storeDelay), [this, &instance, life, action, fails, stale] {
+        Expected<StoredObject> reply =
+            failure(fails ? ErrorKind::Unavailable : ErrorKind::NotFound);
+        const auto it = m_objects.find(action.key);
+        if (!fails && it != m_objects.end()) {
+            const Object &object = it->second;
+            const bool old = stale && object.previousVersion != 0;
+            if (!stale || old) {
+                reply = StoredObject{action.key, old ? object.previousVersion : object.version,
+                                     old ? object.previousValue : object.value,
+                                     old ? object.previousWriteId : object.writeId};
+            }
+        }
+        after(upTo(m_options.storeDelay), [this, &instance, life, action, reply] {
+            pass(instance, life, StoreReply{action.token, reply});
+        });
+    });
+}
+
+inline Expected<StoredObject> Fleet::write(const StorePut &action)
+{
+    Object &object = m_objects[action.key];
+    if (object.version != action.expectedVersion) {
+        return failure(ErrorKind::Conflict);
+    }
+    object.previousValue = std::move(object.value);
+    object.previousVersion = object.version;
+    object.previousWriteId = object.writeId;
+    object.value = action.value;
+    object.version = ++m_revision;
+    object.writeId = action.writeId;
+    check();
+    return StoredObject{action.key, object.version, std::string(), action.writeId};
+}
+
+inline void Fleet::put(FakeInstance &instance, const StorePut &action)
+{
+    const std::uint64_t life = instance.life;
+    const bool fails = m_storeAway || chance(m_options.faults.storeUnavailable);
+    const bool late = !fails && chance(m_options.faults.storeWriteLate);
+    const bool lost = late || chance(m_options.faults.storeAnswerLost);
+    const Duration delay = late ? upTo(seconds(3)) : upTo(m_options.storeDelay);
+    const auto answer = [this, &instance, life,
+                         token = action.token](Expected<StoredObject> reply) {
+        after(upTo(m_options.storeDelay), [this, &instance, life, token, reply] {
+            pass(instance, life, StoreReply{token, reply});
+        });
+    };
+    if (fails) {
+        answer(failure(ErrorKind::Unavailable));
+        return;
+    }
+    if (late) {
+        answer(failure(ErrorKind::Timeout));
+    }
+    after(delay, [this, action, lost, late, answer] {
+        Expected<StoredObject> reply = write(action);
+        if (lost) {
+            reply = failure(ErrorKind::OutcomeUnknown);
+        }
+        if (!late) {
+            answer(reply);
+        }
+    });
+}
+
+inline void Fleet::writeObject(const std::string &key, const std::string &value)
+{
+    write(StorePut{0, key, m_objects[key].version, value, WriteId("test")});
+}
+
+inline void Fleet::sendOrder(FakeInstance &instance, const EngineOrder &order)
+{
+    const std::uint64_t life = instance.life;
+    if (!maySendOrder(order, instance.clock.now())) {
+        after(Duration::zero(), [this, &instance, life, order] {
+            pass(instance, life, OrderReply{order.id, failure(ErrorKind::Unavailable)});
+        });
+        return;
+    }
+    FakeEngine *engine = findEngine(order.endpoint);
+    const bool late = chance(m_options.faults.orderLate);
+    // Only fencing protects against orders that are later than the assumed transit time.
+    const Duration longest = engine->rule.fencing == FencingMode::Checked
+        ? Duration(seconds(60))
+        : m_options.placement.orderTransit;
+    const bool lost = chance(m_options.faults.orderAnswerLost);
+    const std::uint64_t incarnation = engine->incarnation;
+    after(late ? upTo(longest) : upTo(milliseconds(10)),
+          [this, &instance, life, order, engine, lost, incarnation] {
+              // Connections end with the process, so its successor gets none of their orders.
+              Expected<void> reply = failure(ErrorKind::OutcomeUnknown);
+              if (engine->incarnation == incarnation) {
+                  reply = takeOrder(*engine, order);
+              }
+              if (lost) {
+                  reply = failure(ErrorKind::OutcomeUnknown);
+              }
+              after(upTo(milliseconds(10)), [this, &instance, life, order, reply] {
+                  pass(instance, life, OrderReply{order.id, reply});
+              });
+          });
+}
+
+inline Expected<void> Fleet::takeOrder(FakeEngine &engine, const EngineOrder &order)
+{
+    if (engine.rule.fencing == FencingMode::Checked) {
+        if (order.fencing <= engine.lastFencing) {
+            return failure(ErrorKind::StaleFencing);
+        }
+        engine.lastFencing = order.fencing;
+    }
+    auto it = engine.models.find(order.model);
+    const bool load = order.action == OrderAction::Load;
+    const bool present = it != engine.models.end();
+    m_accepted.push_back(order);
+    if (load ? present && it->second.state != EngineModelState::Unloading : !present) {
+        return {};
+    }
+    FakeModel &model = engine.models[order.model];
+    model = {order.version, order.bytes,
+             load ? EngineModelState::Loading : EngineModelState::Unloading, ++m_eventNumber};
+    check();
+    const Duration takes = load ? loadTime(order.model) : upTo(milliseconds(500));
+    after(takes, [&engine, id = order.model, change = model.change, load] {
+        const auto found = engine.models.find(id);
+        if (found == engine.models.end() || found->second.change != change) {
+            return;
+        }
+        if (load) {
+            found->second.state = EngineModelState::Loaded;
+        } else {
+            engine.models.erase(found);
+        }
+    });
+    return {};
+}
+
+inline Duration Fleet::loadTime(const ModelName &model)
+{
+    if (!isAdapter(model)) {
+        return m_options.loadTime / 2 + upTo(m_options.loadTime);
+    }
+    int inFlight = 0;
+    for (const FakeEngine &engine : m_engines) {
+        for (const auto &[name, loaded] : engine.models) {
+            inFlight += loaded.state == EngineModelState::Loading && isAdapter(name) ? 1 : 0;
+        }
+    }
+    const Duration alone = m_options.shortestAdapterLoad
+        + upTo(m_options.longestAdapterLoad - m_options.shortestAdapterLoad);
+    return alone * std::max(30, inFlight) / 30;
+}
+
+inline void Fleet::publish(FakeEngine &engine)
+{
+    EngineStatus &status = engine.published;
+    status.endpoint = engine.rule.id;
+    status.incarnation = std::to_string(engine.incarnation);
+    status.memoryTotal = engine.rule.memoryBytes;
+    status.memoryUsed = 0;
+    status.loaded.clear();
+    for (const auto &[name, model] : engine.models) {
+        status.memoryUsed += model.bytes;
+        status.loaded.push_back({name, model.version, model.bytes, model.state});
+    }
+    status.lastFencing = engine.lastFencing;
+    status.cached = engine.cached;
+    status.running = m_options.randomDemand && chance(0.2) ? 1 : 0;
+    after(upTo(m_options.statusLag), [this, &engine] {
+        publish(engine);
+    });
+}
+
+inline void Fleet::askStatus(FakeInstance &instance, const EndpointId &endpoint)
+{
+    if (instance.statusAsked[endpoint]) {
+        return;
+    }
+    instance.statusAsked[endpoint] = true;
+    const std::uint64_t life = instance.life;
+    const SteadyTime at = instance.clock.now();
+    const bool lost = chance(m_options.faults.statusLost);
+    after(upTo(milliseconds(5)), [this, &instance, endpoint, life, at, lost] {
+        EngineStatus status = findEngine(endpoint)->published;
+        status.at = at;
+        after(upTo(milliseconds(5)), [this, &instance, endpoint, life, status, lost] {
+            if (instance.life == life) {
+                instance.statusAsked[endpoint] = false;
+            }
+            if (!lost) {
+                pass(instance, life, status);
+            }
+        });
+    });
+}
+
+inline void Fleet::tick(FakeInstance &instance, std::uint64_t life)
+{
+    if (instance.life != life) {
+        return;
+    }
+    if (m_now >= instance.pausedUntil) {
+        pass(instance, life, Tick{{}, m_instances.size()});
+    }
+    if (instance.life == life && m_now >= instance.pausedUntil) {
+        for (const EndpointId &endpoint : instance.placement->awaitedEndpoints()) {
+            askStatus(instance, endpoint);
+        }
+    }
+    after(milliseconds(100), [this, &instance, life] {
+        tick(instance, life);
+    });
+}
+
+inline void Fleet::everySecond()
+{
+    for (auto &instance : m_instances) {
+        if (m_now >= instance->pausedUntil) {
+            for (const FakeEngine &engine : m_engines) {
+                if (engine.rule.zone == instance->zone) {
+                    askStatus(*instance, engine.rule.id);
+                }
+            }
+        }
+        if (m_options.randomDemand && chance(m_options.faults.demandChange)) {
+            instance->demanded.clear();
+            for (std::size_t n = m_random.below(4); n > 0; --n) {
+                const auto &rules = m_options.models;
+                instance->demanded.insert(rules[m_random.below(rules.size())].name);
+            }
+        }
+        passDemand(*instance);
+    }
+    for (FakeEngine &engine : m_engines) {
+        if (chance(m_options.faults.coldRestart)) {
+            restartCold(engine);
+        }
+    }
+    if (!m_storeAway && chance(m_options.faults.storeOutage)) {
+        m_storeAway = true;
+        after(seconds(1) + upTo(seconds(20)), [this] {
+            m_storeAway = false;
+        });
+    }
+    after(seconds(1), [this] {
+        everySecond();
+    });
+}
+
+inline void Fleet::passDemand(FakeInstance &instance)
+{
+    for (const ModelName &model : instance.demanded) {
+        Demand demand;
+        demand.model = model;
+        demand.zone = instance.zone;
+        demand.arrived = 1;
+        demand.waiting = instance.placement->readyEndpoints(model).empty() || chance(0.3) ? 1 : 0;
+        demand.earliestDeadline = instance.clock.now() + seconds(30);
+        demand.predictedWait = m_options.randomDemand && chance(0.1) ? seconds(40) : seconds(0);
+        if (shapeDemand) {
+            shapeDemand(instance, demand);
+        }
+        pass(instance, instance.life, DemandSeen{demand});
+    }
+}
+
+inline void Fleet::demand(std::size_t instance, const ModelName &model)
+{
+    m_instances[instance]->demanded.insert(model);
+    passDemand(*m_instances[instance]);
+}
+
+inline void Fleet::endDemand(const FakeInstance &instance, const ModelName &model)
+{
+    for (auto &other : m_instances) {
+        if (other->id == instance.id) {
+            other->demanded.erase(model);
+        }
+    }
+}
+
+inline void Fleet::calm(const ModelName &model)
+{
+    m_options.faults = Faults();
+    m_options.randomDemand = false;
+    m_options.faults.demandChange = 0;
+    m_storeAway = false;
+    for (auto &instance : m_instances) {
+        instance->demanded.clear();
+        instance->pausedUntil = std::min(instance->pausedUntil, m_now + seconds(40));
+    }
+    m_instances[0]->demanded.insert(model);
+}
+
+inline void Fleet::restartCold(FakeEngine &engine)
+{
+    engine.models.clear();
+    engine.lastFencing = 0;
+    ++engine.incarnation;
+}
+
+} // namespace marigoldspool::fake
+
+#endif
--- /dev/null
+++ b/tests/Placement/PlacementEngineTest.cpp
@@ -0,0 +1,377 @@
+#include "Placement/RandomisedRun.h"
+
+#include <doctest/doctest.h>
+
+using namespace marigoldspool;
+using namespace marigoldspool::fake;
+
+namespace {
+
+const ModelName m0("m0");
+const ModelName m1("m1");
+const ModelName m2("m2");
+
+FleetOptions quietFleet(int models)
+{
+    FleetOptions options;
+    options.models = makeModels(models);
+    options.randomDemand = false;
+    options.faults.demandChange = 0;
+    return options;
+}
+
+FleetOptions oneInstance(int models)
+{
+    FleetOptions options = quietFleet(models);
+    options.zones = 1;
+    options.instancesPerZone = 1;
+    return options;
+}
+
+std::vector<std::string> loadedModels(const Fleet &fleet)
+{
+    std::vector<std::string> names;
+    for (const EngineOrder &order : fleet.accepted()) {
+        if (order.action == OrderAction::Load) {
+            names.push_back(order.model.str());
+        }
+    }
+    return names;
+}
+
+std::size_t readyCount(Fleet &fleet, std::size_t instance, const ModelName &model)
+{
+    return fleet.instance(instance).placement->readyEndpoints(model).size();
+}
+
+template <class Action>
+std::size_t countSeen(Fleet &fleet, std::size_t instance)
+{
+    const auto &seen = fleet.instance(instance).seen;
+    return static_cast<std::size_t>(
+        std::count_if(seen.begin(), seen.end(), [](const PlacementAction &action) {
+            return std::holds_alternative<Action>(action);
+        }));
+}
+
+bool wasRefused(Fleet &fleet, RefusalReason reason)
+{
+    const auto &seen = fleet.instance(0).seen;
+    return std::any_of(seen.begin(), seen.end(), [&](const PlacementAction &action) {
+        const auto *refused = std::get_if<LoadRefused>(&action);
+        return refused && refused->reason == reason;
+    });
+}
+
+} // namespace
+
+TEST_CASE("a demanded model is loaded once and every instance can route to it")
+{
+    const QuietLog quiet;
+    Fleet fleet(quietFleet(1));
+    fleet.run(seconds(3));
+    fleet.demand(0, m0);
+    fleet.run(seconds(12));
+    CHECK(fleet.violations().empty());
+    CHECK(fleet.loadOrders() == 1);
+    CHECK(readyCount(fleet, 0, m0) == 1);
+    CHECK(readyCount(fleet, 1, m0) == 1);
+    CHECK(countSeen<ReplicaReady>(fleet, 1) == 1);
+    CHECK(fleet.unfinished().empty());
+    // The other zone learns it from placement and ledger, which it reads on demand.
+    fleet.demand(2, m0);
+    fleet.run(seconds(5));
+    CHECK(readyCount(fleet, 2, m0) == 1);
+    CHECK(fleet.loadOrders() == 1);
+}
+
+// Guards against a load for each instance that a burst of first requests reaches.
+TEST_CASE("a burst at instances without a common home starts one load")
+{
+    const QuietLog quiet;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        FleetOptions options = quietFleet(1);
+        options.seed = seed;
+        options.models[0].maxReplicas = 3;
+        options.faults.storeAnswerLost = seed % 2 == 0 ? 0.3 : 0;
+        Fleet fleet(options);
+        fleet.run(seconds(3));
+        for (std::size_t n = 0; n < 4; ++n) {
+            fleet.demand(n, m0);
+        }
+        fleet.run(seconds(30));
+        CHECK(fleet.violations().empty());
+        CHECK(fleet.loadOrders() == 1);
+        CHECK(readyCount(fleet, 3, m0) == 1);
+    }
+}
+
+TEST_CASE("an engine that restarts cold loses its replica, and demand loads it again")
+{
+    const QuietLog quiet;
+    Fleet fleet(oneInstance(1));
+    fleet.run(seconds(3));
+    fleet.demand(0, m0);
+    fleet.run(seconds(25));
+    REQUIRE(fleet.loadedReplicas(m0) == 1);
+    fleet.restartCold(fleet.engine(0));
+    fleet.restartCold(fleet.engine(1));
+    fleet.run(seconds(4));
+    CHECK(countSeen<ReplicaGone>(fleet, 0) == 1);
+    fleet.run(seconds(25));
+    CHECK(fleet.loadOrders() == 2);
+    CHECK(fleet.loadedReplicas(m0) == 1);
+    CHECK(fleet.violations().empty());
+}
+
+TEST_CASE("a leaving endpoint gets no requests and its replica moves")
+{
+    const QuietLog quiet;
+    FleetOptions options = oneInstance(1);
+    SUBCASE("with room for the replacement beside it")
+    {
+        options.models[0].maxReplicas = 2;
+    }
+    SUBCASE("with max-replicas used up")
+    {
+        options.models[0].maxReplicas = 1;
+    }
+    Fleet fleet(options);
+    fleet.run(seconds(3));
+    fleet.demand(0, m0);
+    fleet.run(seconds(20));
+    REQUIRE(readyCount(fleet, 0, m0) == 1);
+    const EndpointId old = fleet.instance(0).placement->readyEndpoints(m0)[0];
+    fleet.changeRules([&](RuleSet &rules) {
+        for (EndpointRule &rule : rules.endpoints) {
+            rule.state = rule.id == old ? EndpointState::Leaving : EndpointState::Serving;
+        }
+    });
+    CHECK(readyCount(fleet, 0, m0) == 0);
+    fleet.run(seconds(60));
+    REQUIRE(readyCount(fleet, 0, m0) == 1);
+    CHECK(fleet.instance(0).placement->readyEndpoints(m0)[0] != old);
+    CHECK(fleet.loadedReplicas(m0) == 1);
+    CHECK(fleet.violations().empty());
+}
+
+TEST_CASE("a drained zone is emptied and its models are refused as long as no zone may run them")
+{
+    const QuietLog quiet;
+    Fleet fleet(oneInstance(1));
+    fleet.run(seconds(3));
+    fleet.demand(0, m0);
+    fleet.run(seconds(20));
+    REQUIRE(fleet.loadedReplicas(m0) == 1);
+    fleet.changeRules([](RuleSet &rules) {
+        rules.zones[0].state = ZoneState::Drained;
+    });
+    CHECK(readyCount(fleet, 0, m0) == 0);
+    fleet.run(seconds(30));
+    CHECK(fleet.loadedReplicas(m0) == 0);
+    CHECK(wasRefused(fleet, RefusalReason::ZoneDrained));
+    fleet.changeRules([](RuleSet &rules) {
+        rules.zones[0].state = ZoneState::Serving;
+    });
+    fleet.run(seconds(30));
+    CHECK(readyCount(fleet, 0, m0) == 1);
+}
+
+TEST_CASE("min-replicas are loaded without requests and not unloaded when idle")
+{
+    const QuietLog quiet;
+    FleetOptions options = quietFleet(1);
+    options.models[0].minReplicas = 2;
+    options.models[0].maxReplicas = 2;
+    options.placement.maxIdleTimeout = seconds(60);
+    Fleet fleet(options);
+    fleet.run(seconds(300));
+    CHECK(fleet.loadedReplicas(m0) == 2);
+    CHECK(fleet.loadOrders() == 2);
+    CHECK(fleet.violations().empty());
+}
+
+TEST_CASE("an idle model is unloaded by its home, and by others when the home has died")
+{
+    const QuietLog quiet;
+    FleetOptions options = quietFleet(1);
+    options.zones = 1;
+    options.placement.maxIdleTimeout = seconds(120);
+    Fleet fleet(options);
+    fleet.run(seconds(3));
+    fleet.demand(0, m0);
+    fleet.run(seconds(20));
+    fleet.instance(0).demanded.clear();
+    SUBCASE("home alive") { }
+    SUBCASE("home dead")
+    {
+        ++fleet.instance(0).life;
+    }
+    fleet.run(seconds(20));
+    CHECK(fleet.loadedReplicas(m0) == 1);
+    fleet.run(seconds(180));
+    CHECK(fleet.loadedReplicas(m0) == 0);
+    CHECK(fleet.decidedReplicas(m0) == 0);
+}
+
+// Guards against places in loads/active that stay taken by instances that died.
+TEST_CASE("active loads of dead instances do not block new loads")
+{
+    const QuietLog quiet;
+    Fleet fleet(oneInstance(1));
+    ActiveLoads loads;
+    for (int n = 0; n < 4; ++n) {
+        loads.loads.push_back({ReplicaId("dead" + std::to_string(n)), m1, EndpointId("e0-0"), 0});
+    }
+    fleet.writeObject("loads/active", loads.serialise());
+    fleet.run(seconds(3));
+    fleet.demand(0, m0);
+    fleet.run(seconds(15));
+    CHECK(readyCount(fleet, 0, m0) == 1);
+}
+
+TEST_CASE("while the store is away loads are refused and loaded replicas stay ready")
+{
+    const QuietLog quiet;
+    Fleet fleet(oneInstance(2));
+    fleet.run(seconds(3));
+    fleet.demand(0, m0);
+    fleet.run(seconds(15));
+    fleet.setStoreAway(true);
+    fleet.demand(0, m1);
+    fleet.run(seconds(20));
+    CHECK(readyCount(fleet, 0, m0) == 1);
+    CHECK(wasRefused(fleet, RefusalReason::StoreUnavailable));
+    CHECK(fleet.loadOrders() == 1);
+    fleet.setStoreAway(false);
+    fleet.run(seconds(20));
+    CHECK(readyCount(fleet, 0, m1) == 1);
+}
+
+TEST_CASE("a load that helps nobody is not started until the history justifies it")
+{
+    const QuietLog quiet;
+    FleetOptions options = oneInstance(1);
+    options.models[0].memoryBytes = 20'000'000'000; // 20 s from the remote store, as assumed
+    options.engineMemory = 80'000'000'000;
+    Fleet fleet(options);
+    bool many = false;
+    fleet.shapeDemand = [&](const FakeInstance &instance, Demand &demand) {
+        demand.arrived = many ? 1 : 0;
+        demand.earliestDeadline = instance.clock.now() + seconds(2);
+    };
+    fleet.run(seconds(3));
+    fleet.demand(0, m0);
+    fleet.run(seconds(10));
+    CHECK(wasRefused(fleet, RefusalReason::DeadlineTooShort));
+    CHECK(fleet.loadOrders() == 0);
+    many = true;
+    fleet.run(seconds(20));
+    CHECK(fleet.loadOrders() == 1);
+}
+
+TEST_CASE("loads start by deadline, then by waiting requests, then by the worst service")
+{
+    const QuietLog quiet;
+    FleetOptions options = oneInstance(5);
+    options.placement.maxActiveLoads = 1;
+    options.loadTime = seconds(10);
+    Fleet fleet(options);
+    fleet.shapeDemand = [](const FakeInstance &, Demand &demand) {
+        // The clocks of the instances start at a random time below this one.
+        demand.earliestDeadline = SteadyTime(seconds(200'000));
+        demand.earliestDeadline -= demand.model == m2 ? seconds(10) : seconds(0);
+        demand.waiting = demand.model == m0 ? 1 : 5;
+        demand.worstService = demand.model == m1 ? 0.9 : 0.2;
+    };
+    fleet.run(seconds(3));
+    fleet.demand(0, ModelName("m4")); // occupies the only place while the others arrive
+    fleet.run(seconds(2));
+    fleet.instance(0).demanded = {m0, m1, m2, ModelName("m3")};
+    fleet.run(seconds(90));
+    CHECK(loadedModels(fleet) == std::vector<std::string>{"m4", "m2", "m3", "m1", "m0"});
+}
+
+TEST_CASE("an endpoint that holds the checkpoint closer is chosen")
+{
+    const QuietLog quiet;
+    for (std::size_t engine = 0; engine < 2; ++engine) {
+        Fleet fleet(oneInstance(1));
+        fleet.engine(engine).cached = {{m0, CheckpointPlace::Memory}};
+        fleet.engine(1 - engine).cached = {{m0, CheckpointPlace::Disk}};
+        fleet.run(seconds(5));
+        fleet.demand(0, m0);
+        fleet.run(seconds(15));
+        CHECK(fleet.engine(engine).models.count(m0) == 1);
+    }
+}
+
+TEST_CASE("an idle model is unloaded to make room, a used one is not")
+{
+    const QuietLog quiet;
+    FleetOptions options = oneInstance(3);
+    options.enginesPerZone = 1;
+    options.engineMemory = 80;
+    Fleet fleet(options);
+    fleet.run(seconds(3));
+    fleet.instance(0).demanded = {m0, m1}; // 25 and 35 of 80; m2 takes 45
+    fleet.run(seconds(20));
+    REQUIRE(fleet.loadOrders() == 2);
+    fleet.demand(0, m2);
+    fleet.run(seconds(10));
+    CHECK(wasRefused(fleet, RefusalReason::NoCapacity));
+    fleet.instance(0).demanded = {m0, m2};
+    fleet.run(seconds(40));
+    CHECK(fleet.engine(0).models.count(m0) == 1);
+    CHECK(fleet.engine(0).models.count(m1) == 0);
+    CHECK(readyCount(fleet, 0, m2) == 1);
+    CHECK(fleet.violations().empty());
+}
+
+TEST_CASE("replicas are added while the predicted wait passes the deadline and removed when idle")
+{
+    const QuietLog quiet;
+    FleetOptions options = oneInstance(1);
+    options.models[0].maxReplicas = 2;
+    Fleet fleet(options);
+    bool busy = true;
+    fleet.shapeDemand = [&](const FakeInstance &, Demand &demand) {
+        demand.waiting = 1;
+        demand.predictedWait = busy ? seconds(60) : seconds(1);
+    };
+    fleet.run(seconds(3));
+    fleet.demand(0, m0);
+    fleet.run(seconds(30));
+    CHECK(readyCount(fleet, 0, m0) == 2);
+    busy = false;
+    fleet.run(seconds(200));
+    CHECK(readyCount(fleet, 0, m0) == 1);
+    CHECK(fleet.violations().empty());
+}
+
+TEST_CASE("an adapter waits for its base and keeps it loaded")
+{
+    const QuietLog quiet;
+    FleetOptions options = oneInstance(2);
+    options.models[1].kind = ModelKind::Adapter;
+    options.models[1].base = m0;
+    options.models[1].memoryBytes = 2;
+    Fleet fleet(options);
+    fleet.run(seconds(3));
+    fleet.demand(0, m1);
+    fleet.run(seconds(15));
+    CHECK(loadedModels(fleet) == std::vector<std::string>{"m0", "m1"});
+    fleet.run(seconds(100));
+    CHECK(readyCount(fleet, 0, m1) == 1);
+    CHECK(readyCount(fleet, 0, m0) == 1);
+}
+
+TEST_CASE("an order may be sent only before its bound")
+{
+    EngineOrder order;
+    order.notAfter = SteadyTime(seconds(10));
+    CHECK(maySendOrder(order, SteadyTime(seconds(10)) - Duration(1)));
+    CHECK_FALSE(maySendOrder(order, SteadyTime(seconds(10))));
+    CHECK(orderValidMs(order, SteadyTime(milliseconds(9500))) == 500);
+    CHECK(orderValidMs(order, SteadyTime(seconds(11))) == 0);
+}
