Load an adapter on its base in another zone

An adapter whose only base replica runs in another zone was never loaded: the base was taken to be missing because its engine is not asked for its status, and max-replicas forbade a second one.

--- a/include/marigoldspool/Placement/PlacementEngine.h
+++ b/include/marigoldspool/Placement/PlacementEngine.h
@@ -237,8 +237,9 @@
     std::vector<PlacementAction> handle(const PlacementEvent &event);
     /// Endpoints to which requests for \p model can be sent, in order of their names.
     std::vector<EndpointId> readyEndpoints(const ModelName &model) const;
-    /// Endpoints with an order under way. Asking for their status every 50 ms instead of each
-    /// second shortens cold starts; adapters load in 5 to 15 ms.
+    /// Endpoints with an order under way, and those of other zones on which a demanded adapter
+    /// can be loaded. Asking for their status every 50 to 100 ms instead of each second shortens
+    /// cold starts; those of other zones have to be asked, or the adapter is not loaded.
     std::vector<EndpointId> awaitedEndpoints() const;
 
 private:
--- a/lib/Placement/LoadDecision.cpp
+++ b/lib/Placement/LoadDecision.cpp
@@ -214,9 +214,7 @@
 // Whether the adapter has to wait for its base model, which is then demanded with it.
 bool PlacementEngine::State::requestBase(const ModelDemand &demand, const ModelRule &adapter)
 {
-    const bool isThere = std::any_of(m_views.begin(), m_views.end(), [&](const auto &item) {
-        return hasFreshStatus(item.second) && isReady(item.second, adapter.base);
-    });
+    const bool isThere = !readyEndpoints(adapter.base).empty();
     if (isThere) {
         return false;
     }
@@ -321,7 +319,9 @@
             continue;
         }
         if (!view.ledgerKnown || !hasFreshStatus(view)) {
-            undecided = undecided || view.rule.zone == m_options.zone;
+            // The engines of this zone, and those with an adapter's base, are being asked.
+            undecided =
+                undecided || view.rule.zone == m_options.zone || model.kind == ModelKind::Adapter;
             continue;
         }
         const auto found = findVictims(view, model.memoryBytes + model.kvBytes);
--- a/lib/Placement/PlacementEngine.cpp
+++ b/lib/Placement/PlacementEngine.cpp
@@ -129,15 +129,24 @@
 
 std::vector<EndpointId> PlacementEngine::State::awaitedEndpoints() const
 {
-    std::vector<EndpointId> endpoints;
+    std::set<EndpointId> endpoints;
     for (const auto &[replica, work] : m_works) {
-        const bool isNew =
-            std::find(endpoints.begin(), endpoints.end(), work.endpoint) == endpoints.end();
-        if (work.step == Work::Step::Await && work.sent && isNew) {
-            endpoints.push_back(work.endpoint);
+        if (work.step == Work::Step::Await && work.sent) {
+            endpoints.insert(work.endpoint);
         }
     }
-    return endpoints;
+    // An adapter is loaded where its base is, which may be in a zone whose engines are not asked
+    // for their status otherwise.
+    for (const auto &[model, demand] : m_demands) {
+        const ModelRule *rule = isActive(demand) ? findModel(model) : nullptr;
+        if (!rule || rule->kind != ModelKind::Adapter || !readyEndpoints(model).empty()) {
+            continue;
+        }
+        for (const EndpointId &endpoint : readyEndpoints(rule->base)) {
+            endpoints.insert(endpoint);
+        }
+    }
+    return {endpoints.begin(), endpoints.end()};
 }
 
 void PlacementEngine::State::on(const DemandSeen &event)
@@ -381,7 +390,7 @@
     if (entry && entry->state == EntryState::Unloading) {
         return false;
     }
-    if (view.rule.zone == m_options.zone || view.status) {
+    if (view.rule.zone == m_options.zone || hasFreshStatus(view)) {
         const LoadedModel *loaded = view.findLoaded(model);
         return hasFreshStatus(view) && loaded && loaded->state == EngineModelState::Loaded;
     }
@@ -393,7 +402,7 @@
 void PlacementEngine::State::reportReadiness(EndpointView &view)
 {
     std::set<ModelName> ready;
-    if (view.status) {
+    if (hasFreshStatus(view)) {
         for (const LoadedModel &loaded : view.status->loaded) {
             if (isReady(view, loaded.model)) {
                 ready.insert(loaded.model);
--- a/tests/Placement/FakeFleet.h
+++ b/tests/Placement/FakeFleet.h
@@ -60,6 +60,8 @@
     bool randomDemand = true;
     /// Engines of even index ignore fencing numbers; with this one all check them.
     bool allChecked = false;
+    /// Checks the invariants at each change; it costs most of the time of a large fleet.
+    bool checkInvariants = true;
     Faults faults;
 };
 
--- a/tests/Placement/FakeFleetChecks.h
+++ b/tests/Placement/FakeFleetChecks.h
@@ -15,6 +15,9 @@
 // Compares what is on the engines with what the store says was decided and reserved.
 inline void Fleet::check()
 {
+    if (!m_options.checkInvariants) {
+        return;
+    }
     std::size_t loading = 0;
     std::map<ModelName, std::size_t> replicas;
     for (const FakeEngine &engine : m_engines) {
--- a/tests/Placement/FakeFleetEvents.h
+++ b/tests/Placement/FakeFleetEvents.h
@@ -439,7 +439,9 @@
 
 inline void Fleet::passDemand(FakeInstance &instance)
 {
-    for (const ModelName &model : instance.demanded) {
+    // Reports about the demand may end it.
+    const std::set<ModelName> demanded = instance.demanded;
+    for (const ModelName &model : demanded) {
         Demand demand;
         demand.model = model;
         demand.zone = instance.zone;
--- a/tests/Placement/PlacementEngineTest.cpp
+++ b/tests/Placement/PlacementEngineTest.cpp
@@ -366,6 +366,28 @@
     CHECK(readyCount(fleet, 0, m0) == 1);
 }
 
+// Guards against an adapter that waits for ever because its only base runs in another zone.
+TEST_CASE("an adapter is loaded on its base in another zone")
+{
+    const QuietLog quiet;
+    FleetOptions options = quietFleet(2);
+    options.models[0].maxReplicas = 1;
+    options.models[1].kind = ModelKind::Adapter;
+    options.models[1].base = m0;
+    options.models[1].memoryBytes = 2;
+    Fleet fleet(options);
+    fleet.run(seconds(3));
+    fleet.demand(0, m0);
+    fleet.run(seconds(15));
+    REQUIRE(readyCount(fleet, 0, m0) == 1);
+    fleet.demand(2, m1);
+    fleet.run(seconds(10));
+    CHECK(readyCount(fleet, 2, m1) == 1);
+    CHECK(countSeen<LoadRefused>(fleet, 2) == 0);
+    CHECK(fleet.loadOrders() == 2);
+    CHECK(fleet.violations().empty());
+}
+
 TEST_CASE("an order may be sent only before its bound")
 {
     EngineOrder order;
