--- a/lib/Placement/LoadDecision.cpp
+++ b/lib/Placement/LoadDecision.cpp
@@ -181,13 +181,16 @@
     if (rule.kind == ModelKind::Adapter && requestBase(demand, rule)) {
         return;
     }
-    const auto unordered = std::count_if(m_works.begin(), m_works.end(), [](const auto &item) {
-        return item.second.step != Work::Step::Await && item.second.step != Work::Step::Clear;
+    const auto rank = loadRank(rule.name);
+    const auto ahead = std::count_if(m_works.begin(), m_works.end(), [&](const auto &item) {
+        const Work &work = item.second;
+        return work.step != Work::Step::Await && work.step != Work::Step::Clear
+            && loadRank(work.model) <= rank;
     });
     // Memory reserved by a load that waits long for its turn is lost to others.
     const std::size_t most =
         rule.kind == ModelKind::Adapter ? m_options.maxAdapterLoads : m_options.maxActiveLoads;
-    if (static_cast<std::size_t>(unordered) >= most) {
+    if (static_cast<std::size_t>(ahead) >= most) {
         return;
     }
     EndpointView *view = chooseEndpoint(rule, demand.demand.zone);
@@ -211,9 +214,7 @@
 // Whether the adapter has to wait for its base model, which is then demanded with it.
 bool PlacementEngine::State::requestBase(const ModelDemand &demand, const ModelRule &adapter)
 {
-    const bool isThere = std::any_of(m_views.begin(), m_views.end(), [&](const auto &item) {
-        return hasFreshStatus(item.second) && isReady(item.second, adapter.base);
-    });
+    const bool isThere = !readyEndpoints(adapter.base).empty();
     if (isThere) {
         return false;
     }
@@ -318,7 +319,9 @@
             continue;
         }
         if (!view.ledgerKnown || !hasFreshStatus(view)) {
-            undecided = undecided || view.rule.zone == m_options.zone;
+            // The engines of this zone, and those with an adapter's base, are being asked.
+            undecided =
+                undecided || view.rule.zone == m_options.zone || model.kind == ModelKind::Adapter;
             continue;
         }
         const auto found = findVictims(view, model.memoryBytes + model.kvBytes);
