--- a/lib/Limits/WorkspaceLimit.cpp
+++ b/lib/Limits/WorkspaceLimit.cpp
@@ -14,8 +14,9 @@
 constexpr double LeastSamples = 4;
 // Seconds of its own demand for which a lender keeps tokens: several round trips between zones.
 constexpr double KeepSeconds = 0.25;
-// Seconds of demand for which tokens are borrowed at once, to save messages.
-constexpr double PrefetchSeconds = 0.2;
+// When tokens are borrowed, the bucket is filled to this part of its capacity, which saves messages
+// and takes tokens from where they would overflow sooner.
+constexpr double PrefetchPart = 0.5;
 constexpr Duration FractionCheckInterval = std::chrono::milliseconds(100);
 // A borrowed fraction is kept at least this long, so that it does not go back and forth.
 constexpr Duration LeastHolding = std::chrono::milliseconds(500);
@@ -312,8 +313,7 @@
     if ((m_waiting.empty() && m_deferred.empty()) || missing <= 0) {
         return;
     }
-    const double prefetch = std::min(PrefetchSeconds * m_demand.perSecond(now),
-                                     m_rate.capacity(now) - m_rate.level(now));
+    const double prefetch = PrefetchPart * m_rate.capacity(now) - m_rate.level(now);
     ask({missing + std::max(0.0, prefetch), 0, m_waiting.empty()}, context);
 }
 
