--- a/tests/Placement/PlacementEngineTest.cpp
+++ b/tests/Placement/PlacementEngineTest.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-const ModelName m0("m0");
-const ModelName m1("m1");
-const ModelName m2("m2");
+const ModelName M0("m0");
+const ModelName M1("m1");
+const ModelName M2("m2");
 
 FleetOptions quietFleet(int models)
 {
@@ -70,18 +70,18 @@
     const QuietLog quiet;
     Fleet fleet(quietFleet(1));
     fleet.run(seconds(3));
-    fleet.demand(0, m0);
+    fleet.demand(0, M0);
     fleet.run(seconds(12));
     CHECK(fleet.violations().empty());
     CHECK(fleet.loadOrders() == 1);
-    CHECK(readyCount(fleet, 0, m0) == 1);
-    CHECK(readyCount(fleet, 1, m0) == 1);
+    CHECK(readyCount(fleet, 0, M0) == 1);
+    CHECK(readyCount(fleet, 1, M0) == 1);
     CHECK(countSeen<ReplicaReady>(fleet, 1) == 1);
     CHECK(fleet.unfinished().empty());
     // The other zone learns it from placement and ledger, which it reads on demand.
-    fleet.demand(2, m0);
+    fleet.demand(2, M0);
     fleet.run(seconds(5));
-    CHECK(readyCount(fleet, 2, m0) == 1);
+    CHECK(readyCount(fleet, 2, M0) == 1);
     CHECK(fleet.loadOrders() == 1);
 }
 
@@ -97,12 +97,12 @@
         Fleet fleet(options);
         fleet.run(seconds(3));
         for (std::size_t n = 0; n < 4; ++n) {
-            fleet.demand(n, m0);
+            fleet.demand(n, M0);
         }
         fleet.run(seconds(30));
         CHECK(fleet.violations().empty());
         CHECK(fleet.loadOrders() == 1);
-        CHECK(readyCount(fleet, 3, m0) == 1);
+        CHECK(readyCount(fleet, 3, M0) == 1);
     }
 }
 
@@ -111,16 +111,16 @@
     const QuietLog quiet;
     Fleet fleet(oneInstance(1));
     fleet.run(seconds(3));
-    fleet.demand(0, m0);
+    fleet.demand(0, M0);
     fleet.run(seconds(25));
-    REQUIRE(fleet.loadedReplicas(m0) == 1);
+    REQUIRE(fleet.loadedReplicas(M0) == 1);
     fleet.restartCold(fleet.engine(0));
     fleet.restartCold(fleet.engine(1));
     fleet.run(seconds(4));
     CHECK(countSeen<ReplicaGone>(fleet, 0) == 1);
     fleet.run(seconds(25));
     CHECK(fleet.loadOrders() == 2);
-    CHECK(fleet.loadedReplicas(m0) == 1);
+    CHECK(fleet.loadedReplicas(M0) == 1);
     CHECK(fleet.violations().empty());
 }
 
@@ -138,20 +138,20 @@
     }
     Fleet fleet(options);
     fleet.run(seconds(3));
-    fleet.demand(0, m0);
+    fleet.demand(0, M0);
     fleet.run(seconds(20));
-    REQUIRE(readyCount(fleet, 0, m0) == 1);
-    const EndpointId old = fleet.instance(0).placement->readyEndpoints(m0)[0];
+    REQUIRE(readyCount(fleet, 0, M0) == 1);
+    const EndpointId old = fleet.instance(0).placement->readyEndpoints(M0)[0];
     fleet.changeRules([&](RuleSet &rules) {
         for (EndpointRule &rule : rules.endpoints) {
             rule.state = rule.id == old ? EndpointState::Leaving : EndpointState::Serving;
         }
     });
-    CHECK(readyCount(fleet, 0, m0) == 0);
+    CHECK(readyCount(fleet, 0, M0) == 0);
     fleet.run(seconds(60));
-    REQUIRE(readyCount(fleet, 0, m0) == 1);
-    CHECK(fleet.instance(0).placement->readyEndpoints(m0)[0] != old);
-    CHECK(fleet.loadedReplicas(m0) == 1);
+    REQUIRE(readyCount(fleet, 0, M0) == 1);
+    CHECK(fleet.instance(0).placement->readyEndpoints(M0)[0] != old);
+    CHECK(fleet.loadedReplicas(M0) == 1);
     CHECK(fleet.violations().empty());
 }
 
@@ -160,21 +160,21 @@
     const QuietLog quiet;
     Fleet fleet(oneInstance(1));
     fleet.run(seconds(3));
-    fleet.demand(0, m0);
+    fleet.demand(0, M0);
     fleet.run(seconds(20));
-    REQUIRE(fleet.loadedReplicas(m0) == 1);
+    REQUIRE(fleet.loadedReplicas(M0) == 1);
     fleet.changeRules([](RuleSet &rules) {
         rules.zones[0].state = ZoneState::Drained;
     });
-    CHECK(readyCount(fleet, 0, m0) == 0);
+    CHECK(readyCount(fleet, 0, M0) == 0);
     fleet.run(seconds(30));
-    CHECK(fleet.loadedReplicas(m0) == 0);
+    CHECK(fleet.loadedReplicas(M0) == 0);
     CHECK(wasRefused(fleet, RefusalReason::ZoneDrained));
     fleet.changeRules([](RuleSet &rules) {
         rules.zones[0].state = ZoneState::Serving;
     });
     fleet.run(seconds(30));
-    CHECK(readyCount(fleet, 0, m0) == 1);
+    CHECK(readyCount(fleet, 0, M0) == 1);
 }
 
 TEST_CASE("min-replicas are loaded without requests and not unloaded when idle")
@@ -186,7 +186,7 @@
     options.placement.maxIdleTimeout = seconds(60);
     Fleet fleet(options);
     fleet.run(seconds(300));
-    CHECK(fleet.loadedReplicas(m0) == 2);
+    CHECK(fleet.loadedReplicas(M0) == 2);
     CHECK(fleet.loadOrders() == 2);
     CHECK(fleet.violations().empty());
 }
@@ -199,7 +199,7 @@
     options.placement.maxIdleTimeout = seconds(120);
     Fleet fleet(options);
     fleet.run(seconds(3));
-    fleet.demand(0, m0);
+    fleet.demand(0, M0);
     fleet.run(seconds(20));
     fleet.instance(0).demanded.clear();
     SUBCASE("home alive") { }
@@ -208,10 +208,10 @@
         ++fleet.instance(0).life;
     }
     fleet.run(seconds(20));
-    CHECK(fleet.loadedReplicas(m0) == 1);
+    CHECK(fleet.loadedReplicas(M0) == 1);
     fleet.run(seconds(180));
-    CHECK(fleet.loadedReplicas(m0) == 0);
-    CHECK(fleet.decidedReplicas(m0) == 0);
+    CHECK(fleet.loadedReplicas(M0) == 0);
+    CHECK(fleet.decidedReplicas(M0) == 0);
 }
 
 // Guards against places in loads/active that stay taken by instances that died.
@@ -221,13 +221,13 @@
     Fleet fleet(oneInstance(1));
     ActiveLoads loads;
     for (int n = 0; n < 4; ++n) {
-        loads.loads.push_back({ReplicaId("dead" + std::to_string(n)), m1, EndpointId("e0-0"), 0});
+        loads.loads.push_back({ReplicaId("dead" + std::to_string(n)), M1, EndpointId("e0-0"), 0});
     }
     fleet.writeObject("loads/active", loads.serialise());
     fleet.run(seconds(3));
-    fleet.demand(0, m0);
+    fleet.demand(0, M0);
     fleet.run(seconds(15));
-    CHECK(readyCount(fleet, 0, m0) == 1);
+    CHECK(readyCount(fleet, 0, M0) == 1);
 }
 
 TEST_CASE("while the store is away loads are refused and loaded replicas stay ready")
@@ -235,17 +235,17 @@
     const QuietLog quiet;
     Fleet fleet(oneInstance(2));
     fleet.run(seconds(3));
-    fleet.demand(0, m0);
+    fleet.demand(0, M0);
     fleet.run(seconds(15));
     fleet.setStoreAway(true);
-    fleet.demand(0, m1);
+    fleet.demand(0, M1);
     fleet.run(seconds(20));
-    CHECK(readyCount(fleet, 0, m0) == 1);
+    CHECK(readyCount(fleet, 0, M0) == 1);
     CHECK(wasRefused(fleet, RefusalReason::StoreUnavailable));
     CHECK(fleet.loadOrders() == 1);
     fleet.setStoreAway(false);
     fleet.run(seconds(20));
-    CHECK(readyCount(fleet, 0, m1) == 1);
+    CHECK(readyCount(fleet, 0, M1) == 1);
 }
 
 TEST_CASE("a load that helps nobody is not started until the history justifies it")
@@ -261,7 +261,7 @@
         demand.earliestDeadline = instance.clock.now() + seconds(2);
     };
     fleet.run(seconds(3));
-    fleet.demand(0, m0);
+    fleet.demand(0, M0);
     fleet.run(seconds(10));
     CHECK(wasRefused(fleet, RefusalReason::DeadlineTooShort));
     CHECK(fleet.loadOrders() == 0);
@@ -280,14 +280,14 @@
     fleet.shapeDemand = [](const FakeInstance &, Demand &demand) {
         // The clocks of the instances start at a random time below this one.
         demand.earliestDeadline = SteadyTime(seconds(200'000));
-        demand.earliestDeadline -= demand.model == m2 ? seconds(10) : seconds(0);
-        demand.waiting = demand.model == m0 ? 1 : 5;
-        demand.worstService = demand.model == m1 ? 0.9 : 0.2;
+        demand.earliestDeadline -= demand.model == M2 ? seconds(10) : seconds(0);
+        demand.waiting = demand.model == M0 ? 1 : 5;
+        demand.worstService = demand.model == M1 ? 0.9 : 0.2;
     };
     fleet.run(seconds(3));
     fleet.demand(0, ModelName("m4")); // occupies the only place while the others arrive
     fleet.run(seconds(2));
-    fleet.instance(0).demanded = {m0, m1, m2, ModelName("m3")};
+    fleet.instance(0).demanded = {M0, M1, M2, ModelName("m3")};
     fleet.run(seconds(90));
     CHECK(loadedModels(fleet) == std::vector<std::string>{"m4", "m2", "m3", "m1", "m0"});
 }
@@ -297,12 +297,12 @@
     const QuietLog quiet;
     for (std::size_t engine = 0; engine < 2; ++engine) {
         Fleet fleet(oneInstance(1));
-        fleet.engine(engine).cached = {{m0, CheckpointPlace::Memory}};
-        fleet.engine(1 - engine).cached = {{m0, CheckpointPlace::Disk}};
+        fleet.engine(engine).cached = {{M0, CheckpointPlace::Memory}};
+        fleet.engine(1 - engine).cached = {{M0, CheckpointPlace::Disk}};
         fleet.run(seconds(5));
-        fleet.demand(0, m0);
+        fleet.demand(0, M0);
         fleet.run(seconds(15));
-        CHECK(fleet.engine(engine).models.count(m0) == 1);
+        CHECK(fleet.engine(engine).models.count(M0) == 1);
     }
 }
 
@@ -314,17 +314,17 @@
     options.engineMemory = 80;
     Fleet fleet(options);
     fleet.run(seconds(3));
-    fleet.instance(0).demanded = {m0, m1}; // 25 and 35 of 80; m2 takes 45
+    fleet.instance(0).demanded = {M0, M1}; // 25 and 35 of 80; M2 takes 45
     fleet.run(seconds(20));
     REQUIRE(fleet.loadOrders() == 2);
-    fleet.demand(0, m2);
+    fleet.demand(0, M2);
     fleet.run(seconds(10));
     CHECK(wasRefused(fleet, RefusalReason::NoCapacity));
-    fleet.instance(0).demanded = {m0, m2};
+    fleet.instance(0).demanded = {M0, M2};
     fleet.run(seconds(40));
-    CHECK(fleet.engine(0).models.count(m0) == 1);
-    CHECK(fleet.engine(0).models.count(m1) == 0);
-    CHECK(readyCount(fleet, 0, m2) == 1);
+    CHECK(fleet.engine(0).models.count(M0) == 1);
+    CHECK(fleet.engine(0).models.count(M1) == 0);
+    CHECK(readyCount(fleet, 0, M2) == 1);
     CHECK(fleet.violations().empty());
 }
 
@@ -340,12 +340,12 @@
         demand.predictedWait = busy ? seconds(60) : seconds(1);
     };
     fleet.run(seconds(3));
-    fleet.demand(0, m0);
+    fleet.demand(0, M0);
     fleet.run(seconds(30));
-    CHECK(readyCount(fleet, 0, m0) == 2);
+    CHECK(readyCount(fleet, 0, M0) == 2);
     busy = false;
     fleet.run(seconds(200));
-    CHECK(readyCount(fleet, 0, m0) == 1);
+    CHECK(readyCount(fleet, 0, M0) == 1);
     CHECK(fleet.violations().empty());
 }
 
@@ -354,16 +354,16 @@
     const QuietLog quiet;
     FleetOptions options = oneInstance(2);
     options.models[1].kind = ModelKind::Adapter;
-    options.models[1].base = m0;
+    options.models[1].base = M0;
     options.models[1].memoryBytes = 2;
     Fleet fleet(options);
     fleet.run(seconds(3));
-    fleet.demand(0, m1);
+    fleet.demand(0, M1);
     fleet.run(seconds(15));
     CHECK(loadedModels(fleet) == std::vector<std::string>{"m0", "m1"});
     fleet.run(seconds(100));
-    CHECK(readyCount(fleet, 0, m1) == 1);
-    CHECK(readyCount(fleet, 0, m0) == 1);
+    CHECK(readyCount(fleet, 0, M1) == 1);
+    CHECK(readyCount(fleet, 0, M0) == 1);
 }
 
 // Guards against an adapter that waits for ever because its only base runs in another zone.
@@ -373,16 +373,16 @@
     FleetOptions options = quietFleet(2);
     options.models[0].maxReplicas = 1;
     options.models[1].kind = ModelKind::Adapter;
-    options.models[1].base = m0;
+    options.models[1].base = M0;
     options.models[1].memoryBytes = 2;
     Fleet fleet(options);
     fleet.run(seconds(3));
-    fleet.demand(0, m0);
+    fleet.demand(0, M0);
     fleet.run(seconds(15));
-    REQUIRE(readyCount(fleet, 0, m0) == 1);
-    fleet.demand(2, m1);
+    REQUIRE(readyCount(fleet, 0, M0) == 1);
+    fleet.demand(2, M1);
     fleet.run(seconds(10));
-    CHECK(readyCount(fleet, 2, m1) == 1);
+    CHECK(readyCount(fleet, 2, M1) == 1);
     CHECK(countSeen<LoadRefused>(fleet, 2) == 0);
     CHECK(fleet.loadOrders() == 2);
     CHECK(fleet.violations().empty());
