Lend large parts of a burst for longer

Cause: a request of three quarters of a workspace's burst, sent again every 100 ms, was never admitted at four instances (0 of 25 tries in 20 s; RunLocal failed each time). It needs most of three peers' tokens; a loan of tokens lasted 100 ms, so each refused try lost above its own capacity what it had gathered, and the fleet held 740 to 1,010 of 2,000 tokens instead of filling up. Ruled out: the shares (a quarter each, in force), unanswered requests (each was answered within 2 ms), and the daemon's tick of 10 ms (the loans ended as agreed).

A loan that is large beside the lender's capacity now lasts 500 ms, others 100 ms as before.

The tokens and loans of each limit are now gauges in /metrics, which showed the loss.

--- a/include/marigoldspool/Limits/LimitTypes.h
+++ b/include/marigoldspool/Limits/LimitTypes.h
@@ -43,6 +43,10 @@
     /// Term of a loan of tokens alone. They are meant for requests that wait now, and the lender
     /// misses their burst capacity until the term ends.
     Duration tokenTerm = std::chrono::milliseconds(100);
+    /// Term of a loan of tokens that is large beside the lender's capacity. A request that needs
+    /// several such loans is often tried again; with the shorter term each try lost what the
+    /// earlier one had gathered, and a request of three quarters of the burst was never admitted.
+    Duration largeTokenTerm = std::chrono::milliseconds(500);
     /// Term of a loan of a slot. A borrowed slot serves only requests whose deadline is within it.
     /// Must be below reclaimDelay, after which a dead member's slots are given to others.
     Duration slotTerm = std::chrono::seconds(50);
--- a/lib/Daemon/LimitsService.cpp
+++ b/lib/Daemon/LimitsService.cpp
@@ -68,6 +68,7 @@
     if (now >= m_nextPeers) {
         m_nextPeers = now + PeersInterval;
         m_limits.onPeers(m_peers.table().alive());
+        publishMetrics();
     }
     m_limits.onTick();
     if (now >= m_limits.nextWakeup()) {
@@ -79,6 +80,20 @@
     }
 }
 
+void LimitsService::publishMetrics()
+{
+    const LimitSnapshot snapshot = m_limits.snapshot();
+    Metrics &metrics = m_runtime.metrics;
+    metrics.set("marigoldspool_limit_share", snapshot.share);
+    for (const LimitStatus &limit : snapshot.limits) {
+        const Labels labels{{"limit", limit.limit}};
+        metrics.set("marigoldspool_limit_tokens", limit.level, labels);
+        metrics.set("marigoldspool_limit_fraction", limit.fraction, labels);
+        metrics.set("marigoldspool_limit_loans_granted", static_cast<double>(limit.lent), labels);
+        metrics.set("marigoldspool_limit_loans_taken", static_cast<double>(limit.borrowed), labels);
+    }
+}
+
 void LimitsService::carryOut(LimitActions actions)
 {
     m_peers.send(actions.send);
--- a/lib/Daemon/LimitsService.h
+++ b/lib/Daemon/LimitsService.h
@@ -53,6 +53,7 @@
                        const PeerMessage &message) override;
     void onPlatformList(gsl::span<const PlatformInstance> list) override;
     void onTick();
+    void publishMetrics();
     void carryOut(LimitActions actions);
     void readRoster(const std::string &key);
     void retryWaiting();
--- a/lib/Limits/WorkspaceLimit.cpp
+++ b/lib/Limits/WorkspaceLimit.cpp
@@ -14,6 +14,8 @@
 constexpr double LeastSamples = 4;
 // Seconds of its own demand for which a lender keeps tokens: several round trips between zones.
 constexpr double KeepSeconds = 0.25;
+// From this part of the lender's capacity on a loan of tokens counts as large.
+constexpr double LargePart = 0.4;
 // When tokens are borrowed, the bucket is filled to this part of its capacity, which saves messages
 // and takes tokens from where they would overflow sooner.
 constexpr double PrefetchPart = 0.5;
@@ -181,11 +183,13 @@
 RateLimit::Offer WorkspaceLimit::tokenOffer(const InstanceId &from, double tokens,
                                             const LimitContext &context)
 {
+    const bool large = tokens >= LargePart * m_rate.capacity(context.now);
+    const Duration term = large ? context.options.largeTokenTerm : context.options.tokenTerm;
     // Borrowed tokens can be lent on for a shorter term than they were borrowed for.
     RateLimit::Offer best;
     for (const double part : {1.0, 0.6, 0.3}) {
         const RateLimit::Offer offer =
-            offerFor(from, {0, tokens, scaled(context.options.tokenTerm, part)}, context);
+            offerFor(from, {0, tokens, scaled(term, part)}, context);
         if (offer.tokens > 1.2 * best.tokens) {
             best = offer;
         }
