Add system tests of at-most-once, answer matching and planned stops

The components have tests of their own, but nothing checked the properties over real processes that are killed, paused and stopped.

tests/System starts the built programs, talks HTTP to them and reads the counts of the stand-ins.

--- a/cmake/Components.cmake
+++ b/cmake/Components.cmake
@@ -53,3 +53,17 @@
         target_link_libraries(${program} PRIVATE ${libraries} Boost::coroutine Boost::context)
     endforeach()
 endfunction()
+
+# Tests over real processes: one program that starts the built programs, with all their output in
+# files of its own. Few cases run at once, since they bound waits.
+function(marigoldspool_system_tests)
+    file(GLOB sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/tests/System/*.cpp)
+    add_executable(SystemTests ${sources} ${PROJECT_SOURCE_DIR}/tests/support/TestMain.cpp)
+    target_include_directories(SystemTests PRIVATE ${PROJECT_SOURCE_DIR}/tests)
+    target_compile_definitions(SystemTests PRIVATE
+        MARIGOLDSPOOL_PROGRAM_DIR="${PROJECT_BINARY_DIR}")
+    target_link_libraries(SystemTests PRIVATE marigoldspoolSupport doctest::doctest Boost::headers)
+    add_dependencies(SystemTests platform-standin engine-standin service-standin marigoldspoold
+        marigoldspoolctl)
+    doctest_discover_tests(SystemTests TEST_PREFIX "System: " PROPERTIES TIMEOUT 120 PROCESSORS 3)
+endfunction()
