--- a/tests/System/Fleet.cpp
+++ b/tests/System/Fleet.cpp
@@ -134,17 +134,24 @@
 
 bool Fleet::apply(const std::string &author)
 {
-    return applyText(m_rules, author);
+    return publishText(m_rules, author).has_value();
 }
 
-bool Fleet::applyText(const std::string &rules, const std::string &author) const
+std::optional<std::uint64_t> Fleet::publishText(const std::string &rules,
+                                                const std::string &author) const
 {
     const std::string path = m_directory + "/rules-" + author;
     std::ofstream(path) << rules;
-    Process command("marigoldspoolctl",
-                    {"apply", path, "--platform=" + address("platform"), "--author=" + author},
-                    m_directory + "/ctl-" + author);
-    return command.waitForExit(StartLimit) == 0;
+    const std::string logPath = m_directory + "/ctl-" + author;
+    std::filesystem::remove(logPath + ".out");
+    Process command(
+        "marigoldspoolctl",
+        {"apply", path, "--platform=" + address("platform"), "--author=" + author, "--json"},
+        logPath);
+    if (command.waitForExit(StartLimit) != 0) {
+        return std::nullopt;
+    }
+    return Json::parse(command.output()).at("version").get<std::uint64_t>();
 }
 
 void Fleet::addInstance(const std::string &id, const std::string &zone)
--- a/tests/System/Fleet.h
+++ b/tests/System/Fleet.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,7 +34,10 @@
     void changeRules(const std::string &from, const std::string &to);
     /// Publishes the rules; returns false when another operator was faster.
     bool apply(const std::string &author = "system-tests");
-    bool applyText(const std::string &rules, const std::string &author) const;
+    /// Publishes another text; returns its version, or nothing when that was not accepted. Calls
+    /// at the same time need different authors.
+    std::optional<std::uint64_t> publishText(const std::string &rules,
+                                             const std::string &author) const;
     const std::string &rules() const { return m_rules; }
 
     void addInstance(const std::string &id, const std::string &zone);
