Estimate first loads in placement by the same setting as admission

The new system test of a burst of first requests saw 4 of 24 calls refused with deadline_too_short 2 to 7 ms after they came, although the load took 400 ms of their 10 s.

Requests that admission had taken were refused by placement, until enough of them had come for the idle policy to expect more. Ruled out: a race for the load itself; the number of orders was equal to the decided one before and after.

Placement takes the setting as the greatest estimate for a model without history.

--- a/include/marigoldspool/Placement/PlacementEngine.h
+++ b/include/marigoldspool/Placement/PlacementEngine.h
@@ -28,6 +28,8 @@
     std::size_t loadsPerSecond = 5;
     /// Adapter loads at once over all instances; each takes an equal part, at least one.
     std::size_t maxAdapterLoads = 30;
+    /// Greatest estimate for the load of a model that has not been loaded yet.
+    Duration assumedLoad = Duration::max();
     /// How long after its ledger write was issued an order may be sent.
     Duration orderValidity = std::chrono::seconds(5);
     /// Longest time that a sent order is under way to an endpoint that ignores fencing numbers.
--- a/lib/Daemon/PlacementService.cpp
+++ b/lib/Daemon/PlacementService.cpp
@@ -25,6 +25,9 @@
     PlacementOptions options;
     options.zone = settings.zone;
     options.loadsPerSecond = settings.loadsPerSecond;
+    // The dispatcher admits requests by the same estimate; with a longer one here, requests that
+    // were admitted would be refused as too short of time.
+    options.assumedLoad = settings.assumedColdStart;
     return options;
 }
 
--- a/lib/Placement/LoadDecision.cpp
+++ b/lib/Placement/LoadDecision.cpp
@@ -296,7 +296,9 @@
         return it->second;
     }
     const double seconds = static_cast<double>(model.memoryBytes) / assumedSpeed(place);
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    const auto bySize =
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    return std::min(bySize, m_options.assumedLoad);
 }
 
 bool PlacementEngine::State::helpsAnyone(const ModelDemand &demand, Duration loadTime) const
--- a/tests/System/Fleet.cpp
+++ b/tests/System/Fleet.cpp
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <fstream>
 #include <random>
+#include <sstream>
 #include <stdexcept>
 
 #include <arpa/inet.h>
@@ -134,7 +135,14 @@
 
 bool Fleet::apply(const std::string &author)
 {
-    return publishText(m_rules, author).has_value();
+    const bool accepted = publishText(m_rules, author).has_value();
+    if (!accepted) {
+        const std::ifstream file(m_directory + "/ctl-" + author + ".err");
+        std::ostringstream text;
+        text << file.rdbuf();
+        MESSAGE(text.str());
+    }
+    return accepted;
 }
 
 std::optional<std::uint64_t> Fleet::publishText(const std::string &rules,
