Run two system tests at once

With three processors for each case, ctest -j 5 ran one after another: 163 s for 12 cases, of which 34 s were processor time and most of the rest waiting for instances to be ready.

--- a/cmake/Components.cmake
+++ b/cmake/Components.cmake
@@ -65,5 +65,5 @@
     target_link_libraries(SystemTests PRIVATE marigoldspoolSupport doctest::doctest Boost::headers)
     add_dependencies(SystemTests platform-standin engine-standin service-standin marigoldspoold
         marigoldspoolctl)
-    doctest_discover_tests(SystemTests TEST_PREFIX "System: " PROPERTIES TIMEOUT 120 PROCESSORS 3)
+    doctest_discover_tests(SystemTests TEST_PREFIX "System: " PROPERTIES TIMEOUT 120 PROCESSORS 2)
 endfunction()
