--- a/lib/Platform/HttpObjectStore.cpp
+++ b/lib/Platform/HttpObjectStore.cpp
@@ -21,7 +21,7 @@
 // A waiting watch occupies its connection; an instance watches a handful of prefixes.
 constexpr std::size_t MostWatchConnections = 32;
 
-Error statusError(const HttpAnswer &answer, bool writes)
+Error statusError(const StoreAnswer &answer, bool writes)
 {
     const std::string message = "the store answered " + std::to_string(answer.status);
     switch (answer.status) {
@@ -149,7 +149,7 @@
               Callback<T> done)
     {
         request.done = [this, kind, decode, writes = request.writes,
-                        done = std::move(done)](Expected<HttpAnswer> answer) {
+                        done = std::move(done)](Expected<StoreAnswer> answer) {
             Expected<T> result = interpret(std::move(answer), writes, decode);
             count(kind, result ? "ok" : errorKindName(result.error().kind));
             done(std::move(result));
@@ -158,7 +158,7 @@
     }
 
     template <class T>
-    static Expected<T> interpret(Expected<HttpAnswer> answer, bool writes,
+    static Expected<T> interpret(Expected<StoreAnswer> answer, bool writes,
                                  Expected<T> (*decode)(std::string_view))
     {
         if (!answer) {
--- a/lib/Platform/StoreConnectionPool.cpp
+++ b/lib/Platform/StoreConnectionPool.cpp
@@ -123,7 +123,7 @@
         auto message = m_parser->release();
         const bool reusable = message.keep_alive();
         m_reused = true;
-        finish(HttpAnswer{message.result_int(), std::move(message.body())}, reusable);
+        finish(StoreAnswer{message.result_int(), std::move(message.body())}, reusable);
     }
 
     // The request may have reached the store.
@@ -151,7 +151,7 @@
                false);
     }
 
-    void finish(Expected<HttpAnswer> result, bool reusable)
+    void finish(Expected<StoreAnswer> result, bool reusable)
     {
         m_parser.reset();
         if (!reusable) {
--- a/lib/Platform/StoreConnectionPool.h
+++ b/lib/Platform/StoreConnectionPool.h
@@ -16,7 +16,7 @@
 
 namespace marigoldspool {
 
-struct HttpAnswer {
+struct StoreAnswer {
     unsigned status = 0;
     std::string body;
 };
@@ -28,7 +28,7 @@
     /// A call that changes something: once sent, its failure is OutcomeUnknown.
     bool writes = false;
     std::chrono::steady_clock::time_point deadline;
-    std::function<void(Expected<HttpAnswer>)> done;
+    std::function<void(Expected<StoreAnswer>)> done;
 };
 
 class StoreConnection;
--- a/tests/Config/RuleParserTest.cpp
+++ b/tests/Config/RuleParserTest.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-const std::string sampleDigest(64, 'a');
+const std::string SampleDigest(64, 'a');
 
 // A file with one rule of each kind and no finding.
 std::string validRules()
@@ -26,7 +26,7 @@
            "adapter s base=m version=1 memory=200MiB # asked for by: x\n"
            "workspace w rate=2000 burst=8000 share=2 outage-keys=refuse # asked for by: x\n"
            "key w digest=sha256:"
-        + sampleDigest
+        + SampleDigest
         + " # asked for by: w's admin\n"
           "route chat kind=model path=/v1/chat/completions idempotent=yes # asked for by: x\n"
           "route pickups kind=service pool=bookings path=/pickups deadline=250ms cost=3 "
@@ -83,7 +83,7 @@
     CHECK(configuration.findModel("m")->zones.size() == 2);
     CHECK(configuration.findModel("s")->base == ModelName("m"));
     CHECK(configuration.findWorkspace("w")->outageKeys == OutageKeys::Refuse);
-    CHECK(configuration.findKey(sampleDigest)->state == KeyState::Active);
+    CHECK(configuration.findKey(SampleDigest)->state == KeyState::Active);
     const RouteRule &route = *configuration.findRouteByPath("/pickups/7");
     CHECK(route.deadline == std::chrono::milliseconds(250));
     CHECK(route.cost == 3);
@@ -152,7 +152,7 @@
         {withAsker("key w digest=" + std::string(64, 'b')), "no SHA-256 digest"},
         {withAsker("key w digest=sha256:" + std::string(64, 'B')), "no SHA-256 digest"},
         {withAsker("key q " + hex), "workspace \"q\" has no rule"},
-        {withAsker("key w state=withdrawn digest=sha256:" + sampleDigest), "key digest"},
+        {withAsker("key w state=withdrawn digest=sha256:" + SampleDigest), "key digest"},
         {withAsker("route r path=/r"), "\"kind\" is missing"},
         {withAsker("route r kind=model path=r"), "\"path\" has the value"},
         {withAsker("route r kind=model path=/r?x"), "\"path\" has the value"},
--- a/tests/Operator/HttpCommandTest.cpp
+++ b/tests/Operator/HttpCommandTest.cpp
@@ -14,11 +14,11 @@
 
 namespace {
 
-const std::string exampleFile = MARIGOLDSPOOL_SOURCE_DIR "/examples/marigoldspool.rules";
+const std::string ExampleFile = MARIGOLDSPOOL_SOURCE_DIR "/examples/marigoldspool.rules";
 
 std::string readExample()
 {
-    std::ifstream file(exampleFile, std::ios::binary);
+    std::ifstream file(ExampleFile, std::ios::binary);
     std::ostringstream text;
     text << file.rdbuf();
     return text.str();
@@ -70,7 +70,7 @@
 TEST_CASE_FIXTURE(Fixture,
                   "the example rule file is accepted without warnings and comes back whole")
 {
-    CHECK(run({"apply", exampleFile}) == ExitCode::Success);
+    CHECK(run({"apply", ExampleFile}) == ExitCode::Success);
     CHECK(err.str().empty());
     CHECK(run({"show"}) == ExitCode::Success);
     CHECK(out.str() == readExample());
@@ -79,7 +79,7 @@
 TEST_CASE_FIXTURE(Fixture,
                   "every change takes effect once while the store loses half of its answers")
 {
-    REQUIRE(run({"apply", exampleFile}) == ExitCode::Success);
+    REQUIRE(run({"apply", ExampleFile}) == ExitCode::Success);
     server.setFaults({PlatformFaults::Mode::LoseAnswers, std::chrono::milliseconds(0), 0.5});
     int expected = 1;
     for (int i = 0; i < 10; ++i) {
--- a/tests/Operator/RuleEditTest.cpp
+++ b/tests/Operator/RuleEditTest.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-const std::string digestA(64, 'a');
-const std::string digestB(64, 'b');
+const std::string DigestA(64, 'a');
+const std::string DigestB(64, 'b');
 
 std::string sampleRules()
 {
@@ -20,7 +20,7 @@
            "\n"
            "workspace w rate=1 burst=1 # asked for by: Ann\n"
            "key w digest=sha256:"
-        + digestA + " # asked for by: Cyd";
+        + DigestA + " # asked for by: Cyd";
 }
 
 std::string replaced(std::string text, std::string_view from, std::string_view to)
@@ -65,7 +65,7 @@
     for (const char *name : {"Eve\nzone c # asked for by: Eve", "\r", "  "}) {
         CHECK(setZoneState(rules, ZoneName("a"), ZoneState::Drained, name).error().kind
               == ErrorKind::InvalidArgument);
-        CHECK(addKey(rules, WorkspaceName("w"), KeyDigest(digestB), name).error().kind
+        CHECK(addKey(rules, WorkspaceName("w"), KeyDigest(DigestB), name).error().kind
               == ErrorKind::InvalidArgument);
     }
 }
@@ -74,32 +74,32 @@
 {
     const std::string rules = sampleRules();
     const Expected<std::string> added =
-        addKey(rules, WorkspaceName("w"), KeyDigest(digestB), "Dan");
+        addKey(rules, WorkspaceName("w"), KeyDigest(DigestB), "Dan");
     CHECK(*added
-          == rules + "\nkey w digest=sha256:" + digestB + " state=active # asked for by: Dan");
-    CHECK(*addKey(*added, WorkspaceName("w"), KeyDigest(digestB), "Dan") == *added);
-    CHECK(parseRules("rules", *added).configuration->findKey(digestB) != nullptr);
-    CHECK(addKey(rules, WorkspaceName("v"), KeyDigest(digestB), "Dan").error().kind
+          == rules + "\nkey w digest=sha256:" + DigestB + " state=active # asked for by: Dan");
+    CHECK(*addKey(*added, WorkspaceName("w"), KeyDigest(DigestB), "Dan") == *added);
+    CHECK(parseRules("rules", *added).configuration->findKey(DigestB) != nullptr);
+    CHECK(addKey(rules, WorkspaceName("v"), KeyDigest(DigestB), "Dan").error().kind
           == ErrorKind::NotFound);
-    CHECK(addKey(rules, WorkspaceName("w"), KeyDigest(digestB), "").error().kind
+    CHECK(addKey(rules, WorkspaceName("w"), KeyDigest(DigestB), "").error().kind
           == ErrorKind::InvalidArgument);
 }
 
 TEST_CASE("withdrawing a key keeps its rule, so that its use can still be told from a typo")
 {
     const std::string rules = sampleRules();
-    const Expected<std::string> withdrawn = withdrawKey(rules, KeyDigest(digestA), "");
+    const Expected<std::string> withdrawn = withdrawKey(rules, KeyDigest(DigestA), "");
     const ParseResult parsed = parseRules("rules", *withdrawn);
     REQUIRE(parsed.configuration);
-    CHECK(parsed.configuration->findKey(digestA)->state == KeyState::Withdrawn);
-    CHECK(*withdrawKey(*withdrawn, KeyDigest(digestA), "") == *withdrawn);
-    CHECK(withdrawKey(rules, KeyDigest(digestB), "").error().kind == ErrorKind::NotFound);
+    CHECK(parsed.configuration->findKey(DigestA)->state == KeyState::Withdrawn);
+    CHECK(*withdrawKey(*withdrawn, KeyDigest(DigestA), "") == *withdrawn);
+    CHECK(withdrawKey(rules, KeyDigest(DigestB), "").error().kind == ErrorKind::NotFound);
 }
 
 TEST_CASE("a key given instead of its digest is refused without being repeated")
 {
-    CHECK(*parseKeyDigest(digestA) == KeyDigest(digestA));
-    CHECK(*parseKeyDigest("sha256:" + std::string(64, 'A')) == KeyDigest(digestA));
+    CHECK(*parseKeyDigest(DigestA) == KeyDigest(DigestA));
+    CHECK(*parseKeyDigest("sha256:" + std::string(64, 'A')) == KeyDigest(DigestA));
     const Expected<KeyDigest> key = parseKeyDigest("mgs-secret");
     REQUIRE_FALSE(key);
     CHECK(key.error().message.find("secret") == std::string::npos);
