Do not dial endpoints as peers, and refuse for a while before the first configuration

The platform's list names endpoints as well as instances; an instance also dialled the endpoints at their port plus the peer port offset. It now leaves out those that the configuration knows as endpoints. Before its first configuration an instance answered route_unknown (404), which callers take for final; it now answers store_unavailable (503, not run) with a time to come back, and RunLocal checks that.

bench/measure-config.sh printed no samples: awk took the comparison in its printf for a redirection.

--- a/bench/measure-config.sh
+++ b/bench/measure-config.sh
@@ -63,7 +63,7 @@
             for (i = 1; i <= n; i++) {
                 if (version[i] >= $1) {
                     lag = at[i] - seconds($2)
-                    printf "%.3f\n", lag > 0 ? lag : 0
+                    printf "%.3f\n", (lag > 0 ? lag : 0)
                     break
                 }
             }
--- a/lib/Daemon/ConfigService.cpp
+++ b/lib/Daemon/ConfigService.cpp
@@ -52,6 +52,9 @@
     , m_timer(runtime.io)
 {
     peers.addListener(*this);
+    peers.setEndpointCheck([this](std::string_view id) {
+        return m_effective->findEndpoint(id) != nullptr;
+    });
     peers.addHeartbeatSource([this](Heartbeat &heartbeat) {
         heartbeat.configVersion = m_replica.version();
         heartbeat.configAgeMs = m_replica.confirmedAgeMs();
--- a/lib/Daemon/FrontService.cpp
+++ b/lib/Daemon/FrontService.cpp
@@ -162,7 +162,12 @@
         taken.request = *request;
     }
     m_taken.emplace(id, std::move(taken));
-    if (!request) {
+    if (!m_config.hasConfiguration()) {
+        refuse(id,
+               {RefusalReason::StoreUnavailable, RanState::No,
+                "this instance has no configuration yet", "send it again later",
+                std::chrono::seconds(1)});
+    } else if (!request) {
         const bool bodyProblem = malformed && request.error().reason == RefusalReason::Malformed;
         refuse(id, bodyProblem ? *malformed : request.error());
     } else if (malformed) {
--- a/lib/Daemon/PeerService.cpp
+++ b/lib/Daemon/PeerService.cpp
@@ -131,7 +131,8 @@
     for (const PlatformInstance &instance : m_platformList) {
         const Expected<std::string> address =
             shiftPort(instance.address, m_runtime.settings.peerPortOffset);
-        if (address && instance.id != m_runtime.settings.instance.str()) {
+        const bool isEndpoint = m_isEndpoint && m_isEndpoint(instance.id);
+        if (address && !isEndpoint && instance.id != m_runtime.settings.instance.str()) {
             all.push_back({InstanceId(instance.id), *address});
         }
     }
--- a/lib/Daemon/PeerService.h
+++ b/lib/Daemon/PeerService.h
@@ -46,6 +46,11 @@
     bool send(const InstanceId &to, const PeerMessage &message);
     void send(gsl::span<const AddressedMessage> messages);
     PeerTable &table() { return m_table; }
+    /// Tells which entries of the platform's list are endpoints; instances do not connect to those.
+    void setEndpointCheck(std::function<bool(std::string_view id)> check)
+    {
+        m_isEndpoint = std::move(check);
+    }
     /// When the platform last answered a read of its list.
     SteadyTime storeHeardAt() const { return m_storeHeardAt; }
     /// Tells all peers at once that this instance takes no new work.
@@ -63,6 +68,7 @@
     std::vector<PeerListener *> m_listeners;
     std::vector<HeartbeatSource> m_sources;
     std::vector<PlatformInstance> m_platformList;
+    std::function<bool(std::string_view id)> m_isEndpoint;
     PeriodicTimer m_heartbeatTimer;
     PeriodicTimer m_listTimer;
     bool m_listCallOpen = false;
--- a/utils/run-local.sh
+++ b/utils/run-local.sh
@@ -49,6 +49,11 @@
 done
 publishInstances || failures=$((failures + 1))
 
+# Before the first configuration nothing is known of routes, so nothing is refused for good.
+waitFor 20 curl -fsS "http://${instances[0]}/healthz" || failures=$((failures + 1))
+check "no configuration yet" \
+    "$(curl -sS -o /dev/null -w '%{http_code}' "http://${instances[0]}/v1/chat/completions" -d '{}')" 503
+
 "$build/marigoldspoolctl" check "$work/rules" || failures=$((failures + 1))
 "$build/marigoldspoolctl" apply "$work/rules" --platform="$platform" --author=run-local \
     || failures=$((failures + 1))
