Split the taking of a request into reading, checking and admitting

take() did all three in 55 lines. Behaviour is as before: the key is checked before the body, and a malformed body is reported once the key is accepted.

--- a/lib/Daemon/FrontService.cpp
+++ b/lib/Daemon/FrontService.cpp
@@ -29,9 +29,38 @@
     return std::max(1.0, static_cast<double>(bytes) / BytesPerToken);
 }
 
-Refusal malformedBody(const Error &error)
+// What admission needs of the body; nothing is read from the bodies of services.
+struct BodyFacts {
+    ModelName model;
+    bool stream = false;
+    double promptCost = 0;
+    double cost = 1;
+};
+
+tl::expected<BodyFacts, Refusal> readBody(const RouteRule *route, std::string_view body)
+{
+    BodyFacts facts;
+    if (route == nullptr || route->kind != RouteKind::Model) {
+        return facts;
+    }
+    const Expected<ModelRequest> parsed = parseModelRequest(body);
+    if (!parsed) {
+        return tl::make_unexpected(Refusal{RefusalReason::Malformed, RanState::No,
+                                           parsed.error().message, parsed.error().remedy,
+                                           Duration::zero()});
+    }
+    facts.model = parsed->model;
+    facts.stream = parsed->stream;
+    facts.promptCost = promptTokens(parsed->promptBytes);
+    facts.cost = facts.promptCost
+        + (parsed->maxTokens ? static_cast<double>(*parsed->maxTokens) : DefaultMaxTokens);
+    return facts;
+}
+
+Refusal unconfiguredRefusal()
 {
-    return {RefusalReason::Malformed, RanState::No, error.message, error.remedy, Duration::zero()};
+    return {RefusalReason::StoreUnavailable, RanState::No, "this instance has no configuration yet",
+            "send it again later", std::chrono::seconds(1)};
 }
 
 std::vector<HeaderField> withoutKey(const std::vector<HeaderField> &headers)
@@ -122,59 +151,56 @@
 
 void FrontService::take(HttpRequest http, std::shared_ptr<ResponseSink> sink)
 {
-    Taken taken;
     const RequestId id(m_runtime.random.hex(RequestIdDigits));
-    taken.takenAt = m_runtime.clock.now();
-    taken.answer = std::make_shared<Answer>(*this, id, sink);
     sink->onCallerGone([this, id] {
         onCallerGone(id);
     });
-    const std::shared_ptr<const Configuration> configuration = m_config.current();
-    IncomingRequest incoming;
-    incoming.id = id;
-    incoming.path = std::string(pathOf(http.target));
-    incoming.headers = http.headers;
-    std::optional<Refusal> malformed;
-    const RouteRule *route = configuration->findRouteByPath(incoming.path);
-    if (route != nullptr && route->kind == RouteKind::Model) {
-        const Expected<ModelRequest> parsed = parseModelRequest(http.body);
-        if (parsed) {
-            incoming.model = parsed->model;
-            incoming.stream = parsed->stream;
-            taken.promptCost = promptTokens(parsed->promptBytes);
-            const double most =
-                parsed->maxTokens ? static_cast<double>(*parsed->maxTokens) : DefaultMaxTokens;
-            incoming.modelCost = taken.promptCost + most;
-        } else {
-            malformed = malformedBody(parsed.error());
-        }
-    }
-    // The key is checked first: a caller without one learns nothing about its body.
-    auto request =
-        admitRequest(*configuration, incoming, taken.takenAt, m_config.replica().sinceConfirmed());
+    Taken &taken = m_taken[id];
     taken.request.id = id;
+    taken.takenAt = m_runtime.clock.now();
+    taken.answer = std::make_shared<Answer>(*this, id, std::move(sink));
     if (const std::string *key = findHeader(http.headers, "Idempotency-Key")) {
         taken.idempotencyKey = *key;
     }
+    const std::optional<Refusal> refusal = check(http, taken);
     taken.content = {std::move(http.method), std::move(http.target), withoutKey(http.headers),
                      std::move(http.body)};
-    if (request) {
-        taken.request = *request;
+    if (refusal) {
+        refuse(id, *refusal);
+        return;
     }
-    m_taken.emplace(id, std::move(taken));
+    admit(id);
+}
+
+// The key is checked before the body: a caller without one learns nothing about its body.
+std::optional<Refusal> FrontService::check(const HttpRequest &http, Taken &taken) const
+{
     if (!m_config.hasConfiguration()) {
-        refuse(id,
-               {RefusalReason::StoreUnavailable, RanState::No,
-                "this instance has no configuration yet", "send it again later",
-                std::chrono::seconds(1)});
-    } else if (!request) {
-        const bool bodyProblem = malformed && request.error().reason == RefusalReason::Malformed;
-        refuse(id, bodyProblem ? *malformed : request.error());
-    } else if (malformed) {
-        refuse(id, *malformed);
-    } else {
-        admit(id);
+        return unconfiguredRefusal();
+    }
+    const std::shared_ptr<const Configuration> configuration = m_config.current();
+    IncomingRequest incoming;
+    incoming.id = taken.request.id;
+    incoming.path = std::string(pathOf(http.target));
+    incoming.headers = http.headers;
+    const auto facts = readBody(configuration->findRouteByPath(incoming.path), http.body);
+    if (facts) {
+        incoming.model = facts->model;
+        incoming.stream = facts->stream;
+        incoming.modelCost = facts->cost;
+        taken.promptCost = facts->promptCost;
+    }
+    auto request =
+        admitRequest(*configuration, incoming, taken.takenAt, m_config.replica().sinceConfirmed());
+    const bool keyAccepted = request || request.error().reason == RefusalReason::Malformed;
+    if (!facts && keyAccepted) {
+        return facts.error();
+    }
+    if (!request) {
+        return request.error();
     }
+    taken.request = std::move(*request);
+    return std::nullopt;
 }
 
 void FrontService::admit(const RequestId &id)
--- a/lib/Daemon/FrontService.h
+++ b/lib/Daemon/FrontService.h
@@ -62,6 +62,7 @@
     void onForwardHead(const InstanceId &from, const ForwardHead &head);
     void onForwardData(const InstanceId &from, const ForwardData &data);
     void onForwardRefusal(const InstanceId &from, const ForwardRefusal &refusal);
+    std::optional<Refusal> check(const HttpRequest &http, Taken &taken) const;
     void admit(const RequestId &id);
     void claim(const RequestId &id);
     void place(const RequestId &id);
