--- a/tests/System/DrainTest.cpp
+++ b/tests/System/DrainTest.cpp
@@ -148,23 +148,40 @@
     std::vector<std::thread> m_threads;
 };
 
+// Long streams and short calls, all of which have to end well whatever the test takes out.
+struct Load {
+    Load()
+    {
+        REQUIRE(waitUntil(Deadline, [&] {
+            return fixture.running("engine-a") > 0;
+        }));
+        callers.emplace(8, [&](std::size_t caller) {
+            fixture.callFrom(caller);
+        });
+        REQUIRE(fixture.getsWork("app-a", Deadline));
+        REQUIRE(fixture.getsWork("engine-a", Deadline));
+    }
+
+    void checkWhole()
+    {
+        callers->stop();
+        fixture.checkNoFailures();
+        streams.checkWhole();
+    }
+
+    Fixture fixture;
+    LongStreams streams{fixture.fleet};
+    std::optional<CallerPool> callers;
+};
+
 } // namespace
 
 // Guards against new work in a drained zone, requests that a drain interrupts or refuses while
 // another zone serves, and a zone that stays unused after its return (P7).
 TEST_CASE("a drained zone gets no new work, finishes what runs and comes back")
 {
-    Fixture fixture;
-    const Fleet &fleet = fixture.fleet;
-    LongStreams streams(fleet);
-    REQUIRE(waitUntil(Deadline, [&] {
-        return fixture.running("engine-a") > 0;
-    }));
-    CallerPool callers(8, [&](std::size_t caller) {
-        fixture.callFrom(caller);
-    });
-    REQUIRE(fixture.getsWork("app-a", Deadline));
-    REQUIRE(fixture.getsWork("engine-a", Deadline));
+    Load load;
+    Fixture &fixture = load.fixture;
     fixture.fleet.changeRules("zone zone-a state=serving", "zone zone-a state=drained");
     REQUIRE(fixture.fleet.apply());
     fixture.checkGetsNoWork({"app-a", "engine-a"});
@@ -172,25 +189,14 @@
     REQUIRE(fixture.fleet.apply());
     CHECK(fixture.getsWork("app-a", DrainLimit));
     CHECK(fixture.getsWork("engine-a", DrainLimit));
-    callers.stop();
-    fixture.checkNoFailures();
-    streams.checkWhole();
+    load.checkWhole();
 }
 
 // Guards against new work for an endpoint that leaves, by rule or by the platform's list (P11).
 TEST_CASE("a leaving endpoint gets no new work and finishes what runs")
 {
-    Fixture fixture;
-    const Fleet &fleet = fixture.fleet;
-    LongStreams streams(fleet);
-    REQUIRE(waitUntil(Deadline, [&] {
-        return fixture.running("engine-a") > 0;
-    }));
-    CallerPool callers(8, [&](std::size_t caller) {
-        fixture.callFrom(caller);
-    });
-    REQUIRE(fixture.getsWork("app-a", Deadline));
-    REQUIRE(fixture.getsWork("engine-a", Deadline));
+    Load load;
+    Fixture &fixture = load.fixture;
     fixture.fleet.changeRules("endpoint engine-a ", "endpoint engine-a state=leaving ");
     REQUIRE(fixture.fleet.apply());
     fixture.checkGetsNoWork({"engine-a"});
@@ -198,7 +204,5 @@
     fixture.checkGetsNoWork({"app-a"});
     fixture.fleet.setPlatformState("app-a", "live");
     CHECK(fixture.getsWork("app-a", DrainLimit));
-    callers.stop();
-    fixture.checkNoFailures();
-    streams.checkWhole();
+    load.checkWhole();
 }
