Remove the parts of the dispatcher that nothing calls

setColdStart(), the estimate that only it set, and inFlightAt() had no caller in the library, the programs or the tests. The wait for a model that is not loaded was always the configured estimate, and still is.

--- a/include/marigoldspool/Routing/Dispatcher.h
+++ b/include/marigoldspool/Routing/Dispatcher.h
@@ -108,13 +108,11 @@
     DispatchActions onLoadRefused(const ModelName &model, const Refusal &refusal);
     DispatchActions onEndpointStatus(const EndpointId &endpoint, std::string_view incarnation,
                                      std::uint64_t completed);
-    void setColdStart(const ModelName &model, Duration expected);
     /// Call at least every few tens of milliseconds while requests are open.
     DispatchActions onTick();
 
     std::size_t queued() const;
     std::size_t inFlight() const { return m_inFlight.size(); }
-    std::size_t inFlightAt(const EndpointId &endpoint) const;
     /// Requests in flight by endpoint and model.
     struct RunningView {
         EndpointId endpoint;
@@ -147,7 +145,6 @@
         FairQueue queue;
         WaitEstimator waits;
         std::vector<EndpointId> replicas;
-        std::optional<Duration> coldStart;
         /// Requests in flight.
         std::size_t running = 0;
         std::size_t arrived = 0;
--- a/lib/Routing/Dispatcher.cpp
+++ b/lib/Routing/Dispatcher.cpp
@@ -473,11 +473,6 @@
     return actions;
 }
 
-void Dispatcher::setColdStart(const ModelName &model, Duration expected)
-{
-    targetState(Target{model, {}}).coldStart = expected;
-}
-
 DispatchActions Dispatcher::onTick()
 {
     DispatchActions actions;
@@ -539,12 +534,6 @@
     return n;
 }
 
-std::size_t Dispatcher::inFlightAt(const EndpointId &endpoint) const
-{
-    const auto it = m_endpoints.find(endpoint);
-    return it == m_endpoints.end() ? 0 : static_cast<std::size_t>(it->second.inFlight());
-}
-
 std::vector<Dispatcher::RunningView> Dispatcher::runningViews() const
 {
     std::map<std::pair<EndpointId, ModelName>, std::size_t> counts;
--- a/lib/Routing/DispatcherEstimates.cpp
+++ b/lib/Routing/DispatcherEstimates.cpp
@@ -29,8 +29,7 @@
         if (!request.target.isModel()) {
             return std::nullopt;
         }
-        return state != nullptr && state->coldStart ? *state->coldStart
-                                                    : m_options.assumedColdStart;
+        return m_options.assumedColdStart;
     }
     const double ahead = state->queue.costAhead(request.workspace, request.share, request.cost);
     return state->waits.waitFor(ahead, usableSlots(*state)).value_or(Duration::zero());
