--- a/cmake/Components.cmake
+++ b/cmake/Components.cmake
@@ -1,4 +1,6 @@
-include(${doctest_DIR}/doctest.cmake)
+if(MARIGOLDSPOOL_TESTS)
+    include(${doctest_DIR}/doctest.cmake)
+endif()
 
 # Static library lib/<name>, with the test program tests/<name> registered case by case in CTest.
 # Components whose directory does not exist yet are skipped.
@@ -21,8 +23,13 @@
     endforeach()
     set_property(GLOBAL APPEND PROPERTY MARIGOLDSPOOL_LIBRARIES ${target})
 
+    marigoldspool_tests(${name} ${target})
+endfunction()
+
+# The test program tests/<name> of one library.
+function(marigoldspool_tests name target)
     file(GLOB tests CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/tests/${name}/*.cpp)
-    if(NOT tests)
+    if(NOT tests OR NOT MARIGOLDSPOOL_TESTS)
         return()
     endif()
     set(program ${name}Tests)
@@ -37,6 +44,19 @@
         ENVIRONMENT "RC_PARAMS=seed=20260101 max_success=100")
 endfunction()
 
+# What speaks to the users' platform: the library platform/, its tests and its program.
+function(marigoldspool_platform)
+    file(GLOB sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/platform/*.cpp)
+    list(FILTER sources EXCLUDE REGEX "/main\\.cpp$")
+    add_library(marigoldspoolPlatformAdapter STATIC ${sources})
+    target_include_directories(marigoldspoolPlatformAdapter PUBLIC ${PROJECT_SOURCE_DIR}/platform)
+    target_link_libraries(marigoldspoolPlatformAdapter PUBLIC marigoldspoolFleet)
+    marigoldspool_tests(PlatformAdapter marigoldspoolPlatformAdapter)
+    add_executable(marigoldspool-node ${PROJECT_SOURCE_DIR}/platform/main.cpp)
+    target_link_libraries(marigoldspool-node PRIVATE marigoldspoolPlatformAdapter
+        Boost::coroutine Boost::context)
+endfunction()
+
 # One program for each <directory>/<program>/ directory with sources; all components are linked.
 function(marigoldspool_programs directory)
     get_property(libraries GLOBAL PROPERTY MARIGOLDSPOOL_LIBRARIES)
--- /dev/null
+++ b/include/marigoldspool/Fleet/FleetOptions.h
@@ -0,0 +1,33 @@
+#ifndef MARIGOLDSPOOL_FLEET_FLEETOPTIONS_H
+#define MARIGOLDSPOOL_FLEET_FLEETOPTIONS_H
+
+#include "marigoldspool/Serving/OwnerLease.h"
+#include "marigoldspool/Serving/RetryBudget.h"
+#include "marigoldspool/Support/Identifiers.h"
+
+#include <string>
+
+namespace marigoldspool {
+
+/// Settings of one instance.
+struct FleetOptions {
+    InstanceId instance;
+    ZoneName zone;
+    /// Addresses, each `IP:PORT`: for callers, for the load balancer's question whether this
+    /// instance is ready, for other instances, for metrics (empty: none), and of the store.
+    std::string callerAddress;
+    std::string readyAddress;
+    std::string peerAddress;
+    std::string metricsAddress;
+    std::string storeAddress;
+    LeaseTimes lease;
+    RetryBound retries;
+    /// From SIGTERM to the end of the process.
+    Duration grace = std::chrono::seconds(8);
+    /// Loads that the weight store serves at full speed at once.
+    int storeLoadsAtOnce = 4;
+};
+
+} // namespace marigoldspool
+
+#endif
--- a/include/marigoldspool/Gateway/EndpointClient.h
+++ b/include/marigoldspool/Gateway/EndpointClient.h
@@ -35,6 +35,15 @@
     Duration timeout = std::chrono::seconds(30);
     /// How long the connection may carry no byte before it is abandoned.
     Duration silenceLimit = std::chrono::seconds(10);
+    /// For opening a new connection; zero leaves it to the other limits.
+    Duration connectTimeout = Duration::zero();
+    /// The Host field. When set, the other fields are passed on as they are, without an id of ours.
+    std::string host;
+    /// Field in which the endpoint repeats the request's id; empty when it repeats none. Answers
+    /// with another id belong to other requests and are passed over.
+    std::string echoField;
+    /// An answer without a length is complete when the endpoint closes the connection in order.
+    bool mayEndWithConnection = false;
 };
 
 /// Receives the answer to one call: head, data, then either complete or failure, exactly once.
--- a/include/marigoldspool/Gateway/HttpServer.h
+++ b/include/marigoldspool/Gateway/HttpServer.h
@@ -67,6 +67,8 @@
     virtual ~HttpServer();
     /// The port in use.
     virtual std::uint16_t port() const = 0;
+    /// Announces in each answer from now on that its connection closes; goes on accepting.
+    virtual void closeAfterAnswers() = 0;
     /// Accepts no more connections; open requests go on and their connections close afterwards.
     virtual void stopAccepting() = 0;
     virtual std::size_t openRequests() const = 0;
--- a/include/marigoldspool/Peer/Messages.h
+++ b/include/marigoldspool/Peer/Messages.h
@@ -125,9 +125,86 @@
     RequestId id;
 };
 
+/// What one instance needs of one model or adapter.
+struct ReportedDemand {
+    std::string pool;
+    ModelName model;
+    /// Empty for the model itself.
+    std::string adapter;
+    /// Requests since the report before.
+    std::uint64_t arrivals = 0;
+    std::uint64_t waiting = 0;
+    /// Age of the oldest waiting request.
+    std::int64_t oldestMs = 0;
+    /// Of the most urgent waiting request; 0 is first.
+    std::int64_t priority = 0;
+};
+
+/// Replaces what the sender reported before.
+struct DemandReport {
+    std::vector<ReportedDemand> models;
+};
+
+/// Models, and adapters as MODEL/ADAPTER, that may be asked for at one endpoint.
+struct PlacedEndpoint {
+    EndpointId endpoint;
+    std::vector<std::string> models;
+};
+
+/// When a model that is being loaded will be there.
+struct LoadForecast {
+    ModelName model;
+    std::string adapter;
+    std::int64_t readyInMs = 0;
+};
+
+/// What the placement owner knows; all endpoints when \c full, else those that changed. The
+/// forecasts replace those sent before.
+struct PlacementUpdate {
+    std::uint64_t term = 0;
+    bool full = false;
+    std::vector<PlacedEndpoint> endpoints;
+    std::vector<LoadForecast> loading;
+};
+
+/// Asks a peer for the objects under a prefix that changed after a revision.
+struct ObjectsRequest {
+    std::string prefix;
+    std::uint64_t revision = 0;
+};
+
+struct RelayedObject {
+    std::string key;
+    std::uint64_t version = 0;
+    std::string value;
+};
+
+/// The sender's knowledge of a prefix: all keys, and the objects newer than asked for.
+struct ObjectsTransfer {
+    std::string prefix;
+    std::uint64_t revision = 0;
+    std::vector<std::string> keys;
+    std::vector<RelayedObject> objects;
+};
+
+/// Asks the holder of a workspace's common bucket for tokens.
+struct QuotaRequest {
+    std::string workspace;
+    double tokens = 0;
+};
+
+struct QuotaGrant {
+    std::string workspace;
+    double tokens = 0;
+    /// Tokens left in the common bucket.
+    double left = 0;
+};
+
 using PeerMessage =
     std::variant<Heartbeat, ConfigRequest, ConfigTransfer, LoanRequest, LoanGrant, EpochAck,
-                 ForwardRequest, ForwardHead, ForwardData, ForwardRefusal, ForwardCancel>;
+                 ForwardRequest, ForwardHead, ForwardData, ForwardRefusal, ForwardCancel,
+                 DemandReport, PlacementUpdate, ObjectsRequest, ObjectsTransfer, QuotaRequest,
+                 QuotaGrant>;
 
 struct AddressedMessage {
     InstanceId to;
--- /dev/null
+++ b/include/marigoldspool/Serving/RouteTable.h
@@ -0,0 +1,36 @@
+#ifndef MARIGOLDSPOOL_SERVING_ROUTETABLE_H
+#define MARIGOLDSPOOL_SERVING_ROUTETABLE_H
+
+#include "marigoldspool/Serving/ServingTypes.h"
+
+#include <string_view>
+#include <unordered_map>
+
+namespace marigoldspool {
+
+/// Finds the route and the workspace of a request in one configuration.
+class RouteTable
+{
+public:
+    explicit RouteTable(ServingConfigurationPtr configuration);
+
+    /// The route of \p host with the longest prefix that begins the path of \p target, or null.
+    const PrefixRoute *find(std::string_view host, std::string_view target) const;
+    /// The workspace that holds \p key, or null.
+    const ServedWorkspace *workspaceOf(std::string_view key) const;
+    bool asksForKeys() const { return !m_configuration->workspaces.empty(); }
+    const ServingConfigurationPtr &configuration() const { return m_configuration; }
+
+private:
+    ServingConfigurationPtr m_configuration;
+    /// The routes of each host, longest prefix first.
+    std::unordered_map<std::string, std::vector<const PrefixRoute *>> m_byHost;
+    std::unordered_map<std::string, const ServedWorkspace *> m_byKey;
+};
+
+/// The pool that a request of \p route goes to: the same one each time for the same \p id.
+const PoolName &choosePool(const PrefixRoute &route, const RequestId &id);
+
+} // namespace marigoldspool
+
+#endif
--- a/include/marigoldspool/Support/Clock.h
+++ b/include/marigoldspool/Support/Clock.h
@@ -29,6 +29,15 @@
     WallTime wallNow() const override;
 };
 
+/// Monotonic time that also counts while the machine is suspended, for leases: the steady clock
+/// stands still then, and a lease measured with it would outlive its term.
+class SuspendAwareClock final : public Clock
+{
+public:
+    SteadyTime now() const override;
+    WallTime wallNow() const override;
+};
+
 /// A clock for tests that moves only when told to.
 class ManualClock final : public Clock
 {
--- a/include/marigoldspool/Support/EventLog.h
+++ b/include/marigoldspool/Support/EventLog.h
@@ -40,6 +40,10 @@
 /// Sends glog's lines to standard error; call once at the start of a program.
 void initializeLogging(const char *programName);
 
+/// Sends all events to standard output from now on, at most a few hundred lines a second and
+/// never waiting for the reader; lines that are left out are counted in the next one.
+void initializeBoundedLogging(const char *programName);
+
 } // namespace marigoldspool
 
 #endif
--- a/lib/Daemon/ConfigService.h
+++ b/lib/Daemon/ConfigService.h
@@ -2,7 +2,7 @@
 #define MARIGOLDSPOOL_LIB_DAEMON_CONFIGSERVICE_H
 
 #include "Daemon/PeerService.h"
-#include "Daemon/PeriodicTimer.h"
+#include "marigoldspool/Support/PeriodicTimer.h"
 #include "Daemon/Runtime.h"
 #include "marigoldspool/Config/ConfigReplica.h"
 #include "marigoldspool/Config/ConfigStore.h"
--- a/lib/Daemon/FrontService.h
+++ b/lib/Daemon/FrontService.h
@@ -7,7 +7,7 @@
 #include "Daemon/IdempotencyClaims.h"
 #include "Daemon/LimitsService.h"
 #include "Daemon/PeerService.h"
-#include "Daemon/PeriodicTimer.h"
+#include "marigoldspool/Support/PeriodicTimer.h"
 #include "Daemon/Runtime.h"
 #include "marigoldspool/Gateway/HttpServer.h"
 #include "marigoldspool/Routing/ForwardTable.h"
--- a/lib/Daemon/GatewayService.h
+++ b/lib/Daemon/GatewayService.h
@@ -3,7 +3,7 @@
 
 #include "Daemon/ConfigService.h"
 #include "Daemon/FrontService.h"
-#include "Daemon/PeriodicTimer.h"
+#include "marigoldspool/Support/PeriodicTimer.h"
 #include "Daemon/Runtime.h"
 #include "marigoldspool/Gateway/HttpServer.h"
 #include "marigoldspool/Supervisor/Supervisor.h"
--- a/lib/Daemon/HomeService.h
+++ b/lib/Daemon/HomeService.h
@@ -5,7 +5,7 @@
 #include "Daemon/ConfigService.h"
 #include "Daemon/EndpointAttempt.h"
 #include "Daemon/PeerService.h"
-#include "Daemon/PeriodicTimer.h"
+#include "marigoldspool/Support/PeriodicTimer.h"
 #include "Daemon/Runtime.h"
 #include "marigoldspool/Gateway/EndpointClient.h"
 #include "marigoldspool/Routing/Dispatcher.h"
--- a/lib/Daemon/LimitsService.h
+++ b/lib/Daemon/LimitsService.h
@@ -3,7 +3,7 @@
 
 #include "Daemon/ConfigService.h"
 #include "Daemon/PeerService.h"
-#include "Daemon/PeriodicTimer.h"
+#include "marigoldspool/Support/PeriodicTimer.h"
 #include "Daemon/Runtime.h"
 #include "marigoldspool/Limits/LimitService.h"
 #include "marigoldspool/Routing/Dispatcher.h"
--- a/lib/Daemon/PeerService.h
+++ b/lib/Daemon/PeerService.h
@@ -1,7 +1,7 @@
 #ifndef MARIGOLDSPOOL_LIB_DAEMON_PEERSERVICE_H
 #define MARIGOLDSPOOL_LIB_DAEMON_PEERSERVICE_H
 
-#include "Daemon/PeriodicTimer.h"
+#include "marigoldspool/Support/PeriodicTimer.h"
 #include "Daemon/Runtime.h"
 #include "marigoldspool/Peer/PeerChannel.h"
 #include "marigoldspool/Peer/PeerTable.h"
--- a/lib/Daemon/PlacementService.h
+++ b/lib/Daemon/PlacementService.h
@@ -3,7 +3,7 @@
 
 #include "Daemon/ConfigService.h"
 #include "Daemon/HomeService.h"
-#include "Daemon/PeriodicTimer.h"
+#include "marigoldspool/Support/PeriodicTimer.h"
 #include "Daemon/Runtime.h"
 #include "marigoldspool/Placement/PlacementEngine.h"
 #include "marigoldspool/Supervisor/Supervisor.h"
--- /dev/null
+++ b/lib/Fleet/Exchange.h
@@ -0,0 +1,98 @@
+#ifndef MARIGOLDSPOOL_LIB_FLEET_EXCHANGE_H
+#define MARIGOLDSPOOL_LIB_FLEET_EXCHANGE_H
+
+#include "Fleet/ServingFront.h"
+#include "marigoldspool/Routing/RetryPolicy.h"
+#include "marigoldspool/Serving/EventStream.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace marigoldspool {
+
+/// One request of a caller, from its arrival to its final answer.
+class Exchange final : public std::enable_shared_from_this<Exchange>
+{
+public:
+    Exchange(ServingFront &front, ServingRequest request, std::shared_ptr<ResponseSink> sink);
+
+    void start();
+    /// Tries to send the request, or decides that it waits or is refused.
+    void dispatch();
+
+    int priority() const { return m_priority; }
+    SteadyTime arrival() const { return m_arrival; }
+    bool isWaiting() const { return m_waiting; }
+    /// What the placement owner should bring about; empty when nothing.
+    std::optional<DemandKey> missing() const;
+
+private:
+    class Attempt;
+
+    bool readConfiguration();
+    bool admitQuota();
+    void wait(const EndpointChoice &choice);
+    void send(const EndpointId &endpoint);
+    void onHead(int status, gsl::span<const HeaderField> headers);
+    void onData(std::string_view bytes);
+    void onComplete();
+    void onFailure(SendStage stage, const Error &error);
+    void onAnswered();
+    /// The attempt is over without an answer that can be passed on.
+    void onOutcome(EndpointOutcome outcome, EndpointResult result);
+    bool resume();
+    void passEvents(const std::string &events);
+    void onDeadline();
+    void onCallerGone();
+    void endAttempt(EndpointResult result);
+    void refuse(RefusalReason reason, RanState ran, Duration retryAfter, std::string message);
+    void finish(std::string_view outcome, int status);
+    Duration timeLeft() const;
+    Duration patienceLeft() const;
+    bool isRepeatable() const;
+    bool isEngineRequest() const;
+    std::string session() const;
+    Duration silenceLimit() const;
+
+    ServingFront &m_front;
+    FleetRuntime &m_runtime;
+    ServingRequest m_request;
+    std::shared_ptr<ResponseSink> m_sink;
+    boost::asio::steady_timer m_timer;
+    SteadyTime m_arrival;
+    SteadyTime m_deadline;
+    /// Until when the caller waits for the first byte.
+    SteadyTime m_patientUntil;
+    /// Kept alive because m_route points into it.
+    std::shared_ptr<const RouteTable> m_routes;
+    const PrefixRoute *m_route = nullptr;
+    const EndpointPool *m_pool = nullptr;
+    WorkspaceName m_workspace;
+    int m_priority = 0;
+    bool m_paid = false;
+    bool m_waiting = false;
+    bool m_finished = false;
+    ChoiceKind m_waitsFor = ChoiceKind::Send;
+
+    std::vector<EndpointId> m_tried;
+    int m_attempts = 0;
+    /// Endpoints that may have run the request.
+    int m_runs = 0;
+    std::shared_ptr<Attempt> m_attempt;
+    EndpointId m_endpoint;
+    SteadyTime m_sentAt;
+    SteadyTime m_firstSentAt;
+    bool m_firstByteSeen = false;
+    int m_status = 0;
+    AnswerTraits m_traits;
+    std::vector<HeaderField> m_answerHeaders;
+    std::string m_answerBody;
+    bool m_streaming = false;
+    bool m_answerStarted = false;
+    EventStream m_events;
+    std::optional<SteadyTime> m_firstEventAt;
+    std::string m_lastError;
+};
+
+} // namespace marigoldspool
+
+#endif
--- /dev/null
+++ b/lib/Fleet/FleetDaemon.cpp
@@ -0,0 +1,301 @@
+#include "marigoldspool/Fleet/FleetDaemon.h"
+
+#include "Fleet/FleetLink.h"
+#include "Fleet/FleetRuntime.h"
+#include "Fleet/FleetState.h"
+#include "Fleet/PlacementDriver.h"
+#include "Fleet/ServingFront.h"
+#include "marigoldspool/Support/EventLog.h"
+#include "marigoldspool/Support/Invariant.h"
+#include "marigoldspool/Support/PeriodicTimer.h"
+
+#include <utility>
+
+namespace marigoldspool {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration TickInterval = milliseconds(25);
+constexpr Duration DemandInterval = milliseconds(500);
+// What the owner said counts this long; it says all of it each second.
+constexpr Duration PlacementFreshness = milliseconds(2500);
+// The load balancer asks once a second and takes an instance out after two misses.
+constexpr Duration DrainNotice = milliseconds(3200);
+// Left of the grace for closing connections.
+constexpr Duration GraceMargin = milliseconds(500);
+constexpr Duration StopPollInterval = milliseconds(20);
+
+void answerText(ResponseSink &sink, int status, std::string_view body)
+{
+    const HeaderField headers[] = {{"Content-Type", "text/plain; version=0.0.4"}};
+    sink.head(status, headers, false);
+    sink.data(body);
+    sink.finish();
+}
+
+} // namespace
+
+class FleetDaemon::Parts
+{
+public:
+    Parts(boost::asio::io_context &io, FleetOptions options, const FleetWire &wire,
+          std::unique_ptr<ObjectStore> store, std::unique_ptr<Metrics> metrics)
+        : m_runtime(io, std::move(options), wire, std::move(store), std::move(metrics))
+        , m_state(m_runtime)
+        , m_link(m_runtime, m_state)
+        , m_placement(m_runtime, m_link)
+        , m_front(m_runtime)
+        , m_tick(io)
+        , m_stopTimer(io)
+        , m_demandAt(m_runtime.clock.now())
+    { }
+
+    Expected<void> start()
+    {
+        m_state.setMembersHandler([this] {
+            m_link.onMembers();
+        });
+        m_state.setConfigurationHandler([this] {
+            m_placement.onConfiguration();
+            m_placement.onEndpoints();
+            m_front.poke();
+        });
+        m_state.setEndpointsHandler([this] {
+            m_placement.onEndpoints();
+            m_front.poke();
+        });
+        m_link.setHandler([this](const InstanceId &from, const PeerMessage &message) {
+            onMessage(from, message);
+        });
+        m_placement.setUpdateHandler([this](const PlacementUpdate &update) {
+            m_placementAt = m_runtime.clock.now();
+            m_front.onPlacement(update);
+        });
+        Expected<void> result = m_front.start();
+        if (result) {
+            result = m_link.start();
+        }
+        if (result) {
+            result = serve(m_ready, m_runtime.options.readyAddress,
+                           [this](const HttpRequest &, ResponseSink &sink) {
+                               const bool ready = isReady();
+                               answerText(sink, ready ? 200 : 503, ready ? "ready\n" : "no\n");
+                           });
+        }
+        if (result && !m_runtime.options.metricsAddress.empty()) {
+            result = serve(m_metrics, m_runtime.options.metricsAddress,
+                           [this](const HttpRequest &, ResponseSink &sink) {
+                               answerText(sink, 200, m_runtime.metrics->exposition());
+                           });
+        }
+        if (!result) {
+            return result;
+        }
+        m_state.start();
+        m_tick.start(TickInterval, [this] {
+            onTick();
+        });
+        logEvent(LogLevel::Info, "started",
+                 {{"instance", m_runtime.options.instance.str()},
+                  {"zone", m_runtime.options.zone.str()},
+                  {"callers", m_runtime.options.callerAddress},
+                  {"peers", m_runtime.options.peerAddress},
+                  {"store", m_runtime.options.storeAddress},
+                  {"incarnation", std::to_string(m_runtime.incarnation)}});
+        return {};
+    }
+
+    void stop(std::function<void()> stopped)
+    {
+        logEvent(LogLevel::Info, "stopping",
+                 {{"open", std::to_string(m_front.openRequests())}});
+        m_stopped = std::move(stopped);
+        m_runtime.stopping = true;
+        m_placement.release();
+        m_front.closeAfterAnswers();
+        const SteadyTime now = m_runtime.clock.now();
+        m_acceptUntil = now + DrainNotice;
+        m_stopBy = now + m_runtime.options.grace - GraceMargin;
+        m_stopTimer.start(StopPollInterval, [this] {
+            pollStop();
+        });
+    }
+
+private:
+    using Page = std::function<void(const HttpRequest &, ResponseSink &)>;
+
+    Expected<void> serve(std::unique_ptr<HttpServer> &server, const std::string &address, Page page)
+    {
+        HttpServerOptions options;
+        options.address = address;
+        auto made = makeHttpServer(
+            m_runtime.io, options,
+            [page = std::move(page)](const HttpRequest &request,
+                                     const std::shared_ptr<ResponseSink> &sink) {
+                page(request, *sink);
+            },
+            *m_runtime.metrics);
+        if (!made) {
+            return tl::make_unexpected(made.error());
+        }
+        server = std::move(*made);
+        return {};
+    }
+
+    bool isReady() const { return !m_runtime.stopping && m_state.isLoaded(); }
+
+    void onMessage(const InstanceId &from, const PeerMessage &message)
+    {
+        if (const auto *demand = std::get_if<DemandReport>(&message)) {
+            m_placement.onDemand(from, *demand);
+        } else if (const auto *update = std::get_if<PlacementUpdate>(&message)) {
+            m_placementAt = m_runtime.clock.now();
+            m_front.onPlacement(*update);
+        } else if (const auto *request = std::get_if<QuotaRequest>(&message)) {
+            if (m_placement.isOwner()) {
+                m_link.send(from, grantQuota(*request));
+            }
+        } else if (const auto *grant = std::get_if<QuotaGrant>(&message)) {
+            m_runtime.quota.onGrant(WorkspaceName(grant->workspace), grant->tokens, grant->left);
+            m_front.poke();
+        }
+    }
+
+    QuotaGrant grantQuota(const QuotaRequest &request)
+    {
+        const WorkspaceName workspace(request.workspace);
+        QuotaGrant grant;
+        grant.workspace = request.workspace;
+        grant.tokens = m_runtime.quota.grant(workspace, request.tokens);
+        grant.left = m_runtime.quota.commonLevel(workspace);
+        return grant;
+    }
+
+    void askQuota()
+    {
+        const bool isOwner = m_placement.isOwner();
+        if (!isOwner && !m_link.isOwnerReachable()) {
+            return;
+        }
+        for (const auto &[workspace, tokens] : m_runtime.quota.wanted()) {
+            const QuotaRequest request{workspace.str(), tokens};
+            if (isOwner) {
+                const QuotaGrant grant = grantQuota(request);
+                m_runtime.quota.onGrant(workspace, grant.tokens, grant.left);
+            } else {
+                m_link.send(m_link.owner(), request);
+            }
+        }
+    }
+
+    void reportDemand()
+    {
+        const SteadyTime now = m_runtime.clock.now();
+        if (now < m_demandAt && !m_front.hasNewDemand()) {
+            return;
+        }
+        m_demandAt = now + DemandInterval;
+        const std::optional<DemandReport> report = m_front.takeDemand(false);
+        if (!report) {
+            return;
+        }
+        if (m_placement.isOwner()) {
+            m_placement.onDemand(m_runtime.options.instance, *report);
+        } else if (m_link.isOwnerReachable()) {
+            m_link.send(m_link.owner(), *report);
+        }
+    }
+
+    void onTick()
+    {
+        m_state.onTick();
+        m_link.onTick();
+        m_placement.onTick();
+        m_runtime.directory.onTick();
+        const SteadyTime now = m_runtime.clock.now();
+        const bool isFresh = now - m_placementAt < PlacementFreshness;
+        if (m_wasFresh && !isFresh) {
+            logEvent(LogLevel::Warning, "owner_lost", {{"owner", m_link.owner().str()}});
+            m_front.forgetPlacement();
+        } else if (!m_wasFresh && isFresh) {
+            logEvent(LogLevel::Info, "owner_found", {{"owner", m_link.owner().str()}});
+        }
+        m_wasFresh = isFresh;
+        m_front.setOwnerReachable(isFresh && m_link.isOwnerReachable());
+        reportDemand();
+        askQuota();
+        m_front.onTick();
+        const bool ready = isReady();
+        if (ready != m_wasReady) {
+            m_wasReady = ready;
+            logEvent(LogLevel::Info, ready ? "ready" : "not_ready");
+        }
+    }
+
+    void pollStop()
+    {
+        const SteadyTime now = m_runtime.clock.now();
+        if (now < m_acceptUntil) {
+            return;
+        }
+        if (!m_accepting) {
+            if (m_front.openRequests() == 0 || now >= m_stopBy) {
+                finishStop();
+            }
+            return;
+        }
+        m_accepting = false;
+        m_front.stopAccepting();
+    }
+
+    void finishStop()
+    {
+        logEvent(LogLevel::Info, "stopped",
+                 {{"open", std::to_string(m_front.openRequests())},
+                  {"released", m_placement.isReleased() ? "yes" : "no"}});
+        m_stopTimer.stop();
+        m_tick.stop();
+        m_state.stop();
+        std::exchange(m_stopped, nullptr)();
+    }
+
+    FleetRuntime m_runtime;
+    FleetState m_state;
+    FleetLink m_link;
+    PlacementDriver m_placement;
+    ServingFront m_front;
+    std::unique_ptr<HttpServer> m_ready;
+    std::unique_ptr<HttpServer> m_metrics;
+    PeriodicTimer m_tick;
+    PeriodicTimer m_stopTimer;
+    std::function<void()> m_stopped;
+    SteadyTime m_demandAt;
+    SteadyTime m_placementAt;
+    SteadyTime m_acceptUntil;
+    SteadyTime m_stopBy;
+    bool m_accepting = true;
+    bool m_wasFresh = false;
+    bool m_wasReady = false;
+};
+
+FleetDaemon::FleetDaemon(boost::asio::io_context &io, FleetOptions options, const FleetWire &wire,
+                         std::unique_ptr<ObjectStore> store, std::unique_ptr<Metrics> metrics)
+    : m_parts(std::make_unique<Parts>(io, std::move(options), wire, std::move(store),
+                                      std::move(metrics)))
+{ }
+
+FleetDaemon::~FleetDaemon() = default;
+
+Expected<void> FleetDaemon::start()
+{
+    return m_parts->start();
+}
+
+void FleetDaemon::stop(std::function<void()> stopped)
+{
+    m_parts->stop(std::move(stopped));
+}
+
+} // namespace marigoldspool
--- /dev/null
+++ b/lib/Fleet/FleetLink.cpp
@@ -0,0 +1,148 @@
+#include "Fleet/FleetLink.h"
+
+#include "marigoldspool/Peer/PeerTopology.h"
+#include "marigoldspool/Support/EventLog.h"
+
+#include <algorithm>
+#include <variant>
+
+namespace marigoldspool {
+
+namespace {
+
+constexpr Duration HeartbeatInterval = std::chrono::seconds(1);
+// Bounds how old what a peer relays is, besides the peer's own age.
+constexpr Duration RelayInterval = std::chrono::milliseconds(300);
+// The platform gives instances no secret. Only its machines reach these ports; the proof keeps
+// programs of other kinds out.
+const std::string PeerSecret = "marigoldspool";
+
+} // namespace
+
+FleetLink::FleetLink(FleetRuntime &runtime, FleetState &state)
+    : m_runtime(runtime)
+    , m_state(state)
+    , m_heartbeatAt(runtime.clock.now())
+    , m_relayAt(runtime.clock.now())
+{
+    PeerChannelOptions options;
+    options.self = runtime.options.instance;
+    options.incarnation = runtime.incarnation;
+    options.address = runtime.options.peerAddress;
+    options.secret = PeerSecret;
+    options.longestReconnectDelay = std::chrono::milliseconds(800);
+    m_channel = makeWebSocketPeerChannel(runtime.io, options, runtime.clock, *runtime.metrics);
+}
+
+Expected<void> FleetLink::start()
+{
+    m_channel->setHandler(
+        [this](const InstanceId &from, std::uint64_t /*incarnation*/, const PeerMessage &message) {
+            onMessage(from, message);
+        });
+    m_channel->setDownHandler([](const InstanceId &peer) {
+        logEvent(LogLevel::Warning, "peer_lost", {{"peer", peer.str()}});
+    });
+    return m_channel->start();
+}
+
+void FleetLink::stop(std::function<void()> stopped)
+{
+    m_channel->stop(std::move(stopped));
+}
+
+void FleetLink::setOwner(const InstanceId &owner)
+{
+    if (owner != m_owner) {
+        m_owner = owner;
+        onMembers();
+    }
+}
+
+bool FleetLink::isConnected(const InstanceId &peer) const
+{
+    const std::vector<InstanceId> peers = m_channel->connectedPeers();
+    return std::find(peers.begin(), peers.end(), peer) != peers.end();
+}
+
+bool FleetLink::isOwnerReachable() const
+{
+    return !m_owner.empty() && (m_owner == m_runtime.options.instance || isConnected(m_owner));
+}
+
+std::vector<InstanceId> FleetLink::connectedPeers() const
+{
+    return m_channel->connectedPeers();
+}
+
+bool FleetLink::send(const InstanceId &to, const PeerMessage &message)
+{
+    return m_channel->send(to, message);
+}
+
+// The owner talks to all instances; the others only to it and to the few that the topology names.
+void FleetLink::onMembers()
+{
+    const auto &members = m_state.members();
+    std::vector<TopologyMember> all;
+    for (const auto &[id, member] : members) {
+        all.push_back({id, member.zone});
+    }
+    const InstanceId &self = m_runtime.options.instance;
+    const std::vector<InstanceId> chosen = choosePeers(self, all);
+    std::vector<PeerAddress> peers;
+    for (const auto &[id, member] : members) {
+        const bool isChosen = std::find(chosen.begin(), chosen.end(), id) != chosen.end();
+        if (id != self && (isChosen || id == m_owner || self == m_owner)) {
+            peers.push_back({id, member.peerAddress});
+        }
+    }
+    m_channel->setPeers(std::move(peers));
+}
+
+void FleetLink::onTick()
+{
+    const SteadyTime now = m_runtime.clock.now();
+    if (now >= m_heartbeatAt) {
+        m_heartbeatAt = now + HeartbeatInterval;
+        Heartbeat heartbeat;
+        heartbeat.zone = m_runtime.options.zone;
+        heartbeat.address = m_runtime.options.peerAddress;
+        heartbeat.stopping = m_runtime.stopping;
+        for (const InstanceId &peer : connectedPeers()) {
+            m_channel->send(peer, heartbeat);
+        }
+    }
+    if (now >= m_relayAt) {
+        m_relayAt = now + RelayInterval;
+        const std::vector<ObjectsRequest> outdated = m_state.outdated();
+        if (outdated.empty()) {
+            return;
+        }
+        for (const InstanceId &peer : connectedPeers()) {
+            for (const ObjectsRequest &request : outdated) {
+                m_channel->send(peer, request);
+            }
+        }
+    }
+}
+
+void FleetLink::onMessage(const InstanceId &from, const PeerMessage &message)
+{
+    if (const auto *request = std::get_if<ObjectsRequest>(&message)) {
+        ObjectsTransfer transfer = m_state.transferFor(*request);
+        if (transfer.revision > request->revision) {
+            m_channel->send(from, transfer);
+        }
+        return;
+    }
+    if (const auto *transfer = std::get_if<ObjectsTransfer>(&message)) {
+        m_state.onTransfer(from, *transfer);
+        return;
+    }
+    if (m_handler) {
+        m_handler(from, message);
+    }
+}
+
+} // namespace marigoldspool
--- /dev/null
+++ b/lib/Fleet/FleetLink.h
@@ -0,0 +1,48 @@
+#ifndef MARIGOLDSPOOL_LIB_FLEET_FLEETLINK_H
+#define MARIGOLDSPOOL_LIB_FLEET_FLEETLINK_H
+
+#include "Fleet/FleetState.h"
+#include "marigoldspool/Peer/WebSocketPeerChannel.h"
+
+#include <functional>
+#include <memory>
+
+namespace marigoldspool {
+
+/// Connections to other instances: to the placement owner, and to those that relay the store's
+/// objects.
+class FleetLink
+{
+public:
+    using Handler = std::function<void(const InstanceId &from, const PeerMessage &message)>;
+
+    FleetLink(FleetRuntime &runtime, FleetState &state);
+
+    Expected<void> start();
+    void stop(std::function<void()> stopped);
+    /// Messages other than those about objects.
+    void setHandler(Handler handler) { m_handler = std::move(handler); }
+    void setOwner(const InstanceId &owner);
+    const InstanceId &owner() const { return m_owner; }
+    bool isOwnerReachable() const;
+    bool isConnected(const InstanceId &peer) const;
+    std::vector<InstanceId> connectedPeers() const;
+    bool send(const InstanceId &to, const PeerMessage &message);
+    void onMembers();
+    void onTick();
+
+private:
+    void onMessage(const InstanceId &from, const PeerMessage &message);
+
+    FleetRuntime &m_runtime;
+    FleetState &m_state;
+    std::unique_ptr<WebSocketPeerChannel> m_channel;
+    Handler m_handler;
+    InstanceId m_owner;
+    SteadyTime m_heartbeatAt;
+    SteadyTime m_relayAt;
+};
+
+} // namespace marigoldspool
+
+#endif
--- /dev/null
+++ b/lib/Fleet/FleetRuntime.cpp
@@ -0,0 +1,23 @@
+#include "Fleet/FleetRuntime.h"
+
+namespace marigoldspool {
+
+FleetWire::~FleetWire() = default;
+
+FleetRuntime::FleetRuntime(boost::asio::io_context &ioContext, FleetOptions fleetOptions,
+                           const FleetWire &fleetWire, std::unique_ptr<ObjectStore> objectStore,
+                           std::unique_ptr<Metrics> fleetMetrics)
+    : io(ioContext)
+    , options(std::move(fleetOptions))
+    , wire(fleetWire)
+    , random(entropySeed())
+    , metrics(std::move(fleetMetrics))
+    , store(std::move(objectStore))
+    , endpoints(makeEndpointClient(io, clock, *metrics))
+    , directory(options.zone, clock)
+    , quota(clock)
+    , retries(options.retries, clock)
+    , incarnation(static_cast<std::uint64_t>(toMilliseconds(clock.wallNow().time_since_epoch())))
+{ }
+
+} // namespace marigoldspool
--- /dev/null
+++ b/lib/Fleet/FleetRuntime.h
@@ -0,0 +1,46 @@
+#ifndef MARIGOLDSPOOL_LIB_FLEET_FLEETRUNTIME_H
+#define MARIGOLDSPOOL_LIB_FLEET_FLEETRUNTIME_H
+
+#include "marigoldspool/Fleet/FleetOptions.h"
+#include "marigoldspool/Fleet/FleetWire.h"
+#include "marigoldspool/Platform/ObjectStore.h"
+#include "marigoldspool/Serving/EndpointDirectory.h"
+#include "marigoldspool/Serving/RouteTable.h"
+#include "marigoldspool/Serving/WorkspaceQuota.h"
+#include "marigoldspool/Support/Metrics.h"
+#include "marigoldspool/Support/RandomSource.h"
+
+#include <memory>
+
+#include <boost/asio/io_context.hpp>
+
+namespace marigoldspool {
+
+/// What the parts of one instance share. Everything runs on the thread of `io`.
+struct FleetRuntime {
+    FleetRuntime(boost::asio::io_context &ioContext, FleetOptions fleetOptions,
+                 const FleetWire &fleetWire, std::unique_ptr<ObjectStore> objectStore,
+                 std::unique_ptr<Metrics> fleetMetrics);
+
+    boost::asio::io_context &io;
+    FleetOptions options;
+    const FleetWire &wire;
+    SystemClock clock;
+    SuspendAwareClock orderClock;
+    SeededRandomSource random;
+    std::unique_ptr<Metrics> metrics;
+    std::unique_ptr<ObjectStore> store;
+    std::unique_ptr<EndpointClient> endpoints;
+    /// The configuration in force; null before the first one.
+    std::shared_ptr<const RouteTable> routes;
+    EndpointDirectory directory;
+    WorkspaceQuota quota;
+    RetryBudget retries;
+    std::uint64_t incarnation;
+    /// Set by a planned stop.
+    bool stopping = false;
+};
+
+} // namespace marigoldspool
+
+#endif
--- /dev/null
+++ b/lib/Fleet/FleetState.cpp
@@ -0,0 +1,350 @@
+#include "Fleet/FleetState.h"
+
+#include "marigoldspool/Support/EventLog.h"
+
+#include <nlohmann/json.hpp>
+
+namespace marigoldspool {
+
+namespace {
+
+using nlohmann::json;
+
+const std::string MemberPrefix = "instances/";
+
+// A change ends the wait at once; the wait only bounds how long a lost answer goes unnoticed. The
+// store may stop answering watches while it serves other calls, and changes have two seconds.
+constexpr Duration WatchWait = std::chrono::milliseconds(1000);
+// Changes that come within this time share one call.
+constexpr Duration WatchInterval = std::chrono::milliseconds(100);
+constexpr Duration FirstBackoff = std::chrono::milliseconds(200);
+constexpr Duration LongestBackoff = std::chrono::milliseconds(1200);
+// Beyond this the answer to a watch is overdue and peers are asked.
+constexpr Duration Outdated = WatchWait + std::chrono::milliseconds(800);
+// The platform lists endpoints again within two seconds after an outage of the store.
+constexpr Duration LapseGrace = std::chrono::milliseconds(2300);
+constexpr Duration OutageLength = std::chrono::milliseconds(700);
+constexpr Duration RegisterInterval = std::chrono::seconds(1);
+
+std::string nameOf(std::string_view key)
+{
+    return std::string(key.substr(key.find('/') + 1));
+}
+
+} // namespace
+
+/// One watched prefix: what the store and the peers said of it.
+class FleetState::Prefix final : public WatchListener
+{
+public:
+    Prefix(FleetRuntime &runtime, const std::string &prefix, ObjectMirror::ChangeHandler onChange)
+        : m_runtime(runtime)
+        , mirror(prefix, std::move(onChange))
+        , watcher(*runtime.store, runtime.clock, runtime.random,
+                  {prefix, WatchWait, WatchInterval, FirstBackoff, LongestBackoff}, *this)
+        , m_confirmedAt(runtime.clock.now())
+    { }
+
+    void onObject(const WatchEvent &event) override
+    {
+        noteOutage();
+        mirror.apply(event);
+    }
+
+    void onConfirmed(std::uint64_t revision, SteadyTime /*asOf*/) override
+    {
+        noteOutage();
+        mirror.confirm(revision);
+        m_confirmedAt = m_runtime.clock.now();
+        m_wasSynchronized = true;
+    }
+
+    void onTick()
+    {
+        watcher.onTick();
+        if (m_wasSynchronized && !watcher.synchronized()) {
+            m_wasSynchronized = false;
+            m_lostAt = m_runtime.clock.now();
+        }
+    }
+
+    bool isOutdated() const
+    {
+        const SteadyTime now = m_runtime.clock.now();
+        return now - m_confirmedAt > Outdated
+            || (!watcher.synchronized() && now - m_lostAt > OutageLength);
+    }
+
+    /// How long after now a removal may still be undone, because entries lapsed in an outage.
+    Duration removalGrace() const
+    {
+        const Duration left = m_graceUntil - m_runtime.clock.now();
+        return std::max(left, Duration::zero());
+    }
+
+private:
+    void noteOutage()
+    {
+        const SteadyTime now = m_runtime.clock.now();
+        if (!m_wasSynchronized && m_confirmedAt != SteadyTime() && now - m_lostAt > OutageLength) {
+            m_graceUntil = now + LapseGrace;
+        }
+    }
+
+    FleetRuntime &m_runtime;
+
+public:
+    ObjectMirror mirror;
+    Watcher watcher;
+
+private:
+    SteadyTime m_confirmedAt;
+    SteadyTime m_lostAt;
+    SteadyTime m_graceUntil;
+    bool m_wasSynchronized = false;
+};
+
+FleetState::FleetState(FleetRuntime &runtime)
+    : m_runtime(runtime)
+    , m_registerAt(runtime.clock.now())
+{
+    const auto add = [this](const std::string &prefix, void (FleetState::*handler)(
+                                                           const WatchEvent &)) {
+        m_prefixes.push_back(std::make_unique<Prefix>(
+            m_runtime, prefix, [this, handler](const WatchEvent &event) {
+                (this->*handler)(event);
+            }));
+    };
+    add(runtime.wire.configurationPrefix(), &FleetState::onConfiguration);
+    add(runtime.wire.endpointPrefix(), &FleetState::onEndpoint);
+    add(runtime.wire.evacuationPrefix(), &FleetState::onEvacuation);
+    add(MemberPrefix, &FleetState::onMember);
+}
+
+FleetState::~FleetState() = default;
+
+void FleetState::start()
+{
+    for (const auto &prefix : m_prefixes) {
+        prefix->watcher.start();
+    }
+    registerSelf();
+}
+
+void FleetState::stop()
+{
+    for (const auto &prefix : m_prefixes) {
+        prefix->watcher.stop();
+    }
+}
+
+void FleetState::onTick()
+{
+    for (const auto &prefix : m_prefixes) {
+        prefix->onTick();
+    }
+    registerSelf();
+}
+
+FleetState::Prefix *FleetState::find(std::string_view prefix) const
+{
+    for (const auto &it : m_prefixes) {
+        if (it->mirror.prefix() == prefix) {
+            return it.get();
+        }
+    }
+    return nullptr;
+}
+
+bool FleetState::isLoaded() const
+{
+    return m_runtime.routes != nullptr && find(m_runtime.wire.endpointPrefix())->mirror.isKnown();
+}
+
+std::vector<ObjectsRequest> FleetState::outdated() const
+{
+    std::vector<ObjectsRequest> requests;
+    for (const auto &prefix : m_prefixes) {
+        if (prefix->isOutdated()) {
+            requests.push_back({prefix->mirror.prefix(), prefix->mirror.revision()});
+        }
+    }
+    return requests;
+}
+
+ObjectsTransfer FleetState::transferFor(const ObjectsRequest &request) const
+{
+    const Prefix *prefix = find(request.prefix);
+    return prefix == nullptr ? ObjectsTransfer() : prefix->mirror.transferSince(request.revision);
+}
+
+void FleetState::onTransfer(const InstanceId &from, const ObjectsTransfer &transfer)
+{
+    Prefix *prefix = find(transfer.prefix);
+    if (prefix != nullptr && prefix->mirror.applyTransfer(transfer)) {
+        logEvent(LogLevel::Info, "objects_from_peer",
+                 {{"prefix", transfer.prefix},
+                  {"peer", from.str()},
+                  {"revision", std::to_string(transfer.revision)}});
+    }
+}
+
+void FleetState::onConfiguration(const WatchEvent &event)
+{
+    if (event.deleted) {
+        return;
+    }
+    Expected<ServingConfiguration> decoded = m_runtime.wire.decodeConfiguration(event.value);
+    if (!decoded) {
+        m_runtime.metrics->add("marigoldspool_unreadable_objects_total", 1, {{"kind", "config"}});
+        logEvent(LogLevel::Error, "configuration_unreadable",
+                 {{"key", event.key}, {"error", describeError(decoded.error())}});
+        return;
+    }
+    const std::uint64_t current =
+        m_runtime.routes == nullptr ? 0 : m_runtime.routes->configuration()->version;
+    if (m_runtime.routes != nullptr && decoded->version <= current) {
+        return;
+    }
+    auto configuration = std::make_shared<const ServingConfiguration>(std::move(*decoded));
+    m_runtime.routes = std::make_shared<const RouteTable>(configuration);
+    m_runtime.directory.setConfiguration(configuration);
+    m_runtime.quota.setConfiguration(configuration);
+    logEvent(LogLevel::Info, "configuration_in_force",
+             {{"version", std::to_string(configuration->version)},
+              {"before", std::to_string(current)},
+              {"store_version", std::to_string(event.version)},
+              {"routes", std::to_string(configuration->routes.size())},
+              {"workspaces", std::to_string(configuration->workspaces.size())}});
+    if (m_onConfiguration) {
+        m_onConfiguration();
+    }
+}
+
+void FleetState::onEndpoint(const WatchEvent &event)
+{
+    const std::string name = nameOf(event.key);
+    const EndpointId id(name);
+    if (event.deleted) {
+        const Duration grace = find(m_runtime.wire.endpointPrefix())->removalGrace();
+        m_runtime.directory.remove(id, grace);
+        logEvent(LogLevel::Info, "endpoint_unlisted",
+                 {{"endpoint", name},
+                  {"store_version", std::to_string(event.version)},
+                  {"grace_ms", std::to_string(toMilliseconds(grace))}});
+    } else {
+        const Expected<ListedEndpoint> endpoint = m_runtime.wire.decodeEndpoint(name, event.value);
+        if (!endpoint) {
+            // An entry that cannot be read names no endpoint to use.
+            m_runtime.directory.remove(id, Duration::zero());
+            m_runtime.metrics->add("marigoldspool_unreadable_objects_total", 1,
+                                   {{"kind", "endpoint"}});
+            logEvent(LogLevel::Warning, "endpoint_unreadable",
+                     {{"endpoint", name}, {"error", describeError(endpoint.error())}});
+        } else {
+            const EndpointState *known = m_runtime.directory.find(id);
+            const bool isNews = known == nullptr || known->listed.leaving != endpoint->leaving
+                || known->listed.startedAtMs != endpoint->startedAtMs;
+            m_runtime.directory.apply(*endpoint);
+            if (isNews) {
+                logEvent(LogLevel::Info, "endpoint_listed",
+                         {{"endpoint", name},
+                          {"pool", endpoint->pool.str()},
+                          {"zone", endpoint->zone.str()},
+                          {"leaving", endpoint->leaving ? "yes" : "no"},
+                          {"cold_ms", std::to_string(toMilliseconds(endpoint->coldLeft))},
+                          {"models", std::to_string(endpoint->models.size())},
+                          {"store_version", std::to_string(event.version)}});
+            }
+        }
+    }
+    if (m_onEndpoints) {
+        m_onEndpoints();
+    }
+}
+
+void FleetState::onEvacuation(const WatchEvent &event)
+{
+    const ZoneName zone(nameOf(event.key));
+    m_runtime.directory.setEvacuated(zone, !event.deleted);
+    logEvent(LogLevel::Info, event.deleted ? "zone_taken_back" : "zone_evacuated",
+             {{"zone", zone.str()}, {"store_version", std::to_string(event.version)}});
+    if (m_onEndpoints) {
+        m_onEndpoints();
+    }
+}
+
+void FleetState::onMember(const WatchEvent &event)
+{
+    const InstanceId id(nameOf(event.key));
+    if (event.deleted) {
+        m_members.erase(id);
+        if (id == m_runtime.options.instance) {
+            m_registered = false;
+            m_ownVersion = 0;
+        }
+    } else {
+        const json value = json::parse(event.value, nullptr, false);
+        if (!value.is_object() || !value.contains("peer") || !value["peer"].is_string()
+            || !value.contains("zone") || !value["zone"].is_string()) {
+            m_runtime.metrics->add("marigoldspool_unreadable_objects_total", 1,
+                                   {{"kind", "instance"}});
+            logEvent(LogLevel::Warning, "instance_unreadable", {{"instance", id.str()}});
+            return;
+        }
+        if (id == m_runtime.options.instance) {
+            m_ownVersion = event.version;
+        }
+        m_members[id] = {id, ZoneName(value["zone"].get<std::string>()),
+                         value["peer"].get<std::string>()};
+    }
+    // This instance uses its own share from its start, listed or not.
+    const bool isListed = m_members.count(m_runtime.options.instance) > 0;
+    const std::size_t count = m_members.size() + (isListed ? 0 : 1);
+    m_runtime.quota.setInstances(count);
+    m_runtime.retries.setInstances(count);
+    m_runtime.directory.setInstances(count);
+    logEvent(LogLevel::Info, event.deleted ? "instance_left" : "instance_joined",
+             {{"instance", id.str()}, {"instances", std::to_string(count)}});
+    if (m_onMembers) {
+        m_onMembers();
+    }
+}
+
+// The object is written once a start and removed at a planned stop.
+void FleetState::registerSelf()
+{
+    const SteadyTime now = m_runtime.clock.now();
+    const Prefix *prefix = find(MemberPrefix);
+    const bool isLeaving = m_runtime.stopping;
+    if (m_registering || now < m_registerAt || !prefix->mirror.isKnown()
+        || (isLeaving ? m_ownVersion == 0 : m_registered)) {
+        return;
+    }
+    const std::string key = MemberPrefix + m_runtime.options.instance.str();
+    m_registering = true;
+    m_registerAt = now + RegisterInterval;
+    const auto done = [this, isLeaving](const Expected<std::uint64_t> &result) {
+        m_registering = false;
+        if (result) {
+            m_registered = !isLeaving;
+            m_ownVersion = isLeaving ? 0 : *result;
+            logEvent(LogLevel::Info, isLeaving ? "unregistered" : "registered",
+                     {{"version", std::to_string(*result)}});
+        } else if (result.error().kind != ErrorKind::Conflict) {
+            // After a conflict the watch brings the version that is there.
+            logEvent(LogLevel::Warning, "registration_failed",
+                     {{"error", describeError(result.error())}});
+        }
+    };
+    if (isLeaving) {
+        m_runtime.store->remove(key, m_ownVersion, done);
+        return;
+    }
+    const json value = {{"zone", m_runtime.options.zone.str()},
+                        {"peer", m_runtime.options.peerAddress},
+                        {"incarnation", m_runtime.incarnation}};
+    m_runtime.store->put(key, m_ownVersion, value.dump(), WriteId(m_runtime.random.hex(16)), done);
+}
+
+} // namespace marigoldspool
--- /dev/null
+++ b/lib/Fleet/FleetState.h
@@ -0,0 +1,74 @@
+#ifndef MARIGOLDSPOOL_LIB_FLEET_FLEETSTATE_H
+#define MARIGOLDSPOOL_LIB_FLEET_FLEETSTATE_H
+
+#include "Fleet/FleetRuntime.h"
+#include "marigoldspool/Platform/Watcher.h"
+#include "marigoldspool/Serving/ObjectMirror.h"
+
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace marigoldspool {
+
+/// Another instance, as its object in the store says.
+struct FleetMember {
+    InstanceId id;
+    ZoneName zone;
+    std::string peerAddress;
+};
+
+/// Follows the configuration, the endpoints, the evacuations and the instances in the store, and
+/// through peers while the store turns this instance away.
+class FleetState
+{
+public:
+    explicit FleetState(FleetRuntime &runtime);
+    ~FleetState();
+
+    void start();
+    void stop();
+    void onTick();
+
+    /// Called after each change of what the handler's name says.
+    void setMembersHandler(std::function<void()> handler) { m_onMembers = std::move(handler); }
+    void setConfigurationHandler(std::function<void()> handler)
+    {
+        m_onConfiguration = std::move(handler);
+    }
+    void setEndpointsHandler(std::function<void()> handler) { m_onEndpoints = std::move(handler); }
+
+    const std::map<InstanceId, FleetMember> &members() const { return m_members; }
+    /// Prefixes that the store has not confirmed for a while, to be asked of peers.
+    std::vector<ObjectsRequest> outdated() const;
+    ObjectsTransfer transferFor(const ObjectsRequest &request) const;
+    void onTransfer(const InstanceId &from, const ObjectsTransfer &transfer);
+    /// Configuration and endpoints are known.
+    bool isLoaded() const;
+
+private:
+    class Prefix;
+
+    Prefix *find(std::string_view prefix) const;
+    void onConfiguration(const WatchEvent &event);
+    void onEndpoint(const WatchEvent &event);
+    void onEvacuation(const WatchEvent &event);
+    void onMember(const WatchEvent &event);
+    void registerSelf();
+
+    FleetRuntime &m_runtime;
+    std::vector<std::unique_ptr<Prefix>> m_prefixes;
+    std::map<InstanceId, FleetMember> m_members;
+    std::function<void()> m_onMembers;
+    std::function<void()> m_onConfiguration;
+    std::function<void()> m_onEndpoints;
+    SteadyTime m_registerAt;
+    bool m_registered = false;
+    bool m_registering = false;
+    /// Version of this instance's own object; 0 if there is none.
+    std::uint64_t m_ownVersion = 0;
+};
+
+} // namespace marigoldspool
+
+#endif
--- /dev/null
+++ b/lib/Fleet/PlacementDriver.cpp
@@ -0,0 +1,647 @@
+#include "Fleet/PlacementDriver.h"
+
+#include "marigoldspool/Support/EventLog.h"
+#include "marigoldspool/Support/Invariant.h"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+namespace marigoldspool {
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+const std::string LeaseKey = "leases/placement";
+
+// Reports are priced; between orders only engines that were restarted or changed by a late order
+// bring news.
+constexpr Duration IdleReportInterval = milliseconds(4000);
+constexpr Duration BusyReportInterval = milliseconds(100);
+// The reports of an engine are this old.
+constexpr Duration ReportLag = milliseconds(150);
+constexpr Duration UnloadPause = milliseconds(50);
+constexpr Duration ConflictPause = milliseconds(80);
+constexpr Duration FailurePause = milliseconds(600);
+// After this many conflicts in a row the number of orders is read again.
+constexpr int ConflictsBeforeReport = 3;
+// An engine that answers no report this often is not usable for orders.
+constexpr int MostFailures = 2;
+constexpr Duration CallTimeout = milliseconds(1500);
+constexpr Duration PlanInterval = milliseconds(100);
+constexpr Duration PublishInterval = milliseconds(1000);
+// A load that has not come by this long after its time is looked at again.
+constexpr Duration LoadOverdue = milliseconds(4000);
+
+std::string sourceName(const PlacementOrder &order)
+{
+    if (!order.isLoad || !order.adapter.empty()) {
+        return "none";
+    }
+    switch (order.source) {
+    case LoadSource::Memory:
+        return "memory";
+    case LoadSource::Disk:
+        return "disk";
+    case LoadSource::Store:
+        break;
+    }
+    return "store";
+}
+
+/// Collects one small answer.
+class CollectingHandler final : public EndpointCallHandler
+{
+public:
+    using Done = std::function<void(Expected<std::pair<int, std::string>>)>;
+
+    explicit CollectingHandler(Done done)
+        : m_done(std::move(done))
+    { }
+
+    void onHead(int status, gsl::span<const HeaderField> /*headers*/) override
+    {
+        m_status = status;
+    }
+    void onData(std::string_view bytes) override { m_body.append(bytes); }
+    void onComplete() override { m_done(std::make_pair(m_status, std::move(m_body))); }
+    void onFailure(SendStage /*stage*/, Error error) override
+    {
+        m_done(tl::make_unexpected(std::move(error)));
+    }
+
+private:
+    Done m_done;
+    int m_status = 0;
+    std::string m_body;
+};
+
+json leaseToJson(const LeaseRecord &record)
+{
+    return {{"holder", record.holder.str()},
+            {"term", record.term},
+            {"renewal", record.renewal},
+            {"released", record.released}};
+}
+
+Expected<LeaseRecord> leaseFromJson(const StoredObject &object)
+{
+    const json value = json::parse(object.value, nullptr, false);
+    const bool valid = value.is_object() && value.contains("holder") && value["holder"].is_string()
+        && value.contains("term") && value["term"].is_number_unsigned() && value.contains("renewal")
+        && value["renewal"].is_number_unsigned() && value.contains("released")
+        && value["released"].is_boolean();
+    if (!valid) {
+        return unexpectedError(ErrorKind::Malformed, "the placement lease is unreadable",
+                               "remove the object leases/placement");
+    }
+    return LeaseRecord{InstanceId(value["holder"].get<std::string>()),
+                       value["term"].get<std::uint64_t>(), value["released"].get<bool>(),
+                       value["renewal"].get<std::uint64_t>(), object.version};
+}
+
+} // namespace
+
+PlacementDriver::PlacementDriver(FleetRuntime &runtime, FleetLink &link)
+    : m_runtime(runtime)
+    , m_link(link)
+    , m_lease(runtime.options.instance, runtime.orderClock, runtime.options.lease)
+    , m_demand(runtime.clock)
+    , m_planner(runtime.clock, runtime.options.storeLoadsAtOnce)
+{ }
+
+PlacementDriver::~PlacementDriver() = default;
+
+void PlacementDriver::onTick()
+{
+    stepLease();
+    const bool mayOrder = m_lease.mayOrder();
+    if (mayOrder && !m_active) {
+        activate();
+    } else if (!mayOrder && m_active) {
+        deactivate();
+    }
+    m_link.setOwner(m_lease.holder());
+    if (!m_active) {
+        return;
+    }
+    m_demand.onTick();
+    pollReports();
+    const SteadyTime now = m_runtime.clock.now();
+    if (m_planDue || now >= m_planAt) {
+        plan();
+    }
+    if (now >= m_publishAt) {
+        publish(true);
+    }
+}
+
+void PlacementDriver::stepLease()
+{
+    switch (m_lease.nextStep()) {
+    case LeaseStep::Nothing:
+        return;
+    case LeaseStep::Read:
+        readLease();
+        return;
+    case LeaseStep::Write:
+        writeLease();
+        return;
+    }
+}
+
+void PlacementDriver::readLease()
+{
+    m_runtime.store->get(LeaseKey, [this](const Expected<StoredObject> &object) {
+        if (!object) {
+            if (object.error().kind == ErrorKind::NotFound) {
+                m_lease.onRead(LeaseRecord());
+            } else {
+                m_lease.onFailure();
+            }
+            return;
+        }
+        const Expected<LeaseRecord> record = leaseFromJson(*object);
+        if (!record) {
+            logEvent(LogLevel::Error, "lease_unreadable",
+                     {{"error", describeError(record.error())}});
+            m_lease.onFailure();
+            return;
+        }
+        m_lease.onRead(*record);
+    });
+}
+
+void PlacementDriver::writeLease()
+{
+    LeaseRecord record = m_lease.nextRecord();
+    const bool isRenewal = m_lease.isHolder();
+    m_runtime.store->put(
+        LeaseKey, record.version, leaseToJson(record).dump(), WriteId(m_runtime.random.hex(16)),
+        [this, record, isRenewal](const Expected<std::uint64_t> &version) mutable {
+            if (version) {
+                record.version = *version;
+                m_lease.onWritten(record);
+                if (!isRenewal || record.released) {
+                    logEvent(LogLevel::Info, record.released ? "lease_released" : "lease_taken",
+                             {{"term", std::to_string(record.term)},
+                              {"version", std::to_string(*version)}});
+                }
+                return;
+            }
+            if (isRenewal) {
+                logEvent(LogLevel::Warning, "lease_renewal_failed",
+                         {{"term", std::to_string(record.term)},
+                          {"error", describeError(version.error())}});
+            }
+            if (version.error().kind == ErrorKind::Conflict) {
+                m_lease.onConflict();
+            } else {
+                m_lease.onFailure();
+            }
+        });
+}
+
+void PlacementDriver::activate()
+{
+    m_active = true;
+    m_contacts.clear();
+    m_planner.engines().clear();
+    m_runtime.quota.becomeHolder();
+    logEvent(LogLevel::Info, "placement_active", {{"term", std::to_string(m_lease.term())}});
+    onConfiguration();
+    onEndpoints();
+    m_publishAt = m_runtime.clock.now();
+}
+
+void PlacementDriver::deactivate()
+{
+    m_active = false;
+    m_runtime.quota.stopHolding();
+    logEvent(LogLevel::Info, "placement_inactive", {{"term", std::to_string(m_lease.term())}});
+}
+
+void PlacementDriver::onConfiguration()
+{
+    if (m_runtime.routes != nullptr) {
+        m_planner.setConfiguration(m_runtime.routes->configuration());
+        m_planDue = true;
+    }
+}
+
+void PlacementDriver::onEndpoints()
+{
+    if (!m_active || m_runtime.routes == nullptr) {
+        return;
+    }
+    auto &engines = m_planner.engines();
+    const ServingConfiguration &configuration = *m_runtime.routes->configuration();
+    for (auto it = engines.begin(); it != engines.end();) {
+        const auto listed = m_runtime.directory.endpoints().find(it->first);
+        if (listed == m_runtime.directory.endpoints().end()) {
+            m_contacts.erase(it->first);
+            it = engines.erase(it);
+        } else {
+            ++it;
+        }
+    }
+    for (const auto &[id, state] : m_runtime.directory.endpoints()) {
+        const EndpointPool *pool = configuration.pool(state.listed.pool);
+        if (pool == nullptr || !pool->engine) {
+            continue;
+        }
+        EngineState &engine = engines[id];
+        Contact &contact = m_contacts[id];
+        if (engine.id.empty() || contact.startedAtMs != state.listed.startedAtMs) {
+            const bool calling = contact.calling;
+            engine = EngineState();
+            contact = Contact();
+            contact.calling = calling;
+            contact.startedAtMs = state.listed.startedAtMs;
+            contact.reportAt = m_runtime.clock.now();
+            engine.id = id;
+            engine.pool = state.listed.pool;
+            engine.zone = state.listed.zone;
+            engine.models = state.listed.models;
+            engine.inMemory = state.listed.inMemory;
+            engine.onDisk = state.listed.onDisk;
+        }
+        refreshUsable(engine, contact);
+    }
+}
+
+void PlacementDriver::refreshUsable(EngineState &engine, const Contact &contact)
+{
+    const bool usable = m_runtime.directory.mayUse(engine.id) && contact.failures < MostFailures;
+    if (engine.usable != usable) {
+        engine.usable = usable;
+        m_planDue = true;
+    }
+}
+
+void PlacementDriver::onDemand(const InstanceId &from, const DemandReport &report)
+{
+    if (!m_active) {
+        return;
+    }
+    m_demand.onReport(from, report);
+    const auto waits = [](const ReportedDemand &it) {
+        return it.waiting > 0;
+    };
+    if (std::any_of(report.models.begin(), report.models.end(), waits)) {
+        plan();
+        // The sender decides by the forecast whether its requests wait.
+        publish(false);
+    }
+}
+
+void PlacementDriver::onInstanceLost(const InstanceId &instance)
+{
+    m_demand.forget(instance);
+}
+
+void PlacementDriver::plan()
+{
+    m_planDue = false;
+    const SteadyTime now = m_runtime.clock.now();
+    m_planAt = now + PlanInterval;
+    // Engines that may not take an order yet look busy to the planner.
+    std::vector<EndpointId> held;
+    for (auto &[id, engine] : m_planner.engines()) {
+        const Contact &contact = m_contacts[id];
+        if (!engine.busy && (contact.calling || now < contact.orderAt)) {
+            engine.busy = true;
+            held.push_back(id);
+        }
+    }
+    const std::vector<PlacementOrder> orders = m_planner.plan(m_demand);
+    for (const EndpointId &id : held) {
+        m_planner.engines()[id].busy = false;
+    }
+    for (const PlacementOrder &order : orders) {
+        sendOrder(order);
+    }
+    if (!orders.empty()) {
+        publish(false);
+    }
+}
+
+void PlacementDriver::pollReports()
+{
+    const SteadyTime now = m_runtime.clock.now();
+    for (auto &[id, contact] : m_contacts) {
+        if (!contact.calling && now >= contact.reportAt) {
+            requestReport(id);
+        }
+    }
+}
+
+void PlacementDriver::requestReport(const EndpointId &id)
+{
+    const EndpointState *state = m_runtime.directory.find(id);
+    Contact &contact = m_contacts[id];
+    if (state == nullptr || state->listed.address.empty()) {
+        contact.reportAt = m_runtime.clock.now() + IdleReportInterval;
+        return;
+    }
+    contact.calling = true;
+    EndpointCall call = m_runtime.wire.encodeReportCall(state->listed);
+    call.id = RequestId("report-" + std::to_string(++m_callCounter));
+    call.timeout = CallTimeout;
+    call.connectTimeout = CallTimeout;
+    m_runtime.endpoints->call(
+        std::move(call),
+        std::make_shared<CollectingHandler>([this, id](Expected<std::pair<int, std::string>> it) {
+            if (!it) {
+                onReport(id, tl::make_unexpected(it.error()));
+            } else if (it->first != 200) {
+                onReport(id,
+                         unexpectedError(ErrorKind::Unavailable,
+                                         "the report has status " + std::to_string(it->first),
+                                         "check the engine"));
+            } else {
+                onReport(id, std::move(it->second));
+            }
+        }));
+}
+
+void PlacementDriver::onReport(const EndpointId &id, Expected<std::string> body)
+{
+    const auto found = m_planner.engines().find(id);
+    const auto contactFound = m_contacts.find(id);
+    if (found == m_planner.engines().end() || contactFound == m_contacts.end()) {
+        return;
+    }
+    EngineState &engine = found->second;
+    Contact &contact = contactFound->second;
+    contact.calling = false;
+    const SteadyTime now = m_runtime.clock.now();
+    contact.reportAt = now + IdleReportInterval;
+    Expected<EngineReport> report =
+        body ? m_runtime.wire.decodeReport(*body) : tl::make_unexpected(body.error());
+    if (!report) {
+        ++contact.failures;
+        contact.reportAt = now + FailurePause;
+        if (contact.failures == MostFailures) {
+            logEvent(LogLevel::Warning, "engine_silent",
+                     {{"endpoint", id.str()}, {"error", describeError(report.error())}});
+        }
+        refreshUsable(engine, contact);
+        return;
+    }
+    if (contact.failures >= MostFailures) {
+        logEvent(LogLevel::Info, "engine_back", {{"endpoint", id.str()}});
+    }
+    contact.failures = 0;
+    refreshUsable(engine, contact);
+    engine.active = report->active;
+    engine.queued = report->queued;
+    engine.inMemory = std::move(report->inMemory);
+    engine.onDisk = std::move(report->onDisk);
+    // A report is a little older than the last order's answer; it counts once it has seen it.
+    const bool isStale = engine.known && report->orders < contact.orders
+        && report->startedAtMs == contact.startedAtMs && contact.conflicts < ConflictsBeforeReport;
+    if (isStale) {
+        contact.reportAt = now + BusyReportInterval;
+        return;
+    }
+    contact.orders = report->orders;
+    contact.conflicts = 0;
+    const bool firstReport = !engine.known;
+    engine.known = true;
+    const bool hasLoaded = engine.loading && report->models.count(*engine.loading) > 0;
+    if (engine.models != report->models || firstReport) {
+        engine.models = std::move(report->models);
+        contact.changed = true;
+    }
+    engine.coming = std::move(report->coming);
+    if (hasLoaded) {
+        logEvent(LogLevel::Info, "model_loaded",
+                 {{"endpoint", id.str()},
+                  {"model", engine.loading->str()},
+                  {"after_forecast_ms", std::to_string(toMilliseconds(now - engine.loadedAt))}});
+        engine.loading.reset();
+        engine.busy = false;
+        m_planDue = true;
+    } else if (engine.loading) {
+        const bool isOver = !report->busy && now >= engine.loadedAt + LoadOverdue;
+        contact.reportAt = std::max(engine.loadedAt - ReportLag, now + BusyReportInterval);
+        if (isOver) {
+            logEvent(LogLevel::Warning, "load_lost",
+                     {{"endpoint", id.str()}, {"model", engine.loading->str()}});
+            engine.loading.reset();
+            engine.busy = false;
+            m_planDue = true;
+        }
+    } else {
+        engine.busy = report->busy;
+        if (report->busy || !engine.coming.empty()) {
+            contact.reportAt = now + BusyReportInterval;
+        } else if (engine.intent) {
+            m_planDue = true;
+        }
+    }
+    if (contact.changed) {
+        publish(false);
+    }
+}
+
+void PlacementDriver::sendOrder(const PlacementOrder &order)
+{
+    const EndpointState *state = m_runtime.directory.find(order.endpoint);
+    Contact &contact = m_contacts[order.endpoint];
+    EngineState &engine = m_planner.engines()[order.endpoint];
+    // The lease may have ended since the planner ran; this is the last moment to see it.
+    if (state == nullptr || !m_lease.mayOrder() || contact.calling) {
+        orderFailed(engine, contact, order, ConflictPause);
+        return;
+    }
+    contact.calling = true;
+    if (!order.isLoad) {
+        // Callers stop asking for it before the engine drops it.
+        engine.dropping = std::make_pair(order.model, order.adapter);
+        contact.changed = true;
+    }
+    EndpointCall call = m_runtime.wire.encodeOrder(
+        state->listed, order, m_runtime.options.instance, m_lease.term(), contact.orders);
+    call.id = RequestId("order-" + std::to_string(++m_callCounter));
+    call.timeout = CallTimeout;
+    call.connectTimeout = CallTimeout;
+    const Demand asked = m_demand.of({engine.pool, order.model, order.adapter});
+    logEvent(LogLevel::Info, "order",
+             {{"endpoint", order.endpoint.str()},
+              {"op", order.isLoad ? "load" : "unload"},
+              {"model", order.model.str()},
+              {"adapter", order.adapter},
+              {"source", sourceName(order)},
+              {"cause", std::string(order.cause)},
+              {"waiting", std::to_string(asked.waiting)},
+              {"rate", std::to_string(asked.rate)},
+              {"seq", std::to_string(contact.orders)},
+              {"term", std::to_string(m_lease.term())}});
+    m_runtime.metrics->add("marigoldspool_orders_total", 1,
+                           {{"op", order.isLoad ? "load" : "unload"}, {"source", sourceName(order)}});
+    m_runtime.endpoints->call(
+        std::move(call),
+        std::make_shared<CollectingHandler>(
+            [this, order](Expected<std::pair<int, std::string>> it) {
+                if (it) {
+                    onOrderAnswer(order, it->first);
+                } else {
+                    onOrderAnswer(order, tl::make_unexpected(it.error()));
+                }
+            }));
+}
+
+void PlacementDriver::onOrderAnswer(const PlacementOrder &order, Expected<int> status)
+{
+    const auto found = m_planner.engines().find(order.endpoint);
+    if (found == m_planner.engines().end()) {
+        return;
+    }
+    EngineState &engine = found->second;
+    Contact &contact = m_contacts[order.endpoint];
+    contact.calling = false;
+    const Expected<OrderOutcome> outcome =
+        status ? m_runtime.wire.decodeOrderAnswer(*status) : tl::make_unexpected(status.error());
+    if (!outcome) {
+        // It may have been accepted, or may be later; only reports tell.
+        logEvent(LogLevel::Warning, "order_unanswered",
+                 {{"endpoint", order.endpoint.str()},
+                  {"model", order.model.str()},
+                  {"error", describeError(outcome.error())}});
+        contact.conflicts = ConflictsBeforeReport;
+        engine.known = false;
+        orderFailed(engine, contact, order, FailurePause);
+        return;
+    }
+    switch (*outcome) {
+    case OrderOutcome::Accepted:
+    case OrderOutcome::Holds:
+        orderAccepted(engine, contact, order);
+        break;
+    case OrderOutcome::Conflict:
+        ++contact.conflicts;
+        orderFailed(engine, contact, order, ConflictPause);
+        break;
+    case OrderOutcome::Rejected:
+    case OrderOutcome::WrongEndpoint:
+        logEvent(LogLevel::Warning, "order_rejected",
+                 {{"endpoint", order.endpoint.str()},
+                  {"model", order.model.str()},
+                  {"status", std::to_string(*status)}});
+        contact.conflicts = ConflictsBeforeReport;
+        engine.intent.reset();
+        orderFailed(engine, contact, order, FailurePause);
+        break;
+    }
+}
+
+void PlacementDriver::orderAccepted(EngineState &engine, Contact &contact,
+                                    const PlacementOrder &order)
+{
+    const SteadyTime now = m_runtime.clock.now();
+    contact.conflicts = 0;
+    ++contact.orders;
+    if (!order.isLoad) {
+        const auto model = engine.models.find(order.model);
+        if (model != engine.models.end() && order.adapter.empty()) {
+            engine.models.erase(model);
+        } else if (model != engine.models.end()) {
+            model->second.erase(order.adapter);
+        }
+        engine.dropping.reset();
+    }
+    if (!order.adapter.empty()) {
+        engine.busy = false;
+        if (order.isLoad) {
+            engine.coming.emplace(order.model, order.adapter);
+            contact.reportAt = now + BusyReportInterval;
+        } else {
+            m_planDue = true;
+        }
+    } else if (order.isLoad) {
+        engine.loadedAt = now + m_planner.loadTime(engine.pool, order.model, order.source);
+        contact.reportAt = engine.loadedAt;
+    } else {
+        engine.busy = false;
+        contact.orderAt = now + UnloadPause;
+        m_planDue = true;
+    }
+    publish(false);
+}
+
+void PlacementDriver::orderFailed(EngineState &engine, Contact &contact,
+                                  const PlacementOrder &order, Duration pause)
+{
+    const SteadyTime now = m_runtime.clock.now();
+    engine.busy = false;
+    contact.orderAt = now + pause;
+    if (engine.dropping) {
+        engine.dropping.reset();
+        contact.changed = true;
+    }
+    if (order.isLoad && order.adapter.empty() && engine.loading == order.model) {
+        engine.loading.reset();
+        if (contact.conflicts < ConflictsBeforeReport) {
+            // An unload that is still under way; the load is tried again.
+            engine.intent = order.model;
+        }
+    }
+    if (contact.conflicts >= ConflictsBeforeReport) {
+        contact.reportAt = now + ReportLag;
+        contact.orderAt = std::max(contact.orderAt, now + ReportLag + ConflictPause);
+    }
+    m_planDue = true;
+}
+
+PlacedEndpoint PlacementDriver::placedOf(const EngineState &engine) const
+{
+    PlacedEndpoint placed{engine.id, {}};
+    for (const auto &[model, adapters] : engine.models) {
+        if (!PlacementPlanner::offers(engine, model)) {
+            continue;
+        }
+        placed.models.push_back(model.str());
+        for (const std::string &adapter : adapters) {
+            if (engine.dropping != std::make_pair(model, adapter)) {
+                placed.models.push_back(model.str() + '/' + adapter);
+            }
+        }
+    }
+    return placed;
+}
+
+void PlacementDriver::publish(bool full)
+{
+    PlacementUpdate update;
+    update.term = m_lease.term();
+    update.full = full;
+    for (const auto &[id, engine] : m_planner.engines()) {
+        Contact &contact = m_contacts[id];
+        if (engine.known && (full || contact.changed)) {
+            contact.changed = false;
+            update.endpoints.push_back(placedOf(engine));
+        }
+    }
+    update.loading = m_planner.forecast(m_demand);
+    const bool hasNews = full || !update.endpoints.empty() || !update.loading.empty()
+        || m_lastForecasts > 0;
+    m_lastForecasts = update.loading.size();
+    if (!hasNews) {
+        return;
+    }
+    if (full) {
+        m_publishAt = m_runtime.clock.now() + PublishInterval;
+    }
+    for (const InstanceId &peer : m_link.connectedPeers()) {
+        m_link.send(peer, update);
+    }
+    if (m_onUpdate) {
+        m_onUpdate(update);
+    }
+}
+
+} // namespace marigoldspool
--- /dev/null
+++ b/lib/Fleet/PlacementDriver.h
@@ -0,0 +1,88 @@
+#ifndef MARIGOLDSPOOL_LIB_FLEET_PLACEMENTDRIVER_H
+#define MARIGOLDSPOOL_LIB_FLEET_PLACEMENTDRIVER_H
+
+#include "Fleet/FleetLink.h"
+#include "Fleet/FleetRuntime.h"
+#include "marigoldspool/Serving/OwnerLease.h"
+#include "marigoldspool/Serving/PlacementPlanner.h"
+
+#include <functional>
+
+namespace marigoldspool {
+
+/// Holds the placement lease when it is this instance's turn, and then sends the planner's orders
+/// to the engines and tells the other instances what each engine holds.
+class PlacementDriver
+{
+public:
+    PlacementDriver(FleetRuntime &runtime, FleetLink &link);
+    ~PlacementDriver();
+
+    void start();
+    void onTick();
+    void onDemand(const InstanceId &from, const DemandReport &report);
+    void onInstanceLost(const InstanceId &instance);
+    void onEndpoints();
+    void onConfiguration();
+    /// Called with the updates that the other instances get, for this instance itself.
+    void setUpdateHandler(std::function<void(const PlacementUpdate &)> handler)
+    {
+        m_onUpdate = std::move(handler);
+    }
+    void release() { m_lease.release(); }
+    bool isReleased() const { return m_lease.isReleased(); }
+    bool isOwner() const { return m_active; }
+    InstanceId owner() const { return m_lease.holder(); }
+
+private:
+    /// What the driver keeps of an engine beside the planner's state.
+    struct Contact {
+        std::uint64_t orders = 0;
+        std::int64_t startedAtMs = 0;
+        bool calling = false;
+        SteadyTime reportAt;
+        /// No order before this time.
+        SteadyTime orderAt;
+        int conflicts = 0;
+        int failures = 0;
+        bool changed = true;
+    };
+    class ReportCall;
+    class OrderCall;
+
+    void stepLease();
+    void readLease();
+    void writeLease();
+    void activate();
+    void deactivate();
+    void refreshUsable(EngineState &engine, const Contact &contact);
+    void plan();
+    void pollReports();
+    void requestReport(const EndpointId &id);
+    void onReport(const EndpointId &id, Expected<std::string> body);
+    void sendOrder(const PlacementOrder &order);
+    void onOrderAnswer(const PlacementOrder &order, Expected<int> status);
+    void orderAccepted(EngineState &engine, Contact &contact, const PlacementOrder &order);
+    void orderFailed(EngineState &engine, Contact &contact, const PlacementOrder &order,
+                     Duration pause);
+    void publish(bool full);
+    PlacedEndpoint placedOf(const EngineState &engine) const;
+
+    FleetRuntime &m_runtime;
+    FleetLink &m_link;
+    OwnerLease m_lease;
+    DemandBook m_demand;
+    PlacementPlanner m_planner;
+    std::map<EndpointId, Contact> m_contacts;
+    std::function<void(const PlacementUpdate &)> m_onUpdate;
+    bool m_active = false;
+    bool m_planDue = false;
+    SteadyTime m_publishAt;
+    SteadyTime m_planAt;
+    std::size_t m_lastForecasts = 0;
+    std::uint64_t m_callCounter = 0;
+};
+
+} // namespace marigoldspool
+
+#endif
--- /dev/null
+++ b/lib/Fleet/ServingFront.cpp
@@ -0,0 +1,206 @@
+#include "Fleet/ServingFront.h"
+
+#include "Fleet/Exchange.h"
+#include "marigoldspool/Gateway/OpenAi.h"
+#include "marigoldspool/Support/EventLog.h"
+
+#include <algorithm>
+
+#include <boost/asio/post.hpp>
+
+namespace marigoldspool {
+
+namespace {
+
+// The bounds of the configuration change while connections are open, so these only keep a caller
+// from filling the memory.
+constexpr std::size_t MaxHeaderBytes = 65'536;
+constexpr std::size_t MaxBodyBytes = 8U << 20U;
+// Longer than any idle time that callers are promised.
+constexpr Duration IdleTimeout = std::chrono::seconds(120);
+
+void answerMalformed(ResponseSink &sink, const Error &error)
+{
+    const Refusal refusal{RefusalReason::Malformed, RanState::No, error.message, error.remedy};
+    const HeaderField headers[] = {{"Content-Type", "application/json"}};
+    sink.head(400, headers, false);
+    sink.data(errorBody(refusal, RequestId()));
+    sink.finish();
+}
+
+} // namespace
+
+ServingFront::ServingFront(FleetRuntime &runtime)
+    : m_runtime(runtime)
+{ }
+
+ServingFront::~ServingFront() = default;
+
+Expected<void> ServingFront::start()
+{
+    HttpServerOptions options;
+    options.address = m_runtime.options.callerAddress;
+    options.maxHeaderBytes = MaxHeaderBytes;
+    options.maxBodyBytes = MaxBodyBytes;
+    options.idleTimeout = IdleTimeout;
+    auto server = makeHttpServer(
+        m_runtime.io, options,
+        [this](HttpRequest request, std::shared_ptr<ResponseSink> sink) {
+            take(std::move(request), std::move(sink));
+        },
+        *m_runtime.metrics);
+    if (!server) {
+        return tl::make_unexpected(server.error());
+    }
+    m_server = std::move(*server);
+    return {};
+}
+
+void ServingFront::take(HttpRequest request, std::shared_ptr<ResponseSink> sink)
+{
+    Expected<ServingRequest> decoded = m_runtime.wire.decodeRequest(std::move(request));
+    if (!decoded) {
+        logEvent(LogLevel::Warning, "request_malformed",
+                 {{"error", describeError(decoded.error())}});
+        m_runtime.metrics->countRefusal(RefusalReason::Malformed);
+        answerMalformed(*sink, decoded.error());
+        return;
+    }
+    const auto exchange = std::make_shared<Exchange>(*this, std::move(*decoded), std::move(sink));
+    m_open.insert(exchange);
+    exchange->start();
+}
+
+void ServingFront::addWaiting(const std::shared_ptr<Exchange> &exchange)
+{
+    const auto isLater = [&exchange](const std::shared_ptr<Exchange> &it) {
+        return it->priority() > exchange->priority();
+    };
+    m_waiting.insert(std::find_if(m_waiting.begin(), m_waiting.end(), isLater), exchange);
+}
+
+void ServingFront::removeWaiting(const Exchange &exchange)
+{
+    const auto it = std::find_if(m_waiting.begin(), m_waiting.end(), [&](const auto &entry) {
+        return entry.get() == &exchange;
+    });
+    if (it != m_waiting.end()) {
+        m_waiting.erase(it);
+    }
+}
+
+void ServingFront::noteArrival(const DemandKey &key)
+{
+    ++m_arrivals[key];
+}
+
+std::optional<Duration> ServingFront::forecast(const ModelName &model) const
+{
+    const auto it = m_forecasts.find(model);
+    if (it == m_forecasts.end()) {
+        return std::nullopt;
+    }
+    return std::max(it->second - m_runtime.clock.now(), Duration::zero());
+}
+
+// Ends of requests come in groups, so the waiting ones are looked at once a turn of the loop.
+void ServingFront::poke()
+{
+    if (m_pokePosted || m_waiting.empty()) {
+        return;
+    }
+    m_pokePosted = true;
+    boost::asio::post(m_runtime.io, [this] {
+        m_pokePosted = false;
+        onTick();
+    });
+}
+
+void ServingFront::onTick()
+{
+    if (m_poking) {
+        return;
+    }
+    m_poking = true;
+    const std::list<std::shared_ptr<Exchange>> waiting = m_waiting;
+    for (const auto &exchange : waiting) {
+        if (exchange->isWaiting()) {
+            exchange->dispatch();
+        }
+    }
+    m_poking = false;
+}
+
+void ServingFront::onPlacement(const PlacementUpdate &update)
+{
+    if (update.term < m_placementTerm) {
+        return;
+    }
+    m_placementTerm = update.term;
+    for (const PlacedEndpoint &placed : update.endpoints) {
+        HeldModels models;
+        for (const std::string &name : placed.models) {
+            const std::size_t slash = name.find('/');
+            auto &adapters = models[ModelName(name.substr(0, slash))];
+            if (slash != std::string::npos) {
+                adapters.insert(name.substr(slash + 1));
+            }
+        }
+        m_runtime.directory.setPlaced(placed.endpoint, std::move(models));
+    }
+    const SteadyTime now = m_runtime.clock.now();
+    m_forecasts.clear();
+    for (const LoadForecast &load : update.loading) {
+        if (load.adapter.empty()) {
+            m_forecasts[load.model] = now + std::chrono::milliseconds(load.readyInMs);
+        }
+    }
+    poke();
+}
+
+void ServingFront::forgetPlacement()
+{
+    m_runtime.directory.forgetPlaced();
+    m_forecasts.clear();
+}
+
+std::optional<DemandReport> ServingFront::takeDemand(bool force)
+{
+    m_newDemand = false;
+    std::map<DemandKey, ReportedDemand> items;
+    const auto itemFor = [&items](const DemandKey &key) -> ReportedDemand & {
+        ReportedDemand &item = items[key];
+        item.pool = key.pool.str();
+        item.model = key.model;
+        item.adapter = key.adapter;
+        return item;
+    };
+    for (const auto &[key, count] : m_arrivals) {
+        itemFor(key).arrivals = count;
+    }
+    m_arrivals.clear();
+    const SteadyTime now = m_runtime.clock.now();
+    for (const auto &exchange : m_waiting) {
+        const std::optional<DemandKey> key = exchange->missing();
+        if (!key) {
+            continue;
+        }
+        ReportedDemand &item = itemFor(*key);
+        const bool isFirst = item.waiting == 0;
+        ++item.waiting;
+        item.oldestMs = std::max(item.oldestMs, toMilliseconds(now - exchange->arrival()));
+        item.priority = isFirst ? exchange->priority()
+                                : std::min<std::int64_t>(item.priority, exchange->priority());
+    }
+    if (items.empty() && !force && !m_hadDemand) {
+        return std::nullopt;
+    }
+    m_hadDemand = !items.empty();
+    DemandReport report;
+    for (auto &[key, item] : items) {
+        report.models.push_back(std::move(item));
+    }
+    return report;
+}
+
+} // namespace marigoldspool
--- /dev/null
+++ b/lib/Fleet/ServingFront.h
@@ -0,0 +1,68 @@
+#ifndef MARIGOLDSPOOL_LIB_FLEET_SERVINGFRONT_H
+#define MARIGOLDSPOOL_LIB_FLEET_SERVINGFRONT_H
+
+#include "Fleet/FleetRuntime.h"
+#include "marigoldspool/Gateway/HttpServer.h"
+#include "marigoldspool/Serving/DemandBook.h"
+#include "marigoldspool/Serving/WaitPolicy.h"
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <unordered_set>
+
+namespace marigoldspool {
+
+class Exchange;
+
+/// Takes callers' requests, decides where each goes or waits, and sees it to its answer.
+class ServingFront
+{
+public:
+    explicit ServingFront(FleetRuntime &runtime);
+    ~ServingFront();
+
+    Expected<void> start();
+    void onTick();
+    /// Something changed that waiting requests may have waited for.
+    void poke();
+    void onPlacement(const PlacementUpdate &update);
+    /// The owner is out of reach: what it said no longer counts.
+    void forgetPlacement();
+    void setOwnerReachable(bool reachable) { m_ownerReachable = reachable; }
+    /// Demand since the last call; \p force: also when nothing is new.
+    std::optional<DemandReport> takeDemand(bool force);
+    /// Something waits that the owner has not been told of.
+    bool hasNewDemand() const { return m_newDemand; }
+
+    void closeAfterAnswers() { m_server->closeAfterAnswers(); }
+    void stopAccepting() { m_server->stopAccepting(); }
+    std::size_t openRequests() const { return m_server->openRequests(); }
+
+private:
+    friend class Exchange;
+    void take(HttpRequest request, std::shared_ptr<ResponseSink> sink);
+    void addWaiting(const std::shared_ptr<Exchange> &exchange);
+    void removeWaiting(const Exchange &exchange);
+    void noteArrival(const DemandKey &key);
+    std::optional<Duration> forecast(const ModelName &model) const;
+
+    FleetRuntime &m_runtime;
+    std::unique_ptr<HttpServer> m_server;
+    std::unordered_set<std::shared_ptr<Exchange>> m_open;
+    /// In the order in which they are served: by priority, then by arrival.
+    std::list<std::shared_ptr<Exchange>> m_waiting;
+    std::map<DemandKey, std::uint64_t> m_arrivals;
+    std::map<ModelName, SteadyTime> m_forecasts;
+    bool m_ownerReachable = false;
+    bool m_newDemand = false;
+    bool m_poking = false;
+    bool m_pokePosted = false;
+    bool m_hadDemand = false;
+    std::uint64_t m_placementTerm = 0;
+};
+
+} // namespace marigoldspool
+
+#endif
--- a/lib/Gateway/EndpointConnection.cpp
+++ b/lib/Gateway/EndpointConnection.cpp
@@ -2,6 +2,8 @@
 
 #include "HttpFields.h"
 
+#include "marigoldspool/Support/SocketOptions.h"
+
 #include <algorithm>
 #include <array>
 #include <sys/socket.h>
@@ -20,6 +22,9 @@
 // closing counts as perhaps run, so connections are dropped before that.
 constexpr std::chrono::seconds IdleTime(4);
 
+// Left of the idle time that an endpoint announces, for a request on its way.
+constexpr std::chrono::milliseconds IdleMargin(700);
+
 constexpr std::size_t ScratchBytes = 65'536;
 
 // Fields that this client sets itself, and credentials of the caller, which no endpoint may see.
@@ -33,19 +38,26 @@
     return std::any_of(Names.begin(), Names.end(), matches) || !isWritableField(field);
 }
 
+bool isSentByClient(const HeaderField &field)
+{
+    return !equalsIgnoringCase(field.name, "Host")
+        && !equalsIgnoringCase(field.name, "Content-Length") && isWritableField(field);
+}
+
 std::string formatHead(EndpointCall &call)
 {
+    const bool passesThrough = !call.host.empty();
     removeHopByHopFields(call.headers);
     std::string out;
     out.reserve(512);
     out.append(call.method).append(" ").append(call.target).append(" HTTP/1.1\r\n");
-    appendField(out, "Host", call.address);
+    appendField(out, "Host", passesThrough ? call.host : call.address);
     const HeaderField id{"X-Request-Id", call.id.str()};
-    if (!call.id.empty() && isWritableField(id)) {
+    if (!passesThrough && !call.id.empty() && isWritableField(id)) {
         appendField(out, id.name, id.value);
     }
     for (const HeaderField &field : call.headers) {
-        if (!isDropped(field)) {
+        if (passesThrough ? isSentByClient(field) : !isDropped(field)) {
             appendField(out, field.name, field.value);
         }
     }
@@ -80,11 +92,19 @@
     m_body = std::move(call.body);
     m_sent = 0;
     m_id = std::move(call.id);
-    m_parser.emplace(call.method == "HEAD");
+    m_isHeadRequest = call.method == "HEAD";
+    m_parser.emplace(m_isHeadRequest);
     m_headDelivered = false;
+    m_echoField = std::move(call.echoField);
+    m_skipping = false;
+    m_mayEndWithConnection = call.mayEndWithConnection;
+    m_idleTime = IdleTime;
     m_silenceLimit = call.silenceLimit;
     m_lastActivity = m_context->clock.now();
     m_callDeadline = m_lastActivity + call.timeout;
+    m_connectDeadline = call.connectTimeout > Duration::zero()
+        ? m_lastActivity + call.connectTimeout
+        : SteadyTime::max();
     armTimer();
 }
 
@@ -120,6 +140,8 @@
         return;
     }
     m_state = State::Busy;
+    enableKeepAlive(m_socket.native_handle());
+    m_connectDeadline = SteadyTime::max();
     m_lastActivity = m_context->clock.now();
     armRead();
     flush();
@@ -128,6 +150,8 @@
 void EndpointConnection::send(EndpointCall call, std::shared_ptr<EndpointCallHandler> handler)
 {
     m_state = State::Busy;
+    // The limit for connecting must not end a call on a connection that is open already.
+    call.connectTimeout = Duration::zero();
     begin(std::move(call), std::move(handler));
     flush();
 }
@@ -230,23 +254,57 @@
     if (!isDone) {
         m_unread.assign(bytes.substr(used));
     }
-    if (deliver() && isDone) {
-        complete(reusable);
+    if (!deliver()) {
+        return;
+    }
+    if (isDone && m_skipping) {
+        // The answer to this request comes after the one that was passed over.
+        const std::string rest(bytes.substr(used));
+        m_skipping = false;
+        m_unread.clear();
+        m_parser.emplace(m_isHeadRequest);
+        if (!rest.empty()) {
+            onBytes(rest);
+        }
+        return;
+    }
+    if (isDone) {
+        complete(reusable && !m_suspect);
     }
 }
 
+bool EndpointConnection::isOtherAnswer(const std::vector<HeaderField> &headers) const
+{
+    const std::string *echoed =
+        m_echoField.empty() ? nullptr : findHeader(headers, m_echoField);
+    return echoed != nullptr && *echoed != m_id.str();
+}
+
 // Returns false when the handler has cancelled the call.
 bool EndpointConnection::deliver()
 {
     const std::shared_ptr<EndpointCallHandler> handler = m_handler;
-    if (!m_headDelivered && m_parser->isHeadDone()) {
-        m_headDelivered = true;
+    if (!m_headDelivered && !m_skipping && m_parser->isHeadDone()) {
+        if (const auto idle = m_parser->idleTimeout()) {
+            m_idleTime = std::max<Duration>(std::min<Duration>(IdleTime, *idle - IdleMargin),
+                                            Duration::zero());
+        }
         const std::vector<HeaderField> headers = m_parser->takeHeaders();
+        if (isOtherAnswer(headers)) {
+            m_skipping = true;
+            m_suspect = true;
+            m_context->metrics.add("marigoldspool_endpoint_crossed_answers_total");
+            return true;
+        }
+        m_headDelivered = true;
         handler->onHead(m_parser->status(), headers);
         if (m_state == State::Closed) {
             return false;
         }
     }
+    if (m_skipping) {
+        return true;
+    }
     const std::vector<std::string_view> &parts = m_parser->bodyParts();
     if (parts.size() == 1) {
         handler->onData(parts.front());
@@ -276,6 +334,13 @@
 
 void EndpointConnection::onEndOfStream(const boost::system::error_code &ec)
 {
+    if (m_mayEndWithConnection && !m_skipping && ec == asio::error::eof
+        && m_parser->finishAtEnd()) {
+        if (deliver()) {
+            complete(false);
+        }
+        return;
+    }
     const bool endsHere = m_parser->endsWithConnection();
     fail(ErrorKind::OutcomeUnknown,
          endsHere ? "the answer of " + m_address + " has neither a length nor a last chunk"
@@ -323,9 +388,9 @@
 SteadyTime EndpointConnection::nextDeadline() const
 {
     if (m_state == State::Idle) {
-        return m_lastActivity + IdleTime;
+        return m_lastActivity + m_idleTime;
     }
-    return std::min(m_callDeadline, m_lastActivity + m_silenceLimit);
+    return std::min({m_callDeadline, m_lastActivity + m_silenceLimit, m_connectDeadline});
 }
 
 // The timer is set again only when it would fire too late; one that fires early sees what is left.
@@ -356,6 +421,11 @@
         close();
         return;
     }
+    if (now >= m_connectDeadline) {
+        fail(ErrorKind::Unavailable, m_address + " took no connection in time",
+             "check the endpoint and the network path to it");
+        return;
+    }
     if (now >= m_callDeadline) {
         fail(ErrorKind::Timeout, "the call to " + m_address + " took longer than its timeout",
              "check the load of the endpoint or allow more time");
--- a/lib/Gateway/EndpointConnection.h
+++ b/lib/Gateway/EndpointConnection.h
@@ -67,6 +67,7 @@
     void onReadable();
     void onBytes(std::string_view bytes);
     bool deliver();
+    bool isOtherAnswer(const std::vector<HeaderField> &headers) const;
     void complete(bool reusable);
     void onEndOfStream(const boost::system::error_code &ec);
     /// Closes and reports; the handler is called on a later turn of the event loop.
@@ -90,6 +91,15 @@
     std::size_t m_sent = 0;
     std::optional<ResponseParser> m_parser;
     bool m_headDelivered = false;
+    std::string m_echoField;
+    bool m_isHeadRequest = false;
+    /// The answer being read belongs to another request.
+    bool m_skipping = false;
+    /// The endpoint sent something that was not asked for; the connection is not used again.
+    bool m_suspect = false;
+    bool m_mayEndWithConnection = false;
+    Duration m_idleTime;
+    SteadyTime m_connectDeadline = SteadyTime::max();
     /// Received bytes that the parser could not use yet.
     std::string m_unread;
     Duration m_silenceLimit = Duration::zero();
--- a/lib/Gateway/HttpServer.cpp
+++ b/lib/Gateway/HttpServer.cpp
@@ -165,6 +165,7 @@
     ~BeastHttpServer() override { m_listener->shutDown(); }
 
     std::uint16_t port() const override { return m_listener->port(); }
+    void closeAfterAnswers() override { m_context->stopping = true; }
     void stopAccepting() override { m_listener->stopAccepting(); }
     std::size_t openRequests() const override { return m_context->openRequests; }
 
--- a/lib/Gateway/ResponseParser.cpp
+++ b/lib/Gateway/ResponseParser.cpp
@@ -2,6 +2,7 @@
 
 #include "HttpFields.h"
 
+#include <charconv>
 #include <limits>
 
 #include <boost/asio/buffer.hpp>
@@ -165,6 +166,33 @@
     return m_impl->status;
 }
 
+std::optional<std::chrono::seconds> ResponseParser::idleTimeout() const
+{
+    constexpr std::string_view Parameter = "timeout=";
+    const std::string *field = findHeader(m_impl->headers, "Keep-Alive");
+    const std::size_t at = field != nullptr ? field->find(Parameter) : std::string::npos;
+    if (at == std::string::npos) {
+        return std::nullopt;
+    }
+    int seconds = 0;
+    const char *begin = field->data() + at + Parameter.size();
+    if (std::from_chars(begin, field->data() + field->size(), seconds).ptr == begin) {
+        return std::nullopt;
+    }
+    return std::chrono::seconds(seconds);
+}
+
+bool ResponseParser::finishAtEnd()
+{
+    boost::beast::error_code ec;
+    if (!endsWithConnection()) {
+        return false;
+    }
+    m_impl->bodyParts.clear();
+    m_impl->put_eof(ec);
+    return !ec && m_impl->is_done();
+}
+
 std::vector<HeaderField> ResponseParser::takeHeaders()
 {
     std::vector<HeaderField> headers = std::move(m_impl->headers);
--- a/lib/Gateway/ResponseParser.h
+++ b/lib/Gateway/ResponseParser.h
@@ -3,7 +3,9 @@
 
 #include "marigoldspool/Support/HeaderField.h"
 
+#include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,6 +35,10 @@
     /// Only after isDone().
     bool keepAlive() const;
     int status() const;
+    /// How long the endpoint keeps the connection idle, as its Keep-Alive field says.
+    std::optional<std::chrono::seconds> idleTimeout() const;
+    /// Tells the parser that the connection has ended; returns whether that completes the answer.
+    bool finishAtEnd();
     /// Without hop-by-hop fields.
     std::vector<HeaderField> takeHeaders();
     /// Parts of the body found by the last feed().
--- a/lib/Peer/Messages.cpp
+++ b/lib/Peer/Messages.cpp
@@ -18,7 +18,9 @@
 constexpr std::array<std::string_view, std::variant_size_v<PeerMessage>> KindNames{
     "heartbeat",    "config_request",  "config_transfer", "loan_request",
     "loan_grant",   "epoch_ack",       "forward_request", "forward_head",
-    "forward_data", "forward_refusal", "forward_cancel"};
+    "forward_data", "forward_refusal", "forward_cancel",  "demand_report",
+    "placement",    "objects_request", "objects",         "quota_request",
+    "quota_grant"};
 
 // The fields of each message, named once for both directions: V is the Encoder or the Decoder, M
 // the message, const when encoding. Heartbeats have one-letter names because an instance exchanges
@@ -132,6 +134,87 @@
     visit("id", m.id);
 }
 
+template <class V, class M>
+std::enable_if_t<Is<M, ReportedDemand>> visitFields(V &visit, M &m)
+{
+    visit("p", m.pool);
+    visit("m", m.model);
+    visit("a", m.adapter);
+    visit("n", m.arrivals);
+    visit("w", m.waiting);
+    visit("o", m.oldestMs);
+    visit("u", m.priority);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, DemandReport>> visitFields(V &visit, M &m)
+{
+    visit("models", m.models);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, PlacedEndpoint>> visitFields(V &visit, M &m)
+{
+    visit("e", m.endpoint);
+    visit("m", m.models);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, LoadForecast>> visitFields(V &visit, M &m)
+{
+    visit("m", m.model);
+    visit("a", m.adapter);
+    visit("r", m.readyInMs);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, PlacementUpdate>> visitFields(V &visit, M &m)
+{
+    visit("term", m.term);
+    visit("full", m.full);
+    visit("endpoints", m.endpoints);
+    visit("loading", m.loading);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, ObjectsRequest>> visitFields(V &visit, M &m)
+{
+    visit("prefix", m.prefix);
+    visit("revision", m.revision);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, RelayedObject>> visitFields(V &visit, M &m)
+{
+    visit("key", m.key);
+    visit("version", m.version);
+    visit.bytes("value", m.value);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, ObjectsTransfer>> visitFields(V &visit, M &m)
+{
+    visit("prefix", m.prefix);
+    visit("revision", m.revision);
+    visit("keys", m.keys);
+    visit("objects", m.objects);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, QuotaRequest>> visitFields(V &visit, M &m)
+{
+    visit("workspace", m.workspace);
+    visit("tokens", m.tokens);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, QuotaGrant>> visitFields(V &visit, M &m)
+{
+    visit("workspace", m.workspace);
+    visit("tokens", m.tokens);
+    visit("left", m.left);
+}
+
 class Encoder
 {
 public:
@@ -175,6 +258,20 @@
         return list;
     }
 
+    static json toJson(const std::vector<std::string> &texts) { return texts; }
+
+    template <class T>
+    static json toJson(const std::vector<T> &items)
+    {
+        json list = json::array();
+        for (const T &item : items) {
+            Encoder fields;
+            visitFields(fields, item);
+            list.push_back(fields.take());
+        }
+        return list;
+    }
+
     json m_fields = json::object();
 };
 
@@ -324,6 +421,37 @@
         return false;
     }
 
+    static bool read(const json &field, std::vector<std::string> &texts)
+    {
+        if (!field.is_array()) {
+            return false;
+        }
+        texts.resize(field.size());
+        for (std::size_t i = 0; i < texts.size(); ++i) {
+            if (!read(field[i], texts[i])) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    template <class T>
+    static bool read(const json &field, std::vector<T> &items)
+    {
+        if (!field.is_array()) {
+            return false;
+        }
+        items.resize(field.size());
+        for (std::size_t i = 0; i < items.size(); ++i) {
+            Decoder fields(field[i]);
+            visitFields(fields, items[i]);
+            if (!fields.problem().empty()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     static bool read(const json &field, std::vector<HeaderField> &headers)
     {
         if (!field.is_array()) {
--- a/lib/Platform/HttpObjectStore.cpp
+++ b/lib/Platform/HttpObjectStore.cpp
@@ -1,7 +1,7 @@
 #include "marigoldspool/Platform/HttpObjectStore.h"
 
 #include "ObjectJson.h"
-#include "StoreConnectionPool.h"
+#include "marigoldspool/Platform/StoreConnectionPool.h"
 #include "marigoldspool/Support/IpAddress.h"
 
 #include <cassert>
--- a/lib/Platform/StoreConnectionPool.cpp
+++ b/lib/Platform/StoreConnectionPool.cpp
@@ -1,4 +1,6 @@
-#include "StoreConnectionPool.h"
+#include "marigoldspool/Platform/StoreConnectionPool.h"
+
+#include "marigoldspool/Support/SocketOptions.h"
 
 #include <algorithm>
 #include <optional>
@@ -86,6 +88,7 @@
             return;
         }
         m_stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), ec);
+        enableKeepAlive(m_stream.socket().native_handle());
         m_connected = true;
         m_reused = false;
         send();
--- /dev/null
+++ b/lib/Serving/EndpointDirectory.cpp
@@ -0,0 +1,371 @@
+#include "marigoldspool/Serving/EndpointDirectory.h"
+
+#include "marigoldspool/Support/Invariant.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+
+namespace marigoldspool {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Part of an endpoint's slots that one instance fills; the rest is for the other instances, whose
+// requests it does not see.
+constexpr double OwnSlotShare = 0.75;
+// Engines queue beyond their slots; plain services get short queues because their objectives are
+// a few times the work of one request.
+constexpr int ServiceQueue = 4;
+
+// An endpoint that refused for lack of room is left alone for about one step of its batch queue.
+constexpr Duration BusyPause = milliseconds(40);
+constexpr Duration AbsentPause = milliseconds(400);
+constexpr Duration FirstAvoidance = milliseconds(500);
+constexpr Duration LongestAvoidance = seconds(4);
+// Weight of the newest result in the part of failures, and how long that part halves in.
+constexpr double FailureWeight = 0.25;
+constexpr double FailureHalfLifeSeconds = 3;
+constexpr double FirstByteWeight = 0.2;
+// Above this part of failures an endpoint is not sound.
+constexpr double SoundFailures = 0.15;
+
+// Terms of the score, in parts of a full endpoint.
+constexpr double OtherZoneTerm = 0.04;
+constexpr double FailureTerm = 4;
+constexpr double AvoidTerm = 8;
+constexpr double ColdTerm = 0.3;
+constexpr double SessionTerm = 0.12;
+// A first byte that takes this many times as long as elsewhere counts as a full endpoint.
+constexpr double SlowFactor = 4;
+constexpr double SlowFloorSeconds = 0.03;
+
+// The bound of the platform is half above the endpoint's own figure; what this instance sends
+// stays below its part of the latter, since a pace is summed over all instances.
+constexpr double ColdPaceShare = 0.9;
+// An evacuated zone may come back cold before its entries say so: two reporting intervals.
+constexpr Duration ReportLag = milliseconds(2500);
+
+double decayed(double failures, SteadyTime since, SteadyTime now)
+{
+    const double age = std::chrono::duration<double>(now - since).count();
+    return failures * std::exp2(-std::max(age, 0.0) / FailureHalfLifeSeconds);
+}
+
+} // namespace
+
+EndpointDirectory::EndpointDirectory(ZoneName ownZone, const Clock &clock)
+    : m_ownZone(std::move(ownZone))
+    , m_clock(clock)
+{ }
+
+void EndpointDirectory::setConfiguration(ServingConfigurationPtr configuration)
+{
+    m_configuration = std::move(configuration);
+}
+
+void EndpointDirectory::apply(const ListedEndpoint &endpoint)
+{
+    EndpointState &state = m_endpoints[endpoint.id];
+    const bool isNewRun = state.listed.startedAtMs != endpoint.startedAtMs;
+    if (isNewRun) {
+        // The run before holds nothing of what was known, but its requests are still counted until
+        // their connections end.
+        const int inFlight = state.inFlight;
+        state = EndpointState();
+        state.inFlight = inFlight;
+    }
+    state.listed = endpoint;
+    state.removeAt.reset();
+    if (endpoint.coldLeft > Duration::zero()) {
+        becomeCold(state, endpoint.coldLeft);
+    }
+}
+
+void EndpointDirectory::remove(const EndpointId &id, Duration grace)
+{
+    const auto it = m_endpoints.find(id);
+    if (it == m_endpoints.end()) {
+        return;
+    }
+    it->second.removeAt = m_clock.now() + grace;
+    if (grace <= Duration::zero()) {
+        it->second.listed.leaving = true;
+    }
+}
+
+void EndpointDirectory::setEvacuated(const ZoneName &zone, bool evacuated)
+{
+    if (evacuated) {
+        m_evacuated.insert(zone);
+        return;
+    }
+    if (m_evacuated.erase(zone) == 0 || m_configuration == nullptr) {
+        return;
+    }
+    for (auto &[id, state] : m_endpoints) {
+        const EndpointPool *pool = m_configuration->pool(state.listed.pool);
+        if (state.listed.zone == zone && pool != nullptr && pool->coldPerSecond > 0) {
+            becomeCold(state, std::max(pool->coldTime, ReportLag));
+        }
+    }
+}
+
+void EndpointDirectory::setPlaced(const EndpointId &id, std::optional<HeldModels> models)
+{
+    const auto it = m_endpoints.find(id);
+    if (it == m_endpoints.end()) {
+        return;
+    }
+    if (models) {
+        for (const auto &[model, adapters] : *models) {
+            it->second.absentUntil.erase(model);
+        }
+    }
+    it->second.placed = std::move(models);
+}
+
+void EndpointDirectory::forgetPlaced()
+{
+    for (auto &[id, state] : m_endpoints) {
+        state.placed.reset();
+    }
+}
+
+void EndpointDirectory::onTick()
+{
+    const SteadyTime now = m_clock.now();
+    for (auto it = m_endpoints.begin(); it != m_endpoints.end();) {
+        EndpointState &state = it->second;
+        const bool isDue = state.removeAt && *state.removeAt <= now;
+        if (isDue) {
+            state.listed.leaving = true;
+        }
+        it = isDue && state.inFlight == 0 ? m_endpoints.erase(it) : std::next(it);
+    }
+}
+
+bool EndpointDirectory::isUsable(const EndpointState &state) const
+{
+    return !state.listed.leaving && m_evacuated.count(state.listed.zone) == 0;
+}
+
+bool EndpointDirectory::mayUse(const EndpointId &id) const
+{
+    const EndpointState *state = find(id);
+    return state != nullptr && isUsable(*state);
+}
+
+const EndpointState *EndpointDirectory::find(const EndpointId &id) const
+{
+    const auto it = m_endpoints.find(id);
+    return it == m_endpoints.end() ? nullptr : &it->second;
+}
+
+bool EndpointDirectory::holds(const EndpointState &state, const ModelName &model,
+                              const std::string &adapter)
+{
+    if (model.empty()) {
+        return true;
+    }
+    const HeldModels &held = state.placed ? *state.placed : state.listed.models;
+    const auto it = held.find(model);
+    return it != held.end() && (adapter.empty() || it->second.count(adapter) > 0);
+}
+
+int EndpointDirectory::slotCap(const EndpointState &state) const
+{
+    const EndpointPool *pool =
+        m_configuration == nullptr ? nullptr : m_configuration->pool(state.listed.pool);
+    if (pool != nullptr && pool->engine) {
+        return std::max(2, static_cast<int>(state.listed.slots * OwnSlotShare));
+    }
+    return state.listed.slots + ServiceQueue;
+}
+
+double EndpointDirectory::poolFirstByte(const PoolName &pool) const
+{
+    double best = 0;
+    for (const auto &[id, state] : m_endpoints) {
+        if (state.listed.pool == pool && state.firstByteSeconds > 0
+            && (best == 0 || state.firstByteSeconds < best)) {
+            best = state.firstByteSeconds;
+        }
+    }
+    return std::max(best, SlowFloorSeconds);
+}
+
+// Lower is better.
+double EndpointDirectory::score(const EndpointState &state, const EndpointQuery &query,
+                                SteadyTime now) const
+{
+    double result = static_cast<double>(state.inFlight) / std::max(1, state.listed.slots);
+    result += FailureTerm * decayed(state.failures, state.failedAt, now);
+    if (state.listed.zone != m_ownZone) {
+        result += OtherZoneTerm;
+    }
+    if (now < state.avoidUntil) {
+        result += AvoidTerm;
+    }
+    if (now < state.coldUntil) {
+        result += ColdTerm;
+    }
+    const double slowness =
+        state.firstByteSeconds / (SlowFactor * poolFirstByte(state.listed.pool));
+    if (slowness > 1) {
+        result += slowness;
+    }
+    if (!query.session.empty()) {
+        // Every instance ranks the endpoints alike, so that a session's prompt is read once.
+        const std::size_t rank =
+            std::hash<std::string>()(query.session + '/' + state.listed.id.str()) % 1024;
+        result += SessionTerm * static_cast<double>(rank) / 1024;
+    }
+    return result;
+}
+
+EndpointChoice EndpointDirectory::choose(const EndpointQuery &query)
+{
+    const SteadyTime now = m_clock.now();
+    EndpointChoice choice;
+    EndpointState *best = nullptr;
+    double bestScore = 0;
+    bool hasPool = false;
+    Duration paced = Duration::max();
+    for (auto &[id, state] : m_endpoints) {
+        if (query.pool == nullptr || state.listed.pool != query.pool->name || !isUsable(state)) {
+            continue;
+        }
+        if (std::find(query.excluded.begin(), query.excluded.end(), id) != query.excluded.end()) {
+            continue;
+        }
+        hasPool = true;
+        if (!holds(state, query.model, query.adapter)) {
+            continue;
+        }
+        const auto absent = state.absentUntil.find(query.model);
+        if (absent != state.absentUntil.end() && now < absent->second) {
+            continue;
+        }
+        const bool isSound = now >= state.avoidUntil
+            && decayed(state.failures, state.failedAt, now) < SoundFailures;
+        if (query.onlySound && !isSound) {
+            continue;
+        }
+        ++choice.holders;
+        choice.running += state.inFlight;
+        if (now < state.busyUntil || state.inFlight >= slotCap(state)) {
+            continue;
+        }
+        if (now < state.coldUntil && state.coldPace && state.coldPace->level(now) < 1) {
+            paced = std::min(paced, state.coldPace->timeUntil(1, now));
+            continue;
+        }
+        const double value = score(state, query, now);
+        if (best == nullptr || value < bestScore) {
+            best = &state;
+            bestScore = value;
+        }
+    }
+    if (best != nullptr) {
+        choice.kind = ChoiceKind::Send;
+        choice.endpoint = best->listed.id;
+        return choice;
+    }
+    choice.kind = choice.holders > 0 ? ChoiceKind::Busy
+        : hasPool                    ? ChoiceKind::NotHeld
+                                     : ChoiceKind::NoEndpoint;
+    choice.retryIn = std::min(std::max(paced, BusyPause), Duration(milliseconds(500)));
+    return choice;
+}
+
+void EndpointDirectory::becomeCold(EndpointState &state, Duration left)
+{
+    const EndpointPool *pool =
+        m_configuration == nullptr ? nullptr : m_configuration->pool(state.listed.pool);
+    const SteadyTime now = m_clock.now();
+    const bool wasCold = now < state.coldUntil;
+    state.coldUntil = std::max(state.coldUntil, now + left);
+    if (pool == nullptr || pool->coldPerSecond <= 0) {
+        return;
+    }
+    const double rate = pool->coldPerSecond * ColdPaceShare / static_cast<double>(m_instances);
+    if (!wasCold || !state.coldPace) {
+        state.coldPace.emplace(rate, std::max(1.0, rate / 4), 1.0, now);
+    }
+}
+
+void EndpointDirectory::onCold(const EndpointId &id, Duration left)
+{
+    const auto it = m_endpoints.find(id);
+    if (it != m_endpoints.end()) {
+        becomeCold(it->second, left);
+    }
+}
+
+void EndpointDirectory::onSent(const EndpointId &id)
+{
+    const auto it = m_endpoints.find(id);
+    checkInvariant(it != m_endpoints.end(), "sent_to_known_endpoint", id.str());
+    if (it == m_endpoints.end()) {
+        return;
+    }
+    EndpointState &state = it->second;
+    ++state.inFlight;
+    const SteadyTime now = m_clock.now();
+    if (now < state.coldUntil && state.coldPace) {
+        state.coldPace->tryTake(1, now);
+    }
+}
+
+void EndpointDirectory::onFirstByte(const EndpointId &id, Duration after)
+{
+    const auto it = m_endpoints.find(id);
+    if (it == m_endpoints.end()) {
+        return;
+    }
+    double &mean = it->second.firstByteSeconds;
+    const double sample = std::chrono::duration<double>(after).count();
+    mean = mean == 0 ? sample : mean + FirstByteWeight * (sample - mean);
+}
+
+void EndpointDirectory::onResult(const EndpointId &id, EndpointResult result,
+                                 const ModelName &model)
+{
+    const auto it = m_endpoints.find(id);
+    if (it == m_endpoints.end()) {
+        return;
+    }
+    EndpointState &state = it->second;
+    checkInvariant(state.inFlight > 0, "in_flight_not_negative", id.str());
+    state.inFlight = std::max(0, state.inFlight - 1);
+    const SteadyTime now = m_clock.now();
+    if (result == EndpointResult::Abandoned) {
+        return;
+    }
+    if (result == EndpointResult::RefusedBusy) {
+        state.busyUntil = now + BusyPause;
+        return;
+    }
+    if (result == EndpointResult::RefusedAbsent) {
+        state.absentUntil[model] = now + AbsentPause;
+        return;
+    }
+    const double before = decayed(state.failures, state.failedAt, now);
+    state.failedAt = now;
+    if (result == EndpointResult::Answered) {
+        state.failures = before * (1 - FailureWeight);
+        state.avoidUntil = now;
+        return;
+    }
+    state.failures = before + FailureWeight * (1 - before);
+    if (result == EndpointResult::Unreachable) {
+        const Duration pause = state.failures > SoundFailures * 3 ? LongestAvoidance
+                                                                  : FirstAvoidance;
+        state.avoidUntil = now + pause;
+    }
+}
+
+} // namespace marigoldspool
--- /dev/null
+++ b/lib/Serving/ObjectMirror.cpp
@@ -0,0 +1,71 @@
+#include "marigoldspool/Serving/ObjectMirror.h"
+
+#include <algorithm>
+#include <set>
+
+namespace marigoldspool {
+
+ObjectMirror::ObjectMirror(std::string prefix, ChangeHandler onChange)
+    : m_prefix(std::move(prefix))
+    , m_onChange(std::move(onChange))
+{ }
+
+void ObjectMirror::apply(const WatchEvent &event)
+{
+    const auto it = m_objects.find(event.key);
+    if (it != m_objects.end() && event.version <= it->second.version) {
+        return;
+    }
+    const bool wasThere = it != m_objects.end() && !it->second.deleted;
+    // A removed object stays known, so that an older version of it cannot come back.
+    m_objects[event.key] = {event.version, event.value, event.deleted};
+    if (!event.deleted || wasThere) {
+        m_onChange(event);
+    }
+}
+
+void ObjectMirror::confirm(std::uint64_t revision)
+{
+    m_revision = std::max(m_revision, revision);
+}
+
+ObjectsTransfer ObjectMirror::transferSince(std::uint64_t revision) const
+{
+    ObjectsTransfer transfer;
+    transfer.prefix = m_prefix;
+    transfer.revision = m_revision;
+    for (const auto &[key, entry] : m_objects) {
+        if (entry.deleted) {
+            continue;
+        }
+        transfer.keys.push_back(key);
+        if (entry.version > revision) {
+            transfer.objects.push_back({key, entry.version, entry.value});
+        }
+    }
+    return transfer;
+}
+
+bool ObjectMirror::applyTransfer(const ObjectsTransfer &transfer)
+{
+    if (transfer.revision <= m_revision) {
+        return false;
+    }
+    const std::set<std::string> keys(transfer.keys.begin(), transfer.keys.end());
+    std::vector<std::string> removed;
+    for (const auto &[key, entry] : m_objects) {
+        if (!entry.deleted && keys.count(key) == 0) {
+            removed.push_back(key);
+        }
+    }
+    for (const std::string &key : removed) {
+        apply({key, transfer.revision, true, {}});
+    }
+    for (const RelayedObject &object : transfer.objects) {
+        apply({object.key, object.version, false, object.value});
+    }
+    confirm(transfer.revision);
+    return true;
+}
+
+} // namespace marigoldspool
--- /dev/null
+++ b/lib/Serving/OwnerLease.cpp
@@ -0,0 +1,130 @@
+#include "marigoldspool/Serving/OwnerLease.h"
+
+#include <algorithm>
+
+namespace marigoldspool {
+
+namespace {
+
+constexpr Duration FailurePause = std::chrono::milliseconds(400);
+
+} // namespace
+
+OwnerLease::OwnerLease(InstanceId self, const Clock &clock, LeaseTimes times)
+    : m_self(std::move(self))
+    , m_clock(clock)
+    , m_times(times)
+    , m_nextCall(clock.now())
+{ }
+
+bool OwnerLease::canTake(SteadyTime now) const
+{
+    if (!m_current || m_releasing || !m_eligible) {
+        return false;
+    }
+    if (m_current->version == 0 || m_current->released || m_current->holder == m_self) {
+        return true;
+    }
+    return now >= m_seenAt + m_times.valid + m_times.margin;
+}
+
+LeaseStep OwnerLease::nextStep()
+{
+    const SteadyTime now = m_clock.now();
+    if (m_calling || now < m_nextCall) {
+        return LeaseStep::Nothing;
+    }
+    if (m_held && now >= m_validUntil) {
+        // Another instance may have taken over; what the store says decides.
+        m_held = false;
+        m_mustRead = true;
+    }
+    if (m_releasing && !m_held) {
+        return LeaseStep::Nothing;
+    }
+    m_calling = true;
+    m_sentAt = now;
+    if (!m_mustRead && (m_held || canTake(now))) {
+        return LeaseStep::Write;
+    }
+    return LeaseStep::Read;
+}
+
+LeaseRecord OwnerLease::nextRecord() const
+{
+    LeaseRecord record = *m_current;
+    if (!m_held) {
+        ++record.term;
+    }
+    record.holder = m_self;
+    ++record.renewal;
+    record.released = m_releasing;
+    return record;
+}
+
+void OwnerLease::onRead(const LeaseRecord &record)
+{
+    m_calling = false;
+    m_mustRead = false;
+    const SteadyTime now = m_clock.now();
+    // Reads may be stale; an older record than the one seen before says nothing new.
+    if (!m_current || record.version > m_current->version) {
+        m_current = record;
+        m_seenAt = now;
+    }
+    m_nextCall = canTake(now) ? now : now + m_times.readEvery;
+}
+
+void OwnerLease::onFailure()
+{
+    m_calling = false;
+    m_mustRead = true;
+    m_nextCall = m_clock.now() + FailurePause;
+}
+
+void OwnerLease::onConflict()
+{
+    m_calling = false;
+    m_held = false;
+    m_mustRead = true;
+    m_nextCall = m_clock.now() + FailurePause;
+}
+
+void OwnerLease::onWritten(const LeaseRecord &record)
+{
+    m_calling = false;
+    if (!m_held) {
+        const bool wasOther = m_current->version != 0 && m_current->holder != m_self;
+        m_orderFrom = m_sentAt;
+        if (wasOther) {
+            const Duration lastOrder =
+                m_current->released ? Duration::zero() : m_times.valid;
+            m_orderFrom =
+                std::max(m_sentAt, m_seenAt + lastOrder + m_times.turnGap + m_times.margin);
+        }
+    }
+    m_current = record;
+    m_seenAt = m_clock.now();
+    m_held = !record.released;
+    m_validUntil = m_sentAt + m_times.valid;
+    m_nextCall = m_seenAt + m_times.renewEvery;
+}
+
+void OwnerLease::release()
+{
+    m_releasing = true;
+    m_nextCall = m_clock.now();
+}
+
+bool OwnerLease::mayOrder() const
+{
+    const SteadyTime now = m_clock.now();
+    return m_held && !m_releasing && now >= m_orderFrom && now < m_validUntil;
+}
+
+InstanceId OwnerLease::holder() const
+{
+    return m_current && !m_current->released ? m_current->holder : InstanceId();
+}
+
+} // namespace marigoldspool
--- /dev/null
+++ b/lib/Serving/RouteTable.cpp
@@ -0,0 +1,84 @@
+#include "marigoldspool/Serving/RouteTable.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cctype>
+#include <functional>
+
+namespace marigoldspool {
+
+namespace {
+
+// Hosts compare without regard to case, and a port is not part of the name.
+std::string normalizeHost(std::string_view host)
+{
+    std::string name(host.substr(0, host.rfind(':')));
+    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) {
+        return static_cast<char>(std::tolower(c));
+    });
+    return name;
+}
+
+} // namespace
+
+RouteTable::RouteTable(ServingConfigurationPtr configuration)
+    : m_configuration(std::move(configuration))
+{
+    assert(m_configuration != nullptr && "a route table has a configuration");
+    for (const PrefixRoute &route : m_configuration->routes) {
+        m_byHost[normalizeHost(route.host)].push_back(&route);
+    }
+    for (auto &[host, routes] : m_byHost) {
+        std::stable_sort(routes.begin(), routes.end(),
+                         [](const PrefixRoute *a, const PrefixRoute *b) {
+                             return a->prefix.size() > b->prefix.size();
+                         });
+    }
+    for (const ServedWorkspace &workspace : m_configuration->workspaces) {
+        for (const std::string &key : workspace.keys) {
+            m_byKey.emplace(key, &workspace);
+        }
+    }
+}
+
+const PrefixRoute *RouteTable::find(std::string_view host, std::string_view target) const
+{
+    const auto it = m_byHost.find(normalizeHost(host));
+    if (it == m_byHost.end()) {
+        return nullptr;
+    }
+    const std::string_view path = target.substr(0, target.find('?'));
+    const auto matches = [path](const PrefixRoute *route) {
+        return path.substr(0, route->prefix.size()) == route->prefix;
+    };
+    const auto route = std::find_if(it->second.begin(), it->second.end(), matches);
+    return route == it->second.end() ? nullptr : *route;
+}
+
+const ServedWorkspace *RouteTable::workspaceOf(std::string_view key) const
+{
+    const auto it = m_byKey.find(std::string(key));
+    return it == m_byKey.end() ? nullptr : it->second;
+}
+
+const PoolName &choosePool(const PrefixRoute &route, const RequestId &id)
+{
+    assert(!route.pools.empty() && "a route has a pool");
+    double total = 0;
+    for (const WeightedPool &share : route.pools) {
+        total += share.weight;
+    }
+    // Ten thousand steps resolve the weights, which are whole percents.
+    constexpr std::size_t Steps = 10'000;
+    const double at = total * static_cast<double>(std::hash<RequestId>()(id) % Steps) / Steps;
+    double sum = 0;
+    for (const WeightedPool &share : route.pools) {
+        sum += share.weight;
+        if (at < sum) {
+            return share.pool;
+        }
+    }
+    return route.pools.back().pool;
+}
+
+} // namespace marigoldspool
--- a/lib/Support/Clock.cpp
+++ b/lib/Support/Clock.cpp
@@ -1,6 +1,7 @@
 #include "marigoldspool/Support/Clock.h"
 
 #include <cassert>
+#include <ctime>
 
 namespace marigoldspool {
 
@@ -16,6 +17,20 @@
     return std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now());
 }
 
+SteadyTime SuspendAwareClock::now() const
+{
+    timespec time{};
+    const int result = ::clock_gettime(CLOCK_BOOTTIME, &time);
+    assert(result == 0 && "the kernel has CLOCK_BOOTTIME");
+    static_cast<void>(result);
+    return SteadyTime(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+}
+
+WallTime SuspendAwareClock::wallNow() const
+{
+    return std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now());
+}
+
 SteadyTime ManualClock::now() const
 {
     return SteadyTime(m_elapsed);
--- a/lib/Support/EventLog.cpp
+++ b/lib/Support/EventLog.cpp
@@ -1,5 +1,12 @@
 #include "marigoldspool/Support/EventLog.h"
 
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <fcntl.h>
+#include <unistd.h>
+#include <utility>
+
 #include <glog/logging.h>
 
 namespace marigoldspool {
@@ -26,6 +33,93 @@
     }
 };
 
+// Writes each line to standard output with one call that never waits. A line shorter than the
+// pipe's atomic size goes out whole or not at all.
+class StandardOutputSink final : public google::LogSink
+{
+public:
+    StandardOutputSink()
+    {
+        const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+        if (flags >= 0) {
+            ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+        }
+    }
+
+    void send(google::LogSeverity /*severity*/, const char * /*fullName*/, const char * /*baseName*/,
+              int /*line*/, const google::LogMessageTime & /*time*/, const char *message,
+              std::size_t length) override
+    {
+        m_line.assign(message, std::min(length, MostLineBytes));
+        m_line.push_back('\n');
+        if (::write(STDOUT_FILENO, m_line.data(), m_line.size())
+            != static_cast<ssize_t>(m_line.size())) {
+            ++m_lost;
+        }
+    }
+    using LogSink::send;
+
+    std::uint64_t takeLost() { return std::exchange(m_lost, 0); }
+
+private:
+    // Below PIPE_BUF.
+    static constexpr std::size_t MostLineBytes = 4000;
+    std::string m_line;
+    std::uint64_t m_lost = 0;
+};
+
+// Each line carries its own time, since glog's prefix would name this file as the place of all
+// events.
+class BoundedEventLog final : public EventLog
+{
+public:
+    void write(LogLevel level, std::string_view event, gsl::span<const LogField> fields) override
+    {
+        const auto now = std::chrono::steady_clock::now();
+        if (now - m_windowStart >= std::chrono::seconds(1)) {
+            m_windowStart = now;
+            m_lines = 0;
+        }
+        // Errors may use a reserve, so that they are seen when requests fill the log.
+        const int most = level == LogLevel::Info ? MostLinesPerSecond
+                                                 : MostLinesPerSecond + ReservedLines;
+        if (m_lines >= most) {
+            ++m_dropped;
+            return;
+        }
+        ++m_lines;
+        std::string line = "time_ms=" + std::to_string(wallMilliseconds()) + " level="
+            + levelName(level) + ' ' + formatEvent(event, fields);
+        m_dropped += m_sink.takeLost();
+        if (m_dropped > 0) {
+            line += " lines_dropped=" + std::to_string(m_dropped);
+            m_dropped = 0;
+        }
+        LOG_TO_SINK_BUT_NOT_TO_LOGFILE(&m_sink, INFO) << line;
+    }
+
+private:
+    // Two lines for each request of a busy instance, and some for changes.
+    static constexpr int MostLinesPerSecond = 250;
+    static constexpr int ReservedLines = 50;
+
+    static const char *levelName(LogLevel level)
+    {
+        return level == LogLevel::Info ? "info" : level == LogLevel::Warning ? "warning" : "error";
+    }
+
+    static std::int64_t wallMilliseconds()
+    {
+        const auto since = std::chrono::system_clock::now().time_since_epoch();
+        return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
+    }
+
+    StandardOutputSink m_sink;
+    std::chrono::steady_clock::time_point m_windowStart;
+    int m_lines = 0;
+    std::uint64_t m_dropped = 0;
+};
+
 EventLog *installedLog = nullptr;
 
 EventLog &currentLog()
@@ -95,6 +189,14 @@
     return line;
 }
 
+void initializeBoundedLogging(const char *programName)
+{
+    static BoundedEventLog log;
+    FLAGS_logtostderr = true;
+    google::InitGoogleLogging(programName);
+    setEventLog(&log);
+}
+
 void initializeLogging(const char *programName)
 {
     FLAGS_logtostderr = true;
