--- a/include/marigoldspool/Peer/Messages.h
+++ b/include/marigoldspool/Peer/Messages.h
@@ -187,24 +187,30 @@
     std::vector<RelayedObject> objects;
 };
 
-/// Asks the holder of a workspace's common bucket for tokens.
-struct QuotaRequest {
-    std::string workspace;
-    double tokens = 0;
+/// Cost that was admitted and asked for.
+struct WorkspaceUsage {
+    WorkspaceName workspace;
+    double used = 0;
+    double asked = 0;
 };
 
-struct QuotaGrant {
-    std::string workspace;
-    double tokens = 0;
-    /// Tokens left in the common bucket.
-    double left = 0;
+/// What the sender has admitted since its start.
+struct UsageReport {
+    std::vector<WorkspaceUsage> workspaces;
+};
+
+/// What all instances that report to the sender used in the window of the quotas.
+struct UsageTotals {
+    /// Instances heard lately, the sender included.
+    std::uint64_t members = 0;
+    std::vector<WorkspaceUsage> workspaces;
 };
 
 using PeerMessage =
     std::variant<Heartbeat, ConfigRequest, ConfigTransfer, LoanRequest, LoanGrant, EpochAck,
                  ForwardRequest, ForwardHead, ForwardData, ForwardRefusal, ForwardCancel,
-                 DemandReport, PlacementUpdate, ObjectsRequest, ObjectsTransfer, QuotaRequest,
-                 QuotaGrant>;
+                 DemandReport, PlacementUpdate, ObjectsRequest, ObjectsTransfer, UsageReport,
+                 UsageTotals>;
 
 struct AddressedMessage {
     InstanceId to;
--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -189,24 +189,12 @@
             ? static_cast<double>(m_request.promptTokens) + m_request.outputTokens
             : workspace->plainCost;
     }
-    // A grant under way is waited for briefly, and never up to the caller's patience.
-    constexpr Duration GrantWait = milliseconds(250);
-    const bool mayWait =
-        m_front.m_ownerReachable && m_runtime.clock.now() - m_arrival < GrantWait;
-    const QuotaDecision decision = m_runtime.quota.take(m_workspace, cost, mayWait);
-    if (decision.verdict == QuotaVerdict::Granted) {
+    const std::optional<Duration> wait = m_runtime.quota.take(m_workspace, cost);
+    if (!wait) {
         m_paid = true;
         return true;
     }
-    if (decision.verdict == QuotaVerdict::Pending) {
-        m_waitsFor = ChoiceKind::Busy;
-        if (!m_waiting) {
-            m_waiting = true;
-            m_front.addWaiting(shared_from_this());
-        }
-        return false;
-    }
-    refuse(RefusalReason::RateExceeded, RanState::No, decision.retryAfter,
+    refuse(RefusalReason::RateExceeded, RanState::No, *wait,
            "the workspace has used its rate");
     return false;
 }
--- a/lib/Fleet/FleetDaemon.cpp
+++ b/lib/Fleet/FleetDaemon.cpp
@@ -19,6 +19,7 @@
 
 constexpr Duration TickInterval = milliseconds(25);
 constexpr Duration DemandInterval = milliseconds(500);
+constexpr Duration UsageInterval = milliseconds(250);
 // What the owner said counts this long; it says all of it each second.
 constexpr Duration PlacementFreshness = milliseconds(2500);
 // The load balancer asks once a second and takes an instance out after two misses.
@@ -50,6 +51,7 @@
         , m_tick(io)
         , m_stopTimer(io)
         , m_demandAt(m_runtime.clock.now())
+        , m_usageAt(m_runtime.clock.now())
     { }
 
     Expected<void> start()
@@ -66,8 +68,9 @@
             m_placement.onEndpoints();
             m_front.poke();
         });
-        m_link.setHandler([this](const InstanceId &from, const PeerMessage &message) {
-            onMessage(from, message);
+        m_link.setHandler([this](const InstanceId &from, std::uint64_t incarnation,
+                                 const PeerMessage &message) {
+            onMessage(from, incarnation, message);
         });
         m_placement.setUpdateHandler([this](const PlacementUpdate &update) {
             m_placementAt = m_runtime.clock.now();
@@ -146,47 +149,43 @@
 
     bool isReady() const { return !m_runtime.stopping && m_state.isLoaded(); }
 
-    void onMessage(const InstanceId &from, const PeerMessage &message)
+    void onMessage(const InstanceId &from, std::uint64_t incarnation, const PeerMessage &message)
     {
         if (const auto *demand = std::get_if<DemandReport>(&message)) {
             m_placement.onDemand(from, *demand);
         } else if (const auto *update = std::get_if<PlacementUpdate>(&message)) {
             m_placementAt = m_runtime.clock.now();
             m_front.onPlacement(*update);
-        } else if (const auto *request = std::get_if<QuotaRequest>(&message)) {
-            if (m_placement.isOwner()) {
-                m_link.send(from, grantQuota(*request));
+        } else if (const auto *usage = std::get_if<UsageReport>(&message)) {
+            m_runtime.quota.onReport(from, incarnation, *usage);
+        } else if (const auto *totals = std::get_if<UsageTotals>(&message)) {
+            if (from == m_link.owner()) {
+                m_runtime.quota.onTotals(*totals);
             }
-        } else if (const auto *grant = std::get_if<QuotaGrant>(&message)) {
-            m_runtime.quota.onGrant(WorkspaceName(grant->workspace), grant->tokens, grant->left);
-            m_front.poke();
         }
     }
 
-    QuotaGrant grantQuota(const QuotaRequest &request)
-    {
-        const WorkspaceName workspace(request.workspace);
-        QuotaGrant grant;
-        grant.workspace = request.workspace;
-        grant.tokens = m_runtime.quota.grant(workspace, request.tokens);
-        grant.left = m_runtime.quota.commonLevel(workspace);
-        return grant;
-    }
-
-    void askQuota()
+    // In a small fleet everyone hears everyone; in a larger one the owner sums up.
+    void reportUsage()
     {
-        const bool isOwner = m_placement.isOwner();
-        if (!isOwner && !m_link.isOwnerReachable()) {
+        const SteadyTime now = m_runtime.clock.now();
+        if (now < m_usageAt) {
             return;
         }
-        for (const auto &[workspace, tokens] : m_runtime.quota.wanted()) {
-            const QuotaRequest request{workspace.str(), tokens};
-            if (isOwner) {
-                const QuotaGrant grant = grantQuota(request);
-                m_runtime.quota.onGrant(workspace, grant.tokens, grant.left);
-            } else {
-                m_link.send(m_link.owner(), request);
+        m_usageAt = now + UsageInterval;
+        const bool isSmall = m_state.members().size() <= FleetLink::MostMeshMembers;
+        const UsageReport report = m_runtime.quota.report();
+        if (isSmall) {
+            for (const InstanceId &peer : m_link.connectedPeers()) {
+                m_link.send(peer, report);
+            }
+        } else if (m_placement.isOwner()) {
+            const UsageTotals totals = m_runtime.quota.totals();
+            for (const InstanceId &peer : m_link.connectedPeers()) {
+                m_link.send(peer, totals);
             }
+        } else if (m_link.isOwnerReachable()) {
+            m_link.send(m_link.owner(), report);
         }
     }
 
@@ -225,7 +224,7 @@
         m_wasFresh = isFresh;
         m_front.setOwnerReachable(isFresh && m_link.isOwnerReachable());
         reportDemand();
-        askQuota();
+        reportUsage();
         m_front.onTick();
         const bool ready = isReady();
         if (ready != m_wasReady) {
@@ -272,6 +271,7 @@
     PeriodicTimer m_stopTimer;
     std::function<void()> m_stopped;
     SteadyTime m_demandAt;
+    SteadyTime m_usageAt;
     SteadyTime m_placementAt;
     SteadyTime m_acceptUntil;
     SteadyTime m_stopBy;
--- a/lib/Fleet/FleetLink.cpp
+++ b/lib/Fleet/FleetLink.cpp
@@ -37,8 +37,8 @@
 Expected<void> FleetLink::start()
 {
     m_channel->setHandler(
-        [this](const InstanceId &from, std::uint64_t /*incarnation*/, const PeerMessage &message) {
-            onMessage(from, message);
+        [this](const InstanceId &from, std::uint64_t incarnation, const PeerMessage &message) {
+            onMessage(from, incarnation, message);
         });
     m_channel->setDownHandler([](const InstanceId &peer) {
         logEvent(LogLevel::Warning, "peer_lost", {{"peer", peer.str()}});
@@ -80,7 +80,8 @@
     return m_channel->send(to, message);
 }
 
-// The owner talks to all instances; the others only to it and to the few that the topology names.
+// The owner talks to all instances; in a large fleet the others talk only to it and to the few that
+// the topology names.
 void FleetLink::onMembers()
 {
     const auto &members = m_state.members();
@@ -89,11 +90,12 @@
         all.push_back({id, member.zone});
     }
     const InstanceId &self = m_runtime.options.instance;
+    const bool isSmall = members.size() <= MostMeshMembers;
     const std::vector<InstanceId> chosen = choosePeers(self, all);
     std::vector<PeerAddress> peers;
     for (const auto &[id, member] : members) {
         const bool isChosen = std::find(chosen.begin(), chosen.end(), id) != chosen.end();
-        if (id != self && (isChosen || id == m_owner || self == m_owner)) {
+        if (id != self && (isSmall || isChosen || id == m_owner || self == m_owner)) {
             peers.push_back({id, member.peerAddress});
         }
     }
@@ -127,7 +129,8 @@
     }
 }
 
-void FleetLink::onMessage(const InstanceId &from, const PeerMessage &message)
+void FleetLink::onMessage(const InstanceId &from, std::uint64_t incarnation,
+                          const PeerMessage &message)
 {
     if (const auto *request = std::get_if<ObjectsRequest>(&message)) {
         ObjectsTransfer transfer = m_state.transferFor(*request);
@@ -141,7 +144,7 @@
         return;
     }
     if (m_handler) {
-        m_handler(from, message);
+        m_handler(from, incarnation, message);
     }
 }
 
--- a/lib/Fleet/FleetLink.h
+++ b/lib/Fleet/FleetLink.h
@@ -14,7 +14,10 @@
 class FleetLink
 {
 public:
-    using Handler = std::function<void(const InstanceId &from, const PeerMessage &message)>;
+    using Handler = std::function<void(const InstanceId &from, std::uint64_t incarnation,
+                                       const PeerMessage &message)>;
+    /// Up to this size all instances are connected with each other.
+    static constexpr std::size_t MostMeshMembers = 12;
 
     FleetLink(FleetRuntime &runtime, FleetState &state);
 
@@ -32,7 +35,7 @@
     void onTick();
 
 private:
-    void onMessage(const InstanceId &from, const PeerMessage &message);
+    void onMessage(const InstanceId &from, std::uint64_t incarnation, const PeerMessage &message);
 
     FleetRuntime &m_runtime;
     FleetState &m_state;
--- a/lib/Fleet/PlacementDriver.cpp
+++ b/lib/Fleet/PlacementDriver.cpp
@@ -209,7 +209,6 @@
     m_active = true;
     m_contacts.clear();
     m_planner.engines().clear();
-    m_runtime.quota.becomeHolder();
     logEvent(LogLevel::Info, "placement_active", {{"term", std::to_string(m_lease.term())}});
     onConfiguration();
     onEndpoints();
@@ -219,7 +218,6 @@
 void PlacementDriver::deactivate()
 {
     m_active = false;
-    m_runtime.quota.stopHolding();
     logEvent(LogLevel::Info, "placement_inactive", {{"term", std::to_string(m_lease.term())}});
 }
 
--- a/lib/Peer/Messages.cpp
+++ b/lib/Peer/Messages.cpp
@@ -19,8 +19,8 @@
     "heartbeat",    "config_request",  "config_transfer", "loan_request",
     "loan_grant",   "epoch_ack",       "forward_request", "forward_head",
     "forward_data", "forward_refusal", "forward_cancel",  "demand_report",
-    "placement",    "objects_request", "objects",         "quota_request",
-    "quota_grant"};
+    "placement",    "objects_request", "objects",         "usage_report",
+    "usage_totals"};
 
 // The fields of each message, named once for both directions: V is the Encoder or the Decoder, M
 // the message, const when encoding. Heartbeats have one-letter names because an instance exchanges
@@ -201,18 +201,24 @@
 }
 
 template <class V, class M>
-std::enable_if_t<Is<M, QuotaRequest>> visitFields(V &visit, M &m)
+std::enable_if_t<Is<M, WorkspaceUsage>> visitFields(V &visit, M &m)
 {
-    visit("workspace", m.workspace);
-    visit("tokens", m.tokens);
+    visit("w", m.workspace);
+    visit("u", m.used);
+    visit("a", m.asked);
 }
 
 template <class V, class M>
-std::enable_if_t<Is<M, QuotaGrant>> visitFields(V &visit, M &m)
+std::enable_if_t<Is<M, UsageReport>> visitFields(V &visit, M &m)
 {
-    visit("workspace", m.workspace);
-    visit("tokens", m.tokens);
-    visit("left", m.left);
+    visit("w", m.workspaces);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, UsageTotals>> visitFields(V &visit, M &m)
+{
+    visit("n", m.members);
+    visit("w", m.workspaces);
 }
 
 class Encoder
--- a/lib/Serving/WorkspaceQuota.cpp
+++ b/lib/Serving/WorkspaceQuota.cpp
@@ -6,179 +6,225 @@
 
 namespace {
 
-// Of each rate, the part that the instances hold themselves. The rest follows the demand, which is
-// uneven over the instances because callers are assigned to them by a hash.
-constexpr double OwnPart = 0.4;
-// How far ahead of the need tokens are taken from the common bucket, and how often at most.
-constexpr double AheadSeconds = 0.4;
-constexpr Duration AskInterval = std::chrono::milliseconds(100);
-constexpr Duration MeasureInterval = std::chrono::milliseconds(500);
-constexpr double UseWeight = 0.4;
-// Requests that one grant must cover besides the expected use.
-constexpr double LargestKept = 2;
-constexpr Duration ShortestRetry = std::chrono::milliseconds(200);
+using std::chrono::milliseconds;
+
+// Amounts within one slice are kept as one, so a window has a bounded number of them.
+constexpr Duration SliceLength = milliseconds(250);
+// Reports come four times a second; an instance that has missed several is counted with its share.
+constexpr Duration HeardWithin = milliseconds(1200);
+// What others use is looked up again after this time.
+constexpr Duration LookInterval = milliseconds(100);
+// With more than this part of the bound left, what all instances could admit before they hear of
+// each other stays within the tolerance of the bound, so the room need not be divided.
+constexpr double AmpleRoom = 0.25;
+// The least part of an even share that an instance with little demand keeps.
+constexpr double LeastPart = 0.3;
+constexpr Duration DemandWindow = std::chrono::seconds(2);
+constexpr Duration ShortestRetry = milliseconds(300);
+constexpr Duration LongestRetry = milliseconds(4000);
+
+double secondsOf(Duration value)
+{
+    return std::chrono::duration<double>(value).count();
+}
 
 } // namespace
 
-WorkspaceQuota::WorkspaceQuota(const Clock &clock)
+void WorkspaceQuota::Window::add(double amount, SteadyTime now)
+{
+    if (m_slices.empty() || now - m_slices.back().first >= SliceLength) {
+        m_slices.emplace_back(now, 0);
+    }
+    m_slices.back().second += amount;
+    m_sum += amount;
+}
+
+double WorkspaceQuota::Window::sum(SteadyTime now, Duration window)
+{
+    // A slice counts until its last amount has left the window.
+    while (!m_slices.empty() && m_slices.front().first + SliceLength + window <= now) {
+        m_sum -= m_slices.front().second;
+        m_slices.pop_front();
+    }
+    return m_slices.empty() ? m_sum = 0 : m_sum;
+}
+
+WorkspaceQuota::WorkspaceQuota(const Clock &clock, QuotaBound bound)
     : m_clock(clock)
+    , m_bound(bound)
+    , m_startedAt(clock.now())
 { }
 
 void WorkspaceQuota::setConfiguration(ServingConfigurationPtr configuration)
 {
-    std::map<WorkspaceName, Part> parts;
+    m_limits.clear();
     for (const ServedWorkspace &workspace : configuration->workspaces) {
-        if (workspace.rate <= 0) {
-            continue;
+        if (workspace.rate > 0) {
+            m_limits[workspace.name] = {workspace.rate, workspace.burst};
         }
-        const auto it = m_parts.find(workspace.name);
-        Part part = it == m_parts.end() ? Part() : std::move(it->second);
-        part.rate = workspace.rate;
-        part.burst = workspace.burst;
-        reshape(part);
-        parts.emplace(workspace.name, std::move(part));
     }
-    m_parts = std::move(parts);
+    m_rooms.clear();
 }
 
-void WorkspaceQuota::setInstances(std::size_t count)
+double WorkspaceQuota::bound(const Limit &limit) const
 {
-    m_instances = count == 0 ? 1 : count;
-    for (auto &[name, part] : m_parts) {
-        reshape(part);
-    }
+    return limit.rate * secondsOf(m_bound.window) + limit.burst;
 }
 
-// A bucket that is new starts empty: an instance that restarts again and again must not get its
-// burst each time.
-void WorkspaceQuota::reshape(Part &part)
+// Before its start this instance may have used its even share; that leaves the window with time.
+// Without this, instances that restart again and again would get their shares anew each time.
+double WorkspaceQuota::startCharge(const Limit &limit, SteadyTime now) const
 {
-    const SteadyTime now = m_clock.now();
-    const double share = OwnPart / static_cast<double>(m_instances);
-    const double burst = std::max(part.burst, 1.0);
-    if (part.own) {
-        part.own->reshape(part.rate * share, burst * share, now);
-    } else {
-        part.own.emplace(part.rate * share, burst * share, 0, now);
-        part.measuredAt = now;
-    }
-    part.granted = std::min(part.granted, burst * (1 - OwnPart));
-    const double commonRate = part.rate * (1 - OwnPart);
-    const double commonBurst = burst * (1 - OwnPart);
-    if (part.common) {
-        part.common->reshape(commonRate, commonBurst, now);
-    } else if (m_holder) {
-        part.common.emplace(commonRate, commonBurst, 0, now);
-    }
+    const double left = 1 - secondsOf(now - m_startedAt) / secondsOf(m_bound.window);
+    return std::max(left, 0.0) * bound(limit) / static_cast<double>(m_instances);
 }
 
-void WorkspaceQuota::measure(Part &part)
+bool WorkspaceQuota::isHeard(const Peer &peer, SteadyTime now) const
 {
-    const SteadyTime now = m_clock.now();
-    const Duration span = now - part.measuredAt;
-    if (span < MeasureInterval) {
-        return;
-    }
-    const double rate = part.usedSince / std::chrono::duration<double>(span).count();
-    part.useRate += UseWeight * (rate - part.useRate);
-    part.usedSince = 0;
-    part.measuredAt = now;
+    return now - peer.heardAt < HeardWithin;
 }
 
-QuotaDecision WorkspaceQuota::take(const WorkspaceName &workspace, double cost,
-                                   bool commonReachable)
+void WorkspaceQuota::look(const WorkspaceName &workspace, const Limit &limit, Room &room,
+                          SteadyTime now)
 {
-    const auto it = m_parts.find(workspace);
-    if (it == m_parts.end()) {
-        return {};
-    }
-    Part &part = it->second;
-    const SteadyTime now = m_clock.now();
-    measure(part);
-    part.largest = std::max(part.largest, cost);
-    if (part.granted >= cost) {
-        part.granted -= cost;
-        part.usedSince += cost;
-        return {};
-    }
-    const double own = part.own->level(now);
-    if (part.granted + own >= cost) {
-        part.own->tryTake(cost - part.granted, now);
-        part.granted = 0;
-        part.usedSince += cost;
-        return {};
+    Usage &own = m_own[workspace];
+    const double whole = bound(limit);
+    const double evenShare = whole / static_cast<double>(m_instances);
+    const double ownUsed = own.used.sum(now, m_bound.window);
+    const double ownAsked = own.asked.sum(now, DemandWindow);
+    double others = 0;
+    double othersAsked = 0;
+    double unheard = 0;
+    std::size_t heard = 0;
+    if (m_totalsMembers > 0 && now - m_totalsAt < HeardWithin) {
+        heard = m_totalsMembers - 1;
+        others = std::max(0.0, m_totals[workspace].used - ownUsed);
+        othersAsked = std::max(0.0, m_totals[workspace].asked - ownAsked);
+    } else {
+        for (auto &[id, peer] : m_peers) {
+            Usage &usage = peer.usage[workspace];
+            if (!isHeard(peer, now)) {
+                unheard += usage.used.sum(now, m_bound.window);
+                continue;
+            }
+            ++heard;
+            others += usage.used.sum(now, m_bound.window);
+            othersAsked += usage.asked.sum(now, DemandWindow);
+        }
     }
-    if (commonReachable && part.commonLeft + part.granted + own >= cost) {
-        // What is wanted next covers this request as well.
-        part.useRate = std::max(part.useRate, cost / AheadSeconds);
-        return {QuotaVerdict::Pending, AskInterval};
+    const std::size_t silent = m_instances > heard + 1 ? m_instances - heard - 1 : 0;
+    // What an instance used before it fell silent or left still lies in the window.
+    others += std::max(unheard, static_cast<double>(silent) * evenShare);
+    const double left = whole - others - ownUsed - startCharge(limit, now);
+    room.at = now;
+    room.divided = heard > 0 && left < AmpleRoom * whole;
+    room.left = left;
+    if (room.divided && left > 0) {
+        const double asked = ownAsked + othersAsked;
+        const double even = 1.0 / static_cast<double>(heard + 1);
+        const double part = asked > 0 ? ownAsked / asked : even;
+        room.left = left * std::max(part, LeastPart * even);
     }
-    const double missing = cost - part.granted - own;
-    const double waitSeconds = part.rate > 0 ? missing / part.rate : 0;
-    const auto wait = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(waitSeconds));
-    return {QuotaVerdict::Refused, std::max(wait, ShortestRetry)};
 }
 
-std::map<WorkspaceName, double> WorkspaceQuota::wanted()
+std::optional<Duration> WorkspaceQuota::take(const WorkspaceName &workspace, double cost)
 {
-    std::map<WorkspaceName, double> result;
+    const auto limit = m_limits.find(workspace);
+    if (limit == m_limits.end()) {
+        return std::nullopt;
+    }
     const SteadyTime now = m_clock.now();
-    for (auto &[name, part] : m_parts) {
-        measure(part);
-        const double target = part.useRate * AheadSeconds + LargestKept * part.largest;
-        const bool isDue = now - part.askedAt >= AskInterval;
-        if (isDue && part.largest > 0 && part.granted < target / 2) {
-            part.askedAt = now;
-            result.emplace(name, target - part.granted);
+    Usage &own = m_own[workspace];
+    own.askedCounter += cost;
+    own.asked.add(cost, now);
+    Room &room = m_rooms[workspace];
+    if (now - room.at >= LookInterval) {
+        const double debt = room.divided ? std::min(room.left, 0.0) : 0;
+        look(workspace, limit->second, room, now);
+        if (room.divided) {
+            room.left += debt;
         }
     }
-    return result;
-}
-
-void WorkspaceQuota::onGrant(const WorkspaceName &workspace, double tokens, double left)
-{
-    const auto it = m_parts.find(workspace);
-    if (it != m_parts.end()) {
-        it->second.granted += tokens;
-        it->second.commonLeft = left;
+    // A request may pass the room that is left by its own size, or large ones would never pass.
+    if (room.left > 0) {
+        room.left -= cost;
+        own.usedCounter += cost;
+        own.used.add(cost, now);
+        return std::nullopt;
     }
+    // The more is asked beyond the rate, the longer the callers have to spread.
+    const double asked = own.asked.sum(now, DemandWindow) / secondsOf(DemandWindow);
+    const double share = limit->second.rate / static_cast<double>(m_instances);
+    const auto wait = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(share > 0 ? asked / share : 0) / 2);
+    return std::clamp<Duration>(wait, ShortestRetry, LongestRetry);
 }
 
-void WorkspaceQuota::becomeHolder()
+UsageReport WorkspaceQuota::report() const
 {
-    m_holder = true;
-    for (auto &[name, part] : m_parts) {
-        part.common.reset();
-        reshape(part);
+    UsageReport report;
+    for (const auto &[workspace, usage] : m_own) {
+        report.workspaces.push_back({workspace, usage.usedCounter, usage.askedCounter});
     }
+    return report;
 }
 
-void WorkspaceQuota::stopHolding()
+void WorkspaceQuota::onReport(const InstanceId &from, std::uint64_t incarnation,
+                              const UsageReport &report)
 {
-    m_holder = false;
-    for (auto &[name, part] : m_parts) {
-        part.common.reset();
+    const SteadyTime now = m_clock.now();
+    Peer &peer = m_peers[from];
+    if (peer.incarnation != incarnation) {
+        // Counters begin anew; what the run before used still counts in its window.
+        peer.incarnation = incarnation;
+        for (auto &[workspace, usage] : peer.usage) {
+            usage.usedCounter = 0;
+            usage.askedCounter = 0;
+        }
+    }
+    peer.heardAt = now;
+    for (const WorkspaceUsage &item : report.workspaces) {
+        Usage &usage = peer.usage[item.workspace];
+        usage.used.add(std::max(0.0, item.used - usage.usedCounter), now);
+        usage.asked.add(std::max(0.0, item.asked - usage.askedCounter), now);
+        usage.usedCounter = item.used;
+        usage.askedCounter = item.asked;
     }
 }
 
-double WorkspaceQuota::grant(const WorkspaceName &workspace, double tokens)
+UsageTotals WorkspaceQuota::totals()
 {
-    const auto it = m_parts.find(workspace);
-    if (it == m_parts.end() || !it->second.common) {
-        return 0;
-    }
-    TokenBucket &bucket = *it->second.common;
     const SteadyTime now = m_clock.now();
-    const double given = std::max(0.0, std::min(tokens, bucket.level(now)));
-    bucket.tryTake(given, now);
-    return given;
+    UsageTotals totals;
+    totals.members = 1;
+    std::map<WorkspaceName, Total> sums;
+    for (auto &[workspace, usage] : m_own) {
+        sums[workspace].used += usage.used.sum(now, m_bound.window);
+        sums[workspace].asked += usage.asked.sum(now, DemandWindow);
+    }
+    for (auto &[id, peer] : m_peers) {
+        totals.members += isHeard(peer, now) ? 1 : 0;
+        for (auto &[workspace, usage] : peer.usage) {
+            if (isHeard(peer, now)) {
+                sums[workspace].used += usage.used.sum(now, m_bound.window);
+                sums[workspace].asked += usage.asked.sum(now, DemandWindow);
+            }
+        }
+    }
+    for (const auto &[workspace, sum] : sums) {
+        totals.workspaces.push_back({workspace, sum.used, sum.asked});
+    }
+    return totals;
 }
 
-double WorkspaceQuota::commonLevel(const WorkspaceName &workspace) const
+void WorkspaceQuota::onTotals(const UsageTotals &totals)
 {
-    const auto it = m_parts.find(workspace);
-    return it == m_parts.end() || !it->second.common ? 0
-                                                     : it->second.common->level(m_clock.now());
+    m_totalsAt = m_clock.now();
+    m_totalsMembers = static_cast<std::size_t>(totals.members);
+    m_totals.clear();
+    for (const WorkspaceUsage &item : totals.workspaces) {
+        m_totals[item.workspace] = {item.used, item.asked};
+    }
 }
 
 } // namespace marigoldspool
