New owners learn the demand before they plan; shorter lease; fewer watch calls

Reports now carry rates, and planning waits for them. A released lease names the engines ordered last, so only those wait for the turn gap. Ruled out: a full queue at the engines (the refusals came with free slots).

--- a/include/marigoldspool/Peer/Messages.h
+++ b/include/marigoldspool/Peer/Messages.h
@@ -131,8 +131,10 @@
     ModelName model;
     /// Empty for the model itself.
     std::string adapter;
-    /// Requests since the report before.
-    std::uint64_t arrivals = 0;
+    /// Requests each second at the sender, smoothed.
+    double rate = 0;
+    /// Since the last request.
+    std::int64_t idleMs = 0;
     std::uint64_t waiting = 0;
     /// Age of the oldest waiting request.
     std::int64_t oldestMs = 0;
--- a/include/marigoldspool/Serving/DemandBook.h
+++ b/include/marigoldspool/Serving/DemandBook.h
@@ -31,7 +31,28 @@
     SteadyTime lastArrival;
 };
 
-/// What all instances ask for, as their reports say.
+/// How often one instance is asked for each model and adapter.
+class DemandTracker
+{
+public:
+    explicit DemandTracker(const Clock &clock);
+
+    void onArrival(const DemandKey &key);
+    /// All that was asked for lately, without waiting requests.
+    std::map<DemandKey, ReportedDemand> recent();
+
+private:
+    struct Count {
+        double value = 0;
+        SteadyTime at;
+    };
+
+    const Clock &m_clock;
+    std::map<DemandKey, Count> m_counts;
+};
+
+/// What all instances ask for, as their reports say. Since reports carry rates, an instance that
+/// becomes the placement owner knows the demand as soon as each instance has reported once.
 class DemandBook
 {
 public:
@@ -40,29 +61,25 @@
     void onReport(const InstanceId &from, const DemandReport &report);
     /// Forgets the waiting requests of an instance that is out of reach.
     void forget(const InstanceId &from);
-    /// Smooths rates and drops the reports of instances that are silent.
+    void clear();
+    /// Drops the reports of instances that are silent.
     void onTick();
 
-    const std::map<DemandKey, Demand> &all() const { return m_total; }
+    std::size_t reporters() const { return m_reporters.size(); }
+    const std::map<DemandKey, Demand> &all() const;
     Demand of(const DemandKey &key) const;
 
 private:
-    struct Waiting {
-        std::uint64_t count = 0;
-        SteadyTime oldest;
-        int priority = 0;
-    };
     struct Reporter {
         SteadyTime at;
-        std::map<DemandKey, Waiting> waiting;
+        std::map<DemandKey, Demand> items;
     };
-    void sum();
 
     const Clock &m_clock;
     std::map<InstanceId, Reporter> m_reporters;
-    std::map<DemandKey, double> m_arrivals;
-    std::map<DemandKey, Demand> m_total;
-    SteadyTime m_smoothedAt;
+    /// The sum of all reports, made when it is asked for.
+    mutable std::map<DemandKey, Demand> m_total;
+    mutable bool m_outdated = false;
 };
 
 } // namespace marigoldspool
--- a/include/marigoldspool/Serving/OwnerLease.h
+++ b/include/marigoldspool/Serving/OwnerLease.h
@@ -5,7 +5,9 @@
 #include "marigoldspool/Support/Identifiers.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <set>
 
 namespace marigoldspool {
 
@@ -18,6 +20,8 @@
     bool released = false;
     /// Rises with each renewal.
     std::uint64_t renewal = 0;
+    /// At a release: the endpoints that the holder ordered something within the last turn gap.
+    std::set<EndpointId> recentlyOrdered;
     /// The store's version of the object; 0: it does not exist.
     std::uint64_t version = 0;
 };
@@ -26,8 +30,8 @@
     /// Two holders may not order within this time of each other.
     Duration turnGap = std::chrono::milliseconds(3000);
     /// How long a renewal lets its holder order, from when it was sent.
-    Duration valid = std::chrono::milliseconds(5000);
-    Duration renewEvery = std::chrono::milliseconds(1500);
+    Duration valid = std::chrono::milliseconds(3000);
+    Duration renewEvery = std::chrono::milliseconds(900);
     Duration readEvery = std::chrono::milliseconds(1000);
     /// For differences between clocks and for orders on their way.
     Duration margin = std::chrono::milliseconds(400);
@@ -65,8 +69,12 @@
     void setEligible(bool eligible) { m_eligible = eligible; }
 
     bool isHolder() const { return m_current && m_held; }
-    /// Whether an order may be sent at this moment.
+    /// Whether an order to \p endpoint may be sent at this moment.
+    bool mayOrder(const EndpointId &endpoint) const;
+    /// Whether orders may be sent at all.
     bool mayOrder() const;
+    /// An order has been sent.
+    void onOrder(const EndpointId &endpoint);
     std::uint64_t term() const { return m_current ? m_current->term : 0; }
     /// The holder as far as known; empty after a release.
     InstanceId holder() const;
@@ -87,6 +95,10 @@
     SteadyTime m_sentAt;
     SteadyTime m_validUntil;
     SteadyTime m_orderFrom;
+    /// Until when the orders of the holder before keep this instance from ordering.
+    std::set<EndpointId> m_orderedBefore;
+    SteadyTime m_orderedBeforeUntil;
+    std::map<EndpointId, SteadyTime> m_orders;
     bool m_calling = false;
     bool m_held = false;
     bool m_releasing = false;
--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -128,9 +128,9 @@
     });
     m_runtime.retries.onRequest(m_pool->name);
     if (isEngineRequest()) {
-        m_front.noteArrival({m_pool->name, m_request.model, {}});
+        m_front.m_demand.onArrival({m_pool->name, m_request.model, {}});
         if (!m_request.adapter.empty()) {
-            m_front.noteArrival({m_pool->name, m_request.model, m_request.adapter});
+            m_front.m_demand.onArrival({m_pool->name, m_request.model, m_request.adapter});
         }
     }
     dispatch();
--- a/lib/Fleet/FleetDaemon.cpp
+++ b/lib/Fleet/FleetDaemon.cpp
@@ -154,8 +154,7 @@
         if (const auto *demand = std::get_if<DemandReport>(&message)) {
             m_placement.onDemand(from, *demand);
         } else if (const auto *update = std::get_if<PlacementUpdate>(&message)) {
-            m_placementAt = m_runtime.clock.now();
-            m_front.onPlacement(*update);
+            onPlacement(from, *update);
         } else if (const auto *usage = std::get_if<UsageReport>(&message)) {
             m_runtime.quota.onReport(from, incarnation, *usage);
         } else if (const auto *totals = std::get_if<UsageTotals>(&message)) {
@@ -165,6 +164,21 @@
         }
     }
 
+    void onPlacement(const InstanceId &from, const PlacementUpdate &update)
+    {
+        if (update.term < m_placementTerm) {
+            return;
+        }
+        m_placementAt = m_runtime.clock.now();
+        if (update.term > m_placementTerm) {
+            // A new owner knows nothing of the demand here yet.
+            m_placementTerm = update.term;
+            m_demandAt = m_placementAt;
+        }
+        m_placement.onOwnerSeen(from, update.term);
+        m_front.onPlacement(update);
+    }
+
     // In a small fleet everyone hears everyone; in a larger one the owner sums up.
     void reportUsage()
     {
@@ -196,14 +210,11 @@
             return;
         }
         m_demandAt = now + DemandInterval;
-        const std::optional<DemandReport> report = m_front.takeDemand(false);
-        if (!report) {
-            return;
-        }
+        const DemandReport report = m_front.takeDemand();
         if (m_placement.isOwner()) {
-            m_placement.onDemand(m_runtime.options.instance, *report);
+            m_placement.onDemand(m_runtime.options.instance, report);
         } else if (m_link.isOwnerReachable()) {
-            m_link.send(m_link.owner(), *report);
+            m_link.send(m_link.owner(), report);
         }
     }
 
@@ -273,6 +284,7 @@
     SteadyTime m_demandAt;
     SteadyTime m_usageAt;
     SteadyTime m_placementAt;
+    std::uint64_t m_placementTerm = 0;
     SteadyTime m_acceptUntil;
     SteadyTime m_stopBy;
     bool m_accepting = true;
--- a/lib/Fleet/FleetState.cpp
+++ b/lib/Fleet/FleetState.cpp
@@ -12,15 +12,26 @@
 
 const std::string MemberPrefix = "instances/";
 
-// A change ends the wait at once; the wait only bounds how long a lost answer goes unnoticed. The
-// store may stop answering watches while it serves other calls, and changes have two seconds.
-constexpr Duration WatchWait = std::chrono::milliseconds(1000);
-// Changes that come within this time share one call.
-constexpr Duration WatchInterval = std::chrono::milliseconds(100);
+/// How one prefix is watched. A change ends the wait at once; the wait only bounds how long a lost
+/// answer goes unnoticed, since the store may stop answering watches while it serves other calls.
+/// Changes that come within the interval share one call, which the platform prices.
+struct WatchTimes {
+    Duration wait;
+    Duration interval;
+};
+
+// Configurations and leaving endpoints count within two seconds, evacuations within five; which
+// instances there are decides only over shares.
+constexpr WatchTimes ConfigurationTimes{std::chrono::milliseconds(1000),
+                                        std::chrono::milliseconds(100)};
+constexpr WatchTimes EndpointTimes{std::chrono::milliseconds(1000), std::chrono::milliseconds(350)};
+constexpr WatchTimes EvacuationTimes{std::chrono::milliseconds(3000),
+                                     std::chrono::milliseconds(200)};
+constexpr WatchTimes MemberTimes{std::chrono::milliseconds(5000), std::chrono::milliseconds(300)};
 constexpr Duration FirstBackoff = std::chrono::milliseconds(200);
 constexpr Duration LongestBackoff = std::chrono::milliseconds(1200);
 // Beyond this the answer to a watch is overdue and peers are asked.
-constexpr Duration Outdated = WatchWait + std::chrono::milliseconds(800);
+constexpr Duration Overdue = std::chrono::milliseconds(900);
 // The platform lists endpoints again within two seconds after an outage of the store.
 constexpr Duration LapseGrace = std::chrono::milliseconds(2300);
 constexpr Duration OutageLength = std::chrono::milliseconds(700);
@@ -37,11 +48,13 @@
 class FleetState::Prefix final : public WatchListener
 {
 public:
-    Prefix(FleetRuntime &runtime, const std::string &prefix, ObjectMirror::ChangeHandler onChange)
+    Prefix(FleetRuntime &runtime, const std::string &prefix, WatchTimes times,
+           ObjectMirror::ChangeHandler onChange)
         : m_runtime(runtime)
         , mirror(prefix, std::move(onChange))
         , watcher(*runtime.store, runtime.clock, runtime.random,
-                  {prefix, WatchWait, WatchInterval, FirstBackoff, LongestBackoff}, *this)
+                  {prefix, times.wait, times.interval, FirstBackoff, LongestBackoff}, *this)
+        , m_times(times)
         , m_confirmedAt(runtime.clock.now())
     { }
 
@@ -71,7 +84,7 @@
     bool isOutdated() const
     {
         const SteadyTime now = m_runtime.clock.now();
-        return now - m_confirmedAt > Outdated
+        return now - m_confirmedAt > m_times.wait + m_times.interval + Overdue
             || (!watcher.synchronized() && now - m_lostAt > OutageLength);
     }
 
@@ -98,6 +111,7 @@
     Watcher watcher;
 
 private:
+    WatchTimes m_times;
     SteadyTime m_confirmedAt;
     SteadyTime m_lostAt;
     SteadyTime m_graceUntil;
@@ -108,17 +122,17 @@
     : m_runtime(runtime)
     , m_registerAt(runtime.clock.now())
 {
-    const auto add = [this](const std::string &prefix, void (FleetState::*handler)(
-                                                           const WatchEvent &)) {
+    const auto add = [this](const std::string &prefix, WatchTimes times,
+                            void (FleetState::*handler)(const WatchEvent &)) {
         m_prefixes.push_back(std::make_unique<Prefix>(
-            m_runtime, prefix, [this, handler](const WatchEvent &event) {
+            m_runtime, prefix, times, [this, handler](const WatchEvent &event) {
                 (this->*handler)(event);
             }));
     };
-    add(runtime.wire.configurationPrefix(), &FleetState::onConfiguration);
-    add(runtime.wire.endpointPrefix(), &FleetState::onEndpoint);
-    add(runtime.wire.evacuationPrefix(), &FleetState::onEvacuation);
-    add(MemberPrefix, &FleetState::onMember);
+    add(runtime.wire.configurationPrefix(), ConfigurationTimes, &FleetState::onConfiguration);
+    add(runtime.wire.endpointPrefix(), EndpointTimes, &FleetState::onEndpoint);
+    add(runtime.wire.evacuationPrefix(), EvacuationTimes, &FleetState::onEvacuation);
+    add(MemberPrefix, MemberTimes, &FleetState::onMember);
 }
 
 FleetState::~FleetState() = default;
--- a/lib/Fleet/PlacementDriver.cpp
+++ b/lib/Fleet/PlacementDriver.cpp
@@ -30,6 +30,8 @@
 // An engine that answers no report this often is not usable for orders.
 constexpr int MostFailures = 2;
 constexpr Duration CallTimeout = milliseconds(1500);
+// Reports of demand come twice a second.
+constexpr Duration DemandWait = milliseconds(800);
 constexpr Duration PlanInterval = milliseconds(100);
 constexpr Duration PublishInterval = milliseconds(1000);
 // A load that has not come by this long after its time is looked at again.
@@ -80,10 +82,15 @@
 
 json leaseToJson(const LeaseRecord &record)
 {
+    json ordered = json::array();
+    for (const EndpointId &endpoint : record.recentlyOrdered) {
+        ordered.push_back(endpoint.str());
+    }
     return {{"holder", record.holder.str()},
             {"term", record.term},
             {"renewal", record.renewal},
-            {"released", record.released}};
+            {"released", record.released},
+            {"ordered", ordered}};
 }
 
 Expected<LeaseRecord> leaseFromJson(const StoredObject &object)
@@ -92,14 +99,24 @@
     const bool valid = value.is_object() && value.contains("holder") && value["holder"].is_string()
         && value.contains("term") && value["term"].is_number_unsigned() && value.contains("renewal")
         && value["renewal"].is_number_unsigned() && value.contains("released")
-        && value["released"].is_boolean();
+        && value["released"].is_boolean() && value.contains("ordered")
+        && value["ordered"].is_array();
     if (!valid) {
         return unexpectedError(ErrorKind::Malformed, "the placement lease is unreadable",
                                "remove the object leases/placement");
     }
-    return LeaseRecord{InstanceId(value["holder"].get<std::string>()),
-                       value["term"].get<std::uint64_t>(), value["released"].get<bool>(),
-                       value["renewal"].get<std::uint64_t>(), object.version};
+    LeaseRecord record;
+    record.holder = InstanceId(value["holder"].get<std::string>());
+    record.term = value["term"].get<std::uint64_t>();
+    record.released = value["released"].get<bool>();
+    record.renewal = value["renewal"].get<std::uint64_t>();
+    record.version = object.version;
+    for (const json &endpoint : value["ordered"]) {
+        if (endpoint.is_string()) {
+            record.recentlyOrdered.insert(EndpointId(endpoint.get<std::string>()));
+        }
+    }
+    return record;
 }
 
 } // namespace
@@ -123,7 +140,10 @@
     } else if (!mayOrder && m_active) {
         deactivate();
     }
-    m_link.setOwner(m_lease.holder());
+    if (m_lease.term() > m_seenTerm || m_active) {
+        m_seenTerm = m_lease.term();
+        m_link.setOwner(m_lease.holder());
+    }
     if (!m_active) {
         return;
     }
@@ -209,12 +229,22 @@
     m_active = true;
     m_contacts.clear();
     m_planner.engines().clear();
+    m_demand.clear();
+    m_activeAt = m_runtime.clock.now();
     logEvent(LogLevel::Info, "placement_active", {{"term", std::to_string(m_lease.term())}});
     onConfiguration();
     onEndpoints();
     m_publishAt = m_runtime.clock.now();
 }
 
+void PlacementDriver::onOwnerSeen(const InstanceId &owner, std::uint64_t term)
+{
+    if (term >= m_seenTerm) {
+        m_seenTerm = term;
+        m_link.setOwner(owner);
+    }
+}
+
 void PlacementDriver::deactivate()
 {
     m_active = false;
@@ -305,11 +335,17 @@
     m_planDue = false;
     const SteadyTime now = m_runtime.clock.now();
     m_planAt = now + PlanInterval;
+    // Without all reports of demand a busy model would look idle and be dropped.
+    const bool isInformed = m_demand.reporters() > m_link.connectedPeers().size();
+    if (!isInformed && now - m_activeAt < DemandWait) {
+        return;
+    }
     // Engines that may not take an order yet look busy to the planner.
     std::vector<EndpointId> held;
     for (auto &[id, engine] : m_planner.engines()) {
         const Contact &contact = m_contacts[id];
-        if (!engine.busy && (contact.calling || now < contact.orderAt)) {
+        if (!engine.busy
+            && (contact.calling || now < contact.orderAt || !m_lease.mayOrder(id))) {
             engine.busy = true;
             held.push_back(id);
         }
@@ -452,11 +488,12 @@
     Contact &contact = m_contacts[order.endpoint];
     EngineState &engine = m_planner.engines()[order.endpoint];
     // The lease may have ended since the planner ran; this is the last moment to see it.
-    if (state == nullptr || !m_lease.mayOrder() || contact.calling) {
+    if (state == nullptr || !m_lease.mayOrder(order.endpoint) || contact.calling) {
         orderFailed(engine, contact, order, ConflictPause);
         return;
     }
     contact.calling = true;
+    m_lease.onOrder(order.endpoint);
     if (!order.isLoad) {
         // Callers stop asking for it before the engine drops it.
         engine.dropping = std::make_pair(order.model, order.adapter);
--- a/lib/Fleet/PlacementDriver.h
+++ b/lib/Fleet/PlacementDriver.h
@@ -32,7 +32,8 @@
     void release() { m_lease.release(); }
     bool isReleased() const { return m_lease.isReleased(); }
     bool isOwner() const { return m_active; }
-    InstanceId owner() const { return m_lease.holder(); }
+    /// Another instance acts as the owner in \p term.
+    void onOwnerSeen(const InstanceId &owner, std::uint64_t term);
 
 private:
     /// What the driver keeps of an engine beside the planner's state.
@@ -78,6 +79,8 @@
     bool m_active = false;
     bool m_planDue = false;
     SteadyTime m_publishAt;
+    SteadyTime m_activeAt;
+    std::uint64_t m_seenTerm = 0;
     SteadyTime m_planAt;
     std::size_t m_lastForecasts = 0;
     std::uint64_t m_callCounter = 0;
--- a/lib/Fleet/ServingFront.cpp
+++ b/lib/Fleet/ServingFront.cpp
@@ -32,6 +32,7 @@
 
 ServingFront::ServingFront(FleetRuntime &runtime)
     : m_runtime(runtime)
+    , m_demand(runtime.clock)
 { }
 
 ServingFront::~ServingFront() = default;
@@ -89,11 +90,6 @@
     }
 }
 
-void ServingFront::noteArrival(const DemandKey &key)
-{
-    ++m_arrivals[key];
-}
-
 std::optional<Duration> ServingFront::forecast(const ModelName &model) const
 {
     const auto it = m_forecasts.find(model);
@@ -164,38 +160,26 @@
     m_forecasts.clear();
 }
 
-std::optional<DemandReport> ServingFront::takeDemand(bool force)
+DemandReport ServingFront::takeDemand()
 {
     m_newDemand = false;
-    std::map<DemandKey, ReportedDemand> items;
-    const auto itemFor = [&items](const DemandKey &key) -> ReportedDemand & {
-        ReportedDemand &item = items[key];
-        item.pool = key.pool.str();
-        item.model = key.model;
-        item.adapter = key.adapter;
-        return item;
-    };
-    for (const auto &[key, count] : m_arrivals) {
-        itemFor(key).arrivals = count;
-    }
-    m_arrivals.clear();
+    std::map<DemandKey, ReportedDemand> items = m_demand.recent();
     const SteadyTime now = m_runtime.clock.now();
     for (const auto &exchange : m_waiting) {
         const std::optional<DemandKey> key = exchange->missing();
         if (!key) {
             continue;
         }
-        ReportedDemand &item = itemFor(*key);
+        ReportedDemand &item = items[*key];
+        item.pool = key->pool.str();
+        item.model = key->model;
+        item.adapter = key->adapter;
         const bool isFirst = item.waiting == 0;
         ++item.waiting;
         item.oldestMs = std::max(item.oldestMs, toMilliseconds(now - exchange->arrival()));
         item.priority = isFirst ? exchange->priority()
                                 : std::min<std::int64_t>(item.priority, exchange->priority());
     }
-    if (items.empty() && !force && !m_hadDemand) {
-        return std::nullopt;
-    }
-    m_hadDemand = !items.empty();
     DemandReport report;
     for (auto &[key, item] : items) {
         report.models.push_back(std::move(item));
--- a/lib/Fleet/ServingFront.h
+++ b/lib/Fleet/ServingFront.h
@@ -31,8 +31,7 @@
     /// The owner is out of reach: what it said no longer counts.
     void forgetPlacement();
     void setOwnerReachable(bool reachable) { m_ownerReachable = reachable; }
-    /// Demand since the last call; \p force: also when nothing is new.
-    std::optional<DemandReport> takeDemand(bool force);
+    DemandReport takeDemand();
     /// Something waits that the owner has not been told of.
     bool hasNewDemand() const { return m_newDemand; }
 
@@ -45,7 +44,6 @@
     void take(HttpRequest request, std::shared_ptr<ResponseSink> sink);
     void addWaiting(const std::shared_ptr<Exchange> &exchange);
     void removeWaiting(const Exchange &exchange);
-    void noteArrival(const DemandKey &key);
     std::optional<Duration> forecast(const ModelName &model) const;
 
     FleetRuntime &m_runtime;
@@ -53,13 +51,12 @@
     std::unordered_set<std::shared_ptr<Exchange>> m_open;
     /// In the order in which they are served: by priority, then by arrival.
     std::list<std::shared_ptr<Exchange>> m_waiting;
-    std::map<DemandKey, std::uint64_t> m_arrivals;
+    DemandTracker m_demand;
     std::map<ModelName, SteadyTime> m_forecasts;
     bool m_ownerReachable = false;
     bool m_newDemand = false;
     bool m_poking = false;
     bool m_pokePosted = false;
-    bool m_hadDemand = false;
     std::uint64_t m_placementTerm = 0;
 };
 
--- a/lib/Peer/Messages.cpp
+++ b/lib/Peer/Messages.cpp
@@ -140,7 +140,8 @@
     visit("p", m.pool);
     visit("m", m.model);
     visit("a", m.adapter);
-    visit("n", m.arrivals);
+    visit("r", m.rate);
+    visit("i", m.idleMs);
     visit("w", m.waiting);
     visit("o", m.oldestMs);
     visit("u", m.priority);
--- a/lib/Serving/DemandBook.cpp
+++ b/lib/Serving/DemandBook.cpp
@@ -7,17 +7,56 @@
 
 namespace {
 
-constexpr Duration SmoothInterval = std::chrono::milliseconds(500);
 // Demand for a busy model moves within a few seconds, so older arrivals count little after that.
-constexpr double RateHalfLifeSeconds = 3;
+constexpr double HalfLifeSeconds = 3;
+constexpr double NegligibleCount = 0.02;
 constexpr Duration ReporterSilence = std::chrono::seconds(3);
-constexpr double NegligibleRate = 0.001;
+
+double decayed(double value, SteadyTime since, SteadyTime now)
+{
+    return value * std::exp2(-std::chrono::duration<double>(now - since).count() / HalfLifeSeconds);
+}
 
 } // namespace
 
+DemandTracker::DemandTracker(const Clock &clock)
+    : m_clock(clock)
+{ }
+
+void DemandTracker::onArrival(const DemandKey &key)
+{
+    const SteadyTime now = m_clock.now();
+    Count &count = m_counts[key];
+    count.value = decayed(count.value, count.at, now) + 1;
+    count.at = now;
+}
+
+std::map<DemandKey, ReportedDemand> DemandTracker::recent()
+{
+    // Arrivals at a constant rate settle at this many seconds' worth.
+    const double settled = HalfLifeSeconds / std::log(2.0);
+    const SteadyTime now = m_clock.now();
+    std::map<DemandKey, ReportedDemand> result;
+    for (auto it = m_counts.begin(); it != m_counts.end();) {
+        const double value = decayed(it->second.value, it->second.at, now);
+        if (value < NegligibleCount) {
+            it = m_counts.erase(it);
+            continue;
+        }
+        ReportedDemand item;
+        item.pool = it->first.pool.str();
+        item.model = it->first.model;
+        item.adapter = it->first.adapter;
+        item.rate = value / settled;
+        item.idleMs = toMilliseconds(now - it->second.at);
+        result.emplace(it->first, std::move(item));
+        ++it;
+    }
+    return result;
+}
+
 DemandBook::DemandBook(const Clock &clock)
     : m_clock(clock)
-    , m_smoothedAt(clock.now())
 { }
 
 void DemandBook::onReport(const InstanceId &from, const DemandReport &report)
@@ -25,77 +64,73 @@
     const SteadyTime now = m_clock.now();
     Reporter &reporter = m_reporters[from];
     reporter.at = now;
-    reporter.waiting.clear();
+    reporter.items.clear();
     for (const ReportedDemand &item : report.models) {
-        const DemandKey key{PoolName(item.pool), item.model, item.adapter};
-        if (item.arrivals > 0) {
-            m_arrivals[key] += static_cast<double>(item.arrivals);
-            m_total[key].lastArrival = now;
-        }
-        if (item.waiting > 0) {
-            const SteadyTime oldest = now - std::chrono::milliseconds(item.oldestMs);
-            reporter.waiting[key] = {item.waiting, oldest, static_cast<int>(item.priority)};
-            m_total[key].lastArrival = now;
-        }
+        Demand demand;
+        demand.rate = item.rate;
+        demand.waiting = item.waiting;
+        demand.oldest = now - std::chrono::milliseconds(item.oldestMs);
+        demand.priority = static_cast<int>(item.priority);
+        demand.lastArrival = now - std::chrono::milliseconds(item.idleMs);
+        reporter.items[{PoolName(item.pool), item.model, item.adapter}] = demand;
     }
-    sum();
+    m_outdated = true;
 }
 
 void DemandBook::forget(const InstanceId &from)
 {
     m_reporters.erase(from);
-    sum();
+    m_outdated = true;
 }
 
-void DemandBook::sum()
+void DemandBook::clear()
 {
-    for (auto &[key, demand] : m_total) {
-        demand.waiting = 0;
-    }
-    for (const auto &[instance, reporter] : m_reporters) {
-        for (const auto &[key, waiting] : reporter.waiting) {
-            Demand &demand = m_total[key];
-            const bool isFirst = demand.waiting == 0;
-            demand.oldest = isFirst ? waiting.oldest : std::min(demand.oldest, waiting.oldest);
-            demand.priority =
-                isFirst ? waiting.priority : std::min(demand.priority, waiting.priority);
-            demand.waiting += waiting.count;
-        }
-    }
+    m_reporters.clear();
+    m_outdated = true;
 }
 
 void DemandBook::onTick()
 {
     const SteadyTime now = m_clock.now();
-    const Duration span = now - m_smoothedAt;
-    if (span < SmoothInterval) {
-        return;
-    }
-    m_smoothedAt = now;
-    const double seconds = std::chrono::duration<double>(span).count();
-    const double kept = std::exp2(-seconds / RateHalfLifeSeconds);
-    for (auto it = m_total.begin(); it != m_total.end();) {
-        Demand &demand = it->second;
-        const auto arrivals = m_arrivals.find(it->first);
-        const double rate = arrivals == m_arrivals.end() ? 0 : arrivals->second / seconds;
-        demand.rate = kept * demand.rate + (1 - kept) * rate;
-        const bool isOver = demand.waiting == 0 && demand.rate < NegligibleRate;
-        it = isOver ? m_total.erase(it) : std::next(it);
-    }
-    m_arrivals.clear();
-    const std::size_t before = m_reporters.size();
     for (auto it = m_reporters.begin(); it != m_reporters.end();) {
-        it = now - it->second.at > ReporterSilence ? m_reporters.erase(it) : std::next(it);
+        if (now - it->second.at > ReporterSilence) {
+            it = m_reporters.erase(it);
+            m_outdated = true;
+        } else {
+            ++it;
+        }
     }
-    if (m_reporters.size() != before) {
-        sum();
+}
+
+const std::map<DemandKey, Demand> &DemandBook::all() const
+{
+    if (!m_outdated) {
+        return m_total;
+    }
+    m_outdated = false;
+    m_total.clear();
+    for (const auto &[instance, reporter] : m_reporters) {
+        for (const auto &[key, item] : reporter.items) {
+            Demand &demand = m_total[key];
+            demand.rate += item.rate;
+            demand.lastArrival = std::max(demand.lastArrival, item.lastArrival);
+            if (item.waiting == 0) {
+                continue;
+            }
+            const bool isFirst = demand.waiting == 0;
+            demand.oldest = isFirst ? item.oldest : std::min(demand.oldest, item.oldest);
+            demand.priority = isFirst ? item.priority : std::min(demand.priority, item.priority);
+            demand.waiting += item.waiting;
+        }
     }
+    return m_total;
 }
 
 Demand DemandBook::of(const DemandKey &key) const
 {
-    const auto it = m_total.find(key);
-    return it == m_total.end() ? Demand() : it->second;
+    const auto &total = all();
+    const auto it = total.find(key);
+    return it == total.end() ? Demand() : it->second;
 }
 
 } // namespace marigoldspool
--- a/lib/Serving/EndpointDirectory.cpp
+++ b/lib/Serving/EndpointDirectory.cpp
@@ -22,6 +22,7 @@
 
 // An endpoint that refused for lack of room is left alone for about one step of its batch queue.
 constexpr Duration BusyPause = milliseconds(40);
+constexpr Duration OrderPause = milliseconds(120);
 constexpr Duration AbsentPause = milliseconds(400);
 constexpr Duration FirstAvoidance = milliseconds(500);
 constexpr Duration LongestAvoidance = seconds(4);
@@ -346,7 +347,12 @@
         return;
     }
     if (result == EndpointResult::RefusedBusy) {
-        state.busyUntil = now + BusyPause;
+        // An engine with free slots refuses because of an order that concerns the model.
+        if (!model.empty() && state.inFlight < slotCap(state) / 2) {
+            state.absentUntil[model] = now + OrderPause;
+        } else {
+            state.busyUntil = now + BusyPause;
+        }
         return;
     }
     if (result == EndpointResult::RefusedAbsent) {
--- a/lib/Serving/OwnerLease.cpp
+++ b/lib/Serving/OwnerLease.cpp
@@ -59,6 +59,15 @@
     record.holder = m_self;
     ++record.renewal;
     record.released = m_releasing;
+    record.recentlyOrdered.clear();
+    if (m_releasing) {
+        const SteadyTime now = m_clock.now();
+        for (const auto &[endpoint, at] : m_orders) {
+            if (now - at < m_times.turnGap + m_times.margin) {
+                record.recentlyOrdered.insert(endpoint);
+            }
+        }
+    }
     return record;
 }
 
@@ -96,11 +105,15 @@
     if (!m_held) {
         const bool wasOther = m_current->version != 0 && m_current->holder != m_self;
         m_orderFrom = m_sentAt;
-        if (wasOther) {
-            const Duration lastOrder =
-                m_current->released ? Duration::zero() : m_times.valid;
-            m_orderFrom =
-                std::max(m_sentAt, m_seenAt + lastOrder + m_times.turnGap + m_times.margin);
+        m_orders.clear();
+        m_orderedBefore.clear();
+        if (wasOther && m_current->released) {
+            // After an orderly end only the engines that were ordered something last must wait.
+            m_orderedBefore = m_current->recentlyOrdered;
+            m_orderedBeforeUntil = m_seenAt + m_times.turnGap + m_times.margin;
+        } else if (wasOther) {
+            m_orderFrom = std::max(
+                m_sentAt, m_seenAt + m_times.valid + m_times.turnGap + m_times.margin);
         }
     }
     m_current = record;
@@ -122,6 +135,17 @@
     return m_held && !m_releasing && now >= m_orderFrom && now < m_validUntil;
 }
 
+bool OwnerLease::mayOrder(const EndpointId &endpoint) const
+{
+    return mayOrder()
+        && (m_clock.now() >= m_orderedBeforeUntil || m_orderedBefore.count(endpoint) == 0);
+}
+
+void OwnerLease::onOrder(const EndpointId &endpoint)
+{
+    m_orders[endpoint] = m_clock.now();
+}
+
 InstanceId OwnerLease::holder() const
 {
     return m_current && !m_current->released ? m_current->holder : InstanceId();
