--- a/include/marigoldspool/Fleet/FleetOptions.h
+++ b/include/marigoldspool/Fleet/FleetOptions.h
@@ -3,7 +3,6 @@
 
 #include "marigoldspool/Serving/OwnerLease.h"
 #include "marigoldspool/Serving/RetryBudget.h"
-#include "marigoldspool/Serving/WorkspaceQuota.h"
 #include "marigoldspool/Support/Identifiers.h"
 
 #include <string>
@@ -23,7 +22,6 @@
     std::string storeAddress;
     LeaseTimes lease;
     RetryBound retries;
-    QuotaBound quota;
     /// From SIGTERM to the end of the process.
     Duration grace = std::chrono::seconds(8);
     /// Loads that the weight store serves at full speed at once.
--- a/include/marigoldspool/Peer/Messages.h
+++ b/include/marigoldspool/Peer/Messages.h
@@ -208,11 +208,10 @@
     std::vector<WorkspaceUsage> workspaces;
 };
 
-using PeerMessage =
-    std::variant<Heartbeat, ConfigRequest, ConfigTransfer, LoanRequest, LoanGrant, EpochAck,
-                 ForwardRequest, ForwardHead, ForwardData, ForwardRefusal, ForwardCancel,
-                 DemandReport, PlacementUpdate, ObjectsRequest, ObjectsTransfer, UsageReport,
-                 UsageTotals>;
+using PeerMessage = std::variant<Heartbeat, ConfigRequest, ConfigTransfer, LoanRequest, LoanGrant,
+                                 EpochAck, ForwardRequest, ForwardHead, ForwardData, ForwardRefusal,
+                                 ForwardCancel, DemandReport, PlacementUpdate, ObjectsRequest,
+                                 ObjectsTransfer, UsageReport, UsageTotals>;
 
 struct AddressedMessage {
     InstanceId to;
--- a/include/marigoldspool/Serving/PlacementPlanner.h
+++ b/include/marigoldspool/Serving/PlacementPlanner.h
@@ -91,6 +91,7 @@
     int copies(const PoolName &pool, const ModelName &model) const;
     int storeLoads() const;
     bool isComing(const PoolName &pool, const ModelName &model) const;
+    std::optional<Duration> forecastFromDisk(const PoolName &pool, const ModelName &model) const;
     double dropCost(const EngineState &engine, const ModelName &model,
                     const DemandBook &demand) const;
     std::optional<Victims> makeRoom(const EngineState &engine, double needMb,
--- a/lib/Daemon/ConfigService.h
+++ b/lib/Daemon/ConfigService.h
@@ -2,12 +2,12 @@
 #define MARIGOLDSPOOL_LIB_DAEMON_CONFIGSERVICE_H
 
 #include "Daemon/PeerService.h"
-#include "marigoldspool/Support/PeriodicTimer.h"
 #include "Daemon/Runtime.h"
 #include "marigoldspool/Config/ConfigReplica.h"
 #include "marigoldspool/Config/ConfigStore.h"
 #include "marigoldspool/Platform/Watcher.h"
 #include "marigoldspool/Supervisor/Supervisor.h"
+#include "marigoldspool/Support/PeriodicTimer.h"
 
 #include <functional>
 #include <memory>
--- a/lib/Daemon/FrontService.h
+++ b/lib/Daemon/FrontService.h
@@ -7,11 +7,11 @@
 #include "Daemon/IdempotencyClaims.h"
 #include "Daemon/LimitsService.h"
 #include "Daemon/PeerService.h"
-#include "marigoldspool/Support/PeriodicTimer.h"
 #include "Daemon/Runtime.h"
 #include "marigoldspool/Gateway/HttpServer.h"
 #include "marigoldspool/Routing/ForwardTable.h"
 #include "marigoldspool/Supervisor/Supervisor.h"
+#include "marigoldspool/Support/PeriodicTimer.h"
 
 #include <memory>
 #include <optional>
--- a/lib/Daemon/GatewayService.h
+++ b/lib/Daemon/GatewayService.h
@@ -3,10 +3,10 @@
 
 #include "Daemon/ConfigService.h"
 #include "Daemon/FrontService.h"
-#include "marigoldspool/Support/PeriodicTimer.h"
 #include "Daemon/Runtime.h"
 #include "marigoldspool/Gateway/HttpServer.h"
 #include "marigoldspool/Supervisor/Supervisor.h"
+#include "marigoldspool/Support/PeriodicTimer.h"
 
 #include <functional>
 #include <map>
--- a/lib/Daemon/HomeService.h
+++ b/lib/Daemon/HomeService.h
@@ -5,11 +5,11 @@
 #include "Daemon/ConfigService.h"
 #include "Daemon/EndpointAttempt.h"
 #include "Daemon/PeerService.h"
-#include "marigoldspool/Support/PeriodicTimer.h"
 #include "Daemon/Runtime.h"
 #include "marigoldspool/Gateway/EndpointClient.h"
 #include "marigoldspool/Routing/Dispatcher.h"
 #include "marigoldspool/Supervisor/Supervisor.h"
+#include "marigoldspool/Support/PeriodicTimer.h"
 
 #include <functional>
 #include <memory>
--- a/lib/Daemon/LimitsService.h
+++ b/lib/Daemon/LimitsService.h
@@ -3,11 +3,11 @@
 
 #include "Daemon/ConfigService.h"
 #include "Daemon/PeerService.h"
-#include "marigoldspool/Support/PeriodicTimer.h"
 #include "Daemon/Runtime.h"
 #include "marigoldspool/Limits/LimitService.h"
 #include "marigoldspool/Routing/Dispatcher.h"
 #include "marigoldspool/Supervisor/Supervisor.h"
+#include "marigoldspool/Support/PeriodicTimer.h"
 
 #include <deque>
 #include <functional>
--- a/lib/Daemon/PeerService.h
+++ b/lib/Daemon/PeerService.h
@@ -1,12 +1,12 @@
 #ifndef MARIGOLDSPOOL_LIB_DAEMON_PEERSERVICE_H
 #define MARIGOLDSPOOL_LIB_DAEMON_PEERSERVICE_H
 
-#include "marigoldspool/Support/PeriodicTimer.h"
 #include "Daemon/Runtime.h"
 #include "marigoldspool/Peer/PeerChannel.h"
 #include "marigoldspool/Peer/PeerTable.h"
 #include "marigoldspool/Peer/WebSocketPeerChannel.h"
 #include "marigoldspool/Supervisor/Supervisor.h"
+#include "marigoldspool/Support/PeriodicTimer.h"
 
 #include <functional>
 #include <memory>
--- a/lib/Daemon/PlacementService.h
+++ b/lib/Daemon/PlacementService.h
@@ -3,10 +3,10 @@
 
 #include "Daemon/ConfigService.h"
 #include "Daemon/HomeService.h"
-#include "marigoldspool/Support/PeriodicTimer.h"
 #include "Daemon/Runtime.h"
 #include "marigoldspool/Placement/PlacementEngine.h"
 #include "marigoldspool/Supervisor/Supervisor.h"
+#include "marigoldspool/Support/PeriodicTimer.h"
 
 #include <map>
 #include <string>
--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -194,8 +194,7 @@
         m_paid = true;
         return true;
     }
-    refuse(RefusalReason::RateExceeded, RanState::No, *wait,
-           "the workspace has used its rate");
+    refuse(RefusalReason::RateExceeded, RanState::No, *wait, "the workspace has used its rate");
     return false;
 }
 
@@ -292,8 +291,8 @@
     if (!isRepeatable() || m_attempts >= m_route->attempts) {
         return timeLeft();
     }
-    const auto objectives = std::chrono::duration_cast<Duration>(m_route->objective
-                                                                 * FirstByteObjectives);
+    const auto objectives =
+        std::chrono::duration_cast<Duration>(m_route->objective * FirstByteObjectives);
     const Duration firstByte = std::max(LeastFirstByteWait, objectives);
     return m_route->kind == RequestKind::Stream ? std::max(firstByte, StreamSilence) : firstByte;
 }
@@ -305,8 +304,7 @@
         m_front.removeWaiting(*this);
     }
     const EndpointState *state = m_runtime.directory.find(endpoint);
-    checkInvariant(m_runtime.directory.mayUse(endpoint), "sent_to_usable_endpoint",
-                   endpoint.str());
+    checkInvariant(m_runtime.directory.mayUse(endpoint), "sent_to_usable_endpoint", endpoint.str());
     const Duration left = timeLeft();
     if (left <= Duration::zero()) {
         onDeadline();
@@ -607,8 +605,8 @@
               {"adapter", m_request.adapter},
               {"endpoint", m_endpoint.str()},
               {"tries", std::to_string(m_attempts)},
-              {"wait_ms", m_attempts > 0 ? milliText(m_firstSentAt - m_arrival)
-                                         : milliText(now - m_arrival)},
+              {"wait_ms",
+               m_attempts > 0 ? milliText(m_firstSentAt - m_arrival) : milliText(now - m_arrival)},
               {"first_ms", m_firstEventAt ? milliText(*m_firstEventAt - m_arrival) : "none"},
               {"total_ms", milliText(now - m_arrival)},
               {"config", m_routes ? std::to_string(m_routes->configuration()->version) : "0"},
--- a/lib/Fleet/FleetDaemon.cpp
+++ b/lib/Fleet/FleetDaemon.cpp
@@ -68,10 +68,10 @@
             m_placement.onEndpoints();
             m_front.poke();
         });
-        m_link.setHandler([this](const InstanceId &from, std::uint64_t incarnation,
-                                 const PeerMessage &message) {
-            onMessage(from, incarnation, message);
-        });
+        m_link.setHandler(
+            [this](const InstanceId &from, std::uint64_t incarnation, const PeerMessage &message) {
+                onMessage(from, incarnation, message);
+            });
         m_placement.setUpdateHandler([this](const PlacementUpdate &update) {
             m_placementAt = m_runtime.clock.now();
             m_front.onPlacement(update);
@@ -112,8 +112,7 @@
 
     void stop(std::function<void()> stopped)
     {
-        logEvent(LogLevel::Info, "stopping",
-                 {{"open", std::to_string(m_front.openRequests())}});
+        logEvent(LogLevel::Info, "stopping", {{"open", std::to_string(m_front.openRequests())}});
         m_stopped = std::move(stopped);
         m_runtime.stopping = true;
         m_placement.release();
@@ -159,7 +158,7 @@
             m_runtime.quota.onReport(from, incarnation, *usage);
         } else if (const auto *totals = std::get_if<UsageTotals>(&message)) {
             if (from == m_link.owner()) {
-                m_runtime.quota.onTotals(*totals);
+                m_runtime.quota.onTotals(from, incarnation, *totals);
             }
         }
     }
@@ -294,8 +293,8 @@
 
 FleetDaemon::FleetDaemon(boost::asio::io_context &io, FleetOptions options, const FleetWire &wire,
                          std::unique_ptr<ObjectStore> store, std::unique_ptr<Metrics> metrics)
-    : m_parts(std::make_unique<Parts>(io, std::move(options), wire, std::move(store),
-                                      std::move(metrics)))
+    : m_parts(
+        std::make_unique<Parts>(io, std::move(options), wire, std::move(store), std::move(metrics)))
 { }
 
 FleetDaemon::~FleetDaemon() = default;
--- a/lib/Fleet/FleetLink.cpp
+++ b/lib/Fleet/FleetLink.cpp
@@ -86,6 +86,7 @@
 {
     const auto &members = m_state.members();
     std::vector<TopologyMember> all;
+    all.reserve(members.size());
     for (const auto &[id, member] : members) {
         all.push_back({id, member.zone});
     }
--- a/lib/Fleet/FleetState.cpp
+++ b/lib/Fleet/FleetState.cpp
@@ -124,10 +124,10 @@
 {
     const auto add = [this](const std::string &prefix, WatchTimes times,
                             void (FleetState::*handler)(const WatchEvent &)) {
-        m_prefixes.push_back(std::make_unique<Prefix>(
-            m_runtime, prefix, times, [this, handler](const WatchEvent &event) {
-                (this->*handler)(event);
-            }));
+        m_prefixes.push_back(std::make_unique<Prefix>(m_runtime, prefix, times,
+                                                      [this, handler](const WatchEvent &event) {
+                                                          (this->*handler)(event);
+                                                      }));
     };
     add(runtime.wire.configurationPrefix(), ConfigurationTimes, &FleetState::onConfiguration);
     add(runtime.wire.endpointPrefix(), EndpointTimes, &FleetState::onEndpoint);
--- a/lib/Fleet/PlacementDriver.cpp
+++ b/lib/Fleet/PlacementDriver.cpp
@@ -344,8 +344,7 @@
     std::vector<EndpointId> held;
     for (auto &[id, engine] : m_planner.engines()) {
         const Contact &contact = m_contacts[id];
-        if (!engine.busy
-            && (contact.calling || now < contact.orderAt || !m_lease.mayOrder(id))) {
+        if (!engine.busy && (contact.calling || now < contact.orderAt || !m_lease.mayOrder(id))) {
             engine.busy = true;
             held.push_back(id);
         }
@@ -499,8 +498,8 @@
         engine.dropping = std::make_pair(order.model, order.adapter);
         contact.changed = true;
     }
-    EndpointCall call = m_runtime.wire.encodeOrder(
-        state->listed, order, m_runtime.options.instance, m_lease.term(), contact.orders);
+    EndpointCall call = m_runtime.wire.encodeOrder(state->listed, order, m_runtime.options.instance,
+                                                   m_lease.term(), contact.orders);
     call.id = RequestId("order-" + std::to_string(++m_callCounter));
     call.timeout = CallTimeout;
     call.connectTimeout = CallTimeout;
@@ -516,18 +515,18 @@
               {"rate", std::to_string(asked.rate)},
               {"seq", std::to_string(contact.orders)},
               {"term", std::to_string(m_lease.term())}});
-    m_runtime.metrics->add("marigoldspool_orders_total", 1,
-                           {{"op", order.isLoad ? "load" : "unload"}, {"source", sourceName(order)}});
-    m_runtime.endpoints->call(
-        std::move(call),
-        std::make_shared<CollectingHandler>(
-            [this, order](Expected<std::pair<int, std::string>> it) {
-                if (it) {
-                    onOrderAnswer(order, it->first);
-                } else {
-                    onOrderAnswer(order, tl::make_unexpected(it.error()));
-                }
-            }));
+    m_runtime.metrics->add(
+        "marigoldspool_orders_total", 1,
+        {{"op", order.isLoad ? "load" : "unload"}, {"source", sourceName(order)}});
+    m_runtime.endpoints->call(std::move(call),
+                              std::make_shared<CollectingHandler>(
+                                  [this, order](Expected<std::pair<int, std::string>> it) {
+                                      if (it) {
+                                          onOrderAnswer(order, it->first);
+                                      } else {
+                                          onOrderAnswer(order, tl::make_unexpected(it.error()));
+                                      }
+                                  }));
 }
 
 void PlacementDriver::onOrderAnswer(const PlacementOrder &order, Expected<int> status)
@@ -662,8 +661,8 @@
         }
     }
     update.loading = m_planner.forecast(m_demand);
-    const bool hasNews = full || !update.endpoints.empty() || !update.loading.empty()
-        || m_lastForecasts > 0;
+    const bool hasNews =
+        full || !update.endpoints.empty() || !update.loading.empty() || m_lastForecasts > 0;
     m_lastForecasts = update.loading.size();
     if (!hasNews) {
         return;
--- a/lib/Gateway/EndpointConnection.cpp
+++ b/lib/Gateway/EndpointConnection.cpp
@@ -275,8 +275,7 @@
 
 bool EndpointConnection::isOtherAnswer(const std::vector<HeaderField> &headers) const
 {
-    const std::string *echoed =
-        m_echoField.empty() ? nullptr : findHeader(headers, m_echoField);
+    const std::string *echoed = m_echoField.empty() ? nullptr : findHeader(headers, m_echoField);
     return echoed != nullptr && *echoed != m_id.str();
 }
 
--- a/lib/Peer/Messages.cpp
+++ b/lib/Peer/Messages.cpp
@@ -16,11 +16,10 @@
 
 // The numbers of the kinds on the wire are their places in the variant: append only.
 constexpr std::array<std::string_view, std::variant_size_v<PeerMessage>> KindNames{
-    "heartbeat",    "config_request",  "config_transfer", "loan_request",
-    "loan_grant",   "epoch_ack",       "forward_request", "forward_head",
-    "forward_data", "forward_refusal", "forward_cancel",  "demand_report",
-    "placement",    "objects_request", "objects",         "usage_report",
-    "usage_totals"};
+    "heartbeat",      "config_request",  "config_transfer", "loan_request",    "loan_grant",
+    "epoch_ack",      "forward_request", "forward_head",    "forward_data",    "forward_refusal",
+    "forward_cancel", "demand_report",   "placement",       "objects_request", "objects",
+    "usage_report",   "usage_totals"};
 
 // The fields of each message, named once for both directions: V is the Encoder or the Decoder, M
 // the message, const when encoding. Heartbeats have one-letter names because an instance exchanges
--- a/lib/Serving/EndpointDirectory.cpp
+++ b/lib/Serving/EndpointDirectory.cpp
@@ -250,8 +250,8 @@
         if (absent != state.absentUntil.end() && now < absent->second) {
             continue;
         }
-        const bool isSound = now >= state.avoidUntil
-            && decayed(state.failures, state.failedAt, now) < SoundFailures;
+        const bool isSound =
+            now >= state.avoidUntil && decayed(state.failures, state.failedAt, now) < SoundFailures;
         if (query.onlySound && !isSound) {
             continue;
         }
@@ -368,8 +368,8 @@
     }
     state.failures = before + FailureWeight * (1 - before);
     if (result == EndpointResult::Unreachable) {
-        const Duration pause = state.failures > SoundFailures * 3 ? LongestAvoidance
-                                                                  : FirstAvoidance;
+        const Duration pause =
+            state.failures > SoundFailures * 3 ? LongestAvoidance : FirstAvoidance;
         state.avoidUntil = now + pause;
     }
 }
--- a/lib/Serving/OwnerLease.cpp
+++ b/lib/Serving/OwnerLease.cpp
@@ -112,8 +112,8 @@
             m_orderedBefore = m_current->recentlyOrdered;
             m_orderedBeforeUntil = m_seenAt + m_times.turnGap + m_times.margin;
         } else if (wasOther) {
-            m_orderFrom = std::max(
-                m_sentAt, m_seenAt + m_times.valid + m_times.turnGap + m_times.margin);
+            m_orderFrom =
+                std::max(m_sentAt, m_seenAt + m_times.valid + m_times.turnGap + m_times.margin);
         }
     }
     m_current = record;
--- a/lib/Serving/PlacementPlanner.cpp
+++ b/lib/Serving/PlacementPlanner.cpp
@@ -179,9 +179,10 @@
     return cost;
 }
 
-std::optional<PlacementPlanner::Victims>
-PlacementPlanner::makeRoom(const EngineState &engine, double needMb, const DemandBook &demand,
-                           double most) const
+std::optional<PlacementPlanner::Victims> PlacementPlanner::makeRoom(const EngineState &engine,
+                                                                    double needMb,
+                                                                    const DemandBook &demand,
+                                                                    double most) const
 {
     double free = freeMb(engine);
     std::vector<std::pair<double, ModelName>> candidates;
@@ -212,8 +213,8 @@
     orders.push_back(std::move(order));
 }
 
-bool PlacementPlanner::place(const PoolName &pool, const ModelName &model,
-                             const DemandBook &demand, double mostCost, std::string_view cause,
+bool PlacementPlanner::place(const PoolName &pool, const ModelName &model, const DemandBook &demand,
+                             double mostCost, std::string_view cause,
                              std::vector<PlacementOrder> &orders)
 {
     const HostedModel *wanted = hosted(pool, model);
@@ -321,8 +322,7 @@
     }
 }
 
-void PlacementPlanner::placeAdapters(const DemandBook &demand,
-                                     std::vector<PlacementOrder> &orders)
+void PlacementPlanner::placeAdapters(const DemandBook &demand, std::vector<PlacementOrder> &orders)
 {
     for (const auto &[key, asked] : demand.all()) {
         if (asked.waiting == 0 || key.adapter.empty()) {
@@ -409,8 +409,8 @@
             if (storeLoads() * PrefetchShare >= m_storeLoadsAtOnce) {
                 return;
             }
-            const bool isAtHand =
-                std::any_of(m_engines.begin(), m_engines.end(), [&, &wanted = name](const auto &it) {
+            const bool isAtHand = std::any_of(
+                m_engines.begin(), m_engines.end(), [&, &wanted = name](const auto &it) {
                     const EngineState &engine = it.second;
                     return engine.usable
                         && (engine.models.count(wanted) > 0 || engine.onDisk.count(wanted) > 0
@@ -437,6 +437,29 @@
     return orders;
 }
 
+// An engine that has the model at hand finishes the load that it is doing and makes room first.
+std::optional<Duration> PlacementPlanner::forecastFromDisk(const PoolName &pool,
+                                                           const ModelName &model) const
+{
+    std::optional<Duration> best;
+    const SteadyTime now = m_clock.now();
+    for (const auto &[id, engine] : m_engines) {
+        const LoadSource source = sourceOf(engine, model);
+        if (!engine.usable || engine.pool != pool || source == LoadSource::Store) {
+            continue;
+        }
+        const auto unload = std::chrono::duration_cast<Duration>(duration<double>(UnloadCost));
+        Duration time = loadTime(pool, model, source) + unload;
+        if (engine.loading) {
+            time += std::max(engine.loadedAt - now, Duration::zero());
+        } else if (engine.intent) {
+            time += unload + loadTime(pool, *engine.intent, sourceOf(engine, *engine.intent));
+        }
+        best = best ? std::min(*best, time) : time;
+    }
+    return best;
+}
+
 std::vector<LoadForecast> PlacementPlanner::forecast(const DemandBook &demand) const
 {
     std::vector<LoadForecast> result;
@@ -451,7 +474,8 @@
             coming.emplace(engine.pool, *engine.intent);
             const Duration load =
                 loadTime(engine.pool, *engine.intent, sourceOf(engine, *engine.intent));
-            result.push_back({*engine.intent, {},
+            result.push_back({*engine.intent,
+                              {},
                               toMilliseconds(load) + static_cast<std::int64_t>(UnloadCost * 1000)});
         }
     }
@@ -466,11 +490,15 @@
         if (model == nullptr) {
             continue;
         }
+        if (const auto fromDisk = forecastFromDisk(key.pool, key.model)) {
+            result.push_back({key.model, {}, toMilliseconds(*fromDisk)});
+            continue;
+        }
         ++ahead;
-        const double rounds =
-            1 + static_cast<double>(ahead) / std::max(1, m_storeLoadsAtOnce);
+        const double rounds = 1 + static_cast<double>(ahead) / std::max(1, m_storeLoadsAtOnce);
         result.push_back(
-            {key.model, {},
+            {key.model,
+             {},
              toMilliseconds(std::chrono::duration_cast<Duration>(model->storeLoad * rounds))});
     }
     return result;
--- a/lib/Serving/RetryBudget.cpp
+++ b/lib/Serving/RetryBudget.cpp
@@ -17,7 +17,8 @@
 
 std::int64_t RetryBudget::currentIndex() const
 {
-    return m_clock.now().time_since_epoch() / (m_bound.window / Slices);
+    const Duration slice = m_bound.window / static_cast<Duration::rep>(Slices);
+    return m_clock.now().time_since_epoch() / slice;
 }
 
 RetryBudget::Slice &RetryBudget::slice(Window &window)
@@ -48,8 +49,8 @@
             repeats += it.repeats;
         }
     }
-    const double allowed = UsedPart
-        * (m_bound.ratio * requests + m_bound.slack / static_cast<double>(m_instances));
+    const double allowed =
+        UsedPart * (m_bound.ratio * requests + m_bound.slack / static_cast<double>(m_instances));
     if (repeats + 1 > allowed) {
         return false;
     }
--- a/lib/Serving/WorkspaceQuota.cpp
+++ b/lib/Serving/WorkspaceQuota.cpp
@@ -1,6 +1,7 @@
 #include "marigoldspool/Serving/WorkspaceQuota.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace marigoldspool {
 
@@ -8,18 +9,19 @@
 
 using std::chrono::milliseconds;
 
-// Amounts within one slice are kept as one, so a window has a bounded number of them.
-constexpr Duration SliceLength = milliseconds(250);
-// Reports come four times a second; an instance that has missed several is counted with its share.
-constexpr Duration HeardWithin = milliseconds(1200);
-// What others use is looked up again after this time.
+// Reports come four times a second; an instance that has missed three is left out.
+constexpr Duration HeardWithin = milliseconds(900);
 constexpr Duration LookInterval = milliseconds(100);
-// With more than this part of the bound left, what all instances could admit before they hear of
-// each other stays within the tolerance of the bound, so the room need not be divided.
-constexpr double AmpleRoom = 0.25;
-// The least part of an even share that an instance with little demand keeps.
+// Of each burst, the part that is used: the rest covers what instances admit before they hear of
+// each other, and groups that are cut off at the same time.
+constexpr double BurstPart = 0.6;
+// Above this part of the burst an instance may use twice its part by demand.
+constexpr double AmpleLevel = 0.5;
+// The least part of an even share that an instance with little demand may use.
 constexpr double LeastPart = 0.3;
-constexpr Duration DemandWindow = std::chrono::seconds(2);
+// A bucket is never further in debt than what this long fills.
+constexpr double MostDebtSeconds = 0.5;
+constexpr double DemandHalfLifeSeconds = 1;
 constexpr Duration ShortestRetry = milliseconds(300);
 constexpr Duration LongestRetry = milliseconds(4000);
 
@@ -30,141 +32,147 @@
 
 } // namespace
 
-void WorkspaceQuota::Window::add(double amount, SteadyTime now)
+WorkspaceQuota::WorkspaceQuota(const Clock &clock)
+    : m_clock(clock)
+{ }
+
+void WorkspaceQuota::setConfiguration(ServingConfigurationPtr configuration)
 {
-    if (m_slices.empty() || now - m_slices.back().first >= SliceLength) {
-        m_slices.emplace_back(now, 0);
+    const SteadyTime now = m_clock.now();
+    fillAll(now);
+    std::map<WorkspaceName, Part> parts;
+    for (const ServedWorkspace &workspace : configuration->workspaces) {
+        if (workspace.rate <= 0) {
+            continue;
+        }
+        const auto it = m_parts.find(workspace.name);
+        Part part = it == m_parts.end() ? Part() : it->second;
+        if (it == m_parts.end()) {
+            part.filledAt = now;
+        }
+        part.rate = workspace.rate;
+        part.burst = workspace.burst;
+        // A lower limit counts at once.
+        part.allowance = 0;
+        part.lookedAt = SteadyTime();
+        parts.emplace(workspace.name, part);
     }
-    m_slices.back().second += amount;
-    m_sum += amount;
+    m_parts = std::move(parts);
 }
 
-double WorkspaceQuota::Window::sum(SteadyTime now, Duration window)
+void WorkspaceQuota::setInstances(std::size_t count)
 {
-    // A slice counts until its last amount has left the window.
-    while (!m_slices.empty() && m_slices.front().first + SliceLength + window <= now) {
-        m_sum -= m_slices.front().second;
-        m_slices.pop_front();
-    }
-    return m_slices.empty() ? m_sum = 0 : m_sum;
+    fillAll(m_clock.now());
+    m_instances = std::max<std::size_t>(count, 1);
 }
 
-WorkspaceQuota::WorkspaceQuota(const Clock &clock, QuotaBound bound)
-    : m_clock(clock)
-    , m_bound(bound)
-    , m_startedAt(clock.now())
-{ }
+bool WorkspaceQuota::hearsTotals(SteadyTime now) const
+{
+    return m_totalsMembers > 0 && now - m_totalsAt < HeardWithin;
+}
 
-void WorkspaceQuota::setConfiguration(ServingConfigurationPtr configuration)
+// The part of the fleet that this instance does not hear from.
+double WorkspaceQuota::silentPart(SteadyTime now) const
 {
-    m_limits.clear();
-    for (const ServedWorkspace &workspace : configuration->workspaces) {
-        if (workspace.rate > 0) {
-            m_limits[workspace.name] = {workspace.rate, workspace.burst};
+    std::size_t heard = 1;
+    if (hearsTotals(now)) {
+        heard = m_totalsMembers;
+    } else {
+        for (const auto &[id, peer] : m_peers) {
+            heard += now - peer.heardAt < HeardWithin ? 1 : 0;
         }
     }
-    m_rooms.clear();
+    const std::size_t silent = m_instances > heard ? m_instances - heard : 0;
+    return static_cast<double>(silent) / static_cast<double>(m_instances);
 }
 
-double WorkspaceQuota::bound(const Limit &limit) const
+void WorkspaceQuota::fill(Part &part, SteadyTime now)
 {
-    return limit.rate * secondsOf(m_bound.window) + limit.burst;
+    const double heardPart = 1 - silentPart(now);
+    const double most = BurstPart * part.burst * heardPart;
+    part.level =
+        std::min(most, part.level + part.rate * heardPart * secondsOf(now - part.filledAt));
+    part.level = std::max(part.level, -MostDebtSeconds * part.rate);
+    part.filledAt = now;
 }
 
-// Before its start this instance may have used its even share; that leaves the window with time.
-// Without this, instances that restart again and again would get their shares anew each time.
-double WorkspaceQuota::startCharge(const Limit &limit, SteadyTime now) const
+void WorkspaceQuota::fillAll(SteadyTime now)
 {
-    const double left = 1 - secondsOf(now - m_startedAt) / secondsOf(m_bound.window);
-    return std::max(left, 0.0) * bound(limit) / static_cast<double>(m_instances);
+    for (auto &[name, part] : m_parts) {
+        fill(part, now);
+    }
 }
 
-bool WorkspaceQuota::isHeard(const Peer &peer, SteadyTime now) const
+void WorkspaceQuota::follow(DemandRate &demand, double counter, SteadyTime now)
 {
-    return now - peer.heardAt < HeardWithin;
+    const double span = secondsOf(now - demand.at);
+    const double rate = span > 0 ? std::max(0.0, counter - demand.counter) / span : 0;
+    const double kept = std::exp2(-span / DemandHalfLifeSeconds);
+    demand.rate = kept * demand.rate + (1 - kept) * rate;
+    demand.counter = counter;
+    demand.at = now;
 }
 
-void WorkspaceQuota::look(const WorkspaceName &workspace, const Limit &limit, Room &room,
-                          SteadyTime now)
+void WorkspaceQuota::look(Part &part, SteadyTime now)
 {
-    Usage &own = m_own[workspace];
-    const double whole = bound(limit);
-    const double evenShare = whole / static_cast<double>(m_instances);
-    const double ownUsed = own.used.sum(now, m_bound.window);
-    const double ownAsked = own.asked.sum(now, DemandWindow);
-    double others = 0;
-    double othersAsked = 0;
-    double unheard = 0;
-    std::size_t heard = 0;
-    if (m_totalsMembers > 0 && now - m_totalsAt < HeardWithin) {
-        heard = m_totalsMembers - 1;
-        others = std::max(0.0, m_totals[workspace].used - ownUsed);
-        othersAsked = std::max(0.0, m_totals[workspace].asked - ownAsked);
-    } else {
-        for (auto &[id, peer] : m_peers) {
-            Usage &usage = peer.usage[workspace];
-            if (!isHeard(peer, now)) {
-                unheard += usage.used.sum(now, m_bound.window);
-                continue;
-            }
-            ++heard;
-            others += usage.used.sum(now, m_bound.window);
-            othersAsked += usage.asked.sum(now, DemandWindow);
-        }
-    }
-    const std::size_t silent = m_instances > heard + 1 ? m_instances - heard - 1 : 0;
-    // What an instance used before it fell silent or left still lies in the window.
-    others += std::max(unheard, static_cast<double>(silent) * evenShare);
-    const double left = whole - others - ownUsed - startCharge(limit, now);
-    room.at = now;
-    room.divided = heard > 0 && left < AmpleRoom * whole;
-    room.left = left;
-    if (room.divided && left > 0) {
-        const double asked = ownAsked + othersAsked;
-        const double even = 1.0 / static_cast<double>(heard + 1);
-        const double part = asked > 0 ? ownAsked / asked : even;
-        room.left = left * std::max(part, LeastPart * even);
+    fill(part, now);
+    follow(part.ownDemand, part.own.asked, now);
+    follow(part.othersDemand, part.othersAsked, now);
+    const double heardPart = 1 - silentPart(now);
+    const double even = 1 / std::max(1.0, heardPart * static_cast<double>(m_instances));
+    const double all = part.ownDemand.rate + part.othersDemand.rate;
+    double share = all > 0 ? part.ownDemand.rate / all : even;
+    share = std::max(share, LeastPart * even);
+    if (part.level > AmpleLevel * BurstPart * part.burst * heardPart) {
+        share *= 2;
     }
+    const double debt = std::min(part.allowance, 0.0);
+    part.allowance = part.level > 0 ? part.level * std::min(share, 1.0) + debt : 0;
+    part.lookedAt = now;
 }
 
 std::optional<Duration> WorkspaceQuota::take(const WorkspaceName &workspace, double cost)
 {
-    const auto limit = m_limits.find(workspace);
-    if (limit == m_limits.end()) {
+    const auto it = m_parts.find(workspace);
+    if (it == m_parts.end()) {
         return std::nullopt;
     }
+    Part &part = it->second;
     const SteadyTime now = m_clock.now();
-    Usage &own = m_own[workspace];
-    own.askedCounter += cost;
-    own.asked.add(cost, now);
-    Room &room = m_rooms[workspace];
-    if (now - room.at >= LookInterval) {
-        const double debt = room.divided ? std::min(room.left, 0.0) : 0;
-        look(workspace, limit->second, room, now);
-        if (room.divided) {
-            room.left += debt;
-        }
+    part.own.asked += cost;
+    if (now - part.lookedAt >= LookInterval) {
+        look(part, now);
     }
-    // A request may pass the room that is left by its own size, or large ones would never pass.
-    if (room.left > 0) {
-        room.left -= cost;
-        own.usedCounter += cost;
-        own.used.add(cost, now);
+    // A request may pass what is left by its own size, or large ones would never be admitted.
+    if (part.allowance > 0) {
+        part.allowance -= cost;
+        part.level -= cost;
+        part.own.used += cost;
         return std::nullopt;
     }
     // The more is asked beyond the rate, the longer the callers have to spread.
-    const double asked = own.asked.sum(now, DemandWindow) / secondsOf(DemandWindow);
-    const double share = limit->second.rate / static_cast<double>(m_instances);
+    const double asked = part.ownDemand.rate + part.othersDemand.rate;
     const auto wait = std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(share > 0 ? asked / share : 0) / 2);
+        std::chrono::duration<double>(part.rate > 0 ? asked / part.rate / 2 : 0));
     return std::clamp<Duration>(wait, ShortestRetry, LongestRetry);
 }
 
+void WorkspaceQuota::takeOut(const WorkspaceName &workspace, double used, double asked,
+                             SteadyTime now)
+{
+    const auto it = m_parts.find(workspace);
+    if (it != m_parts.end()) {
+        fill(it->second, now);
+        it->second.level -= std::max(used, 0.0);
+        it->second.othersAsked += std::max(asked, 0.0);
+    }
+}
+
 UsageReport WorkspaceQuota::report() const
 {
     UsageReport report;
-    for (const auto &[workspace, usage] : m_own) {
-        report.workspaces.push_back({workspace, usage.usedCounter, usage.askedCounter});
+    for (const auto &[workspace, part] : m_parts) {
+        report.workspaces.push_back({workspace, part.own.used, part.own.asked});
     }
     return report;
 }
@@ -173,57 +181,78 @@
                               const UsageReport &report)
 {
     const SteadyTime now = m_clock.now();
+    const bool isNew = m_peers.count(from) == 0;
     Peer &peer = m_peers[from];
     if (peer.incarnation != incarnation) {
-        // Counters begin anew; what the run before used still counts in its window.
         peer.incarnation = incarnation;
-        for (auto &[workspace, usage] : peer.usage) {
-            usage.usedCounter = 0;
-            usage.askedCounter = 0;
-        }
+        peer.counters.clear();
     }
+    // While it was silent its even part was left out of the bucket, so only more than that counts.
+    const double silentSeconds =
+        isNew ? 0 : std::max(0.0, secondsOf(now - peer.heardAt - HeardWithin));
+    fillAll(now);
     peer.heardAt = now;
     for (const WorkspaceUsage &item : report.workspaces) {
-        Usage &usage = peer.usage[item.workspace];
-        usage.used.add(std::max(0.0, item.used - usage.usedCounter), now);
-        usage.asked.add(std::max(0.0, item.asked - usage.askedCounter), now);
-        usage.usedCounter = item.used;
-        usage.askedCounter = item.asked;
+        const auto part = m_parts.find(item.workspace);
+        Counter &counter = peer.counters[item.workspace];
+        double used = item.used - counter.used;
+        if (part != m_parts.end()) {
+            used -= silentSeconds * part->second.rate / static_cast<double>(m_instances);
+        }
+        // What it admitted before this instance knew it is not this instance's to count.
+        if (!isNew) {
+            takeOut(item.workspace, used, item.asked - counter.asked, now);
+        }
+        counter = {item.used, item.asked};
     }
 }
 
-UsageTotals WorkspaceQuota::totals()
+UsageTotals WorkspaceQuota::totals() const
 {
     const SteadyTime now = m_clock.now();
     UsageTotals totals;
     totals.members = 1;
-    std::map<WorkspaceName, Total> sums;
-    for (auto &[workspace, usage] : m_own) {
-        sums[workspace].used += usage.used.sum(now, m_bound.window);
-        sums[workspace].asked += usage.asked.sum(now, DemandWindow);
+    for (const auto &[id, peer] : m_peers) {
+        totals.members += now - peer.heardAt < HeardWithin ? 1 : 0;
     }
-    for (auto &[id, peer] : m_peers) {
-        totals.members += isHeard(peer, now) ? 1 : 0;
-        for (auto &[workspace, usage] : peer.usage) {
-            if (isHeard(peer, now)) {
-                sums[workspace].used += usage.used.sum(now, m_bound.window);
-                sums[workspace].asked += usage.asked.sum(now, DemandWindow);
+    for (const auto &[workspace, part] : m_parts) {
+        WorkspaceUsage sum{workspace, part.own.used, part.own.asked};
+        for (const auto &[id, peer] : m_peers) {
+            const auto counter = peer.counters.find(workspace);
+            if (counter != peer.counters.end()) {
+                sum.used += counter->second.used;
+                sum.asked += counter->second.asked;
             }
         }
-    }
-    for (const auto &[workspace, sum] : sums) {
-        totals.workspaces.push_back({workspace, sum.used, sum.asked});
+        totals.workspaces.push_back(sum);
     }
     return totals;
 }
 
-void WorkspaceQuota::onTotals(const UsageTotals &totals)
+void WorkspaceQuota::onTotals(const InstanceId &from, std::uint64_t incarnation,
+                              const UsageTotals &totals)
 {
-    m_totalsAt = m_clock.now();
+    const SteadyTime now = m_clock.now();
+    const bool isSame = from == m_totalsFrom && incarnation == m_totalsIncarnation;
+    fillAll(now);
+    m_totalsFrom = from;
+    m_totalsIncarnation = incarnation;
+    m_totalsAt = now;
     m_totalsMembers = static_cast<std::size_t>(totals.members);
-    m_totals.clear();
     for (const WorkspaceUsage &item : totals.workspaces) {
-        m_totals[item.workspace] = {item.used, item.asked};
+        const auto part = m_parts.find(item.workspace);
+        if (part == m_parts.end()) {
+            continue;
+        }
+        const Counter own = part->second.own;
+        Counter &before = m_totals[item.workspace];
+        Counter &ownBefore = m_ownAtTotals[item.workspace];
+        if (isSame) {
+            takeOut(item.workspace, item.used - before.used - (own.used - ownBefore.used),
+                    item.asked - before.asked - (own.asked - ownBefore.asked), now);
+        }
+        before = {item.used, item.asked};
+        ownBefore = own;
     }
 }
 
--- a/lib/Support/EventLog.cpp
+++ b/lib/Support/EventLog.cpp
@@ -46,9 +46,9 @@
         }
     }
 
-    void send(google::LogSeverity /*severity*/, const char * /*fullName*/, const char * /*baseName*/,
-              int /*line*/, const google::LogMessageTime & /*time*/, const char *message,
-              std::size_t length) override
+    void send(google::LogSeverity /*severity*/, const char * /*fullName*/,
+              const char * /*baseName*/, int /*line*/, const google::LogMessageTime & /*time*/,
+              const char *message, std::size_t length) override
     {
         m_line.assign(message, std::min(length, MostLineBytes));
         m_line.push_back('\n');
@@ -81,15 +81,15 @@
             m_lines = 0;
         }
         // Errors may use a reserve, so that they are seen when requests fill the log.
-        const int most = level == LogLevel::Info ? MostLinesPerSecond
-                                                 : MostLinesPerSecond + ReservedLines;
+        const int most =
+            level == LogLevel::Info ? MostLinesPerSecond : MostLinesPerSecond + ReservedLines;
         if (m_lines >= most) {
             ++m_dropped;
             return;
         }
         ++m_lines;
-        std::string line = "time_ms=" + std::to_string(wallMilliseconds()) + " level="
-            + levelName(level) + ' ' + formatEvent(event, fields);
+        std::string line = "time_ms=" + std::to_string(wallMilliseconds())
+            + " level=" + levelName(level) + ' ' + formatEvent(event, fields);
         m_dropped += m_sink.takeLost();
         if (m_dropped > 0) {
             line += " lines_dropped=" + std::to_string(m_dropped);
--- /dev/null
+++ b/tests/PlatformAdapter/NodeSettingsTest.cpp
@@ -0,0 +1,64 @@
+#include "NodeSettings.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace marigoldspool;
+using nlohmann::json;
+
+namespace {
+
+json validSettings()
+{
+    return json::parse(R"({
+        "node": "front-1", "zone": "z1", "ip": "10.1.0.5",
+        "listen": {"front": "10.1.0.5:8221", "ready": "10.1.0.5:8224"},
+        "portRange": [7600, 7615],
+        "bounds": {"leaseMs": 3000, "retryRatio": 0.2, "retryWindowS": 10, "retrySlack": 52,
+                   "graceS": 8, "quotaWindowS": 8},
+        "provider": {"addr": "10.200.1.7:8225"},
+        "somethingNew": {"x": 1}
+    })");
+}
+
+} // namespace
+
+TEST_CASE("the settings are read, and a field that is not known is ignored")
+{
+    const Expected<FleetOptions> options = readNodeSettings(validSettings().dump());
+    REQUIRE(options);
+    CHECK(options->instance == InstanceId("front-1"));
+    CHECK(options->zone == ZoneName("z1"));
+    CHECK(options->callerAddress == "10.1.0.5:8221");
+    CHECK(options->readyAddress == "10.1.0.5:8224");
+    CHECK(options->peerAddress == "10.1.0.5:7600");
+    CHECK(options->metricsAddress == "10.1.0.5:7601");
+    CHECK(options->storeAddress == "10.200.1.7:8225");
+    CHECK(options->lease.turnGap == std::chrono::seconds(3));
+    CHECK(options->retries.slack == 52);
+    CHECK(options->grace == std::chrono::seconds(8));
+}
+
+TEST_CASE("a field that is missing or has a wrong type is named")
+{
+    const auto problemAfter = [](const char *pointer, const json &value) {
+        json settings = validSettings();
+        settings[json::json_pointer(pointer)] = value;
+        const Expected<FleetOptions> options = readNodeSettings(settings.dump());
+        return options ? std::string() : options.error().message;
+    };
+    CHECK(problemAfter("/node", 5).find("/node") != std::string::npos);
+    CHECK(problemAfter("/listen/front", "nowhere").find("/listen/front") != std::string::npos);
+    CHECK(problemAfter("/provider", json::array()).find("/provider/addr") != std::string::npos);
+    CHECK(problemAfter("/bounds/leaseMs", "x").find("/bounds/leaseMs") != std::string::npos);
+    CHECK(problemAfter("/portRange", json::array()).find("/portRange/0") != std::string::npos);
+}
+
+TEST_CASE("a file that is no JSON object, or is not there, ends the start with a message")
+{
+    CHECK_FALSE(readNodeSettings("[1]"));
+    CHECK_FALSE(readNodeSettings("{\"node\": "));
+    const Expected<FleetOptions> missing = readNodeFile("/nonexistent/boot.json");
+    REQUIRE_FALSE(missing);
+    CHECK(missing.error().message.find("/nonexistent/boot.json") != std::string::npos);
+}
--- /dev/null
+++ b/tests/Serving/DemandBookTest.cpp
@@ -0,0 +1,74 @@
+#include "marigoldspool/Serving/DemandBook.h"
+
+#include <doctest/doctest.h>
+
+using namespace marigoldspool;
+using namespace std::chrono_literals;
+
+namespace {
+
+DemandReport reportOf(DemandTracker &tracker)
+{
+    DemandReport report;
+    for (auto &[key, item] : tracker.recent()) {
+        report.models.push_back(item);
+    }
+    return report;
+}
+
+} // namespace
+
+TEST_CASE("the tracked rate follows the demand and forgets it when it moves on")
+{
+    ManualClock clock;
+    DemandTracker tracker(clock);
+    const DemandKey key{PoolName("p"), ModelName("m"), {}};
+    for (int i = 0; i < 200; ++i) {
+        tracker.onArrival(key);
+        clock.advance(100ms);
+    }
+    CHECK(tracker.recent().at(key).rate == doctest::Approx(10).epsilon(0.1));
+    clock.advance(60s);
+    CHECK(tracker.recent().empty());
+}
+
+// A new owner that knew no demand dropped the busiest model of a bench day within 300 ms.
+TEST_CASE("one report of each instance is enough to know the whole demand")
+{
+    ManualClock clock;
+    DemandTracker first(clock);
+    DemandTracker second(clock);
+    const DemandKey key{PoolName("p"), ModelName("m"), {}};
+    for (int i = 0; i < 100; ++i) {
+        first.onArrival(key);
+        second.onArrival(key);
+        second.onArrival(key);
+        clock.advance(200ms);
+    }
+    DemandBook book(clock);
+    book.onReport(InstanceId("i1"), reportOf(first));
+    book.onReport(InstanceId("i2"), reportOf(second));
+    CHECK(book.of(key).rate == doctest::Approx(15).epsilon(0.1));
+    // Reports replace each other and do not add up.
+    book.onReport(InstanceId("i2"), reportOf(second));
+    CHECK(book.of(key).rate == doctest::Approx(15).epsilon(0.1));
+}
+
+TEST_CASE("the waiting requests of an instance that falls silent are forgotten")
+{
+    ManualClock clock;
+    DemandBook book(clock);
+    ReportedDemand item;
+    item.pool = "p";
+    item.model = ModelName("m");
+    item.waiting = 3;
+    item.oldestMs = 400;
+    item.priority = 1;
+    book.onReport(InstanceId("i1"), {{item}});
+    const DemandKey key{PoolName("p"), ModelName("m"), {}};
+    CHECK(book.of(key).waiting == 3);
+    CHECK(clock.now() - book.of(key).oldest == 400ms);
+    clock.advance(4s);
+    book.onTick();
+    CHECK(book.of(key).waiting == 0);
+}
--- /dev/null
+++ b/tests/Serving/EndpointDirectoryTest.cpp
@@ -0,0 +1,213 @@
+#include "marigoldspool/Serving/EndpointDirectory.h"
+
+#include <doctest/doctest.h>
+
+using namespace marigoldspool;
+using namespace std::chrono_literals;
+
+namespace {
+
+class DirectoryFixture
+{
+public:
+    DirectoryFixture()
+        : directory(ZoneName("z1"), clock)
+    {
+        auto made = std::make_shared<ServingConfiguration>();
+        EndpointPool engines;
+        engines.name = PoolName("engines");
+        engines.coldPerSecond = 18;
+        engines.coldTime = 3s;
+        engines.engine.emplace();
+        made->pools[engines.name] = engines;
+        EndpointPool services;
+        services.name = PoolName("services");
+        made->pools[services.name] = services;
+        configuration = made;
+        directory.setConfiguration(configuration);
+    }
+
+    ListedEndpoint engine(const std::string &id, const std::string &zone = "z1") const
+    {
+        ListedEndpoint endpoint;
+        endpoint.id = EndpointId(id);
+        endpoint.pool = PoolName("engines");
+        endpoint.zone = ZoneName(zone);
+        endpoint.address = "127.0.0.1:1";
+        endpoint.slots = 8;
+        endpoint.startedAtMs = 1;
+        endpoint.models = {{ModelName("m"), {"a1"}}};
+        return endpoint;
+    }
+
+    EndpointQuery query(const std::string &model, const std::string &adapter = {}) const
+    {
+        EndpointQuery query;
+        query.pool = configuration->pool(PoolName("engines"));
+        query.model = ModelName(model);
+        query.adapter = adapter;
+        return query;
+    }
+
+    EndpointChoice choose(const std::string &model, const std::string &adapter = {})
+    {
+        return directory.choose(query(model, adapter));
+    }
+
+    ManualClock clock;
+    ServingConfigurationPtr configuration;
+    EndpointDirectory directory;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(DirectoryFixture, "only an endpoint that holds model and adapter is chosen")
+{
+    directory.apply(engine("e1"));
+    CHECK(choose("m").kind == ChoiceKind::Send);
+    CHECK(choose("m", "a1").kind == ChoiceKind::Send);
+    CHECK(choose("m", "a2").kind == ChoiceKind::NotHeld);
+    CHECK(choose("other").kind == ChoiceKind::NotHeld);
+}
+
+TEST_CASE_FIXTURE(DirectoryFixture, "the placement owner's word replaces the endpoint's older one")
+{
+    directory.apply(engine("e1"));
+    directory.setPlaced(EndpointId("e1"), HeldModels{{ModelName("n"), {}}});
+    CHECK(choose("m").kind == ChoiceKind::NotHeld);
+    CHECK(choose("n").kind == ChoiceKind::Send);
+    directory.forgetPlaced();
+    CHECK(choose("m").kind == ChoiceKind::Send);
+}
+
+TEST_CASE_FIXTURE(DirectoryFixture, "leaving endpoints and evacuated zones get nothing")
+{
+    ListedEndpoint leaving = engine("e1");
+    leaving.leaving = true;
+    directory.apply(leaving);
+    CHECK(choose("m").kind == ChoiceKind::NoEndpoint);
+    directory.apply(engine("e2", "z2"));
+    CHECK(choose("m").kind == ChoiceKind::Send);
+    directory.setEvacuated(ZoneName("z2"), true);
+    CHECK(choose("m").kind == ChoiceKind::NoEndpoint);
+    CHECK_FALSE(directory.mayUse(EndpointId("e2")));
+    directory.setEvacuated(ZoneName("z2"), false);
+    CHECK(directory.mayUse(EndpointId("e2")));
+}
+
+TEST_CASE_FIXTURE(DirectoryFixture, "an entry that is removed in normal operation counts at once")
+{
+    directory.apply(engine("e1"));
+    directory.remove(EndpointId("e1"), Duration::zero());
+    CHECK(choose("m").kind == ChoiceKind::NoEndpoint);
+    directory.onTick();
+    CHECK(directory.find(EndpointId("e1")) == nullptr);
+}
+
+TEST_CASE_FIXTURE(DirectoryFixture,
+                  "an entry that lapsed in an outage of the store stays for its grace only")
+{
+    directory.apply(engine("e1"));
+    directory.remove(EndpointId("e1"), 2s);
+    clock.advance(1s);
+    directory.onTick();
+    CHECK(choose("m").kind == ChoiceKind::Send);
+    clock.advance(1s);
+    directory.onTick();
+    CHECK(choose("m").kind == ChoiceKind::NoEndpoint);
+}
+
+TEST_CASE_FIXTURE(DirectoryFixture, "a listed entry ends the grace of a lapsed one")
+{
+    directory.apply(engine("e1"));
+    directory.remove(EndpointId("e1"), 2s);
+    directory.apply(engine("e1"));
+    clock.advance(5s);
+    directory.onTick();
+    CHECK(choose("m").kind == ChoiceKind::Send);
+}
+
+// A bench day broke the bound of cold endpoints when each instance paced itself by the whole bound.
+TEST_CASE_FIXTURE(DirectoryFixture, "the pace of a cold endpoint is divided over the instances")
+{
+    constexpr int Instances = 6;
+    directory.setInstances(Instances);
+    ListedEndpoint cold = engine("e1");
+    cold.coldLeft = 10s;
+    cold.slots = 1000;
+    directory.apply(cold);
+    int sent = 0;
+    for (int i = 0; i < 1000; ++i) {
+        if (choose("m").kind == ChoiceKind::Send) {
+            directory.onSent(EndpointId("e1"));
+            ++sent;
+        }
+        clock.advance(1ms);
+    }
+    CHECK(sent >= 2);
+    CHECK(sent * Instances <= 18 * 1.5 + 5);
+}
+
+TEST_CASE_FIXTURE(DirectoryFixture,
+                  "a zone that is taken back may be cold before its entries say so")
+{
+    directory.setInstances(6);
+    directory.apply(engine("e1"));
+    directory.setEvacuated(ZoneName("z1"), true);
+    directory.setEvacuated(ZoneName("z1"), false);
+    CHECK(choose("m").kind == ChoiceKind::Send);
+    directory.onSent(EndpointId("e1"));
+    CHECK(choose("m").kind == ChoiceKind::Busy);
+}
+
+TEST_CASE_FIXTURE(DirectoryFixture, "an endpoint that fails is used only where there is no other")
+{
+    directory.apply(engine("e1"));
+    directory.apply(engine("e2", "z2"));
+    for (int i = 0; i < 3; ++i) {
+        directory.onSent(EndpointId("e1"));
+        directory.onResult(EndpointId("e1"), EndpointResult::Unreachable, ModelName("m"));
+    }
+    CHECK(choose("m").endpoint == EndpointId("e2"));
+    directory.remove(EndpointId("e2"), Duration::zero());
+    CHECK(choose("m").endpoint == EndpointId("e1"));
+}
+
+TEST_CASE_FIXTURE(DirectoryFixture, "an engine that lacks a model is asked for others meanwhile")
+{
+    ListedEndpoint both = engine("e1");
+    both.models[ModelName("n")] = {};
+    directory.apply(both);
+    directory.onSent(EndpointId("e1"));
+    directory.onResult(EndpointId("e1"), EndpointResult::RefusedAbsent, ModelName("m"));
+    CHECK(choose("m").kind == ChoiceKind::NotHeld);
+    CHECK(choose("n").kind == ChoiceKind::Send);
+    clock.advance(1s);
+    CHECK(choose("m").kind == ChoiceKind::Send);
+}
+
+TEST_CASE_FIXTURE(DirectoryFixture, "a restarted endpoint holds nothing of what was known of it")
+{
+    directory.apply(engine("e1"));
+    directory.setPlaced(EndpointId("e1"), HeldModels{{ModelName("n"), {}}});
+    ListedEndpoint again = engine("e1");
+    again.startedAtMs = 2;
+    again.models.clear();
+    directory.apply(again);
+    CHECK(choose("n").kind == ChoiceKind::NotHeld);
+    CHECK(choose("m").kind == ChoiceKind::NotHeld);
+}
+
+TEST_CASE_FIXTURE(DirectoryFixture, "load spreads over the endpoints that hold the model")
+{
+    directory.apply(engine("e1"));
+    directory.apply(engine("e2"));
+    int first = 0;
+    for (int i = 0; i < 10; ++i) {
+        const EndpointChoice choice = choose("m");
+        REQUIRE(choice.kind == ChoiceKind::Send);
+        first += choice.endpoint == EndpointId("e1") ? 1 : 0;
+        directory.onSent(choice.endpoint);
+    }
+    CHECK(first == 5);
+}
--- /dev/null
+++ b/tests/Serving/OwnerLeaseTest.cpp
@@ -0,0 +1,144 @@
+#include "marigoldspool/Serving/OwnerLease.h"
+
+#include <doctest/doctest.h>
+
+using namespace marigoldspool;
+using namespace std::chrono_literals;
+
+namespace {
+
+const EndpointId Engine("engine");
+
+// A store with one object, which two instances read and write.
+class LeaseFixture
+{
+public:
+    LeaseFixture()
+        : a(InstanceId("a"), clock, times)
+        , b(InstanceId("b"), clock, times)
+    { }
+
+    void step(OwnerLease &lease)
+    {
+        switch (lease.nextStep()) {
+        case LeaseStep::Nothing:
+            return;
+        case LeaseStep::Read:
+            lease.onRead(stored);
+            return;
+        case LeaseStep::Write: {
+            LeaseRecord record = lease.nextRecord();
+            if (record.version != stored.version) {
+                lease.onConflict();
+                return;
+            }
+            record.version = ++version;
+            stored = record;
+            lease.onWritten(record);
+            return;
+        }
+        }
+    }
+
+    void run(Duration time, bool withA, bool withB)
+    {
+        for (Duration passed{}; passed < time; passed += 50ms) {
+            if (withA) {
+                step(a);
+            }
+            if (withB) {
+                step(b);
+            }
+            CHECK_FALSE((a.mayOrder() && b.mayOrder()));
+            if (a.mayOrder(Engine)) {
+                lastOrderOfA = clock.now();
+            }
+            if (b.mayOrder(Engine) && !firstOrderOfB) {
+                firstOrderOfB = clock.now();
+            }
+            clock.advance(50ms);
+        }
+    }
+
+    ManualClock clock;
+    LeaseTimes times;
+    LeaseRecord stored;
+    std::uint64_t version = 0;
+    OwnerLease a;
+    OwnerLease b;
+    SteadyTime lastOrderOfA;
+    std::optional<SteadyTime> firstOrderOfB;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(LeaseFixture, "the first instance that writes holds the lease and may order")
+{
+    run(2s, true, true);
+    CHECK(a.mayOrder());
+    CHECK_FALSE(b.mayOrder());
+    CHECK(b.holder() == InstanceId("a"));
+    CHECK(a.term() == 1);
+}
+
+TEST_CASE_FIXTURE(LeaseFixture, "a holder that falls silent is replaced, with the turn gap between")
+{
+    run(2s, true, true);
+    run(12s, false, true);
+    CHECK_FALSE(a.mayOrder());
+    CHECK(b.mayOrder());
+    CHECK(b.term() == 2);
+    REQUIRE(firstOrderOfB);
+    // The holder before may have ordered until its last renewal ended.
+    CHECK(*firstOrderOfB - lastOrderOfA >= times.turnGap);
+}
+
+TEST_CASE_FIXTURE(LeaseFixture, "a holder that was suspended does not order when it wakes up")
+{
+    run(2s, true, false);
+    CHECK(a.mayOrder());
+    clock.advance(times.valid);
+    CHECK_FALSE(a.mayOrder());
+}
+
+TEST_CASE_FIXTURE(LeaseFixture, "a lost answer to a renewal does not end the lease")
+{
+    run(2s, true, true);
+    // The write takes effect, but its answer is lost.
+    while (a.nextStep() != LeaseStep::Write) {
+        clock.advance(50ms);
+    }
+    LeaseRecord record = a.nextRecord();
+    record.version = ++version;
+    stored = record;
+    a.onFailure();
+    run(2s, true, true);
+    CHECK(a.mayOrder());
+    CHECK_FALSE(b.mayOrder());
+}
+
+TEST_CASE_FIXTURE(LeaseFixture, "after a release only the engines ordered last must wait")
+{
+    run(2s, true, true);
+    a.onOrder(Engine);
+    a.release();
+    run(1500ms, true, true);
+    CHECK(a.isReleased());
+    CHECK(b.mayOrder());
+    CHECK(b.mayOrder(EndpointId("untouched")));
+    CHECK_FALSE(b.mayOrder(Engine));
+    run(4s, true, true);
+    CHECK(b.mayOrder(Engine));
+}
+
+TEST_CASE_FIXTURE(LeaseFixture, "a restarted holder goes on without waiting for itself")
+{
+    run(2s, true, true);
+    OwnerLease again(InstanceId("a"), clock, times);
+    for (int i = 0; i < 20; ++i) {
+        step(again);
+        clock.advance(50ms);
+    }
+    CHECK(again.mayOrder());
+    CHECK(again.term() == 2);
+}
--- /dev/null
+++ b/tests/Serving/PlacementPlannerTest.cpp
@@ -0,0 +1,232 @@
+#include "marigoldspool/Serving/PlacementPlanner.h"
+
+#include <algorithm>
+
+#include <doctest/doctest.h>
+
+using namespace marigoldspool;
+using namespace std::chrono_literals;
+
+namespace {
+
+const PoolName Pool("engines");
+
+// Three models fit beside the adapters, as on the users' engines.
+class PlannerFixture
+{
+public:
+    PlannerFixture()
+        : planner(clock, 4)
+        , demand(clock)
+    {
+        auto made = std::make_shared<ServingConfiguration>();
+        EndpointPool pool;
+        pool.name = Pool;
+        EngineProfile profile;
+        profile.slots = 48;
+        profile.weightsMb = 230'000;
+        profile.adapterPlaces = 8;
+        for (int i = 0; i < 12; ++i) {
+            HostedModel model;
+            model.name = ModelName("m" + std::to_string(i));
+            model.weightsMb = 72'700;
+            model.adapterMb = 66;
+            model.adapters = 10;
+            model.storeLoad = 6s;
+            model.memoryLoad = 600ms;
+            model.diskLoad = 1300ms;
+            profile.models.emplace(model.name, model);
+        }
+        pool.engine = profile;
+        made->pools[Pool] = pool;
+        planner.setConfiguration(made);
+    }
+
+    EngineState &addEngine(const std::string &id, const std::vector<int> &models,
+                           const std::string &zone = "z1")
+    {
+        EngineState &engine = planner.engines()[EndpointId(id)];
+        engine.id = EndpointId(id);
+        engine.pool = Pool;
+        engine.zone = ZoneName(zone);
+        engine.known = true;
+        for (const int model : models) {
+            engine.models[ModelName("m" + std::to_string(model))] = {};
+            engine.onDisk.insert(ModelName("m" + std::to_string(model)));
+        }
+        return engine;
+    }
+
+    ReportedDemand item(int model, double rate, std::uint64_t waiting,
+                        const std::string &adapter = {}) const
+    {
+        ReportedDemand item;
+        item.pool = Pool.str();
+        item.model = ModelName("m" + std::to_string(model));
+        item.adapter = adapter;
+        item.rate = rate;
+        item.waiting = waiting;
+        item.oldestMs = 10;
+        return item;
+    }
+
+    // Orders that prefetching gives are left out: they are tested on their own.
+    std::vector<PlacementOrder> planWaiting(const std::vector<ReportedDemand> &items)
+    {
+        demand.onReport(InstanceId("i"), {items});
+        std::vector<PlacementOrder> orders = planner.plan(demand);
+        orders.erase(std::remove_if(orders.begin(), orders.end(),
+                                    [](const PlacementOrder &order) {
+                                        return order.cause == "ahead";
+                                    }),
+                     orders.end());
+        return orders;
+    }
+
+    ManualClock clock;
+    PlacementPlanner planner;
+    DemandBook demand;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(PlannerFixture, "a model that is waited for is loaded where there is room")
+{
+    addEngine("full", {0, 1, 2});
+    addEngine("room", {3, 4});
+    const auto orders = planWaiting({item(7, 0, 1)});
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].endpoint == EndpointId("room"));
+    CHECK(orders[0].isLoad);
+    CHECK(orders[0].model == ModelName("m7"));
+}
+
+// The memory that an engine has must hold also while adapters fill all their places.
+TEST_CASE_FIXTURE(PlannerFixture, "no load is ordered beyond the memory of an engine")
+{
+    EngineState &engine = addEngine("full", {0, 1, 2});
+    engine.onDisk.insert(ModelName("m7"));
+    const auto orders = planWaiting({item(7, 0, 1)});
+    REQUIRE(orders.size() == 1);
+    CHECK_FALSE(orders[0].isLoad);
+    CHECK(engine.intent == ModelName("m7"));
+}
+
+// An unload that failed was once counted as room, and the engine was ordered beyond its memory.
+TEST_CASE_FIXTURE(PlannerFixture, "an unload that is not accepted yet makes no room")
+{
+    EngineState &engine = addEngine("full", {0, 1, 2});
+    engine.onDisk.insert(ModelName("m7"));
+    engine.dropping = std::make_pair(ModelName("m0"), std::string());
+    engine.busy = true;
+    CHECK(planWaiting({item(7, 0, 1)}).empty());
+    CHECK(planner.freeMb(engine) < 72'700);
+    CHECK_FALSE(PlacementPlanner::offers(engine, ModelName("m0")));
+}
+
+TEST_CASE_FIXTURE(PlannerFixture, "an engine that has the model on its disk is preferred")
+{
+    addEngine("a", {0, 1, 2});
+    addEngine("b", {3, 4, 5}).onDisk.insert(ModelName("m7"));
+    addEngine("c", {6, 8});
+    const auto orders = planWaiting({item(7, 0, 1)});
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].endpoint == EndpointId("b"));
+}
+
+TEST_CASE_FIXTURE(PlannerFixture, "what is asked for most, or waited for, is not dropped")
+{
+    EngineState &engine = addEngine("e", {0, 1, 2});
+    engine.onDisk.insert(ModelName("m7"));
+    const auto orders = planWaiting({item(7, 0, 1), item(0, 8, 0), item(1, 0, 2)});
+    REQUIRE(orders.size() == 1);
+    CHECK_FALSE(orders[0].isLoad);
+    CHECK(orders[0].model == ModelName("m2"));
+}
+
+TEST_CASE_FIXTURE(PlannerFixture, "rare models asked for at once share the store's places")
+{
+    for (int i = 0; i < 6; ++i) {
+        addEngine("e" + std::to_string(i), {});
+    }
+    std::vector<ReportedDemand> items;
+    for (int model = 0; model < 8; ++model) {
+        items.push_back(item(model, 0, 1));
+    }
+    const auto orders = planWaiting(items);
+    CHECK(orders.size() == 4);
+    // The others are told that they come after those.
+    demand.onReport(InstanceId("i"), {items});
+    for (const LoadForecast &forecast : planner.forecast(demand)) {
+        const bool isLoading =
+            std::any_of(orders.begin(), orders.end(), [&](const PlacementOrder &order) {
+                return order.model == forecast.model;
+            });
+        CHECK((isLoading || forecast.readyInMs > 6000));
+    }
+}
+
+TEST_CASE_FIXTURE(PlannerFixture,
+                  "the forecast of a model on a disk does not count the store's queue")
+{
+    EngineState &engine = addEngine("e", {0, 1, 2});
+    engine.onDisk.insert(ModelName("m7"));
+    engine.loading = ModelName("m5");
+    engine.loadedAt = clock.now() + 1s;
+    demand.onReport(InstanceId("i"), {{item(7, 0, 1)}});
+    for (const LoadForecast &forecast : planner.forecast(demand)) {
+        if (forecast.model == ModelName("m7")) {
+            CHECK(forecast.readyInMs >= 2300);
+            CHECK(forecast.readyInMs <= 4000);
+        }
+    }
+}
+
+TEST_CASE_FIXTURE(PlannerFixture, "a busy model gets a second copy in another zone")
+{
+    addEngine("a", {0, 1});
+    addEngine("b", {3, 4});
+    addEngine("c", {5, 6}, "z2");
+    const auto orders = planWaiting({item(0, 5, 0)});
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].endpoint == EndpointId("c"));
+    CHECK(orders[0].model == ModelName("m0"));
+}
+
+TEST_CASE_FIXTURE(PlannerFixture,
+                  "an adapter goes beside its model, and a full engine drops one first")
+{
+    EngineState &engine = addEngine("a", {0, 1});
+    auto orders = planWaiting({item(0, 0, 1, "a9")});
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].isLoad);
+    CHECK(orders[0].adapter == "a9");
+    engine.busy = false;
+    for (int i = 0; i < 8; ++i) {
+        engine.models[ModelName("m0")].insert("a" + std::to_string(i));
+    }
+    orders = planWaiting({item(0, 0, 1, "a9")});
+    REQUIRE(orders.size() == 1);
+    CHECK_FALSE(orders[0].isLoad);
+    CHECK_FALSE(orders[0].adapter.empty());
+}
+
+TEST_CASE_FIXTURE(PlannerFixture, "an engine that is leaving, unknown or busy gets no order")
+{
+    addEngine("leaving", {}).usable = false;
+    addEngine("unknown", {}).known = false;
+    addEngine("busy", {}).busy = true;
+    CHECK(planWaiting({item(7, 0, 1)}).empty());
+}
+
+TEST_CASE_FIXTURE(PlannerFixture, "an idle store is used for models that are nowhere at hand")
+{
+    addEngine("a", {0, 1});
+    addEngine("b", {2, 3});
+    const auto orders = planner.plan(demand);
+    REQUIRE_FALSE(orders.empty());
+    CHECK(orders.size() <= 2);
+    for (const PlacementOrder &order : orders) {
+        CHECK(order.cause == "ahead");
+    }
+}
--- /dev/null
+++ b/tests/Serving/SmallDecisionsTest.cpp
@@ -0,0 +1,122 @@
+#include "marigoldspool/Serving/EventStream.h"
+#include "marigoldspool/Serving/ObjectMirror.h"
+#include "marigoldspool/Serving/RetryBudget.h"
+#include "marigoldspool/Serving/WaitPolicy.h"
+
+#include <doctest/doctest.h>
+
+using namespace marigoldspool;
+using namespace std::chrono_literals;
+
+TEST_CASE("an event stream is passed on in whole events, whatever the pieces")
+{
+    const std::string text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c";
+    for (std::size_t size = 1; size <= text.size(); ++size) {
+        EventStream stream;
+        std::string passed;
+        for (std::size_t at = 0; at < text.size(); at += size) {
+            passed += stream.feed(std::string_view(text).substr(at, size));
+        }
+        CHECK(passed == "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n");
+        CHECK(stream.lastId() == "2");
+        CHECK(stream.hasPartialEvent());
+        stream.dropPartialEvent();
+        CHECK_FALSE(stream.hasPartialEvent());
+    }
+}
+
+TEST_CASE("repeats stay within this instance's part of the bound in every window")
+{
+    ManualClock clock;
+    constexpr std::size_t Instances = 6;
+    const RetryBound bound{0.2, 52, 10s};
+    RetryBudget budget(bound, clock);
+    budget.setInstances(Instances);
+    const PoolName pool("p");
+    int repeats = 0;
+    constexpr int Requests = 300;
+    for (int i = 0; i < Requests; ++i) {
+        budget.onRequest(pool);
+        for (int k = 0; k < 3; ++k) {
+            repeats += budget.tryRepeat(pool) ? 1 : 0;
+        }
+        clock.advance(33ms);
+    }
+    CHECK(repeats <= bound.ratio * Requests + bound.slack / Instances);
+    CHECK(repeats >= 0.5 * bound.ratio * Requests);
+    // Another pool has a budget of its own.
+    CHECK(budget.tryRepeat(PoolName("q")));
+}
+
+TEST_CASE("a request waits for a model only if the caller will still be there")
+{
+    WaitQuery query;
+    query.kind = ChoiceKind::NotHeld;
+    query.ownerReachable = true;
+    query.patienceLeft = 12s;
+    query.forecast = 2s;
+    CHECK(decideWait(query).wait);
+    query.patienceLeft = 2s;
+    const WaitDecision refused = decideWait(query);
+    CHECK_FALSE(refused.wait);
+    CHECK(refused.reason == RefusalReason::DeadlineTooShort);
+    CHECK(refused.retryAfter >= 2s);
+}
+
+TEST_CASE("without an owner in reach a request with little time is refused at once")
+{
+    WaitQuery query;
+    query.kind = ChoiceKind::NotHeld;
+    query.patienceLeft = 1900ms;
+    CHECK_FALSE(decideWait(query).wait);
+    query.patienceLeft = 10s;
+    CHECK(decideWait(query).wait);
+    query.waited = 3s;
+    CHECK_FALSE(decideWait(query).wait);
+}
+
+TEST_CASE("a request for a pool without endpoints is refused at once and told to come back")
+{
+    WaitQuery query;
+    query.kind = ChoiceKind::NoEndpoint;
+    query.patienceLeft = 10s;
+    const WaitDecision refused = decideWait(query);
+    CHECK_FALSE(refused.wait);
+    CHECK(refused.retryAfter > 0s);
+}
+
+TEST_CASE("an object that a peer relays never replaces a newer version of the store")
+{
+    std::vector<WatchEvent> seen;
+    ObjectMirror mirror("config/", [&seen](const WatchEvent &event) {
+        seen.push_back(event);
+    });
+    mirror.apply({"config/main", 7, false, "seven"});
+    mirror.confirm(9);
+    ObjectsTransfer older{"config/", 8, {"config/main"}, {{"config/main", 6, "six"}}};
+    CHECK_FALSE(mirror.applyTransfer(older));
+    ObjectsTransfer newer{"config/", 12, {"config/main"}, {{"config/main", 11, "eleven"}}};
+    CHECK(mirror.applyTransfer(newer));
+    // The store's watch comes later with what the peer has told already.
+    mirror.apply({"config/main", 11, false, "eleven"});
+    mirror.apply({"config/main", 10, false, "ten"});
+    REQUIRE(seen.size() == 2);
+    CHECK(seen.back().value == "eleven");
+}
+
+TEST_CASE(
+    "an object that is gone at the peer is gone here, and does not come back with an old list")
+{
+    int removals = 0;
+    ObjectMirror mirror("servers/", [&removals](const WatchEvent &event) {
+        removals += event.deleted ? 1 : 0;
+    });
+    mirror.apply({"servers/a", 3, false, "{}"});
+    mirror.apply({"servers/b", 4, false, "{}"});
+    mirror.confirm(4);
+    CHECK(mirror.applyTransfer({"servers/", 9, {"servers/b"}, {}}));
+    CHECK(removals == 1);
+    mirror.apply({"servers/a", 3, false, "{}"});
+    CHECK(mirror.transferSince(0).keys == std::vector<std::string>{"servers/b"});
+    CHECK(mirror.transferSince(4).objects.empty());
+}
