--- a/include/marigoldspool/Peer/Messages.h
+++ b/include/marigoldspool/Peer/Messages.h
@@ -202,6 +202,8 @@
 struct KnownRevision {
     std::string prefix;
     std::uint64_t revision = 0;
+    /// The last change under the prefix; the store's revision also grows without one.
+    std::uint64_t changed = 0;
     std::int64_t ageMs = 0;
 };
 
--- a/include/marigoldspool/Serving/EndpointDirectory.h
+++ b/include/marigoldspool/Serving/EndpointDirectory.h
@@ -45,6 +45,7 @@
     std::map<ModelName, SteadyTime> absentUntil;
     /// Time from sending to the first byte of the answer, in seconds; recent ones weigh more.
     double firstByteSeconds = 0;
+    SteadyTime firstByteAt;
     /// Set when its entry has gone while the store was away; it may come back until then.
     std::optional<SteadyTime> removeAt;
 };
@@ -119,7 +120,7 @@
     double score(const EndpointState &state, const EndpointQuery &query, SteadyTime now) const;
     int slotCap(const EndpointState &state) const;
     void becomeCold(EndpointState &state, Duration left);
-    double poolFirstByte(const PoolName &pool) const;
+    double poolFirstByte(const PoolName &pool, SteadyTime now) const;
 
     ZoneName m_ownZone;
     const Clock &m_clock;
--- a/include/marigoldspool/Serving/ObjectMirror.h
+++ b/include/marigoldspool/Serving/ObjectMirror.h
@@ -31,6 +31,8 @@
 
     const std::string &prefix() const { return m_prefix; }
     std::uint64_t revision() const { return m_revision; }
+    /// Version of the last change.
+    std::uint64_t lastChange() const { return m_lastChange; }
     bool isKnown() const { return m_revision > 0; }
 
 private:
@@ -44,6 +46,7 @@
     ChangeHandler m_onChange;
     std::map<std::string, Entry> m_objects;
     std::uint64_t m_revision = 0;
+    std::uint64_t m_lastChange = 0;
 };
 
 } // namespace marigoldspool
--- a/include/marigoldspool/Serving/OwnerLease.h
+++ b/include/marigoldspool/Serving/OwnerLease.h
@@ -33,6 +33,9 @@
     Duration valid = std::chrono::milliseconds(3000);
     Duration renewEvery = std::chrono::milliseconds(900);
     Duration readEvery = std::chrono::milliseconds(1000);
+    /// How much later than others this instance takes a lease that nobody holds; weak machines
+    /// leave it to strong ones, since the owner talks to all instances.
+    Duration takeDelay = Duration::zero();
     /// For differences between clocks and for orders on their way.
     Duration margin = std::chrono::milliseconds(400);
 };
@@ -90,6 +93,7 @@
     std::optional<LeaseRecord> m_current;
     /// When the current record was first seen.
     SteadyTime m_seenAt;
+    SteadyTime m_startedAt;
     SteadyTime m_nextCall;
     /// When the call under way was sent; its answer counts from here.
     SteadyTime m_sentAt;
--- a/include/marigoldspool/Serving/PlacementPlanner.h
+++ b/include/marigoldspool/Serving/PlacementPlanner.h
@@ -72,6 +72,9 @@
 
     /// Orders to send now. Each names an engine that is not busy; the caller marks it so.
     std::vector<PlacementOrder> plan(const DemandBook &demand);
+    /// A load from the weight store has ended; \p atOnce ran on average beside and with it.
+    void onStoreLoaded(const PoolName &pool, const ModelName &model, Duration took, int atOnce);
+    int storeLoads() const;
     /// When models that are waited for will be there, as far as can be told.
     std::vector<LoadForecast> forecast(const DemandBook &demand) const;
 
@@ -89,7 +92,7 @@
     const EngineProfile *profile(const PoolName &pool) const;
     const HostedModel *hosted(const PoolName &pool, const ModelName &model) const;
     int copies(const PoolName &pool, const ModelName &model) const;
-    int storeLoads() const;
+    int coming(const PoolName &pool, const ModelName &model) const;
     bool isComing(const PoolName &pool, const ModelName &model) const;
     std::optional<Duration> forecastFromDisk(const PoolName &pool, const ModelName &model) const;
     double dropCost(const EngineState &engine, const ModelName &model,
@@ -102,12 +105,13 @@
     void continueIntents(const DemandBook &demand, std::vector<PlacementOrder> &orders);
     void placeWaiting(const DemandBook &demand, std::vector<PlacementOrder> &orders);
     void placeAdapters(const DemandBook &demand, std::vector<PlacementOrder> &orders);
-    void addCopies(const DemandBook &demand, std::vector<PlacementOrder> &orders);
+    void addCopies(const DemandBook &demand, bool onlyUrgent, std::vector<PlacementOrder> &orders);
     void prefetch(const DemandBook &demand, std::vector<PlacementOrder> &orders);
     void emit(EngineState &engine, PlacementOrder order, std::vector<PlacementOrder> &orders);
 
     const Clock &m_clock;
     int m_storeLoadsAtOnce;
+    double m_storeServes;
     ServingConfigurationPtr m_configuration;
     std::map<EndpointId, EngineState> m_engines;
 };
--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -237,14 +237,7 @@
     if (m_finished || m_attempt || !readConfiguration() || !admitQuota()) {
         return;
     }
-    EndpointQuery query;
-    query.pool = m_pool;
-    if (isEngineRequest()) {
-        query.model = m_request.model;
-        query.adapter = m_request.adapter;
-        query.session = session();
-    }
-    query.excluded = m_tried;
+    EndpointQuery query = endpointQuery();
     EndpointChoice choice = m_runtime.directory.choose(query);
     if (choice.kind != ChoiceKind::Send && !m_tried.empty()) {
         // An endpoint that refused before running may be asked again.
@@ -288,8 +281,8 @@
 
 Duration Exchange::silenceLimit() const
 {
-    if (!isRepeatable() || m_attempts >= m_route->attempts) {
-        return timeLeft();
+    if (m_answerStarted) {
+        return StreamSilence;
     }
     const auto objectives =
         std::chrono::duration_cast<Duration>(m_route->objective * FirstByteObjectives);
@@ -297,6 +290,39 @@
     return m_route->kind == RequestKind::Stream ? std::max(firstByte, StreamSilence) : firstByte;
 }
 
+// An endpoint that is only slow still brings the answer, so silence alone ends nothing: the request
+// is taken away only if another endpoint can have it at once.
+void Exchange::checkSilence()
+{
+    if (!m_attempt || !isRepeatable() || m_runs + 1 >= m_route->attempts
+        || m_runtime.clock.now() - m_lastByteAt < silenceLimit()
+        || (m_answerStarted && (!m_route->resumable || m_events.lastId().empty()))) {
+        return;
+    }
+    EndpointQuery query = endpointQuery();
+    query.onlySound = true;
+    if (m_runtime.directory.choose(query).kind != ChoiceKind::Send) {
+        return;
+    }
+    m_lastError = "silent";
+    m_runtime.endpoints->cancel(m_request.id);
+    onOutcome(m_answerStarted ? EndpointOutcome::CutOff : EndpointOutcome::MaybeSent,
+              EndpointResult::Failed);
+}
+
+EndpointQuery Exchange::endpointQuery() const
+{
+    EndpointQuery query;
+    query.pool = m_pool;
+    if (isEngineRequest()) {
+        query.model = m_request.model;
+        query.adapter = m_request.adapter;
+        query.session = session();
+    }
+    query.excluded = m_tried;
+    return query;
+}
+
 void Exchange::send(const EndpointId &endpoint)
 {
     if (m_waiting) {
@@ -322,7 +348,8 @@
     call.timeout = left + milliseconds(200);
     call.connectTimeout =
         std::min<Duration>(left, isEngineRequest() ? EngineConnectTimeout : ServiceConnectTimeout);
-    call.silenceLimit = silenceLimit();
+    // Silence is judged by checkSilence(); a dead connection is found by the kernel's probes.
+    call.silenceLimit = call.timeout;
     call.mayEndWithConnection = true;
 
     m_endpoint = endpoint;
@@ -333,6 +360,7 @@
         m_firstSentAt = m_sentAt;
     }
     m_firstByteSeen = false;
+    m_lastByteAt = m_sentAt;
     m_status = 0;
     m_answerHeaders.clear();
     m_answerBody.clear();
@@ -346,6 +374,7 @@
 void Exchange::onHead(int status, gsl::span<const HeaderField> headers)
 {
     m_status = status;
+    m_lastByteAt = m_runtime.clock.now();
     m_traits = m_runtime.wire.decodeAnswer(status, headers);
     m_answerHeaders.assign(headers.begin(), headers.end());
     const bool isSuccess = status >= 200 && status < 300;
@@ -359,6 +388,7 @@
 
 void Exchange::onData(std::string_view bytes)
 {
+    m_lastByteAt = m_runtime.clock.now();
     if (!m_streaming) {
         m_answerBody.append(bytes);
         return;
@@ -488,15 +518,10 @@
     }
     m_runtime.metrics->countRetry(RetryReason::ConnectFailed);
     // The stream must not pause for long, so only an endpoint that can take it now will do.
-    EndpointQuery query;
-    query.pool = m_pool;
-    query.model = m_request.model;
-    query.adapter = m_request.adapter;
-    query.excluded = m_tried;
     if (!readConfiguration()) {
         return true;
     }
-    const EndpointChoice choice = m_runtime.directory.choose(query);
+    const EndpointChoice choice = m_runtime.directory.choose(endpointQuery());
     if (choice.kind != ChoiceKind::Send) {
         return false;
     }
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -22,6 +22,9 @@
     int priority() const { return m_priority; }
     SteadyTime arrival() const { return m_arrival; }
     bool isWaiting() const { return m_waiting; }
+    /// Gives the request to another endpoint when the one that has it has been silent for too long,
+    /// may be left and there is another.
+    void checkSilence();
     /// What the placement owner should bring about; empty when nothing.
     std::optional<DemandKey> missing() const;
 
@@ -52,6 +55,7 @@
     bool isEngineRequest() const;
     std::string session() const;
     Duration silenceLimit() const;
+    EndpointQuery endpointQuery() const;
 
     ServingFront &m_front;
     FleetRuntime &m_runtime;
@@ -82,6 +86,7 @@
     SteadyTime m_sentAt;
     SteadyTime m_firstSentAt;
     bool m_firstByteSeen = false;
+    SteadyTime m_lastByteAt;
     int m_status = 0;
     AnswerTraits m_traits;
     std::vector<HeaderField> m_answerHeaders;
--- a/lib/Fleet/FleetDaemon.cpp
+++ b/lib/Fleet/FleetDaemon.cpp
@@ -17,13 +17,14 @@
 
 using std::chrono::milliseconds;
 
+constexpr Duration SilenceInterval = milliseconds(100);
 constexpr Duration TickInterval = milliseconds(25);
 // How often instances report. In a large fleet the owner hears all of them, and has a fraction of a
 // core.
 constexpr Duration SmallDemandInterval = milliseconds(700);
 constexpr Duration LargeDemandInterval = milliseconds(1500);
 constexpr Duration SmallUsageInterval = milliseconds(300);
-constexpr Duration LargeUsageInterval = milliseconds(400);
+constexpr Duration LargeUsageInterval = milliseconds(450);
 // What the owner said counts this long; it says all of it each second.
 constexpr Duration PlacementFreshness = milliseconds(2500);
 // The load balancer asks once a second and takes an instance out after two misses.
@@ -259,6 +260,10 @@
         reportDemand();
         reportUsage();
         m_front.onTick();
+        if (now >= m_silenceAt) {
+            m_silenceAt = now + SilenceInterval;
+            m_front.checkSilence();
+        }
         const bool ready = isReady();
         if (ready != m_wasReady) {
             m_wasReady = ready;
@@ -304,6 +309,7 @@
     PeriodicTimer m_stopTimer;
     std::function<void()> m_stopped;
     SteadyTime m_demandAt;
+    SteadyTime m_silenceAt;
     SteadyTime m_usageAt;
     SteadyTime m_placementAt;
     std::uint64_t m_placementTerm = 0;
--- a/lib/Fleet/FleetLink.cpp
+++ b/lib/Fleet/FleetLink.cpp
@@ -137,11 +137,13 @@
 void FleetLink::tellNews(SteadyTime now)
 {
     const std::vector<ObjectsTransfer> news = m_state.takeNews();
-    const bool isBeaconDue = now >= m_beaconAt;
-    if (news.empty() && !isBeaconDue) {
-        return;
-    }
     const RevisionBeacon beacon = m_state.beacon();
+    std::uint64_t changed = 0;
+    for (const KnownRevision &known : beacon.prefixes) {
+        changed = std::max(changed, known.changed);
+    }
+    const bool isBeaconDue = now >= m_beaconAt || changed > m_beaconChange;
+    m_beaconChange = changed;
     for (const InstanceId &peer : connectedPeers()) {
         for (const ObjectsTransfer &transfer : news) {
             if (m_state.tellsNewsTo(peer)) {
--- a/lib/Fleet/FleetLink.h
+++ b/lib/Fleet/FleetLink.h
@@ -46,6 +46,7 @@
     SteadyTime m_heartbeatAt;
     SteadyTime m_relayAt;
     SteadyTime m_beaconAt;
+    std::uint64_t m_beaconChange = 0;
 };
 
 } // namespace marigoldspool
--- a/lib/Fleet/FleetState.cpp
+++ b/lib/Fleet/FleetState.cpp
@@ -89,7 +89,8 @@
 
     void onTick(bool watchesForOthers)
     {
-        const bool follows = !watchesForOthers && m_runtime.clock.now() - m_relayedAt < freshTime();
+        const bool follows = !watchesForOthers && m_runtime.clock.now() - m_relayedAt < freshTime()
+            && mirror.lastChange() >= m_announced;
         if (follows != m_follows) {
             m_follows = follows;
             if (follows) {
@@ -104,19 +105,22 @@
     /// The store had confirmed \p revision at \p at, as a peer says.
     void onRelayed(std::uint64_t revision, SteadyTime at)
     {
-        if (revision <= mirror.revision()) {
-            noteOutage();
-            m_relayedAt = std::max(m_relayedAt, at);
-            m_confirmedAt = std::max(m_confirmedAt, at);
-        }
+        noteOutage();
+        mirror.confirm(revision);
+        m_relayedAt = std::max(m_relayedAt, at);
+        m_confirmedAt = std::max(m_confirmedAt, at);
     }
 
+    /// Peers know a change that is to be read from the store.
+    void fetch(std::uint64_t change) { m_announced = std::max(m_announced, change); }
+
     bool isOutdated() const { return age() > m_times.wait + m_times.interval + Overdue; }
 
     Duration age() const { return m_runtime.clock.now() - m_confirmedAt; }
 
     /// The last revision that was told to others.
     std::uint64_t toldRevision = 0;
+    std::uint64_t toldChange = 0;
 
     /// How long after now a removal may still be undone, because entries lapsed in an outage.
     Duration removalGrace() const
@@ -147,6 +151,7 @@
     SteadyTime m_relayedAt;
     SteadyTime m_graceUntil;
     bool m_follows = false;
+    std::uint64_t m_announced = 0;
 };
 
 FleetState::FleetState(FleetRuntime &runtime)
@@ -286,7 +291,7 @@
     for (const auto &prefix : m_prefixes) {
         if (prefix->mirror.isKnown()) {
             beacon.prefixes.push_back({prefix->mirror.prefix(), prefix->mirror.revision(),
-                                       toMilliseconds(prefix->age())});
+                                       prefix->mirror.lastChange(), toMilliseconds(prefix->age())});
         }
     }
     return beacon;
@@ -301,10 +306,12 @@
         if (prefix == nullptr) {
             continue;
         }
-        if (known.revision > prefix->mirror.revision()) {
-            requests.push_back({known.prefix, prefix->mirror.revision()});
-        } else {
+        if (known.changed <= prefix->mirror.lastChange()) {
             prefix->onRelayed(known.revision, now - std::chrono::milliseconds(known.ageMs));
+        } else if (known.prefix == m_runtime.wire.configurationPrefix()) {
+            prefix->fetch(known.changed);
+        } else {
+            requests.push_back({known.prefix, prefix->mirror.revision()});
         }
     }
     return requests;
@@ -314,10 +321,16 @@
 {
     std::vector<ObjectsTransfer> news;
     for (const auto &prefix : m_prefixes) {
-        if (prefix->mirror.revision() > prefix->toldRevision) {
+        if (prefix->mirror.lastChange() <= prefix->toldChange) {
+            continue;
+        }
+        // A configuration is large, and sent to all it would fill this machine's link; the others
+        // read it from the store when a beacon names it.
+        if (prefix->mirror.prefix() != m_runtime.wire.configurationPrefix()) {
             news.push_back(prefix->mirror.transferSince(prefix->toldRevision));
-            prefix->toldRevision = prefix->mirror.revision();
         }
+        prefix->toldRevision = prefix->mirror.revision();
+        prefix->toldChange = prefix->mirror.lastChange();
     }
     return news;
 }
--- a/lib/Fleet/PlacementDriver.cpp
+++ b/lib/Fleet/PlacementDriver.cpp
@@ -36,7 +36,7 @@
 constexpr Duration PublishInterval = milliseconds(1000);
 // Changes are gathered for this long: in a large fleet each of them goes to many instances.
 constexpr Duration SmallGather = milliseconds(20);
-constexpr Duration LargeGather = milliseconds(100);
+constexpr Duration LargeGather = milliseconds(150);
 // A load that has not come by this long after its time is looked at again.
 constexpr Duration LoadOverdue = milliseconds(4000);
 
@@ -466,6 +466,11 @@
                  {{"endpoint", id.str()},
                   {"model", engine.loading->str()},
                   {"after_forecast_ms", std::to_string(toMilliseconds(now - engine.loadedAt))}});
+        if (engine.source == LoadSource::Store) {
+            const int atOnce = (contact.loadsAtStart + m_planner.storeLoads() + 1) / 2;
+            m_planner.onStoreLoaded(engine.pool, *engine.loading,
+                                    now - contact.loadStartedAt - ReportLag, atOnce);
+        }
         engine.loading.reset();
         engine.busy = false;
         m_planDue = true;
@@ -607,6 +612,8 @@
         }
     } else if (order.isLoad) {
         engine.loadedAt = now + m_planner.loadTime(engine.pool, order.model, order.source);
+        contact.loadStartedAt = now;
+        contact.loadsAtStart = m_planner.storeLoads();
         contact.reportAt = engine.loadedAt;
     } else {
         engine.busy = false;
--- a/lib/Fleet/PlacementDriver.h
+++ b/lib/Fleet/PlacementDriver.h
@@ -51,6 +51,8 @@
         int conflicts = 0;
         int failures = 0;
         bool changed = false;
+        SteadyTime loadStartedAt;
+        int loadsAtStart = 0;
     };
     class ReportCall;
     class OrderCall;
--- a/lib/Fleet/ServingFront.cpp
+++ b/lib/Fleet/ServingFront.cpp
@@ -112,6 +112,14 @@
     });
 }
 
+void ServingFront::checkSilence()
+{
+    const std::vector<std::shared_ptr<Exchange>> open(m_open.begin(), m_open.end());
+    for (const auto &exchange : open) {
+        exchange->checkSilence();
+    }
+}
+
 void ServingFront::onTick()
 {
     if (m_poking) {
--- a/lib/Fleet/ServingFront.h
+++ b/lib/Fleet/ServingFront.h
@@ -25,6 +25,8 @@
 
     Expected<void> start();
     void onTick();
+    /// Looks for endpoints that have fallen silent; to be called a few times a second.
+    void checkSilence();
     /// Something changed that waiting requests may have waited for.
     void poke();
     void onPlacement(const PlacementUpdate &update);
--- a/lib/Peer/Messages.cpp
+++ b/lib/Peer/Messages.cpp
@@ -189,6 +189,7 @@
 {
     visit("p", m.prefix);
     visit("r", m.revision);
+    visit("c", m.changed);
     visit("a", m.ageMs);
 }
 
--- a/lib/Serving/EndpointDirectory.cpp
+++ b/lib/Serving/EndpointDirectory.cpp
@@ -29,7 +29,7 @@
 // Weight of the newest result in the part of failures, and how long that part halves in.
 constexpr double FailureWeight = 0.25;
 constexpr double FailureHalfLifeSeconds = 3;
-constexpr double FirstByteWeight = 0.2;
+constexpr double FirstByteWeight = 0.3;
 // Above this part of failures an endpoint is not sound.
 constexpr double SoundFailures = 0.15;
 
@@ -41,8 +41,10 @@
 constexpr double ColdTerm = 0.3;
 constexpr double SessionTerm = 0.12;
 // A first byte that takes this many times as long as elsewhere counts as a full endpoint.
-constexpr double SlowFactor = 4;
-constexpr double SlowFloorSeconds = 0.03;
+constexpr double SlowFactor = 3;
+constexpr double SlowFloorSeconds = 0.04;
+constexpr double MostSlowTerm = 1;
+constexpr Duration FirstByteMemory = seconds(3);
 
 // The bound of the platform is half above the endpoint's own figure; what this instance sends
 // stays below its part of the latter, since a pace is summed over all instances.
@@ -187,11 +189,12 @@
     return state.listed.slots + ServiceQueue;
 }
 
-double EndpointDirectory::poolFirstByte(const PoolName &pool) const
+double EndpointDirectory::poolFirstByte(const PoolName &pool, SteadyTime now) const
 {
     double best = 0;
     for (const auto &[id, state] : m_endpoints) {
         if (state.listed.pool == pool && state.firstByteSeconds > 0
+            && now - state.firstByteAt < FirstByteMemory
             && (best == 0 || state.firstByteSeconds < best)) {
             best = state.firstByteSeconds;
         }
@@ -214,10 +217,10 @@
     if (now < state.coldUntil) {
         result += ColdTerm;
     }
-    const double slowness =
-        state.firstByteSeconds / (SlowFactor * poolFirstByte(state.listed.pool));
-    if (slowness > 1) {
-        result += slowness;
+    // What was slow may have recovered, and only a request shows it.
+    if (now - state.firstByteAt < FirstByteMemory) {
+        const double usual = SlowFactor * poolFirstByte(state.listed.pool, now);
+        result += std::min(MostSlowTerm, std::max(0.0, state.firstByteSeconds / usual - 1));
     }
     if (!query.session.empty()) {
         // Every instance ranks the endpoints alike, so that a session's prompt is read once.
@@ -331,6 +334,7 @@
     double &mean = it->second.firstByteSeconds;
     const double sample = std::chrono::duration<double>(after).count();
     mean = mean == 0 ? sample : mean + FirstByteWeight * (sample - mean);
+    it->second.firstByteAt = m_clock.now();
 }
 
 void EndpointDirectory::onResult(const EndpointId &id, EndpointResult result,
--- a/lib/Serving/ObjectMirror.cpp
+++ b/lib/Serving/ObjectMirror.cpp
@@ -17,6 +17,7 @@
         return;
     }
     const bool wasThere = it != m_objects.end() && !it->second.deleted;
+    m_lastChange = std::max(m_lastChange, event.version);
     // A removed object stays known, so that an older version of it cannot come back.
     m_objects[event.key] = {event.version, event.value, event.deleted};
     if (!event.deleted || wasThere) {
--- a/lib/Serving/OwnerLease.cpp
+++ b/lib/Serving/OwnerLease.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr Duration FailurePause = std::chrono::milliseconds(400);
+constexpr Duration FailurePause = std::chrono::milliseconds(200);
 
 } // namespace
 
@@ -14,6 +14,7 @@
     : m_self(std::move(self))
     , m_clock(clock)
     , m_times(times)
+    , m_startedAt(clock.now())
     , m_nextCall(clock.now())
 { }
 
@@ -22,10 +23,16 @@
     if (!m_current || m_releasing || !m_eligible) {
         return false;
     }
-    if (m_current->version == 0 || m_current->released || m_current->holder == m_self) {
+    if (m_current->holder == m_self && m_current->version != 0 && !m_current->released) {
         return true;
     }
-    return now >= m_seenAt + m_times.valid + m_times.margin;
+    if (m_current->version == 0) {
+        return now >= m_startedAt + m_times.takeDelay;
+    }
+    if (m_current->released) {
+        return now >= m_seenAt + m_times.takeDelay;
+    }
+    return now >= m_seenAt + m_times.valid + m_times.margin + m_times.takeDelay;
 }
 
 LeaseStep OwnerLease::nextStep()
--- a/lib/Serving/PlacementPlanner.cpp
+++ b/lib/Serving/PlacementPlanner.cpp
@@ -27,11 +27,16 @@
 constexpr double ComfortableLoad = 0.35;
 constexpr double RunSeconds = 2.2;
 // What a further copy of a busy model may cost, and what loading ahead of demand may cost.
-constexpr double CopyMostCost = 8;
+constexpr double CopyMostCost = 25;
+// Above this part of the slots of its copies a model's requests queue at the engines. One more copy
+// then serves more requests than a rare model that is waited for.
+constexpr double UrgentLoad = 0.7;
 constexpr double PrefetchMostCost = 7;
 // Loads ahead of demand leave half of the weight store to requests that wait.
 constexpr int PrefetchShare = 2;
 constexpr double NoLimit = 1e9;
+constexpr double StoreWeight = 0.3;
+constexpr int MostStoreLoads = 8;
 
 double toSeconds(Duration value)
 {
@@ -43,6 +48,7 @@
 PlacementPlanner::PlacementPlanner(const Clock &clock, int storeLoadsAtOnce)
     : m_clock(clock)
     , m_storeLoadsAtOnce(storeLoadsAtOnce)
+    , m_storeServes(storeLoadsAtOnce)
 { }
 
 void PlacementPlanner::setConfiguration(ServingConfigurationPtr configuration)
@@ -94,6 +100,26 @@
     return std::chrono::duration_cast<Duration>(it->storeLoad * crowd);
 }
 
+// How many loads the store serves at full speed is not configured, so it is learned from how long
+// loads took.
+void PlacementPlanner::onStoreLoaded(const PoolName &pool, const ModelName &model, Duration took,
+                                     int atOnce)
+{
+    const HostedModel *it = hosted(pool, model);
+    if (it == nullptr || took <= Duration::zero() || atOnce <= 0) {
+        return;
+    }
+    // A load alone tells nothing of how many could run beside it.
+    const double served = atOnce * toSeconds(it->storeLoad) / toSeconds(took);
+    const bool isCrowded = took > it->storeLoad + it->storeLoad / 8;
+    if (isCrowded) {
+        m_storeServes += StoreWeight * (served - m_storeServes);
+    } else if (served > m_storeServes) {
+        m_storeServes += StoreWeight * (served + 1 - m_storeServes);
+    }
+    m_storeLoadsAtOnce = std::clamp(static_cast<int>(std::lround(m_storeServes)), 1, MostStoreLoads);
+}
+
 int PlacementPlanner::storeLoads() const
 {
     return static_cast<int>(
@@ -117,13 +143,19 @@
         && engine.dropping != std::make_pair(model, std::string());
 }
 
+int PlacementPlanner::coming(const PoolName &pool, const ModelName &model) const
+{
+    return static_cast<int>(
+        std::count_if(m_engines.begin(), m_engines.end(), [&](const auto &entry) {
+            const EngineState &engine = entry.second;
+            return engine.usable && engine.pool == pool
+                && (engine.loading == model || engine.intent == model);
+        }));
+}
+
 bool PlacementPlanner::isComing(const PoolName &pool, const ModelName &model) const
 {
-    return std::any_of(m_engines.begin(), m_engines.end(), [&](const auto &entry) {
-        const EngineState &engine = entry.second;
-        return engine.usable && engine.pool == pool
-            && (engine.loading == model || engine.intent == model);
-    });
+    return coming(pool, model) > 0;
 }
 
 // Adapters may fill all their places at any time, so room for them is always kept.
@@ -378,18 +410,22 @@
     }
 }
 
-void PlacementPlanner::addCopies(const DemandBook &demand, std::vector<PlacementOrder> &orders)
+void PlacementPlanner::addCopies(const DemandBook &demand, bool onlyUrgent,
+                                 std::vector<PlacementOrder> &orders)
 {
     for (const auto &[key, asked] : demand.all()) {
         const EngineProfile *limits = profile(key.pool);
-        if (limits == nullptr || !key.adapter.empty() || asked.rate < BusyRate
-            || isComing(key.pool, key.model)) {
+        if (limits == nullptr || !key.adapter.empty() || asked.rate < BusyRate) {
             continue;
         }
-        const double load = asked.rate * RunSeconds / (limits->slots * ComfortableLoad);
-        const int wanted = std::max(BusyCopies, static_cast<int>(std::ceil(load)));
-        if (copies(key.pool, key.model) < wanted) {
-            place(key.pool, key.model, demand, CopyMostCost, "copy", orders);
+        const double running = asked.rate * RunSeconds / limits->slots;
+        const int wanted = onlyUrgent
+            ? static_cast<int>(std::ceil(running / UrgentLoad))
+            : std::max(BusyCopies, static_cast<int>(std::ceil(running / ComfortableLoad)));
+        // A model that becomes busy gets its copies at the same time.
+        int there = copies(key.pool, key.model) + coming(key.pool, key.model);
+        while (there < wanted && place(key.pool, key.model, demand, CopyMostCost, "copy", orders)) {
+            ++there;
         }
     }
 }
@@ -430,9 +466,10 @@
         return orders;
     }
     continueIntents(demand, orders);
+    addCopies(demand, true, orders);
     placeWaiting(demand, orders);
     placeAdapters(demand, orders);
-    addCopies(demand, orders);
+    addCopies(demand, false, orders);
     prefetch(demand, orders);
     return orders;
 }
--- a/tests/PlatformAdapter/NodeSettingsTest.cpp
+++ b/tests/PlatformAdapter/NodeSettingsTest.cpp
@@ -16,6 +16,7 @@
         "portRange": [7600, 7615],
         "bounds": {"leaseMs": 3000, "retryRatio": 0.2, "retryWindowS": 10, "retrySlack": 52,
                    "graceS": 8, "quotaWindowS": 8},
+        "limits": {"cpuShare": 0.25, "linkMbps": 1000},
         "provider": {"addr": "10.200.1.7:8225"},
         "somethingNew": {"x": 1}
     })");
@@ -37,6 +38,7 @@
     CHECK(options->lease.turnGap == std::chrono::seconds(3));
     CHECK(options->retries.slack == 52);
     CHECK(options->grace == std::chrono::seconds(8));
+    CHECK(options->lease.takeDelay == Duration::zero());
 }
 
 TEST_CASE("a field that is missing or has a wrong type is named")
@@ -62,3 +64,13 @@
     REQUIRE_FALSE(missing);
     CHECK(missing.error().message.find("/nonexistent/boot.json") != std::string::npos);
 }
+
+TEST_CASE("a machine with a slow link or a small share of a core takes the owner's role late")
+{
+    json settings = validSettings();
+    settings["limits"]["linkMbps"] = 10;
+    CHECK(readNodeSettings(settings.dump())->lease.takeDelay > Duration::zero());
+    settings = validSettings();
+    settings["limits"]["cpuShare"] = 0.12;
+    CHECK(readNodeSettings(settings.dump())->lease.takeDelay > Duration::zero());
+}
--- a/tests/Serving/OwnerLeaseTest.cpp
+++ b/tests/Serving/OwnerLeaseTest.cpp
@@ -142,3 +142,17 @@
     CHECK(again.mayOrder());
     CHECK(again.term() == 2);
 }
+
+TEST_CASE_FIXTURE(LeaseFixture, "a weak instance leaves the lease to a strong one")
+{
+    LeaseTimes late = times;
+    late.takeDelay = 1500ms;
+    OwnerLease weak(InstanceId("weak"), clock, late);
+    for (int i = 0; i < 40; ++i) {
+        step(weak);
+        step(b);
+        clock.advance(50ms);
+    }
+    CHECK(b.mayOrder());
+    CHECK_FALSE(weak.mayOrder());
+}
