--- /dev/null
+++ b/tests/PlatformAdapter/PlatformStoreTest.cpp
@@ -0,0 +1,141 @@
+#include "PlatformStore.h"
+
+#include "StandinPlatform.h"
+#include "support/IoRunner.h"
+
+#include <optional>
+
+using namespace marigoldspool;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace {
+
+class StoreFixture
+{
+public:
+    StoreFixture()
+        : standin(io, metrics)
+    {
+        auto made = makePlatformStore(io, standin.address(), 1s, metrics);
+        REQUIRE(made);
+        store = std::move(*made);
+    }
+
+    template <class T, class Call>
+    Expected<T> wait(Call call)
+    {
+        std::optional<Expected<T>> result;
+        call([&result](Expected<T> answer) {
+            result = std::move(answer);
+        });
+        REQUIRE(runUntil(io, [&result] {
+            return result.has_value();
+        }));
+        return *result;
+    }
+
+    Expected<std::uint64_t> put(const std::string &key, std::uint64_t version, const json &value)
+    {
+        return wait<std::uint64_t>([&](auto done) {
+            store->put(key, version, value.dump(), WriteId("w"), done);
+        });
+    }
+
+    Expected<ListResult> list(const std::string &prefix)
+    {
+        return wait<ListResult>([&](auto done) {
+            store->list(prefix, done);
+        });
+    }
+
+    Expected<WatchBatch> watch(const std::string &prefix, std::uint64_t from, Duration time)
+    {
+        return wait<WatchBatch>([&](auto done) {
+            store->watch(prefix, from, time, done);
+        });
+    }
+
+    boost::asio::io_context io;
+    Metrics metrics;
+    StandinStore standin;
+    std::unique_ptr<ObjectStore> store;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(StoreFixture, "objects are created, replaced under their version and removed")
+{
+    const auto created = put("locks/a", 0, {{"x", 1}});
+    REQUIRE(created);
+    CHECK(put("locks/a", 0, {{"x", 2}}).error().kind == ErrorKind::Conflict);
+    const auto replaced = put("locks/a", *created, {{"x", 3}});
+    REQUIRE(replaced);
+    CHECK(put("locks/a", *created, {{"x", 4}}).error().kind == ErrorKind::Conflict);
+    const auto read = wait<StoredObject>([&](auto done) {
+        store->get("locks/a", done);
+    });
+    REQUIRE(read);
+    CHECK(read->version == *replaced);
+    CHECK(json::parse(read->value) == json{{"x", 3}});
+    CHECK(wait<std::uint64_t>([&](auto done) {
+        store->remove("locks/a", *replaced, done);
+    }));
+    CHECK_FALSE(standin.has("locks", "a"));
+}
+
+TEST_CASE_FIXTURE(StoreFixture, "a list that comes in pages is read whole")
+{
+    standin.pageSize = 2;
+    for (const char *name : {"a", "b", "c", "d", "e"}) {
+        standin.put("servers", name, {{"n", name}});
+    }
+    const auto listed = list("servers/");
+    REQUIRE(listed);
+    REQUIRE(listed->objects.size() == 5);
+    CHECK(listed->objects[4].key == "servers/e");
+}
+
+// A removal carries the object with its old revision, which a watcher would pass over as known.
+TEST_CASE_FIXTURE(StoreFixture, "a removal is newer than the object that it removes")
+{
+    standin.put("servers", "a", {{"n", 1}});
+    const auto listed = list("servers/");
+    REQUIRE(listed);
+    standin.erase("servers", "a");
+    const auto batch = watch("servers/", listed->revision, 1s);
+    REQUIRE(batch);
+    REQUIRE(batch->events.size() == 1);
+    CHECK(batch->events[0].deleted);
+    CHECK(batch->events[0].version > listed->objects[0].version);
+    CHECK(batch->events[0].version <= batch->revision);
+}
+
+TEST_CASE_FIXTURE(StoreFixture, "a forgotten history is reported as a gap")
+{
+    const auto listed = list("config/");
+    REQUIRE(listed);
+    standin.put("config", "main", {{"version", 2}});
+    standin.forgetHistory();
+    const auto batch = watch("config/", listed->revision, 1s);
+    REQUIRE(batch);
+    CHECK(batch->gap);
+}
+
+TEST_CASE_FIXTURE(StoreFixture, "a lost answer to a write leaves its outcome open")
+{
+    standin.answersToLose = 1;
+    const auto lost = put("locks/a", 0, {{"x", 1}});
+    REQUIRE_FALSE(lost);
+    CHECK(lost.error().kind == ErrorKind::OutcomeUnknown);
+    CHECK(standin.has("locks", "a"));
+}
+
+TEST_CASE_FIXTURE(StoreFixture, "a store that turns calls away has surely not done them")
+{
+    standin.busy = true;
+    const auto refused = put("locks/a", 0, {{"x", 1}});
+    REQUIRE_FALSE(refused);
+    CHECK(refused.error().kind == ErrorKind::Unavailable);
+    CHECK(list("servers/").error().kind == ErrorKind::Unavailable);
+}
--- /dev/null
+++ b/tests/PlatformAdapter/StandinPlatform.h
@@ -0,0 +1,367 @@
+#ifndef MARIGOLDSPOOL_TESTS_PLATFORMADAPTER_STANDINPLATFORM_H
+#define MARIGOLDSPOOL_TESTS_PLATFORMADAPTER_STANDINPLATFORM_H
+
+#include "marigoldspool/Gateway/HttpServer.h"
+
+#include <algorithm>
+#include <functional>
+#include <list>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+namespace marigoldspool {
+
+inline std::string localAddress(const HttpServer &server)
+{
+    return "127.0.0.1:" + std::to_string(server.port());
+}
+
+inline void answerJson(ResponseSink &sink, int status, const nlohmann::json &body)
+{
+    const HeaderField headers[] = {{"Content-Type", "application/json"}};
+    sink.head(status, headers, false);
+    sink.data(body.dump());
+    sink.finish();
+}
+
+/// Stand-in for the platform's metadata store: objects by kind, conditional writes, pages, watches
+/// and a history that can be forgotten.
+class StandinStore
+{
+public:
+    using Json = nlohmann::json;
+
+    StandinStore(boost::asio::io_context &io, Metrics &metrics)
+        : m_io(io)
+    {
+        auto server = makeHttpServer(
+            io, HttpServerOptions(),
+            [this](const HttpRequest &request, const std::shared_ptr<ResponseSink> &sink) {
+                handle(request, sink);
+            },
+            metrics);
+        REQUIRE(server);
+        m_server = std::move(*server);
+    }
+
+    std::string address() const { return localAddress(*m_server); }
+
+    void put(const std::string &kind, const std::string &name, const Json &spec)
+    {
+        m_objects[kind][name] = {++m_revision, spec};
+        m_history.push_back({m_revision, kind, name, false, spec});
+        wake();
+    }
+
+    void erase(const std::string &kind, const std::string &name)
+    {
+        const Object old = m_objects[kind][name];
+        m_objects[kind].erase(name);
+        m_history.push_back({++m_revision, kind, name, true, old.spec});
+        wake();
+    }
+
+    bool has(const std::string &kind, const std::string &name) const
+    {
+        const auto it = m_objects.find(kind);
+        return it != m_objects.end() && it->second.count(name) > 0;
+    }
+
+    /// Watches from before now are answered with 410.
+    void forgetHistory()
+    {
+        m_history.clear();
+        m_forgottenUntil = m_revision;
+    }
+
+    std::size_t pageSize = 500;
+    /// Writes that are carried out and whose answers are lost.
+    int answersToLose = 0;
+    /// All calls are turned away.
+    bool busy = false;
+    int calls = 0;
+
+private:
+    struct Object {
+        std::uint64_t revision = 0;
+        Json spec;
+    };
+    struct Change {
+        std::uint64_t revision = 0;
+        std::string kind;
+        std::string name;
+        bool removed = false;
+        Json spec;
+    };
+    struct Watch {
+        std::string kind;
+        std::uint64_t from = 0;
+        std::shared_ptr<ResponseSink> sink;
+        std::shared_ptr<boost::asio::steady_timer> timer;
+    };
+
+    static Json toJson(const std::string &name, std::uint64_t revision, const Json &spec)
+    {
+        return {
+            {"metadata",
+             {{"name", name}, {"rev", revision}, {"createRev", 1}, {"finalizers", Json::array()}}},
+            {"spec", spec},
+            {"status", nullptr}};
+    }
+
+    static std::string parameter(const std::string &target, const std::string &name)
+    {
+        const std::size_t at = target.find(name + '=');
+        if (at == std::string::npos) {
+            return {};
+        }
+        const std::size_t begin = at + name.size() + 1;
+        return target.substr(begin, target.find('&', begin) - begin);
+    }
+
+    void handle(const HttpRequest &request, const std::shared_ptr<ResponseSink> &sink)
+    {
+        ++calls;
+        if (busy) {
+            answerJson(*sink, 503, Json::object());
+            return;
+        }
+        const std::string prefix = "/v1/objects/";
+        REQUIRE(request.target.substr(0, prefix.size()) == prefix);
+        const std::string path =
+            request.target.substr(prefix.size(), request.target.find('?') - prefix.size());
+        const std::size_t slash = path.find('/');
+        const std::string kind = path.substr(0, slash);
+        const std::string name =
+            slash == std::string::npos ? std::string() : path.substr(slash + 1);
+        if (request.method == "GET" && name.empty()) {
+            parameter(request.target, "watch").empty() ? list(request, kind, *sink)
+                                                       : watch(request, kind, sink);
+        } else if (request.method == "GET") {
+            get(kind, name, *sink);
+        } else {
+            write(request, kind, name, *sink);
+        }
+    }
+
+    void get(const std::string &kind, const std::string &name, ResponseSink &sink)
+    {
+        if (!has(kind, name)) {
+            answerJson(sink, 404, Json::object());
+            return;
+        }
+        const Object &object = m_objects[kind][name];
+        answerJson(sink, 200, toJson(name, object.revision, object.spec));
+    }
+
+    void list(const HttpRequest &request, const std::string &kind, ResponseSink &sink)
+    {
+        const std::string after = parameter(request.target, "after");
+        Json items = Json::array();
+        bool truncated = false;
+        for (const auto &[name, object] : m_objects[kind]) {
+            if (name <= after) {
+                continue;
+            }
+            if (items.size() == pageSize) {
+                truncated = true;
+                break;
+            }
+            items.push_back(toJson(name, object.revision, object.spec));
+        }
+        answerJson(sink, 200, {{"items", items}, {"truncated", truncated}, {"asOf", m_revision}});
+    }
+
+    void watch(const HttpRequest &request, const std::string &kind,
+               const std::shared_ptr<ResponseSink> &sink)
+    {
+        const std::uint64_t from = std::stoull(parameter(request.target, "watch"));
+        if (from < m_forgottenUntil) {
+            answerJson(*sink, 410, Json::object());
+            return;
+        }
+        const auto wait =
+            std::chrono::milliseconds(std::stoll(parameter(request.target, "waitMs")));
+        const auto timer = std::make_shared<boost::asio::steady_timer>(m_io, wait);
+        m_watches.push_back({kind, from, sink, timer});
+        timer->async_wait([this, sink](const boost::system::error_code &ec) {
+            if (!ec) {
+                m_watches.remove_if([&sink](const Watch &it) {
+                    return it.sink == sink;
+                });
+                answerJson(*sink, 200, {{"events", Json::array()}, {"asOf", m_revision}});
+            }
+        });
+        wake();
+    }
+
+    void write(const HttpRequest &request, const std::string &kind, const std::string &pathName,
+               ResponseSink &sink)
+    {
+        const Json body =
+            request.body.empty() ? Json::object() : Json::parse(request.body, nullptr, false);
+        const std::string name =
+            pathName.empty() ? body["metadata"]["name"].get<std::string>() : pathName;
+        const bool exists = has(kind, name);
+        std::uint64_t expected = exists ? m_objects[kind][name].revision : 0;
+        if (request.method == "DELETE") {
+            expected = std::stoull(parameter(request.target, "rev"));
+        } else if (request.method == "PUT" && body["metadata"].contains("rev")) {
+            expected = body["metadata"]["rev"].get<std::uint64_t>();
+        }
+        const bool conflict = request.method == "POST"
+            ? exists
+            : !exists || m_objects[kind][name].revision != expected;
+        if (conflict) {
+            answerJson(sink, exists ? 409 : 404, Json::object());
+            return;
+        }
+        if (request.method == "DELETE") {
+            erase(kind, name);
+        } else {
+            put(kind, name, body["spec"]);
+        }
+        if (answersToLose > 0) {
+            --answersToLose;
+            sink.head(200, {}, true);
+            sink.abort();
+            return;
+        }
+        answerJson(sink, 200,
+                   request.method == "DELETE" ? Json::object()
+                                              : toJson(name, m_revision, body["spec"]));
+    }
+
+    void wake()
+    {
+        for (auto it = m_watches.begin(); it != m_watches.end();) {
+            Json events = Json::array();
+            for (const Change &change : m_history) {
+                if (change.kind == it->kind && change.revision > it->from) {
+                    // A removal carries the object as it was.
+                    const std::uint64_t revision =
+                        change.removed ? change.revision - 1 : change.revision;
+                    events.push_back({{"removed", change.removed},
+                                      {"object", toJson(change.name, revision, change.spec)}});
+                }
+            }
+            if (events.empty()) {
+                ++it;
+                continue;
+            }
+            it->timer->cancel();
+            answerJson(*it->sink, 200, {{"events", events}, {"asOf", m_revision}});
+            it = m_watches.erase(it);
+        }
+    }
+
+    boost::asio::io_context &m_io;
+    std::unique_ptr<HttpServer> m_server;
+    std::map<std::string, std::map<std::string, Object>> m_objects;
+    std::vector<Change> m_history;
+    std::list<Watch> m_watches;
+    std::uint64_t m_revision = 1;
+    std::uint64_t m_forgottenUntil = 0;
+};
+
+/// Stand-in for one replica: answers requests through a function of the test, and orders by itself.
+class StandinReplica
+{
+public:
+    using Json = nlohmann::json;
+    using Handler =
+        std::function<void(const HttpRequest &request, const std::shared_ptr<ResponseSink> &sink)>;
+
+    StandinReplica(boost::asio::io_context &io, Metrics &metrics, std::string replicaId,
+                   Handler replicaHandler)
+        : id(std::move(replicaId))
+        , handler(std::move(replicaHandler))
+    {
+        auto server = makeHttpServer(
+            io, HttpServerOptions(),
+            [this](const HttpRequest &request, const std::shared_ptr<ResponseSink> &sink) {
+                handle(request, sink);
+            },
+            metrics);
+        REQUIRE(server);
+        m_server = std::move(*server);
+    }
+
+    std::string address() const { return localAddress(*m_server); }
+
+    Json entry(const std::string &service, const std::string &state = "ready") const
+    {
+        return {{"service", service},
+                {"addr", address()},
+                {"zone", "z1"},
+                {"version", "v1"},
+                {"slots", 8},
+                {"state", state},
+                {"coldLeftMs", 0},
+                {"born", 1},
+                {"models", modelList()},
+                {"atHand", {{"inMemory", Json::array()}, {"onDisk", Json::array()}}},
+                {"seq", 1}};
+    }
+
+    std::string id;
+    Handler handler;
+    std::vector<std::string> models;
+    std::vector<Json> orders;
+    std::vector<HttpRequest> requests;
+
+private:
+    Json modelList() const
+    {
+        Json list = Json::array();
+        for (const std::string &model : models) {
+            list.push_back({{"name", model}, {"version", 1}, {"adapters", Json::array()}});
+        }
+        return list;
+    }
+
+    void handle(const HttpRequest &request, const std::shared_ptr<ResponseSink> &sink)
+    {
+        if (request.target == "/v1/report") {
+            answerJson(*sink, 200,
+                       {{"stage", "mixed"},
+                        {"models", modelList()},
+                        {"busy", false},
+                        {"seq", orders.size()},
+                        {"born", 1},
+                        {"queued", 0},
+                        {"active", 0}});
+            return;
+        }
+        if (request.target == "/v1/order") {
+            const Json order = Json::parse(request.body);
+            if (order["precondition"] != orders.size()) {
+                answerJson(*sink, 409, Json::object());
+                return;
+            }
+            orders.push_back(order);
+            const std::string model = order["model"];
+            if (order["op"] == "load") {
+                models.push_back(model);
+            } else {
+                models.erase(std::remove(models.begin(), models.end(), model), models.end());
+            }
+            answerJson(*sink, 202, Json::object());
+            return;
+        }
+        requests.push_back(request);
+        handler(request, sink);
+    }
+
+    std::unique_ptr<HttpServer> m_server;
+};
+
+} // namespace marigoldspool
+
+#endif
