--- a/include/marigoldspool/Platform/StoreConnectionPool.h
+++ b/include/marigoldspool/Platform/StoreConnectionPool.h
@@ -21,6 +21,9 @@
     std::string body;
 };
 
+/// What an answer with a status of 300 or more means; \p writes: the call changes something.
+Error storeStatusError(unsigned status, bool writes);
+
 struct HttpCall {
     boost::beast::http::verb verb = boost::beast::http::verb::get;
     std::string target;
--- a/include/marigoldspool/Serving/DemandBook.h
+++ b/include/marigoldspool/Serving/DemandBook.h
@@ -21,7 +21,7 @@
     }
 };
 
-struct Demand {
+struct FleetDemand {
     /// Requests each second, smoothed.
     double rate = 0;
     std::uint64_t waiting = 0;
@@ -66,19 +66,19 @@
     void onTick();
 
     std::size_t reporters() const { return m_reporters.size(); }
-    const std::map<DemandKey, Demand> &all() const;
-    Demand of(const DemandKey &key) const;
+    const std::map<DemandKey, FleetDemand> &all() const;
+    FleetDemand of(const DemandKey &key) const;
 
 private:
     struct Reporter {
         SteadyTime at;
-        std::map<DemandKey, Demand> items;
+        std::map<DemandKey, FleetDemand> items;
     };
 
     const Clock &m_clock;
     std::map<InstanceId, Reporter> m_reporters;
     /// The sum of all reports, made when it is asked for.
-    mutable std::map<DemandKey, Demand> m_total;
+    mutable std::map<DemandKey, FleetDemand> m_total;
     mutable bool m_outdated = false;
 };
 
--- a/include/marigoldspool/Serving/WorkspaceQuota.h
+++ b/include/marigoldspool/Serving/WorkspaceQuota.h
@@ -51,7 +51,7 @@
         /// Of its earlier runs.
         Counters earlier;
     };
-    /// Demand each second, smoothed from counters.
+    /// FleetDemand each second, smoothed from counters.
     struct DemandRate {
         double rate = 0;
         double counter = 0;
--- a/lib/Fleet/PlacementDriver.cpp
+++ b/lib/Fleet/PlacementDriver.cpp
@@ -5,17 +5,12 @@
 
 #include <algorithm>
 
-#include <nlohmann/json.hpp>
-
 namespace marigoldspool {
 
 namespace {
 
-using nlohmann::json;
 using std::chrono::milliseconds;
 
-const std::string LeaseKey = "leases/placement";
-
 // Reports are priced; between orders only engines that were restarted or changed by a late order
 // bring news.
 constexpr Duration IdleReportInterval = milliseconds(4000);
@@ -33,10 +28,6 @@
 // Reports of demand come twice a second.
 constexpr Duration DemandWait = milliseconds(800);
 constexpr Duration PlanInterval = milliseconds(100);
-constexpr Duration PublishInterval = milliseconds(1000);
-// Changes are gathered for this long: in a large fleet each of them goes to many instances.
-constexpr Duration SmallGather = milliseconds(20);
-constexpr Duration LargeGather = milliseconds(150);
 // A load that has not come by this long after its time is looked at again.
 constexpr Duration LoadOverdue = milliseconds(4000);
 
@@ -83,45 +74,6 @@
     std::string m_body;
 };
 
-json leaseToJson(const LeaseRecord &record)
-{
-    json ordered = json::array();
-    for (const EndpointId &endpoint : record.recentlyOrdered) {
-        ordered.push_back(endpoint.str());
-    }
-    return {{"holder", record.holder.str()},
-            {"term", record.term},
-            {"renewal", record.renewal},
-            {"released", record.released},
-            {"ordered", ordered}};
-}
-
-Expected<LeaseRecord> leaseFromJson(const StoredObject &object)
-{
-    const json value = json::parse(object.value, nullptr, false);
-    const bool valid = value.is_object() && value.contains("holder") && value["holder"].is_string()
-        && value.contains("term") && value["term"].is_number_unsigned() && value.contains("renewal")
-        && value["renewal"].is_number_unsigned() && value.contains("released")
-        && value["released"].is_boolean() && value.contains("ordered")
-        && value["ordered"].is_array();
-    if (!valid) {
-        return unexpectedError(ErrorKind::Malformed, "the placement lease is unreadable",
-                               "remove the object leases/placement");
-    }
-    LeaseRecord record;
-    record.holder = InstanceId(value["holder"].get<std::string>());
-    record.term = value["term"].get<std::uint64_t>();
-    record.released = value["released"].get<bool>();
-    record.renewal = value["renewal"].get<std::uint64_t>();
-    record.version = object.version;
-    for (const json &endpoint : value["ordered"]) {
-        if (endpoint.is_string()) {
-            record.recentlyOrdered.insert(EndpointId(endpoint.get<std::string>()));
-        }
-    }
-    return record;
-}
-
 } // namespace
 
 PlacementDriver::PlacementDriver(FleetRuntime &runtime, FleetLink &link)
@@ -159,72 +111,6 @@
     publishIfDue();
 }
 
-void PlacementDriver::stepLease()
-{
-    switch (m_lease.nextStep()) {
-    case LeaseStep::Nothing:
-        return;
-    case LeaseStep::Read:
-        readLease();
-        return;
-    case LeaseStep::Write:
-        writeLease();
-        return;
-    }
-}
-
-void PlacementDriver::readLease()
-{
-    m_runtime.store->get(LeaseKey, [this](const Expected<StoredObject> &object) {
-        if (!object) {
-            if (object.error().kind == ErrorKind::NotFound) {
-                m_lease.onRead(LeaseRecord());
-            } else {
-                m_lease.onFailure();
-            }
-            return;
-        }
-        const Expected<LeaseRecord> record = leaseFromJson(*object);
-        if (!record) {
-            logEvent(LogLevel::Error, "lease_unreadable",
-                     {{"error", describeError(record.error())}});
-            m_lease.onFailure();
-            return;
-        }
-        m_lease.onRead(*record);
-    });
-}
-
-void PlacementDriver::writeLease()
-{
-    LeaseRecord record = m_lease.nextRecord();
-    const bool isRenewal = m_lease.isHolder();
-    m_runtime.store->put(
-        LeaseKey, record.version, leaseToJson(record).dump(), WriteId(m_runtime.random.hex(16)),
-        [this, record, isRenewal](const Expected<std::uint64_t> &version) mutable {
-            if (version) {
-                record.version = *version;
-                m_lease.onWritten(record);
-                if (!isRenewal || record.released) {
-                    logEvent(LogLevel::Info, record.released ? "lease_released" : "lease_taken",
-                             {{"term", std::to_string(record.term)},
-                              {"version", std::to_string(*version)}});
-                }
-                return;
-            }
-            if (isRenewal) {
-                logEvent(LogLevel::Warning, "lease_renewal_failed",
-                         {{"term", std::to_string(record.term)},
-                          {"error", describeError(version.error())}});
-            }
-            if (version.error().kind == ErrorKind::Conflict) {
-                m_lease.onConflict();
-            } else {
-                m_lease.onFailure();
-            }
-        });
-}
-
 void PlacementDriver::activate()
 {
     m_active = true;
@@ -517,7 +403,7 @@
     call.id = RequestId("order-" + std::to_string(++m_callCounter));
     call.timeout = CallTimeout;
     call.connectTimeout = CallTimeout;
-    const Demand asked = m_demand.of({engine.pool, order.model, order.adapter});
+    const FleetDemand asked = m_demand.of({engine.pool, order.model, order.adapter});
     logEvent(LogLevel::Info, "order",
              {{"endpoint", order.endpoint.str()},
               {"op", order.isLoad ? "load" : "unload"},
@@ -647,68 +533,4 @@
     m_planDue = true;
 }
 
-PlacedEndpoint PlacementDriver::placedOf(const EngineState &engine) const
-{
-    PlacedEndpoint placed{engine.id, {}};
-    for (const auto &[model, adapters] : engine.models) {
-        if (!PlacementPlanner::offers(engine, model)) {
-            continue;
-        }
-        placed.models.push_back(model.str());
-        for (const std::string &adapter : adapters) {
-            if (engine.dropping != std::make_pair(model, adapter)) {
-                placed.models.push_back(model.str() + '/' + adapter);
-            }
-        }
-    }
-    return placed;
-}
-
-PlacementUpdate PlacementDriver::fullUpdate() const
-{
-    PlacementUpdate update;
-    update.term = m_lease.term();
-    update.sequence = m_sequence;
-    update.full = true;
-    for (const auto &[id, engine] : m_planner.engines()) {
-        if (engine.known) {
-            update.endpoints.push_back(placedOf(engine));
-        }
-    }
-    return update;
-}
-
-void PlacementDriver::publishIfDue()
-{
-    const SteadyTime now = m_runtime.clock.now();
-    const bool isSmall = m_link.connectedPeers().size() < FleetLink::MostMeshMembers;
-    const bool isDue = m_changed && now - m_publishedAt >= (isSmall ? SmallGather : LargeGather);
-    if (isDue || now >= m_publishAt) {
-        publish();
-    }
-}
-
-void PlacementDriver::publish()
-{
-    PlacementUpdate update;
-    update.term = m_lease.term();
-    update.sequence = ++m_sequence;
-    for (const auto &[id, engine] : m_planner.engines()) {
-        Contact &contact = m_contacts[id];
-        if (contact.changed && engine.known) {
-            contact.changed = false;
-            update.endpoints.push_back(placedOf(engine));
-        }
-    }
-    m_changed = false;
-    m_publishedAt = m_runtime.clock.now();
-    m_publishAt = m_publishedAt + PublishInterval;
-    for (const InstanceId &peer : m_link.connectedPeers()) {
-        m_link.send(peer, update);
-    }
-    if (m_onUpdate) {
-        m_onUpdate(update);
-    }
-}
-
 } // namespace marigoldspool
--- a/lib/Platform/HttpObjectStore.cpp
+++ b/lib/Platform/HttpObjectStore.cpp
@@ -21,32 +21,6 @@
 // A waiting watch occupies its connection; an instance watches a handful of prefixes.
 constexpr std::size_t MostWatchConnections = 32;
 
-Error statusError(const StoreAnswer &answer, bool writes)
-{
-    const std::string message = "the store answered " + std::to_string(answer.status);
-    switch (answer.status) {
-    case 404:
-        return makeError(ErrorKind::NotFound, message, "create the object first");
-    case 409:
-        return makeError(ErrorKind::Conflict, message, "read the object again and decide anew");
-    case 413:
-        return makeError(ErrorKind::TooLarge, message, "split the value into smaller objects");
-    case 429:
-        return makeError(ErrorKind::RateLimited, message, "try again after a delay");
-    case 503:
-        return makeError(ErrorKind::Unavailable, message, "try again after a delay");
-    default:
-        break;
-    }
-    if (answer.status >= 400 && answer.status < 500) {
-        return makeError(ErrorKind::InvalidArgument, message, "check the versions of both sides");
-    }
-    // Other server errors say nothing about whether a write took effect.
-    return makeError(writes ? ErrorKind::OutcomeUnknown : ErrorKind::Unavailable, message,
-                     writes ? "read the object back and compare the write id"
-                            : "try again after a delay");
-}
-
 class HttpObjectStore final : public ObjectStore
 {
 public:
@@ -165,7 +139,7 @@
             return tl::unexpected<Error>(std::move(answer.error()));
         }
         if (answer->status != 200) {
-            return tl::unexpected<Error>(statusError(*answer, writes));
+            return tl::unexpected<Error>(storeStatusError(answer->status, writes));
         }
         Expected<T> result = decode(answer->body);
         if (!result && writes) {
--- a/lib/Platform/StoreConnectionPool.cpp
+++ b/lib/Platform/StoreConnectionPool.cpp
@@ -29,6 +29,32 @@
 
 } // namespace
 
+Error storeStatusError(unsigned status, bool writes)
+{
+    const std::string message = "the store answered " + std::to_string(status);
+    switch (status) {
+    case 404:
+        return makeError(ErrorKind::NotFound, message, "create the object first");
+    case 409:
+        return makeError(ErrorKind::Conflict, message, "read the object again and decide anew");
+    case 413:
+        return makeError(ErrorKind::TooLarge, message, "split the value into smaller objects");
+    case 429:
+        return makeError(ErrorKind::RateLimited, message, "try again after a delay");
+    case 503:
+        return makeError(ErrorKind::Unavailable, message, "try again after a delay");
+    default:
+        break;
+    }
+    if (status >= 400 && status < 500) {
+        return makeError(ErrorKind::InvalidArgument, message, "check the versions of both sides");
+    }
+    // Other server errors say nothing about whether a write took effect.
+    return makeError(writes ? ErrorKind::OutcomeUnknown : ErrorKind::Unavailable, message,
+                     writes ? "read the object back and compare the write id"
+                            : "try again after a delay");
+}
+
 /// One connection, which carries one call at a time.
 class StoreConnection : public std::enable_shared_from_this<StoreConnection>
 {
--- a/lib/Serving/DemandBook.cpp
+++ b/lib/Serving/DemandBook.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-// Demand for a busy model moves within a few seconds, so older arrivals count little after that.
+// FleetDemand for a busy model moves within a few seconds, so older arrivals count little after
+// that.
 constexpr double HalfLifeSeconds = 3;
 constexpr double NegligibleCount = 0.02;
 constexpr Duration ReporterSilence = std::chrono::seconds(3);
@@ -66,7 +67,7 @@
     reporter.at = now;
     reporter.items.clear();
     for (const ReportedDemand &item : report.models) {
-        Demand demand;
+        FleetDemand demand;
         demand.rate = item.rate;
         demand.waiting = item.waiting;
         demand.oldest = now - std::chrono::milliseconds(item.oldestMs);
@@ -102,7 +103,7 @@
     }
 }
 
-const std::map<DemandKey, Demand> &DemandBook::all() const
+const std::map<DemandKey, FleetDemand> &DemandBook::all() const
 {
     if (!m_outdated) {
         return m_total;
@@ -111,7 +112,7 @@
     m_total.clear();
     for (const auto &[instance, reporter] : m_reporters) {
         for (const auto &[key, item] : reporter.items) {
-            Demand &demand = m_total[key];
+            FleetDemand &demand = m_total[key];
             demand.rate += item.rate;
             demand.lastArrival = std::max(demand.lastArrival, item.lastArrival);
             if (item.waiting == 0) {
@@ -126,11 +127,11 @@
     return m_total;
 }
 
-Demand DemandBook::of(const DemandKey &key) const
+FleetDemand DemandBook::of(const DemandKey &key) const
 {
     const auto &total = all();
     const auto it = total.find(key);
-    return it == total.end() ? Demand() : it->second;
+    return it == total.end() ? FleetDemand() : it->second;
 }
 
 } // namespace marigoldspool
--- a/lib/Serving/PlacementPlanner.cpp
+++ b/lib/Serving/PlacementPlanner.cpp
@@ -117,7 +117,8 @@
     } else if (served > m_storeServes) {
         m_storeServes += StoreWeight * (served + 1 - m_storeServes);
     }
-    m_storeLoadsAtOnce = std::clamp(static_cast<int>(std::lround(m_storeServes)), 1, MostStoreLoads);
+    m_storeLoadsAtOnce =
+        std::clamp(static_cast<int>(std::lround(m_storeServes)), 1, MostStoreLoads);
 }
 
 int PlacementPlanner::storeLoads() const
@@ -187,7 +188,7 @@
 double PlacementPlanner::dropCost(const EngineState &engine, const ModelName &model,
                                   const DemandBook &demand) const
 {
-    const Demand asked = demand.of({engine.pool, model, {}});
+    const FleetDemand asked = demand.of({engine.pool, model, {}});
     const bool isSole = copies(engine.pool, model) <= 1;
     const bool canComeBack = sourceOf(engine, model) != LoadSource::Store;
     double cost = 0;
@@ -336,7 +337,7 @@
 
 void PlacementPlanner::placeWaiting(const DemandBook &demand, std::vector<PlacementOrder> &orders)
 {
-    std::vector<std::pair<const DemandKey *, const Demand *>> waiting;
+    std::vector<std::pair<const DemandKey *, const FleetDemand *>> waiting;
     for (const auto &[key, asked] : demand.all()) {
         if (asked.waiting > 0 && copies(key.pool, key.model) == 0
             && !isComing(key.pool, key.model)) {
@@ -395,7 +396,7 @@
         SteadyTime longestAgo = SteadyTime::max();
         for (const auto &[model, adapters] : best->models) {
             for (const std::string &adapter : adapters) {
-                const Demand use = demand.of({best->pool, model, adapter});
+                const FleetDemand use = demand.of({best->pool, model, adapter});
                 if (use.waiting == 0 && use.lastArrival < longestAgo) {
                     longestAgo = use.lastArrival;
                     dropModel = &model;
