--- a/lib/Gateway/EndpointConnection.cpp
+++ b/lib/Gateway/EndpointConnection.cpp
@@ -361,7 +361,7 @@
 void EndpointConnection::fail(ErrorKind kind, std::string message, std::string remedy)
 {
     const SendStage stage = m_sent == 0 ? SendStage::NotSent : SendStage::MaybeSent;
-    const std::shared_ptr<EndpointCallHandler> handler = endCall();
+    const std::shared_ptr<EndpointCallHandler> handler = m_handler;
     close();
     m_context->metrics.add("marigoldspool_endpoint_call_failures_total", 1,
                            {{"kind", std::string(errorKindName(kind))}});
@@ -376,9 +376,15 @@
     if (m_state == State::Closed) {
         return;
     }
+    const bool hasCall = m_handler != nullptr;
     m_state = State::Closed;
     endCall();
     boost::system::error_code ec;
+    if (hasCall) {
+        // A plain close lets the kernel go on delivering what is queued, so a call that was given
+        // up could still reach the endpoint seconds later, after a cut of the network.
+        m_socket.set_option(asio::socket_base::linger(true, 0), ec);
+    }
     m_socket.close(ec);
     m_timer.cancel();
     m_context->onClosed(shared_from_this());
--- a/tests/Gateway/EndpointClientTest.cpp
+++ b/tests/Gateway/EndpointClientTest.cpp
@@ -333,6 +333,19 @@
     fixture.waitForEnd(next);
 }
 
+// On a bench day an order that its sender had given up reached an engine after the cut of a zone
+// had healed, behind orders of the next holder.
+TEST_CASE("a call that is given up resets its connection, so that nothing of it is delivered later")
+{
+    ClientFixture fixture;
+    const HandlerPtr handler = fixture.start(fixture.makeCall("r1"));
+    RawSocket &socket = fixture.waitForRequest(0, "r1");
+    fixture.client->cancel(RequestId("r1"));
+    fixture.loop.settle();
+    CHECK(!handler->isOver());
+    CHECK(socket.isReset());
+}
+
 TEST_CASE("cancel() from within the handler is safe")
 {
     ClientFixture fixture;
