--- a/include/marigoldspool/Serving/OwnerLease.h
+++ b/include/marigoldspool/Serving/OwnerLease.h
@@ -68,8 +68,6 @@
     void onConflict();
     /// Gives the lease back with the next write and does not take it again.
     void release();
-    /// This instance cannot do the owner's work for now: it does not take a lease over.
-    void setEligible(bool eligible) { m_eligible = eligible; }
 
     bool isHolder() const { return m_current && m_held; }
     /// Whether an order to \p endpoint may be sent at this moment.
@@ -106,7 +104,6 @@
     bool m_calling = false;
     bool m_held = false;
     bool m_releasing = false;
-    bool m_eligible = true;
     bool m_mustRead = true;
 };
 
--- a/lib/Fleet/PlacementDriver.cpp
+++ b/lib/Fleet/PlacementDriver.cpp
@@ -224,11 +224,6 @@
     }
 }
 
-void PlacementDriver::onInstanceLost(const InstanceId &instance)
-{
-    m_demand.forget(instance);
-}
-
 void PlacementDriver::plan()
 {
     m_planDue = false;
--- a/lib/Fleet/PlacementDriver.h
+++ b/lib/Fleet/PlacementDriver.h
@@ -18,10 +18,8 @@
     PlacementDriver(FleetRuntime &runtime, FleetLink &link);
     ~PlacementDriver();
 
-    void start();
     void onTick();
     void onDemand(const InstanceId &from, const DemandReport &report);
-    void onInstanceLost(const InstanceId &instance);
     void onEndpoints();
     void onConfiguration();
     /// Called with the updates that the other instances get, for this instance itself.
@@ -54,8 +52,6 @@
         SteadyTime loadStartedAt;
         int loadsAtStart = 0;
     };
-    class ReportCall;
-    class OrderCall;
 
     void stepLease();
     void readLease();
--- a/lib/Serving/OwnerLease.cpp
+++ b/lib/Serving/OwnerLease.cpp
@@ -20,7 +20,7 @@
 
 bool OwnerLease::canTake(SteadyTime now) const
 {
-    if (!m_current || m_releasing || !m_eligible) {
+    if (!m_current || m_releasing) {
         return false;
     }
     if (m_current->holder == m_self && m_current->version != 0 && !m_current->released) {
