--- a/cmake/Components.cmake
+++ b/cmake/Components.cmake
@@ -82,8 +82,9 @@
     target_include_directories(SystemTests PRIVATE ${PROJECT_SOURCE_DIR}/tests)
     target_compile_definitions(SystemTests PRIVATE
         MARIGOLDSPOOL_PROGRAM_DIR="${PROJECT_BINARY_DIR}")
-    target_link_libraries(SystemTests PRIVATE marigoldspoolSupport doctest::doctest Boost::headers)
+    target_link_libraries(SystemTests PRIVATE marigoldspoolGateway doctest::doctest Boost::headers
+        Boost::coroutine Boost::context)
     add_dependencies(SystemTests platform-standin engine-standin service-standin marigoldspoold
-        marigoldspoolctl)
+        marigoldspoolctl marigoldspool-node)
     doctest_discover_tests(SystemTests TEST_PREFIX "System: " PROPERTIES TIMEOUT 120 PROCESSORS 2)
 endfunction()
