--- a/lib/Fleet/FleetState.cpp
+++ b/lib/Fleet/FleetState.cpp
@@ -28,7 +28,7 @@
 // instances there are decides only over shares.
 constexpr WatchTimes ConfigurationTimes{std::chrono::milliseconds(1000),
                                         std::chrono::milliseconds(100)};
-constexpr WatchTimes EndpointTimes{std::chrono::milliseconds(1000), std::chrono::milliseconds(350)};
+constexpr WatchTimes EndpointTimes{std::chrono::milliseconds(1000), std::chrono::milliseconds(600)};
 constexpr WatchTimes EvacuationTimes{std::chrono::milliseconds(3000),
                                      std::chrono::milliseconds(200)};
 constexpr WatchTimes MemberTimes{std::chrono::milliseconds(5000), std::chrono::milliseconds(300)};
