Count loads that wait for room at the weight store; spread copies by the load of engines

A new owner did not count the loads of the one before either.

Changes: intents and the orders of the owner before count at the weight store; the expected load of an engine by all of its models is part of the cost of a place, and a model whose engines are all full gets one more copy.

--- a/include/marigoldspool/Serving/PlacementPlanner.h
+++ b/include/marigoldspool/Serving/PlacementPlanner.h
@@ -40,6 +40,8 @@
     std::optional<std::pair<ModelName, std::string>> dropping;
     /// The model for which room is being made.
     std::optional<ModelName> intent;
+    /// It carries out an order of the owner before, as far as known a load from the weight store.
+    bool hasForeignOrder = false;
     int active = 0;
     int queued = 0;
 };
@@ -95,6 +97,9 @@
     int coming(const PoolName &pool, const ModelName &model) const;
     bool isComing(const PoolName &pool, const ModelName &model) const;
     bool isAtHand(const PoolName &pool, const ModelName &model) const;
+    void estimateLoads(const DemandBook &demand);
+    double loadOf(const EngineState &engine) const;
+    bool isCrowded(const PoolName &pool, const ModelName &model) const;
     std::optional<Duration> forecastFromDisk(const PoolName &pool, const ModelName &model) const;
     double dropCost(const EngineState &engine, const ModelName &model,
                     const DemandBook &demand) const;
@@ -115,6 +120,8 @@
     double m_storeServes;
     ServingConfigurationPtr m_configuration;
     std::map<EndpointId, EngineState> m_engines;
+    /// Part of each engine's slots that the demand is expected to take.
+    std::map<EndpointId, double> m_loads;
 };
 
 } // namespace marigoldspool
--- a/lib/Fleet/PlacementDriver.cpp
+++ b/lib/Fleet/PlacementDriver.cpp
@@ -424,6 +424,7 @@
         }
         engine.loading.reset();
         engine.busy = false;
+        engine.hasForeignOrder = false;
         m_planDue = true;
     } else if (engine.loading) {
         const bool isOver = !report->busy && now >= engine.loadedAt + LoadOverdue;
@@ -437,6 +438,7 @@
         }
     } else {
         engine.busy = report->busy;
+        engine.hasForeignOrder = report->busy && !engine.intent;
         if (report->busy || !engine.coming.empty()) {
             contact.reportAt = now + BusyReportInterval;
         } else if (engine.intent) {
--- a/lib/Serving/PlacementPlanner.cpp
+++ b/lib/Serving/PlacementPlanner.cpp
@@ -32,6 +32,8 @@
 // then serves more requests than a rare model that is waited for.
 constexpr double UrgentLoad = 0.7;
 constexpr double PrefetchMostCost = 7;
+// Seconds that requests lose at an engine whose slots are all taken by its other models.
+constexpr double EngineLoadCost = 4;
 // Loads ahead of demand leave half of the weight store to requests that wait.
 constexpr int PrefetchShare = 2;
 // From the order to the first request for an adapter; it waits for orders that are under way.
@@ -123,11 +125,16 @@
         std::clamp(static_cast<int>(std::lround(m_storeServes)), 1, MostStoreLoads);
 }
 
+// Loads for which room is being made count as well, or a burst of models would start more loads
+// than the store serves, each of which would then occupy its engine for a minute or longer.
 int PlacementPlanner::storeLoads() const
 {
     return static_cast<int>(
         std::count_if(m_engines.begin(), m_engines.end(), [](const auto &entry) {
-            return entry.second.loading && entry.second.source == LoadSource::Store;
+            const EngineState &engine = entry.second;
+            return (engine.loading && engine.source == LoadSource::Store)
+                || (engine.intent && sourceOf(engine, *engine.intent) == LoadSource::Store)
+                || engine.hasForeignOrder;
         }));
 }
 
@@ -284,7 +291,7 @@
         if (source == LoadSource::Store && storeLoads() >= m_storeLoadsAtOnce) {
             continue;
         }
-        double cost = toSeconds(loadTime(pool, model, source));
+        double cost = toSeconds(loadTime(pool, model, source)) + EngineLoadCost * loadOf(engine);
         if (zonesWithCopy.count(engine.zone) > 0) {
             cost += 1;
         }
@@ -431,6 +438,46 @@
     }
 }
 
+// Part of the slots that the requests for all models of the engine take, as far as each model's are
+// spread evenly over its copies.
+double PlacementPlanner::loadOf(const EngineState &engine) const
+{
+    const auto it = m_loads.find(engine.id);
+    return it == m_loads.end() ? 0 : it->second;
+}
+
+void PlacementPlanner::estimateLoads(const DemandBook &demand)
+{
+    m_loads.clear();
+    for (const auto &[key, asked] : demand.all()) {
+        const EngineProfile *limits = profile(key.pool);
+        const int there = limits == nullptr || !key.adapter.empty() || asked.rate < BusyRate
+            ? 0
+            : copies(key.pool, key.model) + coming(key.pool, key.model);
+        if (there == 0) {
+            continue;
+        }
+        const double part = asked.rate * RunSeconds / limits->slots / there;
+        for (const auto &[id, engine] : m_engines) {
+            if (engine.pool == key.pool
+                && (offers(engine, key.model) || engine.loading == key.model
+                    || engine.intent == key.model)) {
+                m_loads[id] += part;
+            }
+        }
+    }
+}
+
+// Whether every engine that offers the model is full with the requests for all of its models.
+bool PlacementPlanner::isCrowded(const PoolName &pool, const ModelName &model) const
+{
+    return std::all_of(m_engines.begin(), m_engines.end(), [&](const auto &it) {
+        const EngineState &engine = it.second;
+        return !engine.usable || engine.pool != pool || !offers(engine, model)
+            || loadOf(engine) > UrgentLoad;
+    });
+}
+
 void PlacementPlanner::addCopies(const DemandBook &demand, bool onlyUrgent,
                                  std::vector<PlacementOrder> &orders)
 {
@@ -440,11 +487,15 @@
             continue;
         }
         const double running = asked.rate * RunSeconds / limits->slots;
-        const int wanted = onlyUrgent
+        int wanted = onlyUrgent
             ? static_cast<int>(std::ceil(running / UrgentLoad))
             : std::max(BusyCopies, static_cast<int>(std::ceil(running / ComfortableLoad)));
         // A model that becomes busy gets its copies at the same time.
-        int there = copies(key.pool, key.model) + coming(key.pool, key.model);
+        const int offered = copies(key.pool, key.model);
+        int there = offered + coming(key.pool, key.model);
+        if (offered > 0 && there == offered && isCrowded(key.pool, key.model)) {
+            wanted = std::max(wanted, there + 1);
+        }
         while (there < wanted && place(key.pool, key.model, demand, CopyMostCost, "copy", orders)) {
             ++there;
         }
@@ -479,6 +530,7 @@
     if (m_configuration == nullptr) {
         return orders;
     }
+    estimateLoads(demand);
     continueIntents(demand, orders);
     addCopies(demand, true, orders);
     placeWaiting(demand, orders);
--- a/tests/Serving/PlacementPlannerTest.cpp
+++ b/tests/Serving/PlacementPlannerTest.cpp
@@ -247,6 +247,62 @@
     CHECK(hasMissing);
 }
 
+// trouble-3 of a grown bench site: after a change of the owner 23 models were ordered from a weight
+// store that serves two at once, and their engines took no other order for a minute.
+TEST_CASE_FIXTURE(PlannerFixture,
+                  "loads for which room is made count as loads from the weight store")
+{
+    std::vector<ReportedDemand> waiting;
+    for (int i = 0; i < 8; ++i) {
+        addEngine("e" + std::to_string(i), {0, 1, 2});
+        waiting.push_back(item(4 + i, 0.2, 1));
+    }
+    CHECK(planWaiting(waiting).size() == 4);
+    CHECK(planner.storeLoads() == 4);
+    clock.advance(100ms);
+    CHECK(planWaiting(waiting).empty());
+}
+
+TEST_CASE_FIXTURE(PlannerFixture, "the loads of the owner before count at the weight store")
+{
+    for (int i = 0; i < 4; ++i) {
+        EngineState &engine = addEngine("busy" + std::to_string(i), {0, 1});
+        engine.busy = true;
+        engine.hasForeignOrder = true;
+    }
+    addEngine("free", {2, 3});
+    CHECK(planWaiting({item(7, 0.2, 1)}).empty());
+}
+
+// scale-2 of a grown bench site: the busiest engine got five times the mean, since the copies of
+// busy models were counted model by model and met at the same engines.
+TEST_CASE_FIXTURE(PlannerFixture, "busy models that fill one engine together get copies elsewhere")
+{
+    addEngine("crowded", {0, 1});
+    addEngine("crowded2", {0, 1}, "z2");
+    addEngine("empty", {}, "z3");
+    // Each of the two needs less than half of the slots of its copies.
+    const auto orders = planWaiting({item(0, 17, 0), item(1, 17, 0)});
+    const bool hasCopy = std::any_of(orders.begin(), orders.end(), [](const PlacementOrder &order) {
+        return order.isLoad && order.endpoint == EndpointId("empty");
+    });
+    CHECK(hasCopy);
+}
+
+TEST_CASE_FIXTURE(PlannerFixture, "a copy of a busy model avoids engines that are full")
+{
+    addEngine("a", {0}, "z1");
+    addEngine("b", {1}, "z2");
+    addEngine("c", {1}, "z3");
+    addEngine("d", {5}, "z2");
+    const auto orders = planWaiting({item(0, 8, 0), item(1, 25, 0)});
+    for (const PlacementOrder &order : orders) {
+        if (order.isLoad && order.model == ModelName("m0")) {
+            CHECK(order.endpoint == EndpointId("d"));
+        }
+    }
+}
+
 // trouble-3 of a grown bench site: a model that was asked for 800 times was never loaded, because
 // models with one request each came before it at the weight store.
 TEST_CASE_FIXTURE(PlannerFixture, "the weight store loads the model that is asked for most first")
