Take relayed objects for current once what a beacon announced has come

Ruled out: reads of the lease (spared since it is told of) and the interval of watches. A beacon now counts when the objects that it announced are there.

--- a/include/marigoldspool/Serving/ObjectMirror.h
+++ b/include/marigoldspool/Serving/ObjectMirror.h
@@ -3,6 +3,7 @@
 
 #include "marigoldspool/Peer/Messages.h"
 #include "marigoldspool/Platform/ObjectStore.h"
+#include "marigoldspool/Support/Clock.h"
 
 #include <functional>
 #include <map>
@@ -49,6 +50,22 @@
     std::uint64_t m_lastChange = 0;
 };
 
+/// Since when, at the latest, the store has confirmed what a mirror got through peers.
+class RelayFreshness
+{
+public:
+    /// A peer knows the change \p announced, confirmed at \p at; the mirror has got to \p known.
+    void onBeacon(std::uint64_t announced, std::uint64_t known, SteadyTime at);
+    /// Objects of a peer have brought the mirror to the change \p known.
+    void onApplied(std::uint64_t known);
+    SteadyTime confirmedAt() const { return m_confirmedAt; }
+
+private:
+    SteadyTime m_confirmedAt;
+    std::uint64_t m_announced = 0;
+    SteadyTime m_announcedAt;
+};
+
 } // namespace marigoldspool
 
 #endif
--- a/lib/Fleet/FleetState.cpp
+++ b/lib/Fleet/FleetState.cpp
@@ -84,12 +84,18 @@
     bool onTransfer(const ObjectsTransfer &transfer)
     {
         noteOutage();
-        return mirror.applyTransfer(transfer);
+        if (!mirror.applyTransfer(transfer)) {
+            return false;
+        }
+        m_relayed.onApplied(mirror.lastChange());
+        m_confirmedAt = std::max(m_confirmedAt, m_relayed.confirmedAt());
+        return true;
     }
 
     void onTick(bool watchesForOthers)
     {
-        const bool follows = !watchesForOthers && m_runtime.clock.now() - m_relayedAt < freshTime()
+        const bool follows = !watchesForOthers
+            && m_runtime.clock.now() - m_relayed.confirmedAt() < freshTime()
             && mirror.lastChange() >= m_announced;
         if (follows != m_follows) {
             m_follows = follows;
@@ -102,13 +108,17 @@
         watcher.onTick();
     }
 
-    /// The store had confirmed \p revision at \p at, as a peer says.
-    void onRelayed(std::uint64_t revision, SteadyTime at)
+    /// A peer knows the prefix this far; returns whether that is all that is known here.
+    bool onBeacon(const KnownRevision &known, SteadyTime at)
     {
-        noteOutage();
-        mirror.confirm(revision);
-        m_relayedAt = std::max(m_relayedAt, at);
-        m_confirmedAt = std::max(m_confirmedAt, at);
+        const bool isAll = known.changed <= mirror.lastChange();
+        m_relayed.onBeacon(known.changed, mirror.lastChange(), at);
+        if (isAll) {
+            noteOutage();
+            mirror.confirm(known.revision);
+            m_confirmedAt = std::max(m_confirmedAt, at);
+        }
+        return isAll;
     }
 
     /// Peers know a change that is to be read from the store.
@@ -148,7 +158,7 @@
 private:
     WatchTimes m_times;
     SteadyTime m_confirmedAt;
-    SteadyTime m_relayedAt;
+    RelayFreshness m_relayed;
     SteadyTime m_graceUntil;
     bool m_follows = false;
     std::uint64_t m_announced = 0;
@@ -312,9 +322,10 @@
         if (prefix == nullptr) {
             continue;
         }
-        if (known.changed <= prefix->mirror.lastChange()) {
-            prefix->onRelayed(known.revision, now - std::chrono::milliseconds(known.ageMs));
-        } else if (known.prefix == m_runtime.wire.configurationPrefix()) {
+        if (prefix->onBeacon(known, now - std::chrono::milliseconds(known.ageMs))) {
+            continue;
+        }
+        if (known.prefix == m_runtime.wire.configurationPrefix()) {
             prefix->fetch(known.changed);
         } else {
             requests.push_back({known.prefix, prefix->mirror.revision()});
--- a/lib/Serving/ObjectMirror.cpp
+++ b/lib/Serving/ObjectMirror.cpp
@@ -70,4 +70,26 @@
     return true;
 }
 
+// Where objects change all the time, a beacon is mostly ahead of what has arrived. It counts once
+// the objects that it announced are there, or the mirror would look stale although it is not.
+void RelayFreshness::onBeacon(std::uint64_t announced, std::uint64_t known, SteadyTime at)
+{
+    if (announced <= known) {
+        m_confirmedAt = std::max(m_confirmedAt, at);
+        return;
+    }
+    if (announced >= m_announced) {
+        m_announced = announced;
+        m_announcedAt = at;
+    }
+}
+
+void RelayFreshness::onApplied(std::uint64_t known)
+{
+    if (m_announced != 0 && known >= m_announced) {
+        m_confirmedAt = std::max(m_confirmedAt, m_announcedAt);
+        m_announced = 0;
+    }
+}
+
 } // namespace marigoldspool
--- a/tests/Serving/SmallDecisionsTest.cpp
+++ b/tests/Serving/SmallDecisionsTest.cpp
@@ -133,3 +133,25 @@
     CHECK(changes == 0);
     CHECK(mirror.revision() == 3);
 }
+
+// On the grown bench sites a third of the calls to the store were lists of endpoints, made by
+// instances that took what their peers told them for stale because each beacon was ahead of it.
+TEST_CASE("a beacon counts when the objects that it announced have come")
+{
+    ManualClock clock;
+    RelayFreshness fresh;
+    const SteadyTime first = clock.now();
+    fresh.onBeacon(10, 10, first);
+    CHECK(fresh.confirmedAt() == first);
+    clock.advance(std::chrono::seconds(1));
+    const SteadyTime second = clock.now();
+    fresh.onBeacon(12, 10, second);
+    CHECK(fresh.confirmedAt() == first);
+    fresh.onApplied(11);
+    CHECK(fresh.confirmedAt() == first);
+    fresh.onApplied(12);
+    CHECK(fresh.confirmedAt() == second);
+    // An older beacon of another peer changes nothing.
+    fresh.onBeacon(11, 12, first);
+    CHECK(fresh.confirmedAt() == second);
+}
