--- a/tests/System/FleetSoakTest.cpp
+++ b/tests/System/FleetSoakTest.cpp
@@ -84,13 +84,13 @@
 {
 public:
     explicit Soak(std::uint64_t seed)
-        : random(seed)
-        , store(io, metrics)
-        , callers(makeEndpointClient(io, clock, metrics))
+        : m_random(seed)
+        , m_store(m_io, m_metrics)
+        , m_callers(makeEndpointClient(m_io, m_clock, m_metrics))
     {
         std::string pattern = "/tmp/marigoldspool-soak-XXXXXX";
         REQUIRE(::mkdtemp(pattern.data()) != nullptr);
-        directory = pattern;
+        m_directory = pattern;
         configure();
         for (const char *service : {"app", "app", "llm", "llm"}) {
             addReplica(service);
@@ -102,7 +102,7 @@
 
     ~Soak()
     {
-        for (Node &node : nodes) {
+        for (Node &node : m_nodes) {
             node.process->kill();
         }
     }
@@ -112,12 +112,12 @@
         REQUIRE(pump(20s, [this] {
             return servesEverywhere();
         }));
-        const SteadyTime end = clock.now() + FaultTime;
-        SteadyTime nextFault = clock.now();
-        while (clock.now() < end) {
-            if (clock.now() >= nextFault) {
+        const SteadyTime end = m_clock.now() + FaultTime;
+        SteadyTime nextFault = m_clock.now();
+        while (m_clock.now() < end) {
+            if (m_clock.now() >= nextFault) {
                 injectFault();
-                nextFault = clock.now() + std::chrono::milliseconds(random() % 500 + 150);
+                nextFault = m_clock.now() + std::chrono::milliseconds(m_random() % 500 + 150);
             }
             sendRequest();
             pump(RequestInterval, [] {
@@ -129,9 +129,9 @@
         const bool recovered = pump(RecoverTime, [this] {
             return servesEverywhere();
         });
-        CHECK_MESSAGE(recovered, "not served everywhere after the faults; logs in ", directory);
+        CHECK_MESSAGE(recovered, "not served everywhere after the faults; logs in ", m_directory);
         pump(7s, [this] {
-            return std::all_of(calls.begin(), calls.end(), [](const auto &it) {
+            return std::all_of(m_calls.begin(), m_calls.end(), [](const auto &it) {
                 return it.second->ended;
             });
         });
@@ -160,13 +160,13 @@
     // Runs the event loop until the condition holds or the time has passed.
     bool pump(Duration time, const std::function<bool()> &condition)
     {
-        const SteadyTime end = clock.now() + time;
+        const SteadyTime end = m_clock.now() + time;
         while (!condition()) {
-            if (clock.now() >= end) {
+            if (m_clock.now() >= end) {
                 return false;
             }
-            io.restart();
-            io.run_one_for(std::chrono::milliseconds(5));
+            m_io.restart();
+            m_io.run_one_for(std::chrono::milliseconds(5));
         }
         return true;
     }
@@ -192,9 +192,9 @@
                              {"models",
                               {{{"name", "m"}, {"weightsMb", 60}, {"loadS", 0.05}},
                                {{"name", "n"}, {"weightsMb", 60}, {"loadS", 0.05}}}}};
-        store.put(
+        m_store.put(
             "config", "main",
-            {{"version", ++version},
+            {{"version", ++m_version},
              {"routes",
               {route("again", "idempotent", "app", false),
                route("once", "non_idempotent", "app", false), route("llm", "stream", "llm", true)}},
@@ -204,34 +204,34 @@
 
     void addReplica(const std::string &service)
     {
-        const std::string id = "i-" + std::to_string(replicas.size());
+        const std::string id = "i-" + std::to_string(m_replicas.size());
         auto replica = std::make_unique<Replica>();
         replica->service = service;
         replica->standin = std::make_unique<StandinReplica>(
-            io, metrics, id,
+            m_io, m_metrics, id,
             [this, it = replica.get()](const HttpRequest &request,
                                        const std::shared_ptr<ResponseSink> &sink) {
                 serve(*it, request, sink);
             });
         if (service == "llm") {
-            replica->standin->models = {replicas.size() % 2 == 0 ? "m" : "n"};
+            replica->standin->models = {m_replicas.size() % 2 == 0 ? "m" : "n"};
         }
-        replica->proxy = std::make_unique<LoopbackProxy>(io, replica->standin->address());
-        replicas.push_back(std::move(replica));
-        list(*replicas.back(), "ready");
+        replica->proxy = std::make_unique<LoopbackProxy>(m_io, replica->standin->address());
+        m_replicas.push_back(std::move(replica));
+        list(*m_replicas.back(), "ready");
     }
 
     void list(const Replica &replica, const std::string &state)
     {
         json entry = replica.standin->entry(replica.service, state);
         entry["addr"] = replica.proxy->address();
-        store.put("servers", replica.standin->id, entry);
+        m_store.put("servers", replica.standin->id, entry);
     }
 
     void addNode(int number)
     {
         Node node;
-        node.storeProxy = std::make_unique<LoopbackProxy>(io, store.address());
+        node.storeProxy = std::make_unique<LoopbackProxy>(m_io, m_store.address());
         const std::string name = "front-" + std::to_string(number);
         const auto ports = freePorts(4);
         node.callerAddress = "127.0.0.1:" + std::to_string(ports[0]);
@@ -251,28 +251,29 @@
               {"graceS", 8}}},
             {"limits", {{"cpuShare", 0.25}, {"linkMbps", 1000}}},
             {"provider", {{"addr", node.storeProxy->address()}}}};
-        node.settings = directory + "/" + name + ".json";
+        node.settings = m_directory + "/" + name + ".json";
         std::ofstream(node.settings) << settings.dump();
-        nodes.push_back(std::move(node));
-        start(nodes.back());
+        m_nodes.push_back(std::move(node));
+        start(m_nodes.back());
     }
 
     // The ports after the third one are tried as a pair, since a node takes two in a row.
     static std::vector<int> freePorts(int count)
     {
-        boost::asio::io_context io;
+        boost::asio::io_context context;
         std::vector<boost::asio::ip::tcp::acceptor> held;
         std::vector<int> ports;
         while (static_cast<int>(ports.size()) < count) {
             held.emplace_back(
-                io, boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+                context,
+                boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
             const int port = held.back().local_endpoint().port();
             if (ports.size() != 2) {
                 ports.push_back(port);
                 continue;
             }
             boost::system::error_code ec;
-            boost::asio::ip::tcp::acceptor next(io);
+            boost::asio::ip::tcp::acceptor next(context);
             next.open(boost::asio::ip::tcp::v4(), ec);
             next.bind(
                 {boost::asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port + 1)},
@@ -299,8 +300,8 @@
                const std::shared_ptr<ResponseSink> &sink)
     {
         const std::string id = *findHeader(request.headers, "X-Marigoldspool-Request-Id");
-        const auto found = calls.find(id);
-        CHECK_MESSAGE(found != calls.end(), "a request runs that no client sent: ", id);
+        const auto found = m_calls.find(id);
+        CHECK_MESSAGE(found != m_calls.end(), "a request runs that no client sent: ", id);
         CHECK(findHeader(request.headers, "Authorization") == nullptr);
         const std::string *tenant = findHeader(request.headers, "X-Marigoldspool-Tenant");
         const bool hasTenant = tenant != nullptr && *tenant == "t";
@@ -311,7 +312,7 @@
             model != nullptr && std::find(held.begin(), held.end(), *model) == held.end();
         const std::vector<HeaderField> notRun{{"X-Marigoldspool-Request-Id", id},
                                               {"X-Marigoldspool-Not-Run", "1"}};
-        if (lacks || random() % 30 == 0 || found == calls.end()) {
+        if (lacks || m_random() % 30 == 0 || found == m_calls.end()) {
             sink->head(lacks ? 421 : 503, notRun, false);
             sink->finish();
             return;
@@ -319,12 +320,12 @@
         ++found->second->runs;
         const std::vector<HeaderField> headers{{"X-Marigoldspool-Request-Id", id},
                                                {"X-Marigoldspool-Replica-Seal", "seal"}};
-        const bool breaksOff = random() % 25 == 0;
+        const bool breaksOff = m_random() % 25 == 0;
         const std::string *after = findHeader(request.headers, "Last-Event-Id");
         const int first = after == nullptr ? 1 : std::stoi(*after) + 1;
         const bool isStream = found->second->kind == CallKind::Stream;
         auto timer = std::make_shared<boost::asio::steady_timer>(
-            io, std::chrono::milliseconds(random() % 40));
+            m_io, std::chrono::milliseconds(m_random() % 40));
         timer->async_wait([=](const boost::system::error_code &) {
             (void)timer;
             sink->head(200, headers, isStream);
@@ -351,8 +352,8 @@
         auto call = std::make_shared<Call>();
         call->kind = kind;
         EndpointCall request;
-        request.id = RequestId("r" + std::to_string(calls.size()));
-        calls.emplace(request.id.str(), call);
+        request.id = RequestId("r" + std::to_string(m_calls.size()));
+        m_calls.emplace(request.id.str(), call);
         request.address = node.callerAddress;
         request.method = "POST";
         request.target = kind == CallKind::Repeatable ? "/again/x"
@@ -367,57 +368,57 @@
         if (!model.empty()) {
             request.headers.push_back({"X-Marigoldspool-Model", model});
         }
-        callers->call(std::move(request), std::make_shared<ClientHandler>(call));
+        m_callers->call(std::move(request), std::make_shared<ClientHandler>(call));
         return call;
     }
 
     void sendRequest()
     {
-        const auto kind = static_cast<CallKind>(random() % 3);
+        const auto kind = static_cast<CallKind>(m_random() % 3);
         const std::string model =
-            kind == CallKind::Stream ? (random() % 4 == 0 ? "n" : "m") : std::string();
-        send(nodes[random() % nodes.size()], kind, model);
+            kind == CallKind::Stream ? (m_random() % 4 == 0 ? "n" : "m") : std::string();
+        send(m_nodes[m_random() % m_nodes.size()], kind, model);
     }
 
     // A probe of each kind at each node; holds once all of the last round were served.
     bool servesEverywhere()
     {
-        const bool hasEnded = std::all_of(probes.begin(), probes.end(), [](const auto &it) {
+        const bool hasEnded = std::all_of(m_probes.begin(), m_probes.end(), [](const auto &it) {
             return it->ended;
         });
         if (!hasEnded) {
             return false;
         }
         const bool isServed =
-            !probes.empty() && std::all_of(probes.begin(), probes.end(), [](const auto &it) {
+            !m_probes.empty() && std::all_of(m_probes.begin(), m_probes.end(), [](const auto &it) {
                 return it->complete && it->status == 200;
             });
-        probes.clear();
+        m_probes.clear();
         if (isServed) {
             return true;
         }
-        for (const Node &node : nodes) {
-            probes.push_back(send(node, CallKind::Repeatable, {}));
-            probes.push_back(send(node, CallKind::Stream, "m"));
+        for (const Node &node : m_nodes) {
+            m_probes.push_back(send(node, CallKind::Repeatable, {}));
+            m_probes.push_back(send(node, CallKind::Stream, "m"));
         }
         return false;
     }
 
     void later(std::function<void()> end)
     {
-        const auto time = std::chrono::milliseconds(random() % 1700 + 200);
-        endings.push_back({clock.now() + time, std::move(end)});
+        const auto time = std::chrono::milliseconds(m_random() % 1700 + 200);
+        m_endings.push_back({m_clock.now() + time, std::move(end)});
     }
 
     void endFaults()
     {
-        for (auto it = endings.begin(); it != endings.end();) {
-            if (it->at > clock.now()) {
+        for (auto it = m_endings.begin(); it != m_endings.end();) {
+            if (it->at > m_clock.now()) {
                 ++it;
                 continue;
             }
             const auto end = std::move(it->end);
-            it = endings.erase(it);
+            it = m_endings.erase(it);
             end();
         }
     }
@@ -426,7 +427,7 @@
     {
         constexpr Fault Faults[] = {Fault::Delay, Fault::Silence, Fault::CutToTarget,
                                     Fault::CutFromTarget, Fault::Refuse};
-        proxy.setFault(Faults[random() % std::size(Faults)]);
+        proxy.setFault(Faults[m_random() % std::size(Faults)]);
         later([&proxy] {
             proxy.setFault(Fault::None);
         });
@@ -434,13 +435,13 @@
 
     void injectFault()
     {
-        const std::size_t number = random() % nodes.size();
-        Node &node = nodes[number];
-        Replica &replica = *replicas[random() % replicas.size()];
-        const auto fault = random() % 11;
-        std::ofstream(directory + "/faults.log", std::ios::app)
-            << toMilliseconds(clock.wallNow().time_since_epoch()) << " fault " << fault << " node "
-            << number << " replica " << replica.standin->id << '\n';
+        const std::size_t number = m_random() % m_nodes.size();
+        Node &node = m_nodes[number];
+        Replica &replica = *m_replicas[m_random() % m_replicas.size()];
+        const auto fault = m_random() % 11;
+        std::ofstream(m_directory + "/faults.log", std::ios::app)
+            << toMilliseconds(m_clock.wallNow().time_since_epoch()) << " fault " << fault
+            << " node " << number << " replica " << replica.standin->id << '\n';
         switch (fault) {
         case 0:
             node.process->kill();
@@ -457,9 +458,9 @@
         case 2:
             // A planned stop in the middle of requests; the process ends by itself.
             node.process->signal(SIGTERM);
-            endings.push_back({clock.now() + StopTime, [this, &node] {
-                                   start(node);
-                               }});
+            m_endings.push_back({m_clock.now() + StopTime, [this, &node] {
+                                     start(node);
+                                 }});
             break;
         case 3:
             node.process->signal(SIGHUP);
@@ -475,17 +476,17 @@
             replica.proxy->resetConnections();
             break;
         case 7:
-            store.busy = true;
+            m_store.busy = true;
             later([this] {
-                store.busy = false;
+                m_store.busy = false;
             });
             break;
         case 8:
-            store.forgetHistory();
+            m_store.forgetHistory();
             configure();
             break;
         case 9:
-            store.answersToLose = 2;
+            m_store.answersToLose = 2;
             break;
         case 10:
             list(replica, "draining");
@@ -498,22 +499,24 @@
 
     void healAll()
     {
-        for (Ending &ending : endings) {
+        for (Ending &ending : m_endings) {
             ending.end();
         }
-        endings.clear();
-        for (const Node &node : nodes) {
+        m_endings.clear();
+        for (const Node &node : m_nodes) {
             node.process->signal(SIGCONT);
         }
-        store.answersToLose = 0;
+        m_store.answersToLose = 0;
     }
 
     void checkCalls()
     {
-        for (const auto &[id, call] : calls) {
+        for (const auto &entry : m_calls) {
+            const std::string &id = entry.first;
+            const std::shared_ptr<Call> &call = entry.second;
             CAPTURE(id);
             CAPTURE(call->status);
-            CAPTURE(directory);
+            CAPTURE(m_directory);
             CHECK(call->ended);
             if (call->kind == CallKind::Once) {
                 CHECK(call->runs <= 1);
@@ -526,24 +529,24 @@
                       == (call->kind == CallKind::Stream ? wholeStream(id) : "answer " + id));
             }
         }
-        for (const auto &replica : replicas) {
+        for (const auto &replica : m_replicas) {
             CHECK(replica->standin->mostModels <= 1);
         }
     }
 
-    boost::asio::io_context io;
-    Metrics metrics;
-    SystemClock clock;
-    std::mt19937_64 random;
-    StandinStore store;
-    std::unique_ptr<EndpointClient> callers;
-    std::vector<std::unique_ptr<Replica>> replicas;
-    std::vector<Node> nodes;
-    std::map<std::string, std::shared_ptr<Call>> calls;
-    std::vector<std::shared_ptr<Call>> probes;
-    std::vector<Ending> endings;
-    std::string directory;
-    int version = 0;
+    boost::asio::io_context m_io;
+    Metrics m_metrics;
+    SystemClock m_clock;
+    std::mt19937_64 m_random;
+    StandinStore m_store;
+    std::unique_ptr<EndpointClient> m_callers;
+    std::vector<std::unique_ptr<Replica>> m_replicas;
+    std::vector<Node> m_nodes;
+    std::map<std::string, std::shared_ptr<Call>> m_calls;
+    std::vector<std::shared_ptr<Call>> m_probes;
+    std::vector<Ending> m_endings;
+    std::string m_directory;
+    int m_version = 0;
 };
 
 std::uint64_t fromEnvironment(const char *name, std::uint64_t fallback)
