Send a request only when the time left covers how runs vary

Cause, by a log of sendings beside 60 processes that are busy by turns: - A request that came from another zone after waiting there, or that had waited here, was sent with 222 to 260 ms left for runs of 400 to 437 ms: with nothing else under way the last one was sent whatever the estimate said, so that a too high estimate is corrected. - The margin over the mean run was a quarter of it, 50 ms here, whatever runs varied by; and requests that expired gave no sample, so the mean was that of the fast ones.

Now only a request that has just come, and not from another zone unless nothing was measured for 5 s, corrects an estimate. The margin is the largest of a quarter of the mean, 250 ms (at most the mean) and four mean deviations, and an expired run counts with the time that it took so far.

Ruled out: stalls of the machine alone (a margin of 200 ms still failed, since the sending passed it by).

--- a/include/marigoldspool/Routing/Dispatcher.h
+++ b/include/marigoldspool/Routing/Dispatcher.h
@@ -144,6 +144,8 @@
         Target target;
         FairQueue queue;
         WaitEstimator waits;
+        /// When a run last told \c waits how long it took.
+        SteadyTime measuredAt;
         std::vector<EndpointId> replicas;
         /// Requests in flight.
         std::size_t running = 0;
@@ -155,7 +157,8 @@
 
     TargetState &targetState(const Target &target);
     const TargetState *findTarget(const Target &target) const;
-    void dispatch(TargetState &state, DispatchActions &actions);
+    /// \p fresh: the request that has just been submitted, if any.
+    void dispatch(TargetState &state, DispatchActions &actions, const RequestId &fresh = {});
     std::optional<EndpointId> chooseEndpoint(const TargetState &state);
     Duration longestHold(const TargetState &state) const;
     bool isUsable(const EndpointId &endpoint) const;
@@ -165,7 +168,9 @@
     void noteDemandIfDue(TargetState &state, DispatchActions &actions);
     Duration predictLastWait(const TargetState &state) const;
     Duration expectedRun(const TargetState &state, const Request &request) const;
-    std::optional<Request> popServable(TargetState &state, DispatchActions &actions);
+    bool mayProbe(const TargetState &state, const Request &request) const;
+    std::optional<Request> popServable(TargetState &state, DispatchActions &actions,
+                                       const RequestId &fresh);
     void refuse(const Request &request, Refusal refusal, DispatchActions &actions);
     void refuseWithdrawn(DispatchActions &actions);
     void expireInFlight(SteadyTime now, DispatchActions &actions);
--- a/lib/Routing/Dispatcher.cpp
+++ b/lib/Routing/Dispatcher.cpp
@@ -14,6 +14,8 @@
 constexpr Duration ShortestRetryAfter = std::chrono::milliseconds(100);
 // Placement expects a note at least each second while requests wait.
 constexpr Duration DemandInterval = std::chrono::milliseconds(500);
+// While runs end, their times are measured several times a second.
+constexpr Duration StaleEstimate = std::chrono::seconds(5);
 
 Refusal makeRefusal(RefusalReason reason, RanState ran, std::string message, std::string remedy,
                     Duration retryAfter)
@@ -166,12 +168,15 @@
 
 // Takes the next request that can be answered in time. A slot given to one that cannot would be
 // wasted while others wait for it, and the endpoint would seem to have failed. With nothing under
-// way the last one is taken in any case, so that an estimate that is too high is corrected.
-std::optional<Request> Dispatcher::popServable(TargetState &state, DispatchActions &actions)
+// way a request that has just come may be taken in any case, so that an estimate that is too high
+// is corrected.
+std::optional<Request> Dispatcher::popServable(TargetState &state, DispatchActions &actions,
+                                               const RequestId &fresh)
 {
     while (std::optional<Request> request = state.queue.pop()) {
         const bool inTime = m_clock.now() + expectedRun(state, *request) <= request->deadline;
-        if (inTime || (state.queue.empty() && state.running == 0)) {
+        const bool isProbe = request->id == fresh && state.running == 0;
+        if (inTime || (isProbe && mayProbe(state, *request))) {
             return request;
         }
         refuse(*request,
@@ -184,6 +189,14 @@
     return std::nullopt;
 }
 
+// A request that waited here or in another zone has little time left: sent against the estimate,
+// such requests expired at their endpoints and their outcome stayed unknown. They are used only
+// when nothing else has shown for a while how long runs take.
+bool Dispatcher::mayProbe(const TargetState &state, const Request &request) const
+{
+    return !request.overflow || m_clock.now() - state.measuredAt >= StaleEstimate;
+}
+
 DispatchActions Dispatcher::submit(Request request)
 {
     assert(m_configuration && "requests come after the first configuration");
@@ -234,8 +247,9 @@
             return actions;
         }
     }
+    const RequestId id = request.id;
     state.queue.push(std::move(request));
-    dispatch(state, actions);
+    dispatch(state, actions, id);
     if (!state.queue.empty()) {
         noteDemand(state, actions);
     }
@@ -302,14 +316,14 @@
     return std::nullopt;
 }
 
-void Dispatcher::dispatch(TargetState &state, DispatchActions &actions)
+void Dispatcher::dispatch(TargetState &state, DispatchActions &actions, const RequestId &fresh)
 {
     while (!state.queue.empty()) {
         const std::optional<EndpointId> endpoint = chooseEndpoint(state);
         if (!endpoint) {
             return;
         }
-        std::optional<Request> request = popServable(state, actions);
+        std::optional<Request> request = popServable(state, actions, fresh);
         if (!request) {
             m_slots.returnSlot(*endpoint);
             return;
@@ -364,6 +378,7 @@
     --state.running;
     if (outcome == EndpointOutcome::Answered) {
         state.waits.onFinished(flight.request.cost, m_clock.now() - flight.sentAt);
+        state.measuredAt = m_clock.now();
     } else {
         retryOrGiveUp(flight, outcome, actions);
     }
@@ -506,7 +521,11 @@
         }
     }
     for (const RequestId &id : expired) {
-        const Request request = m_inFlight.at(id).request;
+        const InFlight &flight = m_inFlight.at(id);
+        const Request request = flight.request;
+        TargetState &state = targetState(request.target);
+        state.waits.onUnfinished(request.cost, now - flight.sentAt);
+        state.measuredAt = now;
         const DispatchActions cancelled = cancel(id);
         actions.insert(actions.end(), cancelled.begin(), cancelled.end());
         refuse(request,
--- a/lib/Routing/DispatcherEstimates.cpp
+++ b/lib/Routing/DispatcherEstimates.cpp
@@ -2,14 +2,6 @@
 
 namespace marigoldspool {
 
-namespace {
-
-// Runs vary: with the mean alone, 2 of 6,068 refused requests under overload had been sent and
-// expired at the endpoint, so that their outcome was unknown.
-constexpr int RunMarginDivisor = 4;
-
-} // namespace
-
 int Dispatcher::usableSlots(const TargetState &state) const
 {
     int slots = 0;
@@ -50,8 +42,7 @@
     if (request.stream) {
         return Duration::zero();
     }
-    const Duration mean = state.waits.waitFor(request.cost, 1).value_or(Duration::zero());
-    return mean + mean / RunMarginDivisor;
+    return state.waits.runBound(request.cost).value_or(Duration::zero());
 }
 
 } // namespace marigoldspool
--- a/lib/Routing/WaitEstimator.cpp
+++ b/lib/Routing/WaitEstimator.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace marigoldspool {
 
@@ -11,6 +12,21 @@
 constexpr double SampleWeight = 0.1;
 // Keeps a prediction from overflowing the clock's range.
 constexpr double LongestWaitSeconds = 24.0 * 3600;
+// Least margin over the mean. With the mean alone, 2 of 6,068 refused requests under overload had
+// been sent and expired at the endpoint, so that their outcome was unknown.
+constexpr double LeastRunMargin = 0.25;
+// Short runs get up to this much more, at most their own time again: a busy machine holds a process
+// up for this long now and then, however short its runs are.
+constexpr double StallSeconds = 0.25;
+// Margin in mean deviations, as for the retransmission timeout of TCP (RFC 6298). With the least
+// margin alone, 11 of 4,726 refused requests expired at endpoints whose machine was busy.
+constexpr double RunMarginDeviations = 4;
+
+Duration toDuration(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(std::min(seconds, LongestWaitSeconds)));
+}
 
 } // namespace
 
@@ -18,9 +34,23 @@
 {
     assert(cost > 0 && "a request has a cost");
     const double sample = std::chrono::duration<double>(served).count() / cost;
-    m_secondsPerToken = m_secondsPerToken
-        ? *m_secondsPerToken * (1 - SampleWeight) + sample * SampleWeight
-        : sample;
+    if (!m_secondsPerToken) {
+        m_secondsPerToken = sample;
+        return;
+    }
+    const double distance = std::abs(sample - *m_secondsPerToken);
+    m_deviation += (distance - m_deviation) * SampleWeight;
+    *m_secondsPerToken += (sample - *m_secondsPerToken) * SampleWeight;
+}
+
+// Without these samples only requests that were fast enough would be counted, and the prediction
+// would stay too low while an endpoint slows down.
+void WaitEstimator::onUnfinished(double cost, Duration served)
+{
+    const std::optional<Duration> mean = waitFor(cost, 1);
+    if (!mean || served > *mean) {
+        onFinished(cost, served);
+    }
 }
 
 std::optional<Duration> WaitEstimator::waitFor(double costAhead, int slots) const
@@ -28,9 +58,18 @@
     if (!m_secondsPerToken) {
         return std::nullopt;
     }
-    const double seconds = costAhead * *m_secondsPerToken / std::max(slots, 1);
-    return std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(std::min(seconds, LongestWaitSeconds)));
+    return toDuration(costAhead * *m_secondsPerToken / std::max(slots, 1));
+}
+
+std::optional<Duration> WaitEstimator::runBound(double cost) const
+{
+    if (!m_secondsPerToken) {
+        return std::nullopt;
+    }
+    const double mean = cost * *m_secondsPerToken;
+    const double margin = std::max({mean * LeastRunMargin, std::min(mean, StallSeconds),
+                                    cost * m_deviation * RunMarginDeviations});
+    return toDuration(mean + margin);
 }
 
 } // namespace marigoldspool
--- a/tests/Routing/DispatcherTest.cpp
+++ b/tests/Routing/DispatcherTest.cpp
@@ -248,6 +248,79 @@
     CHECK(sent.back().request == RequestId("long"));
 }
 
+// Guards against a prediction that learns from the fast requests only: those that expired at their
+// endpoint have no answer to measure, so the next ones were sent with too little time left.
+TEST_CASE("a request that expired at its endpoint makes the next ones leave more time")
+{
+    Fixture fixture;
+    fixture.loadEverywhere();
+    for (int i = 0; i < 20; ++i) {
+        const std::string id = "answered" + std::to_string(i);
+        fixture.dispatcher.submit(fixture.makeRequest(id));
+        fixture.clock.advance(2s);
+        fixture.dispatcher.onEndpointResult(RequestId(id), EndpointOutcome::Answered);
+    }
+    fixture.dispatcher.submit(fixture.makeRequest("expiring", 4s));
+    int running = 0;
+    while (fixture.dispatcher.queued() == 0) {
+        fixture.dispatcher.submit(fixture.makeRequest("running" + std::to_string(running++), 60s));
+    }
+    fixture.dispatcher.cancel(RequestId("running" + std::to_string(running - 1)));
+    fixture.dispatcher.submit(fixture.makeRequest("next", 6600ms));
+    fixture.dispatcher.submit(fixture.makeRequest("last", 60s));
+    fixture.clock.advance(3980ms);
+    const auto actions = fixture.dispatcher.onTick();
+    const auto refusals = actionsOf<AnswerRefusal>(actions);
+    std::map<RequestId, RanState> ran;
+    for (const AnswerRefusal &refusal : refusals) {
+        ran[refusal.request] = refusal.refusal.ran;
+    }
+    REQUIRE(ran.count(RequestId("expiring")) == 1);
+    CHECK(ran.at(RequestId("expiring")) == RanState::Unknown);
+    REQUIRE(ran.count(RequestId("next")) == 1);
+    CHECK(ran.at(RequestId("next")) == RanState::No);
+}
+
+// Under overload a request that had waited was sent with 222 ms left for a run of 413 ms, as
+// nothing else was under way just then; it expired at the endpoint and its outcome stayed unknown.
+TEST_CASE("a request that has waited is not sent without time for its run")
+{
+    Fixture fixture;
+    fixture.loadEverywhere();
+    fixture.dispatcher.submit(fixture.makeRequest("first", 60s));
+    fixture.clock.advance(1s);
+    fixture.dispatcher.onEndpointResult(RequestId("first"), EndpointOutcome::Answered);
+    fixture.dispatcher.onReplicas(ModelName("m"), {});
+    fixture.dispatcher.submit(fixture.makeRequest("waited", 5s));
+    REQUIRE(fixture.dispatcher.queued() == 1);
+    fixture.clock.advance(4500ms);
+    const auto refusals = actionsOf<AnswerRefusal>(fixture.loadEverywhere());
+    REQUIRE(refusals.size() == 1);
+    CHECK(refusals[0].request == RequestId("waited"));
+    CHECK(refusals[0].refusal.ran == RanState::No);
+}
+
+// The same, by a request that had waited in another zone and came with 250 ms left for 437 ms.
+TEST_CASE(
+    "a request from another zone is not sent without time for its run while runs are measured")
+{
+    Fixture fixture;
+    fixture.loadEverywhere();
+    fixture.dispatcher.submit(fixture.makeRequest("first", 60s));
+    fixture.clock.advance(1s);
+    fixture.dispatcher.onEndpointResult(RequestId("first"), EndpointOutcome::Answered);
+    Request overflowed = fixture.makeRequest("overflowed", 500ms);
+    overflowed.overflow = true;
+    const auto refusals = actionsOf<AnswerRefusal>(fixture.dispatcher.submit(overflowed));
+    REQUIRE(refusals.size() == 1);
+    CHECK(refusals[0].refusal.ran == RanState::No);
+    // An estimate that is too high is corrected by such requests as well, when there are no others.
+    fixture.clock.advance(6s);
+    overflowed = fixture.makeRequest("later", 500ms);
+    overflowed.overflow = true;
+    CHECK(actionsOf<SendToEndpoint>(fixture.dispatcher.submit(overflowed)).size() == 1);
+}
+
 // An estimate that is too high would otherwise never be corrected.
 TEST_CASE("the last queued request is sent whatever its expected run time is")
 {
