--- a/include/marigoldspool/Fleet/FleetWire.h
+++ b/include/marigoldspool/Fleet/FleetWire.h
@@ -94,9 +94,6 @@
     virtual Expected<ListedEndpoint> decodeEndpoint(std::string_view name,
                                                     std::string_view value) const = 0;
     /// \}
-
-    /// The path that the load balancer asks for readiness.
-    virtual std::string readyPath() const = 0;
 };
 
 } // namespace marigoldspool
--- a/include/marigoldspool/Serving/DemandBook.h
+++ b/include/marigoldspool/Serving/DemandBook.h
@@ -7,6 +7,8 @@
 #include <map>
 #include <tuple>
 
+#include <gsl/span>
+
 namespace marigoldspool {
 
 /// A model, or one of its adapters, in one pool.
@@ -31,6 +33,14 @@
     SteadyTime lastArrival;
 };
 
+/// A request of this instance that waits for a model or adapter.
+struct WaitingRequest {
+    DemandKey key;
+    Duration waited = Duration::zero();
+    /// 0 is the most urgent.
+    int priority = 0;
+};
+
 /// How often one instance is asked for each model and adapter.
 class DemandTracker
 {
@@ -40,6 +50,8 @@
     void onArrival(const DemandKey &key);
     /// All that was asked for lately, without waiting requests.
     std::map<DemandKey, ReportedDemand> recent();
+    /// What was asked for lately and what \p waiting waits for.
+    DemandReport report(gsl::span<const WaitingRequest> waiting);
 
 private:
     struct Count {
@@ -59,8 +71,6 @@
     explicit DemandBook(const Clock &clock);
 
     void onReport(const InstanceId &from, const DemandReport &report);
-    /// Forgets the waiting requests of an instance that is out of reach.
-    void forget(const InstanceId &from);
     void clear();
     /// Drops the reports of instances that are silent.
     void onTick();
--- a/include/marigoldspool/Serving/EndpointDirectory.h
+++ b/include/marigoldspool/Serving/EndpointDirectory.h
@@ -65,8 +65,6 @@
     EndpointId endpoint;
     /// When asking again makes sense, for Busy.
     Duration retryIn = std::chrono::milliseconds(50);
-    /// Requests of this instance that run at the endpoints that hold the model, for estimates.
-    int running = 0;
     int holders = 0;
 };
 
@@ -111,8 +109,6 @@
     void onFirstByte(const EndpointId &id, Duration after);
     void onResult(const EndpointId &id, EndpointResult result, const ModelName &model,
                   const std::string &adapter = {});
-    /// The endpoint said how long it stays cold.
-    void onCold(const EndpointId &id, Duration left);
     static bool holds(const EndpointState &state, const ModelName &model,
                       const std::string &adapter);
 
--- a/include/marigoldspool/Serving/ServingTypes.h
+++ b/include/marigoldspool/Serving/ServingTypes.h
@@ -109,6 +109,15 @@
         const auto it = pools.find(name);
         return it == pools.end() ? nullptr : &it->second;
     }
+    const ServedWorkspace *workspace(const WorkspaceName &name) const
+    {
+        for (const ServedWorkspace &it : workspaces) {
+            if (it.name == name) {
+                return &it;
+            }
+        }
+        return nullptr;
+    }
 };
 
 using ServingConfigurationPtr = std::shared_ptr<const ServingConfiguration>;
--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -291,6 +291,8 @@
               {"workspace", m_workspace.str()},
               {"model", m_request.model.str()},
               {"adapter", m_request.adapter},
+              {"tokens_in", std::to_string(m_request.promptTokens)},
+              {"tokens_out", std::to_string(m_request.outputTokens)},
               {"endpoint", m_endpoint.str()},
               {"tries", std::to_string(m_attempts)},
               {"wait_ms",
--- a/lib/Fleet/FleetState.cpp
+++ b/lib/Fleet/FleetState.cpp
@@ -291,9 +291,8 @@
 // zones.
 bool FleetState::sendsBeaconsTo(const InstanceId &peer) const
 {
-    const auto it = m_members.find(peer);
-    return m_members.size() <= FleetLink::MostMeshMembers || it == m_members.end()
-        || it->second.zone == m_runtime.options.zone;
+    return m_members.size() <= FleetLink::MostMeshMembers || m_members.count(peer) == 0
+        || isInOwnZone(peer);
 }
 
 bool FleetState::tellsNewsTo(const InstanceId &peer) const
@@ -352,6 +351,25 @@
     return news;
 }
 
+// A refusal for its rate can be checked by this line and the one of the request.
+void FleetState::logNewRates(const ServingConfiguration &configuration) const
+{
+    for (const ServedWorkspace &workspace : configuration.workspaces) {
+        const ServedWorkspace *before = m_runtime.routes == nullptr
+            ? nullptr
+            : m_runtime.routes->configuration()->workspace(workspace.name);
+        if (before != nullptr && before->rate == workspace.rate
+            && before->burst == workspace.burst) {
+            continue;
+        }
+        logEvent(LogLevel::Info, "rate_in_force",
+                 {{"workspace", workspace.name.str()},
+                  {"rate", std::to_string(workspace.rate)},
+                  {"burst", std::to_string(workspace.burst)},
+                  {"version", std::to_string(configuration.version)}});
+    }
+}
+
 void FleetState::onConfiguration(const WatchEvent &event)
 {
     if (event.deleted) {
@@ -370,6 +388,7 @@
         return;
     }
     auto configuration = std::make_shared<const ServingConfiguration>(std::move(*decoded));
+    logNewRates(*configuration);
     m_runtime.routes = std::make_shared<const RouteTable>(configuration);
     m_runtime.directory.setConfiguration(configuration);
     m_runtime.quota.setConfiguration(configuration);
--- a/lib/Fleet/FleetState.h
+++ b/lib/Fleet/FleetState.h
@@ -62,6 +62,7 @@
     class Prefix;
 
     Prefix *find(std::string_view prefix) const;
+    void logNewRates(const ServingConfiguration &configuration) const;
     void onConfiguration(const WatchEvent &event);
     void onEndpoint(const WatchEvent &event);
     void onEvacuation(const WatchEvent &event);
--- a/lib/Fleet/PlacementDriver.cpp
+++ b/lib/Fleet/PlacementDriver.cpp
@@ -1,4 +1,5 @@
 #include "Fleet/PlacementDriver.h"
+#include "Fleet/EngineCalls.h"
 
 #include "marigoldspool/Support/EventLog.h"
 #include "marigoldspool/Support/Invariant.h"
@@ -11,20 +12,8 @@
 
 using std::chrono::milliseconds;
 
-// Reports are priced; between orders only engines that were restarted or changed by a late order
-// bring news.
-constexpr Duration IdleReportInterval = milliseconds(4000);
-constexpr Duration BusyReportInterval = milliseconds(100);
-// The reports of an engine are this old.
-constexpr Duration ReportLag = milliseconds(150);
 constexpr Duration UnloadPause = milliseconds(50);
 constexpr Duration ConflictPause = milliseconds(80);
-constexpr Duration FailurePause = milliseconds(600);
-// After this many conflicts in a row the number of orders is read again.
-constexpr int ConflictsBeforeReport = 3;
-// An engine that answers no report this often is not usable for orders.
-constexpr int MostFailures = 2;
-constexpr Duration CallTimeout = milliseconds(1500);
 // Reports of demand come twice a second.
 constexpr Duration DemandWait = milliseconds(800);
 constexpr Duration PlanInterval = milliseconds(100);
@@ -33,9 +22,6 @@
 // Of 379 loads on a grown bench site nine in ten were shown by a report 214 to 371 ms after their
 // time, which is the age of the reports and the interval of asking.
 constexpr Duration ExpectedMargin = milliseconds(20);
-constexpr Duration ExpectedFor = milliseconds(600);
-// A load that has not come by this long after its time is looked at again.
-constexpr Duration LoadOverdue = milliseconds(4000);
 
 std::string sourceName(const PlacementOrder &order)
 {
@@ -53,33 +39,6 @@
     return "store";
 }
 
-/// Collects one small answer.
-class CollectingHandler final : public EndpointCallHandler
-{
-public:
-    using Done = std::function<void(Expected<std::pair<int, std::string>>)>;
-
-    explicit CollectingHandler(Done done)
-        : m_done(std::move(done))
-    { }
-
-    void onHead(int status, gsl::span<const HeaderField> /*headers*/) override
-    {
-        m_status = status;
-    }
-    void onData(std::string_view bytes) override { m_body.append(bytes); }
-    void onComplete() override { m_done(std::make_pair(m_status, std::move(m_body))); }
-    void onFailure(SendStage /*stage*/, Error error) override
-    {
-        m_done(tl::make_unexpected(std::move(error)));
-    }
-
-private:
-    Done m_done;
-    int m_status = 0;
-    std::string m_body;
-};
-
 } // namespace
 
 PlacementDriver::PlacementDriver(FleetRuntime &runtime, FleetLink &link)
@@ -269,184 +228,6 @@
     }
 }
 
-void PlacementDriver::pollReports()
-{
-    const SteadyTime now = m_runtime.clock.now();
-    for (auto &[id, contact] : m_contacts) {
-        if (!contact.calling && now >= contact.reportAt) {
-            requestReport(id);
-        }
-    }
-}
-
-// Reports lag behind, but loads from memory or disk and loads of adapters take a time that is
-// known, so callers are sent there when it has passed. An engine that is late refuses them before
-// running.
-void PlacementDriver::expect(Contact &contact, const PlacementOrder &order, SteadyTime from)
-{
-    contact.expected[{order.model, order.adapter}] = {from, from + ExpectedFor};
-}
-
-void PlacementDriver::applyExpected()
-{
-    const SteadyTime now = m_runtime.clock.now();
-    for (auto &[id, contact] : m_contacts) {
-        for (auto &[load, expected] : contact.expected) {
-            const auto engine = m_planner.engines().find(id);
-            if (expected.applied || now < expected.from || engine == m_planner.engines().end()) {
-                continue;
-            }
-            expected.applied = true;
-            HeldModels &models = engine->second.models;
-            const auto model = models.find(load.first);
-            if (load.second.empty()) {
-                models.emplace(load.first, std::set<std::string>());
-            } else if (model != models.end()) {
-                model->second.insert(load.second);
-            }
-            contact.changed = true;
-            m_changed = true;
-        }
-    }
-}
-
-// A report that was made before the end of an expected load does not take it back.
-void PlacementDriver::keepExpected(Contact &contact, HeldModels &reported, SteadyTime now)
-{
-    for (auto it = contact.expected.begin(); it != contact.expected.end();) {
-        const auto &[load, expected] = *it;
-        const auto model = reported.find(load.first);
-        const bool isReported = model != reported.end()
-            && (load.second.empty() || model->second.count(load.second) > 0);
-        if (isReported || now >= expected.until) {
-            it = contact.expected.erase(it);
-            continue;
-        }
-        if (expected.applied && load.second.empty()) {
-            reported.emplace(load.first, std::set<std::string>());
-        } else if (expected.applied && model != reported.end()) {
-            model->second.insert(load.second);
-        }
-        ++it;
-    }
-}
-
-void PlacementDriver::requestReport(const EndpointId &id)
-{
-    const EndpointState *state = m_runtime.directory.find(id);
-    Contact &contact = m_contacts[id];
-    if (state == nullptr || state->listed.address.empty()) {
-        contact.reportAt = m_runtime.clock.now() + IdleReportInterval;
-        return;
-    }
-    contact.calling = true;
-    EndpointCall call = m_runtime.wire.encodeReportCall(state->listed);
-    call.id = RequestId("report-" + std::to_string(++m_callCounter));
-    call.timeout = CallTimeout;
-    call.connectTimeout = CallTimeout;
-    m_runtime.endpoints->call(
-        std::move(call),
-        std::make_shared<CollectingHandler>([this, id](Expected<std::pair<int, std::string>> it) {
-            if (!it) {
-                onReport(id, tl::make_unexpected(it.error()));
-            } else if (it->first != 200) {
-                onReport(id,
-                         unexpectedError(ErrorKind::Unavailable,
-                                         "the report has status " + std::to_string(it->first),
-                                         "check the engine"));
-            } else {
-                onReport(id, std::move(it->second));
-            }
-        }));
-}
-
-void PlacementDriver::onReport(const EndpointId &id, Expected<std::string> body)
-{
-    const auto found = m_planner.engines().find(id);
-    const auto contactFound = m_contacts.find(id);
-    if (found == m_planner.engines().end() || contactFound == m_contacts.end()) {
-        return;
-    }
-    EngineState &engine = found->second;
-    Contact &contact = contactFound->second;
-    contact.calling = false;
-    const SteadyTime now = m_runtime.clock.now();
-    contact.reportAt = now + IdleReportInterval;
-    Expected<EngineReport> report =
-        body ? m_runtime.wire.decodeReport(*body) : tl::make_unexpected(body.error());
-    if (!report) {
-        ++contact.failures;
-        contact.reportAt = now + FailurePause;
-        if (contact.failures == MostFailures) {
-            logEvent(LogLevel::Warning, "engine_silent",
-                     {{"endpoint", id.str()}, {"error", describeError(report.error())}});
-        }
-        refreshUsable(engine, contact);
-        return;
-    }
-    if (contact.failures >= MostFailures) {
-        logEvent(LogLevel::Info, "engine_back", {{"endpoint", id.str()}});
-    }
-    contact.failures = 0;
-    refreshUsable(engine, contact);
-    engine.active = report->active;
-    engine.queued = report->queued;
-    engine.inMemory = std::move(report->inMemory);
-    engine.onDisk = std::move(report->onDisk);
-    // A report is a little older than the last order's answer; it counts once it has seen it.
-    const bool isStale = engine.known && report->orders < contact.orders
-        && report->startedAtMs == contact.startedAtMs && contact.conflicts < ConflictsBeforeReport;
-    if (isStale) {
-        contact.reportAt = now + BusyReportInterval;
-        return;
-    }
-    contact.orders = report->orders;
-    contact.conflicts = 0;
-    const bool firstReport = !engine.known;
-    engine.known = true;
-    const bool hasLoaded = engine.loading && report->models.count(*engine.loading) > 0;
-    keepExpected(contact, report->models, now);
-    if (engine.models != report->models || firstReport) {
-        engine.models = std::move(report->models);
-        contact.changed = true;
-        m_changed = true;
-    }
-    engine.coming = std::move(report->coming);
-    if (hasLoaded) {
-        logEvent(LogLevel::Info, "model_loaded",
-                 {{"endpoint", id.str()},
-                  {"model", engine.loading->str()},
-                  {"after_forecast_ms", std::to_string(toMilliseconds(now - engine.loadedAt))}});
-        if (engine.source == LoadSource::Store) {
-            const int atOnce = (contact.loadsAtStart + m_planner.storeLoads() + 1) / 2;
-            m_planner.onStoreLoaded(engine.pool, *engine.loading,
-                                    now - contact.loadStartedAt - ReportLag, atOnce);
-        }
-        engine.loading.reset();
-        engine.busy = false;
-        engine.hasForeignOrder = false;
-        m_planDue = true;
-    } else if (engine.loading) {
-        const bool isOver = !report->busy && now >= engine.loadedAt + LoadOverdue;
-        contact.reportAt = std::max(engine.loadedAt - ReportLag, now + BusyReportInterval);
-        if (isOver) {
-            logEvent(LogLevel::Warning, "load_lost",
-                     {{"endpoint", id.str()}, {"model", engine.loading->str()}});
-            engine.loading.reset();
-            engine.busy = false;
-            m_planDue = true;
-        }
-    } else {
-        engine.busy = report->busy;
-        engine.hasForeignOrder = report->busy && !engine.intent;
-        if (report->busy || !engine.coming.empty()) {
-            contact.reportAt = now + BusyReportInterval;
-        } else if (engine.intent) {
-            m_planDue = true;
-        }
-    }
-}
-
 void PlacementDriver::sendOrder(const PlacementOrder &order)
 {
     const EndpointState *state = m_runtime.directory.find(order.endpoint);
--- a/lib/Fleet/ServingFront.cpp
+++ b/lib/Fleet/ServingFront.cpp
@@ -177,28 +177,14 @@
 DemandReport ServingFront::takeDemand()
 {
     m_newDemand = false;
-    std::map<DemandKey, ReportedDemand> items = m_demand.recent();
     const SteadyTime now = m_runtime.clock.now();
+    std::vector<WaitingRequest> waiting;
     for (const auto &exchange : m_waiting) {
-        const std::optional<DemandKey> key = exchange->missing();
-        if (!key) {
-            continue;
+        if (std::optional<DemandKey> key = exchange->missing()) {
+            waiting.push_back({std::move(*key), now - exchange->arrival(), exchange->priority()});
         }
-        ReportedDemand &item = items[*key];
-        item.pool = key->pool.str();
-        item.model = key->model;
-        item.adapter = key->adapter;
-        const bool isFirst = item.waiting == 0;
-        ++item.waiting;
-        item.oldestMs = std::max(item.oldestMs, toMilliseconds(now - exchange->arrival()));
-        item.priority = isFirst ? exchange->priority()
-                                : std::min<std::int64_t>(item.priority, exchange->priority());
     }
-    DemandReport report;
-    for (auto &[key, item] : items) {
-        report.models.push_back(std::move(item));
-    }
-    return report;
+    return m_demand.report(waiting);
 }
 
 } // namespace marigoldspool
--- /dev/null
+++ b/lib/Peer/MessageFields.h
@@ -0,0 +1,246 @@
+#ifndef MARIGOLDSPOOL_LIB_PEER_MESSAGEFIELDS_H
+#define MARIGOLDSPOOL_LIB_PEER_MESSAGEFIELDS_H
+
+#include "marigoldspool/Peer/Messages.h"
+
+#include <type_traits>
+
+namespace marigoldspool {
+
+// The fields of each message, named once for both directions: V is the Encoder or the Decoder, M
+// the message, const when encoding. Heartbeats have one-letter names because an instance exchanges
+// hundreds of them each second in a large fleet and names would be most of their bytes.
+template <class M, class T>
+constexpr bool Is = std::is_same_v<std::remove_const_t<M>, T>;
+
+template <class V, class M>
+std::enable_if_t<Is<M, Heartbeat>> visitFields(V &visit, M &m)
+{
+    visit("z", m.zone);
+    visit("a", m.address);
+    visit("c", m.configVersion);
+    visit("g", m.configAgeMs);
+    visit("e", m.rosterEpoch);
+    visit("s", m.stopping);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, ConfigRequest>> visitFields(V &visit, M &m)
+{
+    visit("have_version", m.haveVersion);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, ConfigTransfer>> visitFields(V &visit, M &m)
+{
+    visit("version", m.version);
+    visit("rules", m.rules);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, LoanRequest>> visitFields(V &visit, M &m)
+{
+    visit("limit", m.limit);
+    visit("loan_id", m.loanId);
+    visit("tokens", m.tokens);
+    visit("fraction", m.fraction);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, LoanGrant>> visitFields(V &visit, M &m)
+{
+    visit("limit", m.limit);
+    visit("loan_id", m.loanId);
+    visit("tokens", m.tokens);
+    visit("fraction", m.fraction);
+    visit("term_ms", m.termMs);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, EpochAck>> visitFields(V &visit, M &m)
+{
+    visit("epoch", m.epoch);
+    visit("member_incarnation", m.memberIncarnation);
+    visit("released", m.released);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, ForwardRequest>> visitFields(V &visit, M &m)
+{
+    visit("id", m.id);
+    visit("workspace", m.workspace);
+    visit("key", m.key);
+    visit("route", m.route);
+    visit("model", m.model);
+    visit("pool", m.pool);
+    visit("target", m.target);
+    visit("method", m.method);
+    visit("headers", m.headers);
+    visit.bytes("body", m.body);
+    visit("cost", m.cost);
+    visit("deadline_ms", m.deadlineMs);
+    visit("idempotent", m.idempotent);
+    visit("stream", m.stream);
+    visit("overflow", m.overflow);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, ForwardHead>> visitFields(V &visit, M &m)
+{
+    visit("id", m.id);
+    visit("status", m.status);
+    visit("headers", m.headers);
+    visit("stream", m.stream);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, ForwardData>> visitFields(V &visit, M &m)
+{
+    visit("id", m.id);
+    visit("index", m.index);
+    visit.bytes("bytes", m.bytes);
+    visit("last", m.last);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, ForwardRefusal>> visitFields(V &visit, M &m)
+{
+    visit("id", m.id);
+    visit("reason", m.reason);
+    visit("ran", m.ran);
+    visit("message", m.message);
+    visit("remedy", m.remedy);
+    visit("retry_after_ms", m.retryAfterMs);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, ForwardCancel>> visitFields(V &visit, M &m)
+{
+    visit("id", m.id);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, ReportedDemand>> visitFields(V &visit, M &m)
+{
+    visit("p", m.pool);
+    visit("m", m.model);
+    visit("a", m.adapter);
+    visit("r", m.rate);
+    visit("i", m.idleMs);
+    visit("w", m.waiting);
+    visit("o", m.oldestMs);
+    visit("u", m.priority);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, DemandReport>> visitFields(V &visit, M &m)
+{
+    visit("have", m.have);
+    visit("models", m.models);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, PlacedEndpoint>> visitFields(V &visit, M &m)
+{
+    visit("e", m.endpoint);
+    visit("m", m.models);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, LoadForecast>> visitFields(V &visit, M &m)
+{
+    visit("m", m.model);
+    visit("a", m.adapter);
+    visit("r", m.readyInMs);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, LeaseNews>> visitFields(V &visit, M &m)
+{
+    visit("v", m.version);
+    visit("n", m.renewal);
+    visit("r", m.released);
+    visit("o", m.recentlyOrdered);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, PlacementUpdate>> visitFields(V &visit, M &m)
+{
+    visit("term", m.term);
+    visit("sequence", m.sequence);
+    visit("full", m.full);
+    visit("endpoints", m.endpoints);
+    visit("lease", m.lease);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, LoadForecasts>> visitFields(V &visit, M &m)
+{
+    visit("term", m.term);
+    visit("loading", m.loading);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, KnownRevision>> visitFields(V &visit, M &m)
+{
+    visit("p", m.prefix);
+    visit("r", m.revision);
+    visit("c", m.changed);
+    visit("a", m.ageMs);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, RevisionBeacon>> visitFields(V &visit, M &m)
+{
+    visit("k", m.prefixes);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, ObjectsRequest>> visitFields(V &visit, M &m)
+{
+    visit("prefix", m.prefix);
+    visit("revision", m.revision);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, RelayedObject>> visitFields(V &visit, M &m)
+{
+    visit("key", m.key);
+    visit("version", m.version);
+    visit.bytes("value", m.value);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, ObjectsTransfer>> visitFields(V &visit, M &m)
+{
+    visit("prefix", m.prefix);
+    visit("base", m.base);
+    visit("revision", m.revision);
+    visit("keys", m.keys);
+    visit("objects", m.objects);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, WorkspaceUsage>> visitFields(V &visit, M &m)
+{
+    visit("w", m.workspace);
+    visit("u", m.used);
+    visit("a", m.asked);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, UsageReport>> visitFields(V &visit, M &m)
+{
+    visit("w", m.workspaces);
+}
+
+template <class V, class M>
+std::enable_if_t<Is<M, UsageTotals>> visitFields(V &visit, M &m)
+{
+    visit("n", m.members);
+    visit("w", m.workspaces);
+}
+
+} // namespace marigoldspool
+
+#endif
--- a/lib/Serving/DemandBook.cpp
+++ b/lib/Serving/DemandBook.cpp
@@ -56,6 +56,28 @@
     return result;
 }
 
+DemandReport DemandTracker::report(gsl::span<const WaitingRequest> waiting)
+{
+    std::map<DemandKey, ReportedDemand> items = recent();
+    for (const WaitingRequest &request : waiting) {
+        ReportedDemand &item = items[request.key];
+        item.pool = request.key.pool.str();
+        item.model = request.key.model;
+        item.adapter = request.key.adapter;
+        const bool isFirst = item.waiting == 0;
+        ++item.waiting;
+        item.oldestMs = std::max(item.oldestMs, toMilliseconds(request.waited));
+        item.priority =
+            isFirst ? request.priority : std::min<std::int64_t>(item.priority, request.priority);
+    }
+    DemandReport report;
+    report.models.reserve(items.size());
+    for (auto &[key, item] : items) {
+        report.models.push_back(std::move(item));
+    }
+    return report;
+}
+
 DemandBook::DemandBook(const Clock &clock)
     : m_clock(clock)
 { }
@@ -78,12 +100,6 @@
     m_outdated = true;
 }
 
-void DemandBook::forget(const InstanceId &from)
-{
-    m_reporters.erase(from);
-    m_outdated = true;
-}
-
 void DemandBook::clear()
 {
     m_reporters.clear();
--- a/lib/Serving/EndpointDirectory.cpp
+++ b/lib/Serving/EndpointDirectory.cpp
@@ -263,7 +263,6 @@
             continue;
         }
         ++choice.holders;
-        choice.running += state.inFlight;
         if (now < state.busyUntil || state.inFlight >= slotCap(state)) {
             continue;
         }
@@ -305,14 +304,6 @@
     }
 }
 
-void EndpointDirectory::onCold(const EndpointId &id, Duration left)
-{
-    const auto it = m_endpoints.find(id);
-    if (it != m_endpoints.end()) {
-        becomeCold(it->second, left);
-    }
-}
-
 void EndpointDirectory::onSent(const EndpointId &id)
 {
     const auto it = m_endpoints.find(id);
--- a/tests/Serving/DemandBookTest.cpp
+++ b/tests/Serving/DemandBookTest.cpp
@@ -5,19 +5,6 @@
 using namespace marigoldspool;
 using namespace std::chrono_literals;
 
-namespace {
-
-DemandReport reportOf(DemandTracker &tracker)
-{
-    DemandReport report;
-    for (auto &[key, item] : tracker.recent()) {
-        report.models.push_back(item);
-    }
-    return report;
-}
-
-} // namespace
-
 TEST_CASE("the tracked rate follows the demand and forgets it when it moves on")
 {
     ManualClock clock;
@@ -46,14 +33,35 @@
         clock.advance(200ms);
     }
     DemandBook book(clock);
-    book.onReport(InstanceId("i1"), reportOf(first));
-    book.onReport(InstanceId("i2"), reportOf(second));
+    book.onReport(InstanceId("i1"), first.report({}));
+    book.onReport(InstanceId("i2"), second.report({}));
     CHECK(book.of(key).rate == doctest::Approx(15).epsilon(0.1));
     // Reports replace each other and do not add up.
-    book.onReport(InstanceId("i2"), reportOf(second));
+    book.onReport(InstanceId("i2"), second.report({}));
     CHECK(book.of(key).rate == doctest::Approx(15).epsilon(0.1));
 }
 
+// Guards against models that wait for the wrong order because their oldest or most urgent request
+// is not told.
+TEST_CASE("a report tells how many wait, for how long and how urgently")
+{
+    ManualClock clock;
+    DemandTracker tracker(clock);
+    const DemandKey asked{PoolName("p"), ModelName("asked"), {}};
+    const DemandKey waited{PoolName("p"), ModelName("waited"), "a"};
+    tracker.onArrival(asked);
+    const std::vector<WaitingRequest> waiting{
+        {waited, 300ms, 2}, {waited, 700ms, 1}, {waited, 100ms, 3}};
+    const DemandReport report = tracker.report(waiting);
+    REQUIRE(report.models.size() == 2);
+    CHECK(report.models[0].model == ModelName("asked"));
+    CHECK(report.models[0].waiting == 0);
+    CHECK(report.models[1].adapter == "a");
+    CHECK(report.models[1].waiting == 3);
+    CHECK(report.models[1].oldestMs == 700);
+    CHECK(report.models[1].priority == 1);
+}
+
 TEST_CASE("the waiting requests of an instance that falls silent are forgotten")
 {
     ManualClock clock;
