--- a/include/marigoldspool/Fleet/FleetOptions.h
+++ b/include/marigoldspool/Fleet/FleetOptions.h
@@ -3,6 +3,7 @@
 
 #include "marigoldspool/Serving/OwnerLease.h"
 #include "marigoldspool/Serving/RetryBudget.h"
+#include "marigoldspool/Serving/WorkspaceQuota.h"
 #include "marigoldspool/Support/Identifiers.h"
 
 #include <string>
@@ -22,8 +23,7 @@
     std::string storeAddress;
     LeaseTimes lease;
     RetryBound retries;
-    /// Cost that a workspace may be admitted beyond rate and burst, over all instances.
-    double quotaSlack = 0;
+    QuotaBound quota;
     /// From SIGTERM to the end of the process.
     Duration grace = std::chrono::seconds(8);
     /// Loads that the weight store serves at full speed at once.
--- a/include/marigoldspool/Serving/WorkspaceQuota.h
+++ b/include/marigoldspool/Serving/WorkspaceQuota.h
@@ -10,6 +10,14 @@
 
 namespace marigoldspool {
 
+/// How the operators judge what a workspace was admitted: in each span of \c window no more than
+/// rate * window + burst, and \c slack more for what instances cannot know of each other.
+struct QuotaBound {
+    double slack = 0;
+    /// Zero: not known.
+    Duration window = Duration::zero();
+};
+
 /// The rates of all workspaces, shared by the instances by telling each other what they admit.
 ///
 /// Each instance follows one token bucket for the whole fleet: it fills at the workspace's rate,
@@ -21,8 +29,7 @@
 class WorkspaceQuota
 {
 public:
-    /// \p slack: cost that may be admitted beyond rate and burst, by the operators' bound.
-    explicit WorkspaceQuota(const Clock &clock, double slack = 0);
+    explicit WorkspaceQuota(const Clock &clock, QuotaBound bound = {});
 
     void setConfiguration(ServingConfigurationPtr configuration);
     /// Instances that share the rates, this one included.
@@ -50,7 +57,7 @@
         SteadyTime heardAt;
         Counters counters;
     };
-    /// FleetDemand each second, smoothed from counters.
+    /// Demand each second, smoothed from counters.
     struct DemandRate {
         double rate = 0;
         double counter = 0;
@@ -76,20 +83,22 @@
         SteadyTime lookedAt;
     };
 
-    double silentPart(SteadyTime now) const;
+    double heardPart(SteadyTime now) const;
     bool hearsTotals(SteadyTime now) const;
-    double depth(const Part &part, SteadyTime now) const;
-    void fill(Part &part, SteadyTime now);
+    bool knowsOthers(const Part &part, SteadyTime now) const;
+    double refill(const Part &part) const;
+    double depth(const Part &part, double heard) const;
+    void fill(Part &part, double heard, SteadyTime now);
     void expectOthersUse(Part &part, double seconds, SteadyTime now);
     void fillAll(SteadyTime now);
-    void look(Part &part, SteadyTime now);
+    void look(Part &part, double heard, SteadyTime now);
     static void follow(DemandRate &demand, double counter, SteadyTime now);
     /// Others have admitted and been asked for this much more.
     void takeOut(const WorkspaceName &workspace, double used, double asked, SteadyTime now);
     void takeOut(Part &part, double used, double asked);
 
     const Clock &m_clock;
-    double m_slack;
+    QuotaBound m_bound;
     std::size_t m_instances = 1;
     std::map<WorkspaceName, Part> m_parts;
     std::map<InstanceId, Peer> m_peers;
--- a/lib/Fleet/FleetRuntime.cpp
+++ b/lib/Fleet/FleetRuntime.cpp
@@ -15,7 +15,7 @@
     , store(std::move(objectStore))
     , endpoints(makeEndpointClient(io, clock, *metrics))
     , directory(options.zone, clock)
-    , quota(clock, options.quotaSlack)
+    , quota(clock, options.quota)
     , retries(options.retries, clock)
     , incarnation(static_cast<std::uint64_t>(toMilliseconds(clock.wallNow().time_since_epoch())))
 { }
--- a/lib/Serving/WorkspaceQuota.cpp
+++ b/lib/Serving/WorkspaceQuota.cpp
@@ -17,6 +17,8 @@
 // Of each burst, the part that is used: the rest covers what instances admit before they hear of
 // each other, and groups that are cut off at the same time.
 constexpr double BurstPart = 0.5;
+// Part of the burst that comes back within a window beside the rate.
+constexpr double RefillPart = 0.4;
 // Of the slack that the operators allow beyond rate and burst. It is there for instances that
 // cannot know of each other at once, and is used to admit what lies within the rate.
 constexpr double SlackPart = 0.3;
@@ -41,9 +43,9 @@
 
 } // namespace
 
-WorkspaceQuota::WorkspaceQuota(const Clock &clock, double slack)
+WorkspaceQuota::WorkspaceQuota(const Clock &clock, QuotaBound bound)
     : m_clock(clock)
-    , m_slack(slack)
+    , m_bound(bound)
 { }
 
 void WorkspaceQuota::setConfiguration(ServingConfigurationPtr configuration)
@@ -81,8 +83,8 @@
     return m_totalsMembers > 0 && now - m_totalsAt < TotalsHeardWithin;
 }
 
-// The part of the fleet that this instance does not hear from.
-double WorkspaceQuota::silentPart(SteadyTime now) const
+// The part of the fleet that this instance hears from; the rest is left out of rate and burst.
+double WorkspaceQuota::heardPart(SteadyTime now) const
 {
     std::size_t heard = 1;
     if (hearsTotals(now)) {
@@ -92,24 +94,38 @@
             heard += now - peer.heardAt < HeardWithin ? 1 : 0;
         }
     }
-    const std::size_t silent = m_instances > heard ? m_instances - heard : 0;
-    return static_cast<double>(silent) / static_cast<double>(m_instances);
+    return static_cast<double>(std::min(heard, m_instances)) / static_cast<double>(m_instances);
+}
+
+// Right after its start an instance would take all demand for its own.
+bool WorkspaceQuota::knowsOthers(const Part &part, SteadyTime now) const
+{
+    return part.othersKnown || !hearsTotals(now);
 }
 
 // What the bucket holds at most.
-double WorkspaceQuota::depth(const Part &part, SteadyTime now) const
+double WorkspaceQuota::depth(const Part &part, double heard) const
 {
-    return (BurstPart * part.burst + SlackPart * m_slack) * (1 - silentPart(now));
+    return (BurstPart * part.burst + SlackPart * m_bound.slack) * heard;
+}
+
+// The bound allows a burst in each window, so a part of it comes back within one. A bucket that
+// fills at the rate alone refused a third of what a workspace with a lowered rate and a burst of
+// four seconds' worth was owed in each window.
+double WorkspaceQuota::refill(const Part &part) const
+{
+    if (m_bound.window <= Duration::zero()) {
+        return part.rate;
+    }
+    return part.rate + RefillPart * part.burst / secondsOf(m_bound.window);
 }
 
-void WorkspaceQuota::fill(Part &part, SteadyTime now)
+void WorkspaceQuota::fill(Part &part, double heard, SteadyTime now)
 {
-    const double heardPart = 1 - silentPart(now);
-    const double most = depth(part, now);
     const double span = secondsOf(now - part.filledAt);
-    part.level += part.rate * heardPart * span;
+    part.level += refill(part) * heard * span;
     expectOthersUse(part, span, now);
-    part.level = std::clamp(part.level, -MostDebtSeconds * part.rate, most);
+    part.level = std::clamp(part.level, -MostDebtSeconds * part.rate, depth(part, heard));
     part.filledAt = now;
 }
 
@@ -129,8 +145,9 @@
 
 void WorkspaceQuota::fillAll(SteadyTime now)
 {
+    const double heard = heardPart(now);
     for (auto &[name, part] : m_parts) {
-        fill(part, now);
+        fill(part, heard, now);
     }
 }
 
@@ -144,19 +161,16 @@
     demand.at = now;
 }
 
-void WorkspaceQuota::look(Part &part, SteadyTime now)
+void WorkspaceQuota::look(Part &part, double heard, SteadyTime now)
 {
-    fill(part, now);
+    fill(part, heard, now);
     follow(part.ownDemand, part.own.asked, now);
     follow(part.othersDemand, part.othersAsked, now);
-    const double heardPart = 1 - silentPart(now);
-    const double even = 1 / std::max(1.0, heardPart * static_cast<double>(m_instances));
+    const double even = 1 / std::max(1.0, heard * static_cast<double>(m_instances));
     const double all = part.ownDemand.rate + part.othersDemand.rate;
-    // Right after its start an instance would take all demand for its own.
-    const bool isInformed = part.othersKnown || !hearsTotals(now);
-    double share = all > 0 && isInformed ? part.ownDemand.rate / all : even;
+    double share = all > 0 && knowsOthers(part, now) ? part.ownDemand.rate / all : even;
     share = std::max(share, LeastPart * even);
-    if (part.level > AmpleLevel * depth(part, now)) {
+    if (part.level > AmpleLevel * depth(part, heard)) {
         share *= 2;
     }
     const double debt = std::min(part.allowance, 0.0);
@@ -172,17 +186,17 @@
     }
     Part &part = it->second;
     const SteadyTime now = m_clock.now();
+    const double heard = heardPart(now);
     part.own.asked += cost;
     if (now - part.lookedAt >= LookInterval) {
-        look(part, now);
+        look(part, heard, now);
     }
     // While much is left, any instance may use it: an even part of a small workspace's bucket is
     // less than one request, and its demand comes in at another instance each time. A workspace
     // that asks beyond its rate would be admitted everywhere at once before the instances hear of
     // each other.
     const double demand = part.ownDemand.rate + part.othersDemand.rate;
-    const bool isInformed = part.othersKnown || !hearsTotals(now);
-    if (isInformed && part.level > AmpleLevel * depth(part, now)
+    if (knowsOthers(part, now) && part.level > AmpleLevel * depth(part, heard)
         && demand <= SteadyDemand * part.rate) {
         part.level -= cost;
         part.own.used += cost;
@@ -196,9 +210,8 @@
         return std::nullopt;
     }
     // The more is asked beyond the rate, the longer the callers have to spread.
-    const double asked = part.ownDemand.rate + part.othersDemand.rate;
     const auto wait = std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(part.rate > 0 ? asked / part.rate / 2 : 0));
+        std::chrono::duration<double>(part.rate > 0 ? demand / part.rate / 2 : 0));
     return std::clamp<Duration>(wait, ShortestRetry, LongestRetry);
 }
 
@@ -207,7 +220,7 @@
 {
     const auto it = m_parts.find(workspace);
     if (it != m_parts.end()) {
-        fill(it->second, now);
+        fill(it->second, heardPart(now), now);
         takeOut(it->second, used, asked);
     }
 }
@@ -250,7 +263,7 @@
         Counter &counter = peer.counters[item.workspace];
         double used = item.used - counter.used;
         if (part != m_parts.end()) {
-            used -= silentSeconds * part->second.rate / static_cast<double>(m_instances);
+            used -= silentSeconds * refill(part->second) / static_cast<double>(m_instances);
         }
         // What it admitted before this instance knew it is not this instance's to count.
         if (!isNew && !wasCounted) {
