End a stream as broken off when the endpoint that resumes it fails

Cause: an answer to a resumed stream that is no stream itself was taken for the end of it. It now counts as cut off: the stream goes on at another endpoint or is broken off. Also possible with any 4xx of the second endpoint.

Ruled out: the relay of events (what the caller had was whole up to its last event). The test (stand-in replicas, one cuts, one answers 500) fails without the change.

--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -93,6 +93,13 @@
         onOutcome(EndpointOutcome::MaybeSent, EndpointResult::Failed);
         return;
     }
+    if (m_answerStarted && !m_streaming) {
+        // The endpoint that should have gone on with the stream has failed; what the caller has is
+        // not whole.
+        m_lastError = "status_" + std::to_string(m_status);
+        onOutcome(EndpointOutcome::CutOff, EndpointResult::Failed);
+        return;
+    }
     if (m_streaming && m_events.hasPartialEvent()) {
         m_lastError = "partial_event";
         onOutcome(EndpointOutcome::CutOff, EndpointResult::Failed);
--- a/tests/PlatformAdapter/WholePathTest.cpp
+++ b/tests/PlatformAdapter/WholePathTest.cpp
@@ -335,6 +335,38 @@
     CHECK(resumedAfter == std::vector<std::string>{"2"});
 }
 
+// A hunt (derwent-press, scale-2, seed 578775347983): the replica that should have gone on answered
+// 500, and the stream was ended as if it were whole.
+TEST_CASE_FIXTURE(PathFixture, "a stream that cannot go on does not end as whole")
+{
+    const auto stream = [](const HttpRequest &request, const std::shared_ptr<ResponseSink> &sink) {
+        if (findHeader(request.headers, "Last-Event-Id") != nullptr) {
+            sink->head(500, answerHeaders(request), false);
+            sink->data("failed");
+            sink->finish();
+            return;
+        }
+        sink->head(200, answerHeaders(request), true);
+        sink->data("id: 1\ndata: x\n\n");
+        if (request.target == "/llm/cut") {
+            sink->abort();
+            return;
+        }
+        sink->finish();
+    };
+    engineMb = 200;
+    configure(2, {"k1"});
+    addReplica("i-1", "llm", stream, {"m"});
+    addReplica("i-2", "llm", stream, {"m"});
+    askUntil(200, "/llm/x", "m");
+    // Until both replicas are known.
+    io.restart();
+    io.run_for(1s);
+    const auto answer = ask("/llm/cut", "m");
+    CHECK_FALSE(answer->complete);
+    CHECK(answer->body == "id: 1\ndata: x\n\n");
+}
+
 TEST_CASE_FIXTURE(PathFixture, "a model that no replica holds is loaded for the request that waits")
 {
     StandinReplica &replica = addEngine();
