--- a/tests/PlatformAdapter/NodeSettingsTest.cpp
+++ b/tests/PlatformAdapter/NodeSettingsTest.cpp
@@ -58,6 +58,20 @@
     CHECK(problemAfter("/portRange", json::array()).find("/portRange/0") != std::string::npos);
 }
 
+// The fault soak's settings have no such field, and its instances did not start any more.
+TEST_CASE("settings without a window for quotas are taken, a malformed one is named")
+{
+    json settings = validSettings();
+    settings["bounds"].erase("quotaWindowS");
+    const Expected<FleetOptions> options = readNodeSettings(settings.dump());
+    REQUIRE(options);
+    CHECK(options->quota.window == Duration::zero());
+    settings["bounds"]["quotaWindowS"] = "8";
+    const Expected<FleetOptions> malformed = readNodeSettings(settings.dump());
+    REQUIRE_FALSE(malformed);
+    CHECK(malformed.error().message.find("/bounds/quotaWindowS") != std::string::npos);
+}
+
 TEST_CASE("a file that is no JSON object, or is not there, ends the start with a message")
 {
     CHECK_FALSE(readNodeSettings("[1]"));
