--- a/bench/control-bench/main.cpp
+++ b/bench/control-bench/main.cpp
@@ -6,6 +6,7 @@
 #include "marigoldspool/Support/EventLog.h"
 #include "marigoldspool/Support/Settings.h"
 #include "standins/platform-standin/PlatformServer.h"
+#include "support/QuietLog.h"
 
 #include <atomic>
 #include <iostream>
@@ -15,15 +16,6 @@
 
 namespace {
 
-/// Leaves out the connect and disconnect lines, which would be measured as well.
-class SilentLog final : public EventLog
-{
-public:
-    void write(LogLevel /*level*/, std::string_view /*event*/,
-               gsl::span<const LogField> /*fields*/) override
-    { }
-};
-
 class CountingListener final : public WatchListener
 {
 public:
@@ -125,8 +117,8 @@
 int main(int argc, char **argv)
 {
     initializeLogging(argv[0]);
-    SilentLog silent;
-    setEventLog(&silent);
+    // Leaves out the connect and disconnect lines, which would be measured as well.
+    const fake::QuietLog quiet;
     const auto settings =
         Settings::parse("control-bench",
                         {{"seed", "20260101", "seed of random contents"},
--- a/bench/limits-bench/main.cpp
+++ b/bench/limits-bench/main.cpp
@@ -2,8 +2,8 @@
 // and without loans, against one ideal bucket. All runs are simulated in true time.
 #include "Limits/Fleet.h"
 
-#include "marigoldspool/Support/EventLog.h"
 #include "marigoldspool/Support/Settings.h"
+#include "support/QuietLog.h"
 
 #include <cstdio>
 #include <cstdlib>
@@ -19,12 +19,6 @@
 constexpr double HotPart = 0.9;
 constexpr double MovesEverySeconds = 10;
 
-class SilentLog final : public EventLog
-{
-public:
-    void write(LogLevel, std::string_view, gsl::span<const LogField>) override { }
-};
-
 enum class Shape {
     Steady,
     Skewed,
@@ -347,8 +341,7 @@
 
 int main(int argc, char **argv)
 {
-    SilentLog log;
-    setEventLog(&log);
+    const fake::QuietLog quiet;
     const std::vector<SettingSpec> specs{
         {"seed", "1", "seed of the arrivals and the network", false, false},
         {"per-zone", "2", "instances in each of the four zones", false, false},
--- a/bench/limits-soak/main.cpp
+++ b/bench/limits-soak/main.cpp
@@ -1,8 +1,8 @@
 #include "Limits/Soak.h"
 
-#include "marigoldspool/Support/EventLog.h"
 #include "marigoldspool/Support/Invariant.h"
 #include "marigoldspool/Support/Settings.h"
+#include "support/QuietLog.h"
 
 #include <cstdio>
 #include <cstdlib>
@@ -11,12 +11,6 @@
 
 namespace {
 
-class SilentLog final : public EventLog
-{
-public:
-    void write(LogLevel, std::string_view, gsl::span<const LogField>) override { }
-};
-
 int runSeeds(std::int64_t first, std::int64_t seeds, Duration length)
 {
     SoakResult total;
@@ -48,8 +42,7 @@
 
 int main(int argc, char **argv)
 {
-    SilentLog log;
-    setEventLog(&log);
+    const fake::QuietLog quiet;
     const std::vector<SettingSpec> specs{
         {"seeds", "20", "number of runs", false, false},
         {"first-seed", "1", "seed of the first run", false, false},
--- a/bench/logging-bench/main.cpp
+++ b/bench/logging-bench/main.cpp
@@ -2,6 +2,7 @@
 // a second, and discarded, in one run. Send standard output to where the log would go.
 #include "marigoldspool/Support/EventLog.h"
 #include "marigoldspool/Support/Settings.h"
+#include "support/QuietLog.h"
 
 #include <chrono>
 #include <cstdio>
@@ -21,12 +22,6 @@
 constexpr double NanosecondsPerSecond = 1e9;
 constexpr double NanosecondsPerMicrosecond = 1e3;
 
-class SilentLog final : public EventLog
-{
-public:
-    void write(LogLevel, std::string_view, gsl::span<const LogField>) override { }
-};
-
 double processorNanoseconds()
 {
     timespec time{};
@@ -85,8 +80,7 @@
         std::fprintf(stderr, "%s\n", describeError(rounds.error()).c_str());
         return 2;
     }
-    SilentLog silent;
-    setEventLog(&silent);
+    const fake::QuietLog quiet;
     double discarded = 0;
     for (std::int64_t round = 0; round < *rounds; ++round) {
         discarded += measure(OtherLines);
--- a/bench/serving-model/ForesightScheduler.cpp
+++ b/bench/serving-model/ForesightScheduler.cpp
@@ -43,10 +43,6 @@
     m_waiting.remove(request);
 }
 
-void ForesightScheduler::onFirstByte(RequestIndex /*request*/, const EndpointId & /*engine*/) { }
-
-void ForesightScheduler::onEnd(RequestIndex /*request*/, const EndpointId & /*engine*/) { }
-
 void ForesightScheduler::onStep()
 {
     for (auto it = m_intents.begin(); it != m_intents.end();) {
@@ -74,14 +70,7 @@
     }
     bringAdapters();
     for (auto it = m_waiting.begin(); it != m_waiting.end();) {
-        const Arrival &wanted = m_simulation->arrival(*it);
-        const SimulatedEngine *best = nullptr;
-        for (const auto &[id, engine] : m_simulation->engines()) {
-            if (engine.offers(wanted.model, wanted.adapter)
-                && (best == nullptr || engine.runs.size() < best->runs.size())) {
-                best = &engine;
-            }
-        }
+        const SimulatedEngine *best = m_simulation->leastBusy(*it);
         const bool isSent = best != nullptr && m_simulation->send(*it, best->id);
         it = isSent ? m_waiting.erase(it) : std::next(it);
     }
@@ -127,18 +116,13 @@
     const Duration now = m_simulation->now();
     std::vector<Need> found;
     for (const auto &[model, arrivals] : m_arrivals) {
-        Need need{model, nextUse(model), 0};
+        Need need{model, nextUse(model)};
         int soon = 0;
-        double worth = 0;
-        for (std::size_t i = m_nextOf[model]; i < arrivals.size(); ++i) {
-            const Duration in = m_simulation->arrival(arrivals[i]).at - now;
-            if (in > 5 * CopyHorizon) {
-                break;
-            }
-            soon += in <= CopyHorizon ? 1 : 0;
-            worth += m_simulation->requestClass(arrivals[i]).worth;
+        for (std::size_t i = m_nextOf[model];
+             i < arrivals.size() && m_simulation->arrival(arrivals[i]).at - now <= CopyHorizon;
+             ++i) {
+            ++soon;
         }
-        need.worthPerSecond = worth;
         const int wanted = std::max(1, static_cast<int>(std::ceil(soon / slots / ComfortablePart)));
         if (need.at < Never && copies(model) < wanted) {
             found.push_back(std::move(need));
@@ -169,20 +153,17 @@
         || engine.offers(need.model, {})) {
         return std::nullopt;
     }
-    const HostedModel &model = pattern.profile.models.at(need.model);
     Place place;
     place.engine = &engine;
-    const bool inMemory = std::find(engine.inMemory.begin(), engine.inMemory.end(), need.model)
-        != engine.inMemory.end();
-    place.fromStore = !inMemory && engine.onDisk.count(need.model) == 0;
-    place.time = inMemory ? model.memoryLoad : place.fromStore ? model.storeLoad : model.diskLoad;
-    if (place.fromStore && storeLoads() >= pattern.figures.storeLoadsAtOnce) {
+    const LoadSource source = engine.sourceOf(need.model);
+    place.time = m_simulation->loadTime(need.model, source);
+    if (source == LoadSource::Store && storeLoads() >= pattern.figures.storeLoadsAtOnce) {
         return std::nullopt;
     }
     if (m_simulation->now() + place.time + Lead < need.at) {
         return std::nullopt;
     }
-    double used = model.weightsMb;
+    double used = pattern.profile.models.at(need.model).weightsMb;
     for (const auto &[held, adapters] : engine.models) {
         used += pattern.profile.models.at(held).weightsMb;
         const Duration use = copies(held) > 1 ? Never : nextUse(held);
--- a/bench/serving-model/ForesightScheduler.h
+++ b/bench/serving-model/ForesightScheduler.h
@@ -16,8 +16,6 @@
     void begin(Simulation &simulation) override;
     void onAttempt(RequestIndex request) override;
     void onGone(RequestIndex request) override;
-    void onFirstByte(RequestIndex request, const EndpointId &engine) override;
-    void onEnd(RequestIndex request, const EndpointId &engine) override;
     void onStep() override;
 
 private:
@@ -25,7 +23,6 @@
     struct Need {
         ModelName model;
         Duration at = Duration::zero();
-        double worthPerSecond = 0;
     };
     struct Place {
         const SimulatedEngine *engine = nullptr;
@@ -33,7 +30,6 @@
         ModelName victim;
         Duration victimNeededAt = Duration::zero();
         Duration time = Duration::zero();
-        bool fromStore = false;
     };
 
     Duration nextUse(const ModelName &model) const;
--- a/bench/serving-model/PlainSchedulers.cpp
+++ b/bench/serving-model/PlainSchedulers.cpp
@@ -9,18 +9,6 @@
 
 constexpr double NoUseYet = 1e6;
 
-double seconds(Duration value)
-{
-    return std::chrono::duration<double>(value).count();
-}
-
-bool hasWeights(const SimulatedEngine &engine, const ModelName &model)
-{
-    return engine.onDisk.count(model) > 0
-        || std::find(engine.inMemory.begin(), engine.inMemory.end(), model)
-        != engine.inMemory.end();
-}
-
 } // namespace
 
 void PlainScheduler::begin(Simulation &simulation)
@@ -39,10 +27,6 @@
     m_waiting.remove(request);
 }
 
-void PlainScheduler::onFirstByte(RequestIndex /*request*/, const EndpointId & /*engine*/) { }
-
-void PlainScheduler::onEnd(RequestIndex /*request*/, const EndpointId & /*engine*/) { }
-
 void PlainScheduler::onStep()
 {
     for (auto it = m_intents.begin(); it != m_intents.end();) {
@@ -77,14 +61,7 @@
 
 bool PlainScheduler::trySend(RequestIndex request)
 {
-    const Arrival &wanted = m_simulation->arrival(request);
-    const SimulatedEngine *best = nullptr;
-    for (const auto &[id, engine] : m_simulation->engines()) {
-        if (engine.offers(wanted.model, wanted.adapter)
-            && (best == nullptr || engine.runs.size() < best->runs.size())) {
-            best = &engine;
-        }
-    }
+    const SimulatedEngine *best = m_simulation->leastBusy(request);
     return best != nullptr && m_simulation->send(request, best->id);
 }
 
@@ -196,17 +173,17 @@
 {
     // A load from the weight store takes several times as long as waiting for an engine that has
     // the weights.
-    const bool isElsewhere = !hasWeights(engine, model)
+    const bool isElsewhere = engine.sourceOf(model) == LoadSource::Store
         && std::any_of(simulation().engines().begin(), simulation().engines().end(),
                        [&](const auto &it) {
-                           return hasWeights(it.second, model);
+                           return it.second.sourceOf(model) != LoadSource::Store;
                        });
     if (isElsewhere) {
         return std::numeric_limits<double>::infinity();
     }
     double oldest = NoUseYet;
     for (const auto &[held, adapters] : engine.models) {
-        oldest = std::min(oldest, seconds(lastUse(held)));
+        oldest = std::min(oldest, toSeconds(lastUse(held)));
     }
     return engine.models.empty() ? 0 : oldest;
 }
@@ -214,7 +191,7 @@
 double LeastRecentlyUsedScheduler::modelValue(const SimulatedEngine & /*engine*/,
                                               const ModelName &model) const
 {
-    return seconds(lastUse(model));
+    return toSeconds(lastUse(model));
 }
 
 } // namespace marigoldspool::bench
--- a/bench/serving-model/PlainSchedulers.h
+++ b/bench/serving-model/PlainSchedulers.h
@@ -16,8 +16,6 @@
     void begin(Simulation &simulation) override;
     void onAttempt(RequestIndex request) override;
     void onGone(RequestIndex request) override;
-    void onFirstByte(RequestIndex request, const EndpointId &engine) override;
-    void onEnd(RequestIndex request, const EndpointId &engine) override;
     void onStep() override;
 
 protected:
--- a/bench/serving-model/Simulation.cpp
+++ b/bench/serving-model/Simulation.cpp
@@ -28,6 +28,14 @@
         && (adapter.empty() || it->second.count(adapter) > 0);
 }
 
+LoadSource SimulatedEngine::sourceOf(const ModelName &model) const
+{
+    if (std::find(inMemory.begin(), inMemory.end(), model) != inMemory.end()) {
+        return LoadSource::Memory;
+    }
+    return onDisk.count(model) > 0 ? LoadSource::Disk : LoadSource::Store;
+}
+
 bool SimulatedEngine::runsModel(const ModelName &model, gsl::span<const Arrival> arrivals) const
 {
     return std::any_of(runs.begin(), runs.end(), [&](const Run &run) {
@@ -85,6 +93,33 @@
     return m_outcome.classes[arrival(request).requestClass];
 }
 
+const SimulatedEngine *Simulation::leastBusy(RequestIndex request) const
+{
+    const Arrival &wanted = arrival(request);
+    const SimulatedEngine *best = nullptr;
+    for (const auto &[id, engine] : m_engines) {
+        if (engine.offers(wanted.model, wanted.adapter)
+            && (best == nullptr || engine.runs.size() < best->runs.size())) {
+            best = &engine;
+        }
+    }
+    return best;
+}
+
+Duration Simulation::loadTime(const ModelName &model, LoadSource source) const
+{
+    const HostedModel &hosted = m_pattern.profile.models.at(model);
+    switch (source) {
+    case LoadSource::Memory:
+        return hosted.memoryLoad;
+    case LoadSource::Disk:
+        return hosted.diskLoad;
+    case LoadSource::Store:
+        break;
+    }
+    return hosted.storeLoad;
+}
+
 Duration Simulation::waited(RequestIndex request) const
 {
     return now() - m_progress[request].since;
@@ -249,14 +284,9 @@
 {
     SimulatedEngine &at = m_engines.at(engine);
     assert(!at.load && "an engine loads one model at a time");
-    const HostedModel &hosted = m_pattern.profile.models.at(model);
-    const bool inMemory =
-        std::find(at.inMemory.begin(), at.inMemory.end(), model) != at.inMemory.end();
-    const bool fromStore = !inMemory && at.onDisk.count(model) == 0;
-    const Duration time = inMemory ? hosted.memoryLoad
-        : fromStore                ? hosted.storeLoad
-                                   : hosted.diskLoad;
-    at.load = SimulatedEngine::Load{model, fromStore, toMs(time)};
+    const LoadSource source = at.sourceOf(model);
+    const bool fromStore = source == LoadSource::Store;
+    at.load = SimulatedEngine::Load{model, fromStore, toMs(loadTime(model, source))};
     at.inMemory.erase(std::remove(at.inMemory.begin(), at.inMemory.end(), model),
                       at.inMemory.end());
     ++at.changes;
--- a/bench/serving-model/Simulation.h
+++ b/bench/serving-model/Simulation.h
@@ -3,6 +3,8 @@
 
 #include "Pattern.h"
 
+#include "marigoldspool/Serving/PlacementPlanner.h"
+
 #include <deque>
 
 namespace marigoldspool::bench {
@@ -37,6 +39,8 @@
     int changes = 0;
 
     bool offers(const ModelName &model, const std::string &adapter) const;
+    /// Where the weights of a load would come from.
+    LoadSource sourceOf(const ModelName &model) const;
     bool runsModel(const ModelName &model, gsl::span<const Arrival> arrivals) const;
 };
 
@@ -71,8 +75,8 @@
     virtual void onAttempt(RequestIndex request) = 0;
     /// The caller has left; the attempt must not be sent any more.
     virtual void onGone(RequestIndex request) = 0;
-    virtual void onFirstByte(RequestIndex request, const EndpointId &engine) = 0;
-    virtual void onEnd(RequestIndex request, const EndpointId &engine) = 0;
+    virtual void onFirstByte(RequestIndex /*request*/, const EndpointId & /*engine*/) { }
+    virtual void onEnd(RequestIndex /*request*/, const EndpointId & /*engine*/) { }
     /// After what has happened in a step, in any case.
     virtual void onStep() = 0;
 };
@@ -99,6 +103,10 @@
     {
         return m_pattern.classes[arrival(request).requestClass];
     }
+    /// The engine with the fewest runs that offers what the request needs; null: none does.
+    const SimulatedEngine *leastBusy(RequestIndex request) const;
+    /// At full speed.
+    Duration loadTime(const ModelName &model, LoadSource source) const;
     /// Since the attempt under way began.
     Duration waited(RequestIndex request) const;
 
--- a/bench/serving-model/main.cpp
+++ b/bench/serving-model/main.cpp
@@ -4,8 +4,8 @@
 #include "PlainSchedulers.h"
 #include "PresentScheduler.h"
 
-#include "marigoldspool/Support/EventLog.h"
 #include "marigoldspool/Support/Settings.h"
+#include "support/QuietLog.h"
 
 #include <cstdio>
 #include <cstdlib>
@@ -16,12 +16,6 @@
 
 namespace {
 
-class SilentLog final : public EventLog
-{
-public:
-    void write(LogLevel, std::string_view, gsl::span<const LogField>) override { }
-};
-
 double worthOf(const Outcome &outcome)
 {
     return outcome.owed > 0 ? outcome.earned / outcome.owed : 0;
@@ -73,8 +67,7 @@
     for (Arrival &arrival : pattern->arrivals) {
         arrival.at /= *load;
     }
-    SilentLog silent;
-    setEventLog(&silent);
+    const fake::QuietLog quiet;
     std::vector<std::unique_ptr<Scheduler>> schedulers;
     schedulers.push_back(std::make_unique<ForesightScheduler>());
     schedulers.push_back(std::make_unique<PresentScheduler>());
--- a/include/marigoldspool/Serving/UsageHub.h
+++ b/include/marigoldspool/Serving/UsageHub.h
@@ -4,6 +4,7 @@
 #include "marigoldspool/Support/Clock.h"
 #include "marigoldspool/Support/Identifiers.h"
 
+#include <optional>
 #include <vector>
 
 #include <gsl/span>
@@ -33,8 +34,7 @@
     InstanceId m_self;
     const Clock &m_clock;
     InstanceId m_owner;
-    SteadyTime m_ownerHeardAt;
-    bool m_ownerHeard = false;
+    std::optional<SteadyTime> m_ownerHeardAt;
     std::vector<InstanceId> m_order;
 };
 
--- a/include/marigoldspool/Support/Clock.h
+++ b/include/marigoldspool/Support/Clock.h
@@ -54,6 +54,11 @@
 /// Whole milliseconds in \p duration, rounded up so that a positive time never becomes zero.
 std::int64_t toMilliseconds(Duration duration);
 
+inline double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
 } // namespace marigoldspool
 
 #endif
--- a/lib/Fleet/PlacementReports.cpp
+++ b/lib/Fleet/PlacementReports.cpp
@@ -28,6 +28,20 @@
     return joined;
 }
 
+// An adapter is there only with its model.
+void addLoad(HeldModels &models, const std::pair<ModelName, std::string> &load)
+{
+    const auto &[model, adapter] = load;
+    if (adapter.empty()) {
+        models.emplace(model, std::set<std::string>());
+        return;
+    }
+    const auto held = models.find(model);
+    if (held != models.end()) {
+        held->second.insert(adapter);
+    }
+}
+
 // What later decisions about this engine start from.
 void logFirstReport(const EngineState &engine)
 {
@@ -73,13 +87,7 @@
                 continue;
             }
             expected.applied = true;
-            HeldModels &models = engine->second.models;
-            const auto model = models.find(load.first);
-            if (load.second.empty()) {
-                models.emplace(load.first, std::set<std::string>());
-            } else if (model != models.end()) {
-                model->second.insert(load.second);
-            }
+            addLoad(engine->second.models, load);
             contact.changed = true;
             m_changed = true;
         }
@@ -98,10 +106,8 @@
             it = contact.expected.erase(it);
             continue;
         }
-        if (expected.applied && load.second.empty()) {
-            reported.emplace(load.first, std::set<std::string>());
-        } else if (expected.applied && model != reported.end()) {
-            model->second.insert(load.second);
+        if (expected.applied) {
+            addLoad(reported, load);
         }
         ++it;
     }
--- a/lib/Limits/LoanDesk.cpp
+++ b/lib/Limits/LoanDesk.cpp
@@ -18,11 +18,6 @@
 // between zones: the peer may be borrowing itself, and a request waits for 50 ms only.
 constexpr Duration HedgeDelay = std::chrono::milliseconds(5);
 
-double secondsOf(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 } // namespace
 
 void DemandMeter::add(double tokens, SteadyTime now)
@@ -34,12 +29,12 @@
 
 double DemandMeter::samples(SteadyTime now) const
 {
-    return m_samples * std::exp(-secondsOf(now - m_at) / MeterSeconds);
+    return m_samples * std::exp(-toSeconds(now - m_at) / MeterSeconds);
 }
 
 double DemandMeter::perSecond(SteadyTime now) const
 {
-    return m_rate * std::exp(-secondsOf(now - m_at) / MeterSeconds);
+    return m_rate * std::exp(-toSeconds(now - m_at) / MeterSeconds);
 }
 
 LoanDesk::LoanDesk(const LimitOptions &options)
@@ -70,7 +65,7 @@
         if (it != m_hints.end() && it->second.tokens >= 0) {
             // An exhausted peer fills up again; a generous one has given some of it away.
             tokens = std::min(std::max(guess.tokens, it->second.tokens),
-                              it->second.tokens + guess.perSecond * secondsOf(now - it->second.at));
+                              it->second.tokens + guess.perSecond * toSeconds(now - it->second.at));
         }
         ranked.push_back({random.next(), {peer, tokens}});
     }
--- a/lib/Limits/TokenBucket.cpp
+++ b/lib/Limits/TokenBucket.cpp
@@ -8,11 +8,6 @@
 
 namespace {
 
-double secondsOf(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 // Longer waits are of no use to a caller and could overflow a Duration.
 constexpr double LongestWaitSeconds = 86'400;
 
@@ -38,7 +33,7 @@
     if (now <= m_at) {
         return m_level;
     }
-    return std::min(m_capacity, m_level + m_rate * secondsOf(now - m_at));
+    return std::min(m_capacity, m_level + m_rate * toSeconds(now - m_at));
 }
 
 bool TokenBucket::tryTake(double tokens, SteadyTime now)
--- a/lib/Placement/IdlePolicy.cpp
+++ b/lib/Placement/IdlePolicy.cpp
@@ -14,11 +14,6 @@
 // Gaps needed before a history justifies a load that helps none of the waiting requests.
 constexpr double LeastEvidence = 2;
 
-double toSeconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 } // namespace
 
 IdlePolicy::IdlePolicy(IdlePolicyOptions options)
--- a/lib/Serving/PlacementCosts.h
+++ b/lib/Serving/PlacementCosts.h
@@ -11,11 +11,6 @@
 // A model with this rate loses the delay for all requests that come while it is away.
 constexpr double BusyRate = 0.5;
 
-inline double toSeconds(Duration value)
-{
-    return std::chrono::duration<double>(value).count();
-}
-
 } // namespace marigoldspool
 
 #endif
--- a/lib/Serving/PlacementForecast.cpp
+++ b/lib/Serving/PlacementForecast.cpp
@@ -11,6 +11,11 @@
 // From the order to the first request for an adapter; it waits for orders that are under way.
 constexpr Duration AdapterTime = std::chrono::milliseconds(500);
 
+Duration unloadTime()
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(UnloadCost));
+}
+
 } // namespace
 
 // An engine that has the model at hand finishes the load that it is doing and makes room first.
@@ -24,13 +29,11 @@
         if (!engine.usable || engine.pool != pool || source == LoadSource::Store) {
             continue;
         }
-        const auto unload =
-            std::chrono::duration_cast<Duration>(std::chrono::duration<double>(UnloadCost));
-        Duration time = loadTime(pool, model, source) + unload;
+        Duration time = loadTime(pool, model, source) + unloadTime();
         if (engine.loading) {
             time += std::max(engine.loadedAt - now, Duration::zero());
         } else if (engine.intent) {
-            time += unload + loadTime(pool, *engine.intent, sourceOf(engine, *engine.intent));
+            time += unloadTime() + loadTime(pool, *engine.intent, sourceOf(engine, *engine.intent));
         }
         best = best ? std::min(*best, time) : time;
     }
@@ -51,9 +54,7 @@
             coming.emplace(engine.pool, *engine.intent);
             const Duration load =
                 loadTime(engine.pool, *engine.intent, sourceOf(engine, *engine.intent));
-            result.push_back({*engine.intent,
-                              {},
-                              toMilliseconds(load) + static_cast<std::int64_t>(UnloadCost * 1000)});
+            result.push_back({*engine.intent, {}, toMilliseconds(load + unloadTime())});
         }
     }
     std::vector<std::pair<const DemandKey *, const FleetDemand *>> fromStore;
--- a/lib/Serving/UsageHub.cpp
+++ b/lib/Serving/UsageHub.cpp
@@ -31,13 +31,12 @@
 
 bool UsageHub::hearsOwner() const
 {
-    return m_ownerHeard && m_clock.now() - m_ownerHeardAt < OwnerOverdue;
+    return m_ownerHeardAt && m_clock.now() - *m_ownerHeardAt < OwnerOverdue;
 }
 
 bool UsageHub::onTotals(const InstanceId &from, gsl::span<const InstanceId> connected)
 {
     if (from == m_owner) {
-        m_ownerHeard = true;
         m_ownerHeardAt = m_clock.now();
         return true;
     }
--- a/lib/Serving/WorkspaceQuota.cpp
+++ b/lib/Serving/WorkspaceQuota.cpp
@@ -38,11 +38,6 @@
 constexpr Duration ShortestRetry = milliseconds(300);
 constexpr Duration LongestRetry = milliseconds(4000);
 
-double secondsOf(Duration value)
-{
-    return std::chrono::duration<double>(value).count();
-}
-
 } // namespace
 
 WorkspaceQuota::WorkspaceQuota(const Clock &clock, QuotaBound bound)
@@ -120,12 +115,12 @@
         return part.rate;
     }
     const double beyond = std::max(0.0, part.burst - part.rate);
-    return part.rate + RefillPart * beyond / secondsOf(m_bound.window);
+    return part.rate + RefillPart * beyond / toSeconds(m_bound.window);
 }
 
 void WorkspaceQuota::fill(Part &part, double heard, SteadyTime now)
 {
-    const double span = secondsOf(now - part.filledAt);
+    const double span = toSeconds(now - part.filledAt);
     part.level += refill(part) * heard * span;
     expectOthersUse(part, span, now);
     part.level = std::clamp(part.level, -MostDebtSeconds * part.rate, depth(part, heard));
@@ -156,7 +151,7 @@
 
 void WorkspaceQuota::follow(DemandRate &demand, double counter, SteadyTime now)
 {
-    const double span = secondsOf(now - demand.at);
+    const double span = toSeconds(now - demand.at);
     const double rate = span > 0 ? std::max(0.0, counter - demand.counter) / span : 0;
     const double kept = std::exp2(-span / DemandHalfLifeSeconds);
     demand.rate = kept * demand.rate + (1 - kept) * rate;
@@ -258,7 +253,7 @@
     const bool wasCounted = peer.heardAt + HeardWithin < now && peer.heardAt < m_totalsAt;
     // While it was silent its even part was left out of the bucket, so only more than that counts.
     const double silentSeconds =
-        isNew ? 0 : std::max(0.0, secondsOf(now - peer.heardAt - HeardWithin));
+        isNew ? 0 : std::max(0.0, toSeconds(now - peer.heardAt - HeardWithin));
     fillAll(now);
     peer.heardAt = now;
     for (const WorkspaceUsage &item : report.workspaces) {
@@ -326,7 +321,7 @@
                 follow(target.othersUse, target.othersUsed, now);
             } else {
                 // The first step tells the rates at once; later ones are smoothed.
-                const double span = std::max(secondsOf(now - target.othersUse.at), ShortestStep);
+                const double span = std::max(toSeconds(now - target.othersUse.at), ShortestStep);
                 target.othersUse = {used / span, target.othersUsed, now};
                 target.othersDemand = {asked / span, target.othersAsked, now};
                 target.othersKnown = true;
--- a/tests/Limits/SoakTest.cpp
+++ b/tests/Limits/SoakTest.cpp
@@ -1,26 +1,16 @@
 #include "Limits/Soak.h"
 
-#include "marigoldspool/Support/EventLog.h"
+#include "support/QuietLog.h"
 
 #include <doctest/doctest.h>
 
 using namespace marigoldspool;
 
-namespace {
-
-class SilentLog final : public EventLog
-{
-public:
-    SilentLog() { setEventLog(this); }
-    ~SilentLog() override { setEventLog(nullptr); }
-    void write(LogLevel, std::string_view, gsl::span<const LogField>) override { }
-};
-
-} // namespace
+namespace { } // namespace
 
 TEST_CASE("no faults or message losses make all instances together exceed a rate, burst or slots")
 {
-    const SilentLog log;
+    const fake::QuietLog quiet;
     for (std::uint64_t seed = 1; seed <= 16; ++seed) {
         const SoakResult result = SoakRun(seed).run(std::chrono::seconds(60));
         CHECK(result.admitted > 0);
--- a/tests/Placement/RandomisedRun.h
+++ b/tests/Placement/RandomisedRun.h
@@ -2,8 +2,8 @@
 #define MARIGOLDSPOOL_TESTS_PLACEMENT_RANDOMISEDRUN_H
 
 #include "Placement/FakeFleet.h"
-#include "marigoldspool/Support/EventLog.h"
 #include "marigoldspool/Support/Invariant.h"
+#include "support/QuietLog.h"
 
 namespace marigoldspool::fake {
 
@@ -78,17 +78,6 @@
     return result;
 }
 
-/// Drops the log lines of the engines while it exists.
-class QuietLog final : public EventLog
-{
-public:
-    QuietLog() { setEventLog(this); }
-    ~QuietLog() override { setEventLog(nullptr); }
-    QuietLog(const QuietLog &) = delete;
-    QuietLog &operator=(const QuietLog &) = delete;
-    void write(LogLevel, std::string_view, gsl::span<const LogField>) override { }
-};
-
 } // namespace marigoldspool::fake
 
 #endif
--- a/tests/PlatformAdapter/WholePathTest.cpp
+++ b/tests/PlatformAdapter/WholePathTest.cpp
@@ -223,6 +223,21 @@
         return answer;
     }
 
+    // The answer to a request that one of two replicas with the model breaks off.
+    std::shared_ptr<CallerAnswer> askForCutStream(const StandinReplica::Handler &stream)
+    {
+        // Room for both models, so that neither is dropped for the other.
+        engineMb = 200;
+        configure(2, {"k1"});
+        addReplica("i-1", "llm", stream, {"m"});
+        addReplica("i-2", "llm", stream, {"m"});
+        askUntil(200, "/llm/x", "m");
+        // Until both replicas are known.
+        io.restart();
+        io.run_for(1s);
+        return ask("/llm/cut", "m");
+    }
+
     boost::asio::io_context io;
     Metrics metrics;
     SystemClock clock;
@@ -319,16 +334,7 @@
         }
         sink->finish();
     };
-    // Room for both models, so that neither is dropped for the other.
-    engineMb = 200;
-    configure(2, {"k1"});
-    addReplica("i-1", "llm", stream, {"m"});
-    addReplica("i-2", "llm", stream, {"m"});
-    askUntil(200, "/llm/x", "m");
-    // Until both replicas are known.
-    io.restart();
-    io.run_for(1s);
-    const auto answer = ask("/llm/cut", "m");
+    const auto answer = askForCutStream(stream);
     CHECK(answer->complete);
     CHECK(answer->body
           == "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\nid: 4\ndata: x\n\n");
@@ -354,15 +360,7 @@
         }
         sink->finish();
     };
-    engineMb = 200;
-    configure(2, {"k1"});
-    addReplica("i-1", "llm", stream, {"m"});
-    addReplica("i-2", "llm", stream, {"m"});
-    askUntil(200, "/llm/x", "m");
-    // Until both replicas are known.
-    io.restart();
-    io.run_for(1s);
-    const auto answer = ask("/llm/cut", "m");
+    const auto answer = askForCutStream(stream);
     CHECK_FALSE(answer->complete);
     CHECK(answer->body == "id: 1\ndata: x\n\n");
 }
--- a/tests/Supervisor/SupervisorTest.cpp
+++ b/tests/Supervisor/SupervisorTest.cpp
@@ -1,6 +1,6 @@
 #include "marigoldspool/Supervisor/Supervisor.h"
 
-#include "marigoldspool/Support/EventLog.h"
+#include "support/QuietLog.h"
 
 #include <string>
 #include <vector>
@@ -11,14 +11,6 @@
 
 namespace {
 
-class SilentLog final : public EventLog
-{
-public:
-    SilentLog() { setEventLog(this); }
-    ~SilentLog() override { setEventLog(nullptr); }
-    void write(LogLevel, std::string_view, gsl::span<const LogField>) override { }
-};
-
 class FakeService final : public Service
 {
 public:
@@ -51,7 +43,7 @@
 };
 
 struct Tree {
-    SilentLog log;
+    const fake::QuietLog quiet;
     boost::asio::io_context io;
     SystemClock clock;
     std::vector<std::string> journal;
