Bound answers without end and choose engines by expected delay

Two changes that meet in Exchange.

Answers without end: an endpoint or the store may send bytes that are no answer until the caller closes. Heads were bounded; the body of a buffered answer, the text of an unfinished event, a report, an order's answer and a skipped answer were not, and a store answer could take 64 MB a connection. They now end at 512 KiB, 256 KiB, 256 KiB, 256 KiB, 1 MiB and 8 MiB. A longer answer with a stated length is passed on as it arrives. Text in a stream that is no event breaks the attempt off, and only whole events count as progress. Tests play each case with a server that never stops.

Choice: the load of an engine was counted as requests in flight by slots, which hardly rises on engines with 128 slots, while prompts queued for seconds. EngineModel learns from the responses what a prompt token and a request cost; EndpointDirectory weighs the delays seen lately and the prompts under way against the request's objective, and the shared prefix of a session by the tokens that it saves.

Requests beyond a workspace's rate no longer count as demand for models, and a request whose caller has stopped waiting is refused, not sent.

--- a/include/marigoldspool/Gateway/EndpointClient.h
+++ b/include/marigoldspool/Gateway/EndpointClient.h
@@ -42,6 +42,8 @@
     /// Field in which the endpoint repeats the request's id; empty when it repeats none. Answers
     /// with another id belong to other requests and are skipped.
     std::string echoField;
+    /// The call fails when the body of the answer is longer, in bytes; zero: unlimited.
+    std::size_t maxAnswerBytes = 0;
     /// An answer without a length is complete when the endpoint closes the connection cleanly.
     bool mayEndWithConnection = false;
 };
--- a/include/marigoldspool/Serving/EndpointDirectory.h
+++ b/include/marigoldspool/Serving/EndpointDirectory.h
@@ -2,6 +2,7 @@
 #define MARIGOLDSPOOL_SERVING_ENDPOINTDIRECTORY_H
 
 #include "marigoldspool/Limits/TokenBucket.h"
+#include "marigoldspool/Serving/EngineModel.h"
 #include "marigoldspool/Serving/ServingTypes.h"
 
 #include <map>
@@ -43,9 +44,12 @@
     std::optional<TokenBucket> coldRateLimit;
     /// Models and adapters that the endpoint recently refused as not loaded.
     std::map<std::pair<ModelName, std::string>, SteadyTime> notLoadedUntil;
-    /// Exponentially weighted mean time to the first byte of the response.
-    double meanFirstByteSeconds = 0;
+    /// Exponentially weighted mean time by which first bytes came later than expected from an
+    /// endpoint without other load.
+    double meanDelaySeconds = 0;
     SteadyTime lastFirstByteAt;
+    /// Prompt tokens of the requests sent by this instance whose first byte has not arrived.
+    int pendingPromptTokens = 0;
     /// Set when the entry was removed; it may be listed again until then.
     std::optional<SteadyTime> removeAt;
 };
@@ -75,8 +79,12 @@
     std::string adapter;
     /// Id of the shared prompt prefix; requests with the same one prefer the same endpoint.
     std::string session;
+    /// Prompt tokens of that prefix.
+    int sessionTokens = 0;
     /// Endpoints already tried for this request.
     gsl::span<const EndpointId> excluded;
+    /// Latency objective of the request; expected delays are weighed against it.
+    Duration objective = std::chrono::seconds(1);
     /// Skip endpoints with recent failures.
     bool onlyHealthy = false;
 };
@@ -106,9 +114,14 @@
     bool canUse(const EndpointId &id) const;
     const TrackedEndpoint *find(const EndpointId &id) const;
     const std::map<EndpointId, TrackedEndpoint> &endpoints() const { return m_endpoints; }
-
-    void onSent(const EndpointId &id);
-    void onFirstByte(const EndpointId &id, Duration after);
+    const EngineModel &engineModel() const { return m_engineModel; }
+
+    void onSent(const EndpointId &id, int promptTokens = 0);
+    void onFirstByte(const EndpointId &id, int promptTokens, Duration after);
+    /// A complete response arrived \p run after the request was sent.
+    void onResponse(const EndpointId &id, int promptTokens, Duration run);
+    /// The request sent with \p promptTokens ended before its first byte; before onResult().
+    void onNoFirstByte(const EndpointId &id, int promptTokens);
     void onResult(const EndpointId &id, EndpointResult result, const ModelName &model,
                   const std::string &adapter = {});
     static bool hasModel(const TrackedEndpoint &state, const ModelName &model,
@@ -119,7 +132,7 @@
     double score(const TrackedEndpoint &state, const EndpointQuery &query, SteadyTime now) const;
     int maxInFlight(const TrackedEndpoint &state) const;
     void markCold(TrackedEndpoint &state, Duration left);
-    double bestFirstByteSeconds(const PoolName &pool, SteadyTime now) const;
+    double delaySeconds(const TrackedEndpoint &state, SteadyTime now) const;
 
     ZoneName m_ownZone;
     const Clock &m_clock;
@@ -127,6 +140,7 @@
     ServingConfigurationPtr m_configuration;
     std::map<EndpointId, TrackedEndpoint> m_endpoints;
     std::set<ZoneName> m_evacuated;
+    EngineModel m_engineModel;
 };
 
 } // namespace marigoldspool
--- a/lib/Fleet/EngineCalls.h
+++ b/lib/Fleet/EngineCalls.h
@@ -18,6 +18,8 @@
 // After this many consecutive failed reports, an engine gets no orders.
 constexpr int MaxReportFailures = 2;
 constexpr Duration CallTimeout = std::chrono::milliseconds(1500);
+// Answers to reports and orders are lists of a few hundred names at most.
+constexpr std::size_t MaxCallAnswerBytes = 256U << 10U;
 
 /// Buffers a small response and passes on its status and body.
 class CollectingHandler final : public EndpointCallHandler
--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -27,6 +27,7 @@
 constexpr double FirstByteWaitPerObjective = 2.5;
 constexpr Duration MinFirstByteWait = milliseconds(250);
 constexpr Duration NoConfigurationRetryAfter = milliseconds(500);
+constexpr Duration CallerGoneRetryAfter = milliseconds(500);
 
 } // namespace
 
@@ -68,12 +69,6 @@
         }
     });
     m_runtime.retries.onRequest(m_pool->name);
-    if (isEngineRequest()) {
-        m_front.m_demand.onArrival({m_pool->name, m_request.model, {}});
-        if (!m_request.adapter.empty()) {
-            m_front.m_demand.onArrival({m_pool->name, m_request.model, m_request.adapter});
-        }
-    }
     dispatch();
 }
 
@@ -139,6 +134,19 @@
     return false;
 }
 
+// Requests beyond the workspace's rate need no model, so they are not counted.
+void Exchange::reportDemand()
+{
+    if (m_isDemandReported || !isEngineRequest()) {
+        return;
+    }
+    m_isDemandReported = true;
+    m_front.m_demand.onArrival({m_pool->name, m_request.model, {}});
+    if (!m_request.adapter.empty()) {
+        m_front.m_demand.onArrival({m_pool->name, m_request.model, m_request.adapter});
+    }
+}
+
 bool Exchange::isRepeatable() const
 {
     return m_route->kind == RequestKind::Idempotent || m_route->resumable;
@@ -155,6 +163,15 @@
                                        : std::string();
 }
 
+int Exchange::sessionTokens() const
+{
+    int tokens = 0;
+    for (std::size_t i = 0; i + 1 < m_request.prompt.size(); ++i) {
+        tokens += m_request.prompt[i].tokens;
+    }
+    return tokens;
+}
+
 Duration Exchange::timeLeft() const
 {
     return m_deadline - m_runtime.clock.now();
@@ -178,6 +195,14 @@
     if (m_finished || m_attempt || !resolveRoute() || !takeQuota()) {
         return;
     }
+    reportDemand();
+    if (callerTimeLeft() <= Duration::zero()) {
+        // The caller has left or is about to, although its connection may not be closed yet.
+        refuse(RefusalReason::DeadlineTooShort,
+               m_possibleRuns > 0 ? RanState::Unknown : RanState::No, CallerGoneRetryAfter,
+               "no endpoint became available while the caller waited");
+        return;
+    }
     EndpointQuery query = endpointQuery();
     EndpointChoice choice = m_runtime.directory.choose(query);
     if (choice.kind != ChoiceKind::Send && !m_triedEndpoints.empty()) {
@@ -239,7 +264,7 @@
 void Exchange::checkSilence()
 {
     if (!m_attempt || !isRepeatable() || m_possibleRuns + 1 >= m_route->maxAttempts
-        || m_runtime.clock.now() - m_lastByteAt < silenceLimit()
+        || m_runtime.clock.now() - m_lastProgressAt < silenceLimit()
         || (m_answerStarted && (!m_route->resumable || m_events.lastId().empty()))) {
         return;
     }
@@ -248,10 +273,7 @@
     if (m_runtime.directory.choose(query).kind != ChoiceKind::Send) {
         return;
     }
-    m_lastError = "silent";
-    m_runtime.endpoints->cancel(m_request.id);
-    onAttemptFailed(m_answerStarted ? EndpointOutcome::CutOff : EndpointOutcome::MaybeSent,
-                    EndpointResult::Failed);
+    abandonAttempt("silent");
 }
 
 EndpointQuery Exchange::endpointQuery() const
@@ -262,7 +284,9 @@
         query.model = m_request.model;
         query.adapter = m_request.adapter;
         query.session = session();
+        query.sessionTokens = sessionTokens();
     }
+    query.objective = m_route->objective;
     query.excluded = m_triedEndpoints;
     return query;
 }
@@ -304,14 +328,14 @@
         m_firstSentAt = m_sentAt;
     }
     m_firstByteSeen = false;
-    m_lastByteAt = m_sentAt;
+    m_lastProgressAt = m_sentAt;
     m_status = 0;
     m_answerHeaders.clear();
     m_answerBody.clear();
     m_streaming = false;
-    m_events.dropPartialEvent();
+    m_events.beginResumed();
     m_attempt = std::make_shared<Attempt>(shared_from_this());
-    m_runtime.directory.onSent(endpoint);
+    m_runtime.directory.onSent(endpoint, m_request.promptTokens);
     m_runtime.endpoints->call(std::move(call), m_attempt);
 }
 
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -33,6 +33,7 @@
 
     bool resolveRoute();
     bool takeQuota();
+    void reportDemand();
     void waitOrRefuse(const EndpointChoice &choice);
     void send(const EndpointId &endpoint);
     void onHead(int status, gsl::span<const HeaderField> headers);
@@ -42,8 +43,11 @@
     void onResponse();
     /// Ends an attempt that brought no response that can be forwarded: retries or refuses.
     void onAttemptFailed(EndpointOutcome outcome, EndpointResult result);
+    /// Closes the connection of an attempt whose endpoint gives no usable answer.
+    void abandonAttempt(std::string cause);
     bool resume();
-    void forwardEvents(const std::string &events);
+    void onBufferedData(std::string_view bytes);
+    void forward(std::string_view bytes);
     void onDeadline();
     void onCallerGone();
     void endAttempt(EndpointResult result);
@@ -54,6 +58,7 @@
     bool isRepeatable() const;
     bool isEngineRequest() const;
     std::string session() const;
+    int sessionTokens() const;
     Duration silenceLimit() const;
     EndpointQuery endpointQuery() const;
 
@@ -73,6 +78,7 @@
     WorkspaceName m_workspace;
     int m_priority = 0;
     bool m_isQuotaTaken = false;
+    bool m_isDemandReported = false;
     bool m_waiting = false;
     bool m_finished = false;
     ChoiceKind m_waitReason = ChoiceKind::Send;
@@ -86,12 +92,15 @@
     SteadyTime m_sentAt;
     SteadyTime m_firstSentAt;
     bool m_firstByteSeen = false;
-    SteadyTime m_lastByteAt;
+    /// When the attempt last came closer to a whole answer or event.
+    SteadyTime m_lastProgressAt;
     int m_status = 0;
     AnswerTraits m_traits;
     std::vector<HeaderField> m_answerHeaders;
     std::string m_answerBody;
     bool m_streaming = false;
+    /// A long answer of a known length is passed on as it arrives.
+    bool m_passingOn = false;
     bool m_answerStarted = false;
     EventStream m_events;
     std::optional<SteadyTime> m_firstEventAt;
--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <cstdio>
+#include <utility>
 
 namespace marigoldspool {
 
@@ -16,6 +17,8 @@
 
 // A stream is aborted when more than this is buffered for a caller that reads too slowly.
 constexpr std::size_t MaxPendingBytes = 4U << 20U;
+// Body bytes kept until an answer is complete.
+constexpr std::size_t MaxBufferedBytes = 512U << 10U;
 // Bounds all attempts, including those that the endpoint refused without processing the request,
 // which the route's limit does not count.
 constexpr int MaxTotalAttempts = 6;
@@ -38,7 +41,7 @@
 void Exchange::onHead(int status, gsl::span<const HeaderField> headers)
 {
     m_status = status;
-    m_lastByteAt = m_runtime.clock.now();
+    m_lastProgressAt = m_runtime.clock.now();
     m_traits = m_runtime.codec.decodeAnswer(status, headers);
     m_answerHeaders.assign(headers.begin(), headers.end());
     const bool isSuccess = status >= 200 && status < 300;
@@ -46,31 +49,59 @@
         && !m_traits.encoded && !m_traits.notRun;
     if (!m_firstByteSeen && !m_traits.notRun && !m_traits.misdirected) {
         m_firstByteSeen = true;
-        m_runtime.directory.onFirstByte(m_endpoint, m_runtime.clock.now() - m_sentAt);
+        m_runtime.directory.onFirstByte(m_endpoint, m_request.promptTokens,
+                                        m_runtime.clock.now() - m_sentAt);
     }
 }
 
 void Exchange::onData(std::string_view bytes)
 {
-    m_lastByteAt = m_runtime.clock.now();
     if (!m_streaming) {
-        m_answerBody.append(bytes);
+        onBufferedData(bytes);
         return;
     }
     const std::string events = m_events.feed(bytes);
     if (!events.empty()) {
-        forwardEvents(events);
+        m_lastProgressAt = m_runtime.clock.now();
+        forward(events);
+    }
+    if (m_events.isMalformed() && m_attempt) {
+        abandonAttempt("malformed_stream");
     }
 }
 
-void Exchange::forwardEvents(const std::string &events)
+// An answer is passed on when it is complete. One that is too long to keep is passed on as it
+// arrives, if the endpoint has stated its length; without a length it may have no end.
+void Exchange::onBufferedData(std::string_view bytes)
+{
+    m_lastProgressAt = m_runtime.clock.now();
+    if (m_passingOn) {
+        forward(bytes);
+        return;
+    }
+    m_answerBody.append(bytes);
+    if (m_answerBody.size() <= MaxBufferedBytes) {
+        return;
+    }
+    const bool canPassOn = !m_answerStarted && m_traits.sealed && !m_traits.encoded
+        && !m_traits.notRun && !m_traits.misdirected
+        && findHeader(m_answerHeaders, "Content-Length") != nullptr;
+    if (!canPassOn) {
+        abandonAttempt("answer_too_long");
+        return;
+    }
+    m_passingOn = true;
+    forward(std::exchange(m_answerBody, {}));
+}
+
+void Exchange::forward(std::string_view bytes)
 {
     if (!m_answerStarted) {
         m_answerStarted = true;
         m_firstEventAt = m_runtime.clock.now();
         m_sink->head(m_status, m_answerHeaders, true);
     }
-    m_sink->data(events);
+    m_sink->data(bytes);
     if (m_sink->pendingBytes() > MaxPendingBytes) {
         m_runtime.endpoints->cancel(m_request.id);
         endAttempt(EndpointResult::Abandoned);
@@ -79,6 +110,14 @@
     }
 }
 
+void Exchange::abandonAttempt(std::string cause)
+{
+    m_lastError = std::move(cause);
+    m_runtime.endpoints->cancel(m_request.id);
+    onAttemptFailed(m_answerStarted ? EndpointOutcome::CutOff : EndpointOutcome::MaybeSent,
+                    EndpointResult::Failed);
+}
+
 void Exchange::onComplete()
 {
     if (m_traits.misdirected || m_traits.notRun) {
@@ -95,7 +134,7 @@
         onAttemptFailed(EndpointOutcome::MaybeSent, EndpointResult::Failed);
         return;
     }
-    if (m_answerStarted && !m_streaming) {
+    if (m_answerStarted && !m_streaming && !m_passingOn) {
         // The endpoint that was to resume the stream failed, so the caller's stream is incomplete.
         m_lastError = "status_" + std::to_string(m_status);
         onAttemptFailed(EndpointOutcome::CutOff, EndpointResult::Failed);
@@ -121,6 +160,10 @@
         dispatch();
         return;
     }
+    if (!isServerError && m_request.lastEventId.empty() && m_attemptCount == 1) {
+        m_runtime.directory.onResponse(m_endpoint, m_request.promptTokens,
+                                       m_runtime.clock.now() - m_sentAt);
+    }
     endAttempt(isServerError ? EndpointResult::Failed : EndpointResult::Answered);
     if (m_answerStarted) {
         m_sink->finish();
@@ -239,6 +282,9 @@
     }
     m_attempt->detach();
     m_attempt.reset();
+    if (!m_firstByteSeen) {
+        m_runtime.directory.onNoFirstByte(m_endpoint, m_request.promptTokens);
+    }
     m_runtime.directory.onResult(m_endpoint, result, m_request.model, m_request.adapter);
     m_front.scheduleDispatch();
 }
--- a/lib/Gateway/EndpointConnection.cpp
+++ b/lib/Gateway/EndpointConnection.cpp
@@ -28,6 +28,9 @@
 
 constexpr std::size_t ReceiveBufferBytes = 65'536;
 
+// Body of an answer to another request, which is read to find the start of the awaited one.
+constexpr std::size_t MaxSkippedBytes = 1U << 20U;
+
 // Fields that this client sets itself, and credentials of the caller, which are never forwarded.
 bool isDropped(const HeaderField &field)
 {
@@ -98,6 +101,8 @@
     m_headDelivered = false;
     m_echoField = std::move(call.echoField);
     m_skippingAnswer = false;
+    m_maxAnswerBytes = call.maxAnswerBytes;
+    m_answerBytes = 0;
     m_mayEndWithConnection = call.mayEndWithConnection;
     m_keepAliveTimeout = DefaultKeepAliveTimeout;
     m_idleTimeout = call.idleTimeout;
@@ -262,6 +267,7 @@
         // The answer to this request follows the one that was skipped.
         const std::string rest(bytes.substr(used));
         m_skippingAnswer = false;
+        m_answerBytes = 0;
         m_unparsed.clear();
         m_parser.emplace(m_isHeadRequest);
         if (!rest.empty()) {
@@ -303,10 +309,20 @@
             return false;
         }
     }
+    const std::vector<std::string_view> &parts = m_parser->bodyParts();
+    for (const std::string_view part : parts) {
+        m_answerBytes += part.size();
+    }
+    const std::size_t limit = m_skippingAnswer ? MaxSkippedBytes : m_maxAnswerBytes;
+    if (limit > 0 && m_answerBytes > limit) {
+        fail(ErrorKind::Malformed,
+             "the answer of " + m_address + " is longer than " + std::to_string(limit) + " bytes",
+             "check that the endpoint ends its answers");
+        return false;
+    }
     if (m_skippingAnswer) {
         return true;
     }
-    const std::vector<std::string_view> &parts = m_parser->bodyParts();
     if (parts.size() == 1) {
         handler->onData(parts.front());
     } else if (!parts.empty()) {
--- a/lib/Gateway/EndpointConnection.h
+++ b/lib/Gateway/EndpointConnection.h
@@ -94,6 +94,8 @@
     std::string m_echoField;
     bool m_isHeadRequest = false;
     /// The answer being read belongs to another request.
+    std::size_t m_maxAnswerBytes = 0;
+    std::size_t m_answerBytes = 0;
     bool m_skippingAnswer = false;
     /// The endpoint sent unsolicited data, so the connection must not be reused.
     bool m_mustNotReuse = false;
--- a/lib/Platform/StoreConnectionPool.cpp
+++ b/lib/Platform/StoreConnectionPool.cpp
@@ -24,8 +24,10 @@
 
 // Further calls are rejected, so that the queue cannot grow without bound during an outage.
 constexpr std::size_t MaxQueuedCalls = 1024;
-// Leaves room for a list of many objects of up to 1 MB each.
-constexpr std::uint64_t MaxAnswerBytes = 64U << 20U;
+// A page of a list has about 1 MB, and a watch may report several objects of that size. All
+// connections together must stay far below the memory of a small machine when the store sends bytes
+// without end.
+constexpr std::uint64_t MaxAnswerBytes = 8U << 20U;
 
 } // namespace
 
--- a/lib/Serving/EndpointDirectory.cpp
+++ b/lib/Serving/EndpointDirectory.cpp
@@ -29,7 +29,7 @@
 // Weight of the newest result in the failure fraction, and the half-life of that fraction.
 constexpr double FailureWeight = 0.25;
 constexpr double FailureHalfLifeSeconds = 3;
-constexpr double FirstByteWeight = 0.3;
+constexpr double DelayWeight = 0.3;
 // An endpoint above this failure fraction is unhealthy.
 constexpr double MaxHealthyFailureFraction = 0.15;
 
@@ -39,12 +39,15 @@
 constexpr double FailurePenalty = 4;
 constexpr double AvoidPenalty = 8;
 constexpr double ColdPenalty = 0.3;
-constexpr double MaxSessionPenalty = 0.12;
-// A time to first byte above this multiple of the best in the pool is penalized.
-constexpr double SlowRatio = 3;
-constexpr double MinBestFirstByteSeconds = 0.04;
-constexpr double MaxSlowPenalty = 1;
-constexpr Duration FirstByteLifetime = seconds(3);
+// Keeps the requests of a session together where nothing else matters; in addition, processing the
+// shared prefix again counts as a delay.
+constexpr double MinSessionPenalty = 0.03;
+// A first byte that is expected late by the request's whole objective counts as much as an endpoint
+// with all slots in use.
+constexpr double MaxDelayPenalty = 2;
+constexpr double MinObjectiveSeconds = 0.05;
+// An endpoint that is avoided for its delays gives no new samples, so they lose weight with age.
+constexpr double DelayHalfLifeSeconds = 1;
 
 // The platform tolerates 1.5 times the configured rate of a cold endpoint. Each instance stays
 // below its share of the configured rate, because the requests of all instances add up.
@@ -53,10 +56,14 @@
 // reporting intervals.
 constexpr Duration ReportLag = milliseconds(2500);
 
-double decayed(double failures, SteadyTime since, SteadyTime now)
+double decayed(double value, SteadyTime since, SteadyTime now, double halfLifeSeconds)
 {
-    const double age = std::chrono::duration<double>(now - since).count();
-    return failures * std::exp2(-std::max(age, 0.0) / FailureHalfLifeSeconds);
+    return value * std::exp2(-std::max(toSeconds(now - since), 0.0) / halfLifeSeconds);
+}
+
+double decayedFailures(const TrackedEndpoint &state, SteadyTime now)
+{
+    return decayed(state.failureFraction, state.lastResultAt, now, FailureHalfLifeSeconds);
 }
 
 } // namespace
@@ -79,8 +86,10 @@
         // Nothing known about the previous process applies to the new one, but requests in flight
         // stay counted until their connections end.
         const int inFlight = state.inFlight;
+        const int pendingPromptTokens = state.pendingPromptTokens;
         state = TrackedEndpoint();
         state.inFlight = inFlight;
+        state.pendingPromptTokens = pendingPromptTokens;
     }
     state.listed = endpoint;
     state.removeAt.reset();
@@ -193,17 +202,15 @@
     return state.listed.slots + MaxServiceQueue;
 }
 
-double EndpointDirectory::bestFirstByteSeconds(const PoolName &pool, SteadyTime now) const
+// By how much a first byte is expected to come later than from an endpoint without load: delays
+// seen lately, or the prompts that this instance has sent and that are still being processed.
+double EndpointDirectory::delaySeconds(const TrackedEndpoint &state, SteadyTime now) const
 {
-    double best = 0;
-    for (const auto &[id, state] : m_endpoints) {
-        if (state.listed.pool == pool && state.meanFirstByteSeconds > 0
-            && now - state.lastFirstByteAt < FirstByteLifetime
-            && (best == 0 || state.meanFirstByteSeconds < best)) {
-            best = state.meanFirstByteSeconds;
-        }
-    }
-    return std::max(best, MinBestFirstByteSeconds);
+    const double seen =
+        decayed(state.meanDelaySeconds, state.lastFirstByteAt, now, DelayHalfLifeSeconds);
+    const double pending =
+        m_engineModel.promptSeconds(state.listed.pool, state.pendingPromptTokens);
+    return std::max(seen, pending);
 }
 
 // Lower is better.
@@ -211,7 +218,7 @@
                                 SteadyTime now) const
 {
     double result = static_cast<double>(state.inFlight) / std::max(1, state.listed.slots);
-    result += FailurePenalty * decayed(state.failureFraction, state.lastResultAt, now);
+    result += FailurePenalty * decayedFailures(state, now);
     if (state.listed.zone != m_ownZone) {
         result += OtherZonePenalty;
     }
@@ -221,18 +228,17 @@
     if (now < state.coldUntil) {
         result += ColdPenalty;
     }
-    // Old samples are ignored: a slow endpoint may have recovered, and only a request shows that.
-    if (now - state.lastFirstByteAt < FirstByteLifetime) {
-        const double slowThreshold = SlowRatio * bestFirstByteSeconds(state.listed.pool, now);
-        result +=
-            std::min(MaxSlowPenalty, std::max(0.0, state.meanFirstByteSeconds / slowThreshold - 1));
-    }
+    const double objectiveSeconds = std::max(toSeconds(query.objective), MinObjectiveSeconds);
+    result += std::min(MaxDelayPenalty, delaySeconds(state, now) / objectiveSeconds);
     if (!query.session.empty()) {
         // All instances rank endpoints the same way, so that a shared prompt prefix is computed on
         // one endpoint.
         const std::size_t rank =
             std::hash<std::string>()(query.session + '/' + state.listed.id.str()) % 1024;
-        result += MaxSessionPenalty * static_cast<double>(rank) / 1024;
+        const double savedSeconds =
+            m_engineModel.promptSeconds(state.listed.pool, query.sessionTokens);
+        result += (MinSessionPenalty + savedSeconds / objectiveSeconds) * static_cast<double>(rank)
+            / 1024;
     }
     return result;
 }
@@ -260,8 +266,8 @@
         if (notLoaded != state.notLoadedUntil.end() && now < notLoaded->second) {
             continue;
         }
-        const bool isHealthy = now >= state.avoidUntil
-            && decayed(state.failureFraction, state.lastResultAt, now) < MaxHealthyFailureFraction;
+        const bool isHealthy =
+            now >= state.avoidUntil && decayedFailures(state, now) < MaxHealthyFailureFraction;
         if (query.onlyHealthy && !isHealthy) {
             continue;
         }
@@ -308,7 +314,7 @@
     }
 }
 
-void EndpointDirectory::onSent(const EndpointId &id)
+void EndpointDirectory::onSent(const EndpointId &id, int promptTokens)
 {
     const auto it = m_endpoints.find(id);
     checkInvariant(it != m_endpoints.end(), "sent_to_known_endpoint", id.str());
@@ -317,22 +323,46 @@
     }
     TrackedEndpoint &state = it->second;
     ++state.inFlight;
+    state.pendingPromptTokens += promptTokens;
     const SteadyTime now = m_clock.now();
     if (now < state.coldUntil && state.coldRateLimit) {
         state.coldRateLimit->tryTake(1, now);
     }
 }
 
-void EndpointDirectory::onFirstByte(const EndpointId &id, Duration after)
+void EndpointDirectory::onFirstByte(const EndpointId &id, int promptTokens, Duration after)
 {
     const auto it = m_endpoints.find(id);
     if (it == m_endpoints.end()) {
         return;
     }
-    double &mean = it->second.meanFirstByteSeconds;
-    const double sample = std::chrono::duration<double>(after).count();
-    mean = mean == 0 ? sample : mean + FirstByteWeight * (sample - mean);
-    it->second.lastFirstByteAt = m_clock.now();
+    TrackedEndpoint &state = it->second;
+    const SteadyTime now = m_clock.now();
+    const PoolName &pool = state.listed.pool;
+    const double delay =
+        std::max(0.0, toSeconds(after - m_engineModel.expectedFirstByte(pool, promptTokens)));
+    const double before =
+        decayed(state.meanDelaySeconds, state.lastFirstByteAt, now, DelayHalfLifeSeconds);
+    state.meanDelaySeconds = before + DelayWeight * (delay - before);
+    state.lastFirstByteAt = now;
+    state.pendingPromptTokens = std::max(0, state.pendingPromptTokens - promptTokens);
+    m_engineModel.onFirstByte(pool, promptTokens, after);
+}
+
+void EndpointDirectory::onNoFirstByte(const EndpointId &id, int promptTokens)
+{
+    const auto it = m_endpoints.find(id);
+    if (it != m_endpoints.end()) {
+        it->second.pendingPromptTokens = std::max(0, it->second.pendingPromptTokens - promptTokens);
+    }
+}
+
+void EndpointDirectory::onResponse(const EndpointId &id, int promptTokens, Duration run)
+{
+    const auto it = m_endpoints.find(id);
+    if (it != m_endpoints.end()) {
+        m_engineModel.onResponse(it->second.listed.pool, promptTokens, run);
+    }
 }
 
 void EndpointDirectory::onResult(const EndpointId &id, EndpointResult result,
@@ -362,7 +392,7 @@
         state.notLoadedUntil[{model, adapter}] = now + NotLoadedPause;
         return;
     }
-    const double before = decayed(state.failureFraction, state.lastResultAt, now);
+    const double before = decayedFailures(state, now);
     state.lastResultAt = now;
     if (result == EndpointResult::Answered) {
         state.failureFraction = before * (1 - FailureWeight);
--- /dev/null
+++ b/tests/PlatformAdapter/RequestPathFixture.h
@@ -0,0 +1,261 @@
+#ifndef MARIGOLDSPOOL_TESTS_PLATFORMADAPTER_REQUESTPATHFIXTURE_H
+#define MARIGOLDSPOOL_TESTS_PLATFORMADAPTER_REQUESTPATHFIXTURE_H
+
+#include "PlatformCodec.h"
+#include "PlatformStore.h"
+#include "StandinPlatform.h"
+
+#include "marigoldspool/Fleet/FleetDaemon.h"
+#include "support/IoRunner.h"
+
+namespace marigoldspool {
+
+inline std::uint16_t freePort(boost::asio::io_context &io, Metrics &metrics)
+{
+    auto server = makeHttpServer(
+        io, HttpServerOptions(), [](const HttpRequest &, const std::shared_ptr<ResponseSink> &) {},
+        metrics);
+    REQUIRE(server);
+    return (*server)->port();
+}
+
+inline std::string requestId(const HttpRequest &request)
+{
+    return *findHeader(request.headers, "X-Marigoldspool-Request-Id");
+}
+
+inline std::vector<HeaderField> answerHeaders(const HttpRequest &request)
+{
+    return {{"X-Marigoldspool-Request-Id", requestId(request)},
+            {"X-Marigoldspool-Replica-Seal", "seal"}};
+}
+
+inline void answerOk(const HttpRequest &request, const std::shared_ptr<ResponseSink> &sink)
+{
+    sink->head(200, answerHeaders(request), false);
+    sink->data("the answer");
+    sink->finish();
+}
+
+inline void answerNotRun(const HttpRequest &request, const std::shared_ptr<ResponseSink> &sink,
+                         int status)
+{
+    std::vector<HeaderField> headers{{"X-Marigoldspool-Request-Id", requestId(request)},
+                                     {"X-Marigoldspool-Not-Run", "1"}};
+    sink->head(status, headers, false);
+    sink->finish();
+}
+
+struct CallerAnswer {
+    int status = 0;
+    std::string body;
+    std::string retryAfter;
+    bool complete = false;
+    bool ended = false;
+};
+
+/// Records the answer that a caller gets.
+class CallerHandler final : public EndpointCallHandler
+{
+public:
+    explicit CallerHandler(std::shared_ptr<CallerAnswer> answer)
+        : m_answer(std::move(answer))
+    { }
+
+    void onHead(int status, gsl::span<const HeaderField> headers) override
+    {
+        m_answer->status = status;
+        if (const std::string *field = findHeader(headers, "Retry-After")) {
+            m_answer->retryAfter = *field;
+        }
+    }
+    void onData(std::string_view bytes) override { m_answer->body.append(bytes); }
+    void onComplete() override { m_answer->complete = m_answer->ended = true; }
+    void onFailure(SendStage /*stage*/, Error /*error*/) override { m_answer->ended = true; }
+
+private:
+    std::shared_ptr<CallerAnswer> m_answer;
+};
+
+/// One instance with a stand-in store and stand-in replicas, all on one event loop.
+class RequestPathFixture
+{
+public:
+    RequestPathFixture()
+        : store(io, metrics)
+    {
+        FleetOptions options;
+        options.instance = InstanceId("front-1");
+        options.zone = ZoneName("z1");
+        const auto port = [this] {
+            return "127.0.0.1:" + std::to_string(freePort(io, metrics));
+        };
+        callerAddress = options.callerAddress = port();
+        options.readinessAddress = port();
+        options.peerAddress = port();
+        options.storeAddress = store.address();
+        auto objectStore =
+            makePlatformStore(io, store.address(), std::chrono::milliseconds(800), metrics);
+        REQUIRE(objectStore);
+        daemon = std::make_unique<FleetDaemon>(io, options, codec, std::move(*objectStore),
+                                               std::make_unique<Metrics>());
+        REQUIRE(daemon->start());
+        client = makeEndpointClient(io, clock, metrics);
+        configure(1, {"k1"});
+    }
+
+    StandinReplica &addReplica(const std::string &id, const std::string &service,
+                               StandinReplica::Handler handler,
+                               std::vector<std::string> models = {})
+    {
+        replicas.push_back(std::make_unique<StandinReplica>(io, metrics, id, std::move(handler)));
+        StandinReplica &replica = *replicas.back();
+        replica.models = std::move(models);
+        store.put("servers", id, replica.entry(service));
+        return replica;
+    }
+
+    void configure(int version, const std::vector<std::string> &keys)
+    {
+        const nlohmann::json engine = {
+            {"slots", 8},
+            {"weightsMb", engineMemoryMb},
+            {"adapterSlots", 2},
+            {"loadsPerS", 5},
+            {"models",
+             {{{"name", "m"}, {"weightsMb", 60}, {"loadS", 0.05}, {"warmS", 0.05}},
+              {{"name", "n"}, {"weightsMb", 60}, {"loadS", 0.05}, {"warmS", 0.05}}}}};
+        store.put("config", "main",
+                  {{"version", version},
+                   {"routes",
+                    {{{"name", "app"},
+                      {"host", "h"},
+                      {"prefix", "/app/"},
+                      {"kind", "idempotent"},
+                      {"service", "app"},
+                      {"attempts", 2},
+                      {"timeoutMs", 3000},
+                      {"goalMs", 1000}},
+                     {{"name", "once"},
+                      {"host", "h"},
+                      {"prefix", "/once/"},
+                      {"kind", "non_idempotent"},
+                      {"service", "app"},
+                      {"attempts", 1},
+                      {"timeoutMs", 3000},
+                      {"goalMs", 1000}},
+                     {{"name", "llm"},
+                      {"host", "h"},
+                      {"prefix", "/llm/"},
+                      {"kind", "stream"},
+                      {"service", "llm"},
+                      {"attempts", 2},
+                      {"timeoutMs", 5000},
+                      {"goalMs", 1000},
+                      {"resumable", true}}}},
+                   {"services", {{{"name", "app"}}, {{"name", "llm"}, {"engine", engine}}}},
+                   {"tenants", {{{"name", "t"}, {"apiKeys", keys}}}}});
+    }
+
+    // Adds a replica that has model m loaded and refuses requests for other models.
+    StandinReplica &addEngine()
+    {
+        return addReplica(
+            "i-1", "llm",
+            [this](const HttpRequest &request, const std::shared_ptr<ResponseSink> &sink) {
+                const std::string model = *findHeader(request.headers, "X-Marigoldspool-Model");
+                const auto &loadedModels = replicas[0]->models;
+                if (std::find(loadedModels.begin(), loadedModels.end(), model)
+                    == loadedModels.end()) {
+                    answerNotRun(request, sink, 421);
+                    return;
+                }
+                sink->head(200, answerHeaders(request), true);
+                sink->data("id: 1\ndata: x\n\n");
+                sink->finish();
+            },
+            {"m"});
+    }
+
+    std::shared_ptr<CallerAnswer> call(const std::string &target, const std::string &model = {},
+                                       const std::string &key = "k1")
+    {
+        auto answer = std::make_shared<CallerAnswer>();
+        EndpointCall call;
+        call.id = RequestId("r" + std::to_string(++requests));
+        call.address = callerAddress;
+        call.method = "POST";
+        call.target = target;
+        call.host = "h";
+        call.timeout = std::chrono::seconds(10);
+        call.headers = {{"X-Marigoldspool-Request-Id", call.id.str()},
+                        {"X-Marigoldspool-Deadline-Ms", "5000"},
+                        {"Authorization", "Token " + key}};
+        if (!model.empty()) {
+            call.headers.push_back({"X-Marigoldspool-Model", model});
+        }
+        client->call(std::move(call), std::make_shared<CallerHandler>(answer));
+        return answer;
+    }
+
+    std::shared_ptr<CallerAnswer> callAndWait(const std::string &target,
+                                              const std::string &model = {},
+                                              const std::string &key = "k1")
+    {
+        auto answer = call(target, model, key);
+        REQUIRE(runUntil(io, [&answer] {
+            return answer->ended;
+        }));
+        return answer;
+    }
+
+    // Repeats the request until the answer has the status, since store changes arrive with a delay.
+    std::shared_ptr<CallerAnswer> callUntilStatus(int status, const std::string &target,
+                                                  const std::string &model = {},
+                                                  const std::string &key = "k1")
+    {
+        std::shared_ptr<CallerAnswer> answer;
+        for (int i = 0; i < 200; ++i) {
+            answer = callAndWait(target, model, key);
+            if (answer->status == status) {
+                return answer;
+            }
+            io.restart();
+            io.run_for(std::chrono::milliseconds(25));
+        }
+        FAIL_CHECK("no answer had the status ", status, "; the last had ", answer->status);
+        return answer;
+    }
+
+    // Adds two replicas with the model and sends a request whose stream the first one cuts off.
+    std::shared_ptr<CallerAnswer> requestCutStream(const StandinReplica::Handler &stream)
+    {
+        // Memory for both models, so that neither is unloaded for the other.
+        engineMemoryMb = 200;
+        configure(2, {"k1"});
+        addReplica("i-1", "llm", stream, {"m"});
+        addReplica("i-2", "llm", stream, {"m"});
+        callUntilStatus(200, "/llm/x", "m");
+        // Wait until both replicas are known.
+        io.restart();
+        io.run_for(std::chrono::seconds(1));
+        return callAndWait("/llm/cut", "m");
+    }
+
+    boost::asio::io_context io;
+    Metrics metrics;
+    SystemClock clock;
+    PlatformCodec codec;
+    StandinStore store;
+    std::vector<std::unique_ptr<StandinReplica>> replicas;
+    std::unique_ptr<FleetDaemon> daemon;
+    std::unique_ptr<EndpointClient> client;
+    std::string callerAddress;
+    int requests = 0;
+    /// Memory for one of the two models.
+    int engineMemoryMb = 100;
+};
+
+} // namespace marigoldspool
+
+#endif
--- a/tests/PlatformAdapter/StandinPlatform.h
+++ b/tests/PlatformAdapter/StandinPlatform.h
@@ -30,6 +30,38 @@
     sink.finish();
 }
 
+/// Sends \p filler on an answer whose head has been sent, until the caller closes the connection.
+inline void sendWithoutEnd(boost::asio::io_context &io, const std::shared_ptr<ResponseSink> &sink,
+                           const std::string &filler)
+{
+    constexpr std::size_t MaxPending = 65'536;
+    const auto gone = std::make_shared<bool>(false);
+    sink->onCallerGone([gone] {
+        *gone = true;
+    });
+    const auto timer = std::make_shared<boost::asio::steady_timer>(io);
+    // Holds itself until the caller is gone.
+    const auto step = std::make_shared<std::function<void()>>();
+    *step = [gone, timer, step, sink, filler] {
+        if (*gone) {
+            *step = nullptr;
+            return;
+        }
+        while (sink->pendingBytes() < MaxPending) {
+            sink->data(filler);
+        }
+        timer->expires_after(std::chrono::milliseconds(1));
+        timer->async_wait([step](const boost::system::error_code &ec) {
+            if (!ec && *step) {
+                const std::function<void()> next = *step;
+                next();
+            }
+        });
+    };
+    const std::function<void()> first = *step;
+    first();
+}
+
 /// Stand-in for the platform's metadata store with conditional writes, paged lists, watches and a
 /// history that can be dropped.
 class StandinStore
@@ -85,6 +117,8 @@
     int answersToLose = 0;
     /// Refuse all calls with 503.
     bool refuseCalls = false;
+    /// Answer all calls with a body that has no end.
+    bool answersWithoutEnd = false;
     int calls = 0;
 
 private:
@@ -132,6 +166,11 @@
             answerJson(*sink, 503, Json::object());
             return;
         }
+        if (answersWithoutEnd) {
+            sink->head(200, {}, true);
+            sendWithoutEnd(m_io, sink, std::string(16'384, 'x'));
+            return;
+        }
         const std::string prefix = "/v1/objects/";
         REQUIRE(request.target.substr(0, prefix.size()) == prefix);
         const std::string path =
@@ -311,6 +350,9 @@
     std::vector<std::string> inMemory;
     std::vector<Json> orders;
     std::vector<HttpRequest> requests;
+    /// Answer reports with a body that has no end.
+    bool reportsWithoutEnd = false;
+    int reports = 0;
     /// Reports keep listing the models of the first report after this is set.
     bool reportsStale = false;
     /// Number of orders to leave unanswered and execute after the delay if they still apply.
@@ -333,6 +375,12 @@
     void handle(const HttpRequest &request, const std::shared_ptr<ResponseSink> &sink)
     {
         if (request.target == "/v1/report") {
+            ++reports;
+            if (reportsWithoutEnd) {
+                sink->head(200, {}, true);
+                sendWithoutEnd(m_io, sink, std::string(16'384, 'x'));
+                return;
+            }
             if (!reportsStale || m_reportedModels.empty()) {
                 m_reportedModels = models;
             }
--- a/tests/Serving/EndpointDirectoryTest.cpp
+++ b/tests/Serving/EndpointDirectoryTest.cpp
@@ -219,3 +219,57 @@
     }
     CHECK(first == 5);
 }
+
+// Guards against queueing prompts at a loaded engine while another one is idle. On engines with
+// many slots the fraction of slots in use hardly rises, and the time to the first byte grew to
+// seconds.
+TEST_CASE_FIXTURE(
+    DirectoryFixture,
+    "an engine whose first bytes come late gets fewer requests than one in another zone")
+{
+    ListedEndpoint near = engine("near");
+    ListedEndpoint far = engine("far", "z2");
+    near.slots = far.slots = 128;
+    directory.apply(near);
+    directory.apply(far);
+    EndpointQuery wanted = query("m");
+    wanted.objective = 800ms;
+    for (int i = 0; i < 10; ++i) {
+        directory.onFirstByte(far.id, 600, 110ms);
+    }
+    CHECK(directory.choose(wanted).endpoint == near.id);
+    for (int i = 0; i < 10; ++i) {
+        directory.onFirstByte(near.id, 600, 300ms);
+    }
+    CHECK(directory.choose(wanted).endpoint == far.id);
+    // With an objective of several seconds the delay matters less than the traffic between zones.
+    wanted.objective = 5s;
+    CHECK(directory.choose(wanted).endpoint == near.id);
+    // The engine gets requests again once the delays are old, as only these show its state.
+    wanted.objective = 800ms;
+    clock.advance(4s);
+    CHECK(directory.choose(wanted).endpoint == near.id);
+}
+
+// Guards against sending a burst to one engine before its first delayed response shows the load.
+TEST_CASE_FIXTURE(DirectoryFixture, "prompts that an engine is processing count as its load")
+{
+    ListedEndpoint near = engine("near");
+    ListedEndpoint far = engine("far", "z2");
+    near.slots = far.slots = 128;
+    directory.apply(near);
+    directory.apply(far);
+    for (int i = 0; i < 200; ++i) {
+        directory.onFirstByte(far.id, 1000, 150ms);
+        directory.onFirstByte(far.id, 9000, 550ms);
+    }
+    EndpointQuery wanted = query("m");
+    wanted.objective = 800ms;
+    directory.onSent(near.id, 9000);
+    CHECK(directory.choose(wanted).endpoint == far.id);
+    directory.onFirstByte(near.id, 9000, 550ms);
+    CHECK(directory.choose(wanted).endpoint == near.id);
+    directory.onSent(near.id, 9000);
+    directory.onNoFirstByte(near.id, 9000);
+    CHECK(directory.choose(wanted).endpoint == near.id);
+}
--- a/tests/Serving/SmallDecisionsTest.cpp
+++ b/tests/Serving/SmallDecisionsTest.cpp
@@ -20,11 +20,47 @@
         CHECK(passed == "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n");
         CHECK(stream.lastId() == "2");
         CHECK(stream.hasPartialEvent());
-        stream.dropPartialEvent();
+        stream.beginResumed();
         CHECK_FALSE(stream.hasPartialEvent());
     }
 }
 
+// Guards against unbounded memory when an endpoint never ends an event, and against passing on text
+// that is no event.
+TEST_CASE("a stream that sends text without an event is malformed")
+{
+    EventStream endless;
+    CHECK(endless.feed("id: 1\ndata: a\n\n") == "id: 1\ndata: a\n\n");
+    const std::string filler(16'384, 'x');
+    std::size_t fed = 0;
+    while (!endless.isMalformed() && fed < (1U << 20U)) {
+        CHECK(endless.feed(filler).empty());
+        fed += filler.size();
+    }
+    CHECK(endless.isMalformed());
+    CHECK_FALSE(endless.hasPartialEvent());
+    CHECK(endless.feed("id: 2\ndata: b\n\n").empty());
+    CHECK(endless.lastId() == "1");
+    // Another endpoint resumes the stream.
+    endless.beginResumed();
+    CHECK(endless.feed("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
+
+    for (const std::string &text : {std::string("garbage\n\n"), std::string("id: 1\n<html>\n\n"),
+                                    std::string("\n\n\n\n"), std::string("\r\n\r\n\r\n")}) {
+        EventStream stream;
+        CHECK(stream.feed(text).empty());
+        CHECK(stream.isMalformed());
+    }
+    // What precedes such text is passed on.
+    EventStream mixed;
+    CHECK(mixed.feed("id: 1\ndata: a\n\nid: 2\nbad\n\nid: 3\ndata: c\n\n") == "id: 1\ndata: a\n\n");
+    CHECK(mixed.isMalformed());
+    CHECK(mixed.lastId() == "1");
+    EventStream comment;
+    CHECK(comment.feed(": keep-alive\n\n") == ": keep-alive\n\n");
+    CHECK_FALSE(comment.isMalformed());
+}
+
 TEST_CASE("retries stay within this instance's share of the limit in every window")
 {
     ManualClock clock;
