Load the models of a crashed engine elsewhere while their requests wait

The only engine with the model had crashed; the instance tried it six times, and the owner noticed at its next report, up to 4 s later.

The models of an engine that accepts no connection now count as not loaded for a second, so requests wait and are reported; the owner then asks engines that should have the model for a report, twice within 200 ms. A request for a model that has been loaded for 1.5 s out of reach of its instance is refused. A request without a forecast waits 2.5 s for the next owner, as it did when the owner was out of reach, instead of 0.9 s.

The test 'a failing endpoint is used only if there is no other' expected a request for a model to be sent at once to an engine that had refused three connections. It now expects the pause and then the engine, and in addition that an engine which answers with failures, and a service that accepts no connection, are used at once.

--- a/include/marigoldspool/Serving/EndpointDirectory.h
+++ b/include/marigoldspool/Serving/EndpointDirectory.h
@@ -38,6 +38,8 @@
     SteadyTime lastResultAt;
     /// Used only if no other endpoint is available before this time.
     SteadyTime avoidUntil;
+    /// The endpoint accepted no connection; its models count as not loaded until then.
+    SteadyTime unreachableUntil;
     /// No request is sent before this time, since the endpoint reported overload.
     SteadyTime busyUntil;
     SteadyTime coldUntil;
--- a/include/marigoldspool/Serving/WaitPolicy.h
+++ b/include/marigoldspool/Serving/WaitPolicy.h
@@ -16,6 +16,8 @@
     Duration callerTimeLeft = Duration::zero();
     /// Time until the model is loaded, as forecast by the placement owner, if known.
     std::optional<Duration> forecast;
+    /// How long ago the model should have been loaded.
+    Duration overdue = Duration::zero();
     bool ownerReachable = false;
     /// Time until an endpoint may be available.
     Duration retryIn = Duration::zero();
--- a/lib/Fleet/EngineCalls.h
+++ b/lib/Fleet/EngineCalls.h
@@ -12,6 +12,8 @@
 constexpr Duration BusyReportInterval = std::chrono::milliseconds(100);
 // Age of the state that an engine reports.
 constexpr Duration ReportLag = std::chrono::milliseconds(150);
+// A crashed engine refuses connections at once, and its models have to be loaded elsewhere.
+constexpr Duration FirstFailureBackoff = std::chrono::milliseconds(200);
 constexpr Duration FailureBackoff = std::chrono::milliseconds(600);
 // After this many consecutive conflicts, the number of accepted orders is read from a report.
 constexpr int ConflictsBeforeReport = 3;
--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -224,7 +224,10 @@
     query.kind = choice.kind;
     query.waited = now - m_arrival;
     query.callerTimeLeft = callerTimeLeft();
-    query.forecast = m_front.forecast({m_request.model, m_request.adapter});
+    if (const auto readyAt = m_front.forecast({m_request.model, m_request.adapter})) {
+        query.forecast = std::max(*readyAt - now, Duration::zero());
+        query.overdue = std::max(now - *readyAt, Duration::zero());
+    }
     query.ownerReachable = m_front.m_ownerReachable;
     query.retryIn = choice.retryIn;
     const WaitDecision decision = decideWait(query);
--- a/lib/Fleet/PlacementDriver.cpp
+++ b/lib/Fleet/PlacementDriver.cpp
@@ -24,6 +24,8 @@
 // Pause after a plan, as a multiple of the time it took, so that planning takes at most a fifth of
 // the machine; longer than that, waiting requests would be refused for lack of a forecast.
 constexpr int PlanPauseFactor = 4;
+// The report of an engine is not repeated within this time because of waiting requests.
+constexpr Duration MinSuspectReportInterval = milliseconds(500);
 constexpr Duration MinPlanPause = milliseconds(10);
 constexpr Duration MaxPlanPause = milliseconds(400);
 // The users' engines load an adapter in 5 to 14 ms while they fetch few at once.
@@ -197,6 +199,9 @@
             waiting.push_back({PoolName(item.pool), item.model, item.adapter});
         }
     }
+    for (const DemandKey &key : waiting) {
+        checkHolders(key);
+    }
     if (!waiting.empty()) {
         m_forecastRequests[from] = std::move(waiting);
         m_isPlanDue = true;
@@ -204,6 +209,22 @@
     }
 }
 
+// Requests that wait for a loaded model could not reach its engines, which may have crashed.
+void PlacementDriver::checkHolders(const DemandKey &key)
+{
+    const SteadyTime now = m_runtime.clock.now();
+    for (auto &[id, engine] : m_planner.engines()) {
+        if (engine.pool != key.pool || !engine.isUsable
+            || !PlacementPlanner::canServe(engine, key.model)) {
+            continue;
+        }
+        EngineTracker &tracker = m_trackers[id];
+        if (now >= tracker.reportedAt + MinSuspectReportInterval) {
+            tracker.nextReport = std::min(tracker.nextReport, now);
+        }
+    }
+}
+
 // A plan for hundreds of engines takes a small machine tens of milliseconds, and every report of a
 // waiting request asks for one. At a report each, the owner had no time for its own requests.
 void PlacementDriver::planIfDue()
--- a/lib/Fleet/PlacementDriver.h
+++ b/lib/Fleet/PlacementDriver.h
@@ -47,6 +47,7 @@
         std::int64_t startedAtMs = 0;
         bool isCallPending = false;
         SteadyTime nextReport;
+        SteadyTime reportedAt;
         SteadyTime noOrderBefore;
         int conflicts = 0;
         int failures = 0;
@@ -65,6 +66,7 @@
     void activate();
     void deactivate();
     void updateUsable(EngineState &engine, const EngineTracker &tracker);
+    void checkHolders(const DemandKey &key);
     void planIfDue();
     void plan();
     void sendForecasts();
--- a/lib/Fleet/PlacementReports.cpp
+++ b/lib/Fleet/PlacementReports.cpp
@@ -140,12 +140,14 @@
     EngineTracker &tracker = trackerFound->second;
     tracker.isCallPending = false;
     const SteadyTime now = m_runtime.clock.now();
+    tracker.reportedAt = now;
     tracker.nextReport = now + IdleReportInterval;
     Expected<EngineReport> report =
         body ? m_runtime.codec.decodeReport(*body) : tl::make_unexpected(body.error());
     if (!report) {
         ++tracker.failures;
-        tracker.nextReport = now + FailureBackoff;
+        tracker.nextReport =
+            now + (tracker.failures < MaxReportFailures ? FirstFailureBackoff : FailureBackoff);
         if (tracker.failures == MaxReportFailures) {
             logEvent(LogLevel::Warning, "engine_silent",
                      {{"endpoint", id.str()}, {"error", describeError(report.error())}});
--- a/lib/Fleet/ServingFront.cpp
+++ b/lib/Fleet/ServingFront.cpp
@@ -90,7 +90,7 @@
     }
 }
 
-std::optional<Duration> ServingFront::forecast(const std::pair<ModelName, std::string> &key) const
+std::optional<SteadyTime> ServingFront::forecast(const std::pair<ModelName, std::string> &key) const
 {
     auto it = m_forecasts.find(key);
     if (it == m_forecasts.end()) {
@@ -100,7 +100,7 @@
     if (it == m_forecasts.end()) {
         return std::nullopt;
     }
-    return std::max(it->second - m_runtime.clock.now(), Duration::zero());
+    return it->second;
 }
 
 // Requests often end in groups, so waiting requests are dispatched once per iteration of the event
@@ -162,10 +162,18 @@
 void ServingFront::onForecasts(const LoadForecasts &forecasts)
 {
     const SteadyTime now = m_runtime.clock.now();
-    m_forecasts.clear();
+    std::map<std::pair<ModelName, std::string>, SteadyTime> updated;
     for (const LoadForecast &load : forecasts.loading) {
-        m_forecasts[{load.model, load.adapter}] = now + std::chrono::milliseconds(load.readyInMs);
+        const std::pair<ModelName, std::string> key{load.model, load.adapter};
+        SteadyTime readyAt = now + std::chrono::milliseconds(load.readyInMs);
+        const auto before = m_forecasts.find(key);
+        if (load.readyInMs == 0 && before != m_forecasts.end()) {
+            // Loaded since then.
+            readyAt = std::min(readyAt, before->second);
+        }
+        updated[key] = readyAt;
     }
+    m_forecasts = std::move(updated);
     scheduleDispatch();
 }
 
--- a/lib/Fleet/ServingFront.h
+++ b/lib/Fleet/ServingFront.h
@@ -47,8 +47,8 @@
     void onRequest(HttpRequest request, std::shared_ptr<ResponseSink> sink);
     void addWaiting(const std::shared_ptr<Exchange> &exchange);
     void removeWaiting(const Exchange &exchange);
-    /// Time until a model or adapter is loaded, according to the placement owner.
-    std::optional<Duration> forecast(const std::pair<ModelName, std::string> &key) const;
+    /// When a model or adapter is loaded, according to the placement owner; may be in the past.
+    std::optional<SteadyTime> forecast(const std::pair<ModelName, std::string> &key) const;
 
     FleetRuntime &m_runtime;
     std::unique_ptr<HttpServer> m_server;
--- a/lib/Serving/EndpointDirectory.cpp
+++ b/lib/Serving/EndpointDirectory.cpp
@@ -26,6 +26,9 @@
 constexpr Duration NotLoadedPause = milliseconds(400);
 constexpr Duration MinAvoidance = milliseconds(500);
 constexpr Duration MaxAvoidance = seconds(4);
+// Requests for the models of an engine that has crashed wait for another engine to load them; the
+// placement owner finds out about the crash within this time.
+constexpr Duration UnreachablePause = seconds(1);
 // Weight of the newest result in the failure fraction, and the half-life of that fraction.
 constexpr double FailureWeight = 0.25;
 constexpr double FailureHalfLifeSeconds = 3;
@@ -259,7 +262,8 @@
             continue;
         }
         hasUsableEndpoint = true;
-        if (!hasModel(state, query.model, query.adapter)) {
+        const bool isUnreachable = now < state.unreachableUntil && !query.model.empty();
+        if (isUnreachable || !hasModel(state, query.model, query.adapter)) {
             continue;
         }
         const auto notLoaded = state.notLoadedUntil.find({query.model, query.adapter});
@@ -404,6 +408,7 @@
         const Duration pause =
             state.failureFraction > MaxHealthyFailureFraction * 3 ? MaxAvoidance : MinAvoidance;
         state.avoidUntil = now + pause;
+        state.unreachableUntil = now + UnreachablePause;
     }
 }
 
--- a/lib/Serving/WaitPolicy.cpp
+++ b/lib/Serving/WaitPolicy.cpp
@@ -10,6 +10,9 @@
 
 // From the end of a load to the first byte: load report, network latency and prompt processing.
 constexpr Duration LoadToFirstByte = milliseconds(350);
+// A model that the owner has seen loaded for this long is on an engine that this instance cannot
+// reach.
+constexpr Duration MaxOverdue = milliseconds(1500);
 // The owner answers a demand report at once; after this time the answer must have been lost.
 constexpr Duration MaxForecastWait = milliseconds(900);
 // Electing a new owner takes several seconds; requests wait at most this long for one.
@@ -25,6 +28,9 @@
 
 WaitDecision waitForModel(const WaitQuery &query)
 {
+    if (query.overdue >= MaxOverdue) {
+        return refuse(RefusalReason::NoCapacity, OwnerRetryDelay);
+    }
     if (query.forecast) {
         const Duration firstByteIn = *query.forecast + LoadToFirstByte;
         if (firstByteIn > query.callerTimeLeft) {
@@ -32,15 +38,16 @@
         }
         return {true};
     }
-    if (query.ownerReachable) {
-        return query.waited < MaxForecastWait ? WaitDecision{true}
-                                              : refuse(RefusalReason::NoCapacity, MinRetryDelay);
+    if (query.ownerReachable && query.waited < MaxForecastWait) {
+        return {true};
     }
+    // An owner that sends no forecast has lost its lease, and another one takes over.
     const bool hasTime = query.callerTimeLeft > MaxOwnerWait;
     if (hasTime && query.waited < MaxOwnerWait) {
         return {true};
     }
-    return refuse(RefusalReason::PeerUnavailable, OwnerRetryDelay);
+    return query.ownerReachable ? refuse(RefusalReason::NoCapacity, MinRetryDelay)
+                                : refuse(RefusalReason::PeerUnavailable, OwnerRetryDelay);
 }
 
 } // namespace
--- a/tests/PlatformAdapter/RequestPathTest.cpp
+++ b/tests/PlatformAdapter/RequestPathTest.cpp
@@ -135,6 +135,30 @@
     CHECK(replica.models.size() == 1);
 }
 
+// The owner read reports of idle engines every 4 s, and requests for the models of a crashed engine
+// were refused until then.
+TEST_CASE_FIXTURE(RequestPathFixture,
+                  "a model of a replica that has crashed is loaded on another one")
+{
+    const auto answer = [](const HttpRequest &request, const std::shared_ptr<ResponseSink> &sink) {
+        sink->head(200, answerHeaders(request), true);
+        sink->data("id: 1\ndata: x\n\n");
+        sink->finish();
+    };
+    addReplica("i-1", "llm", answer, {"m"});
+    StandinReplica &other = addReplica("i-2", "llm", answer, {"n"});
+    callUntilStatus(200, "/llm/x", "m");
+    callUntilStatus(200, "/llm/x", "n");
+    // Wait until the owner has read reports of both.
+    io.restart();
+    io.run_for(1s);
+    replicas[0].reset();
+    const SteadyTime before = clock.now();
+    CHECK(callAndWait("/llm/x", "m")->status == 200);
+    CHECK(clock.now() - before < 3s);
+    CHECK(std::find(other.models.begin(), other.models.end(), "m") != other.models.end());
+}
+
 // Engines' reports lag, which delayed each request for a rarely used model by a quarter of a
 // second.
 TEST_CASE_FIXTURE(RequestPathFixture, "a model loaded from memory is used before a report shows it")
--- a/tests/Serving/EndpointDirectoryTest.cpp
+++ b/tests/Serving/EndpointDirectoryTest.cpp
@@ -176,9 +176,32 @@
     }
     CHECK(choose("m").endpoint == EndpointId("e2"));
     directory.remove(EndpointId("e2"), Duration::zero());
+    // A model may be loaded elsewhere meanwhile, so the engine is tried again after a pause.
+    CHECK(choose("m").kind == ChoiceKind::NotLoaded);
+    clock.advance(1s);
+    CHECK(choose("m").endpoint == EndpointId("e1"));
+    for (int i = 0; i < 3; ++i) {
+        directory.onSent(EndpointId("e1"));
+        directory.onResult(EndpointId("e1"), EndpointResult::Failed, ModelName("m"));
+    }
     CHECK(choose("m").endpoint == EndpointId("e1"));
 }
 
+TEST_CASE_FIXTURE(DirectoryFixture, "a failing service is used at once if there is no other")
+{
+    ListedEndpoint service = engine("s1");
+    service.pool = PoolName("services");
+    service.models.clear();
+    directory.apply(service);
+    for (int i = 0; i < 3; ++i) {
+        directory.onSent(EndpointId("s1"));
+        directory.onResult(EndpointId("s1"), EndpointResult::Unreachable, ModelName());
+    }
+    EndpointQuery wanted;
+    wanted.pool = configuration->pool(PoolName("services"));
+    CHECK(directory.choose(wanted).endpoint == EndpointId("s1"));
+}
+
 TEST_CASE_FIXTURE(DirectoryFixture,
                   "an engine that refuses one model as not loaded gets requests for others")
 {
@@ -273,3 +296,20 @@
     directory.onNoFirstByte(near.id, 9000);
     CHECK(directory.choose(wanted).endpoint == near.id);
 }
+
+// Guards against refusing requests because the only engine with their model has crashed: 150
+// requests of a day of the bench were sent to it again and again instead of waiting for another
+// engine.
+TEST_CASE_FIXTURE(DirectoryFixture,
+                  "the models of an engine that accepts no connection count as not loaded")
+{
+    directory.apply(engine("down"));
+    ListedEndpoint other = engine("other");
+    other.models.clear();
+    directory.apply(other);
+    directory.onSent(EndpointId("down"));
+    directory.onResult(EndpointId("down"), EndpointResult::Unreachable, ModelName("m"));
+    CHECK(choose("m").kind == ChoiceKind::NotLoaded);
+    clock.advance(1100ms);
+    CHECK(choose("m").endpoint == EndpointId("down"));
+}
--- a/tests/Serving/SmallDecisionsTest.cpp
+++ b/tests/Serving/SmallDecisionsTest.cpp
@@ -111,6 +111,23 @@
     CHECK_FALSE(decideWait(query).wait);
 }
 
+// Guards against waiting until the deadline for a model on an engine that only other instances
+// reach.
+TEST_CASE("a request for a model that has long been loaded elsewhere is refused")
+{
+    WaitQuery query;
+    query.kind = ChoiceKind::NotLoaded;
+    query.ownerReachable = true;
+    query.callerTimeLeft = 10s;
+    query.forecast = 0s;
+    query.overdue = 300ms;
+    CHECK(decideWait(query).wait);
+    query.overdue = 2s;
+    const WaitDecision refused = decideWait(query);
+    CHECK_FALSE(refused.wait);
+    CHECK(refused.retryAfter > 0s);
+}
+
 TEST_CASE("a request for a pool without endpoints is refused at once with a retry delay")
 {
     WaitQuery query;
