--- a/bench/serving-model/PresentScheduler.cpp
+++ b/bench/serving-model/PresentScheduler.cpp
@@ -191,7 +191,7 @@
 void PresentScheduler::plan()
 {
     m_planAt = m_simulation->now() + PlanInterval;
-    for (const auto &[pool, cost] : m_parts->directory.engineModel().requestCosts()) {
+    for (const auto &[pool, cost] : m_parts->directory.responseTimes().requestCosts()) {
         m_parts->planner.setRequestCost(pool, cost);
     }
     for (const PlacementOrder &order : m_parts->planner.plan(m_parts->book)) {
--- a/include/marigoldspool/Serving/EndpointDirectory.h
+++ b/include/marigoldspool/Serving/EndpointDirectory.h
@@ -2,7 +2,7 @@
 #define MARIGOLDSPOOL_SERVING_ENDPOINTDIRECTORY_H
 
 #include "marigoldspool/Limits/TokenBucket.h"
-#include "marigoldspool/Serving/EngineModel.h"
+#include "marigoldspool/Serving/ResponseTimeModel.h"
 #include "marigoldspool/Serving/ServingTypes.h"
 
 #include <map>
@@ -116,7 +116,7 @@
     bool canUse(const EndpointId &id) const;
     const TrackedEndpoint *find(const EndpointId &id) const;
     const std::map<EndpointId, TrackedEndpoint> &endpoints() const { return m_endpoints; }
-    const EngineModel &engineModel() const { return m_engineModel; }
+    const ResponseTimeModel &responseTimes() const { return m_responseTimes; }
 
     void onSent(const EndpointId &id, int promptTokens = 0);
     void onFirstByte(const EndpointId &id, int promptTokens, Duration after);
@@ -142,7 +142,7 @@
     ServingConfigurationPtr m_configuration;
     std::map<EndpointId, TrackedEndpoint> m_endpoints;
     std::set<ZoneName> m_evacuated;
-    EngineModel m_engineModel;
+    ResponseTimeModel m_responseTimes;
 };
 
 } // namespace marigoldspool
--- a/include/marigoldspool/Serving/PlacementPlanner.h
+++ b/include/marigoldspool/Serving/PlacementPlanner.h
@@ -2,7 +2,7 @@
 #define MARIGOLDSPOOL_SERVING_PLACEMENTPLANNER_H
 
 #include "marigoldspool/Serving/DemandAggregator.h"
-#include "marigoldspool/Serving/EngineModel.h"
+#include "marigoldspool/Serving/ResponseTimeModel.h"
 #include "marigoldspool/Serving/ServingTypes.h"
 
 #include <optional>
--- a/include/marigoldspool/Serving/EngineModel.h
+++ b/include/marigoldspool/Serving/ResponseTimeModel.h
@@ -1,5 +1,5 @@
-#ifndef MARIGOLDSPOOL_SERVING_ENGINEMODEL_H
-#define MARIGOLDSPOOL_SERVING_ENGINEMODEL_H
+#ifndef MARIGOLDSPOOL_SERVING_RESPONSETIMEMODEL_H
+#define MARIGOLDSPOOL_SERVING_RESPONSETIMEMODEL_H
 
 #include "marigoldspool/Serving/ServingTypes.h"
 
@@ -16,7 +16,7 @@
 };
 
 /// Estimates how long the endpoints of each pool take, from the responses that this instance sees.
-class EngineModel
+class ResponseTimeModel
 {
 public:
     /// \p after: from sending the request to the first byte of its response.
--- a/lib/Fleet/PlacementDriver.cpp
+++ b/lib/Fleet/PlacementDriver.cpp
@@ -291,7 +291,7 @@
             blocked.push_back(id);
         }
     }
-    for (const auto &[name, cost] : m_runtime.directory.engineModel().requestCosts()) {
+    for (const auto &[name, cost] : m_runtime.directory.responseTimes().requestCosts()) {
         m_planner.setRequestCost(name, cost);
     }
     const std::vector<PlacementOrder> orders = m_planner.plan(m_demand);
--- a/lib/Fleet/ServingFront.cpp
+++ b/lib/Fleet/ServingFront.cpp
@@ -190,8 +190,8 @@
     std::vector<WaitingRequest> waiting;
     for (const auto &exchange : m_waiting) {
         if (std::optional<DemandKey> key = exchange->unmetDemand()) {
-            waiting.push_back({std::move(*key), now - exchange->arrival(),
-                               exchange->dueAt() - now, exchange->priority()});
+            waiting.push_back({std::move(*key), now - exchange->arrival(), exchange->dueAt() - now,
+                               exchange->priority()});
         }
     }
     return m_demand.report(waiting);
--- a/lib/Serving/EndpointDirectory.cpp
+++ b/lib/Serving/EndpointDirectory.cpp
@@ -212,7 +212,7 @@
     const double seen =
         decayed(state.meanDelaySeconds, state.lastFirstByteAt, now, DelayHalfLifeSeconds);
     const double pending =
-        m_engineModel.promptSeconds(state.listed.pool, state.pendingPromptTokens);
+        m_responseTimes.promptSeconds(state.listed.pool, state.pendingPromptTokens);
     return std::max(seen, pending);
 }
 
@@ -239,7 +239,7 @@
         const std::size_t rank =
             std::hash<std::string>()(query.session + '/' + state.listed.id.str()) % 1024;
         const double savedSeconds =
-            m_engineModel.promptSeconds(state.listed.pool, query.sessionTokens);
+            m_responseTimes.promptSeconds(state.listed.pool, query.sessionTokens);
         result += (MinSessionPenalty + savedSeconds / objectiveSeconds) * static_cast<double>(rank)
             / 1024;
     }
@@ -344,13 +344,13 @@
     const SteadyTime now = m_clock.now();
     const PoolName &pool = state.listed.pool;
     const double delay =
-        std::max(0.0, toSeconds(after - m_engineModel.expectedFirstByte(pool, promptTokens)));
+        std::max(0.0, toSeconds(after - m_responseTimes.expectedFirstByte(pool, promptTokens)));
     const double before =
         decayed(state.meanDelaySeconds, state.lastFirstByteAt, now, DelayHalfLifeSeconds);
     state.meanDelaySeconds = before + DelayWeight * (delay - before);
     state.lastFirstByteAt = now;
     state.pendingPromptTokens = std::max(0, state.pendingPromptTokens - promptTokens);
-    m_engineModel.onFirstByte(pool, promptTokens, after);
+    m_responseTimes.onFirstByte(pool, promptTokens, after);
 }
 
 void EndpointDirectory::onNoFirstByte(const EndpointId &id, int promptTokens)
@@ -365,7 +365,7 @@
 {
     const auto it = m_endpoints.find(id);
     if (it != m_endpoints.end()) {
-        m_engineModel.onResponse(it->second.listed.pool, promptTokens, run);
+        m_responseTimes.onResponse(it->second.listed.pool, promptTokens, run);
     }
 }
 
--- a/lib/Serving/EngineModel.cpp
+++ b/lib/Serving/ResponseTimeModel.cpp
@@ -1,4 +1,4 @@
-#include "marigoldspool/Serving/EngineModel.h"
+#include "marigoldspool/Serving/ResponseTimeModel.h"
 
 #include <algorithm>
 
@@ -28,7 +28,7 @@
 
 } // namespace
 
-void EngineModel::onFirstByte(const PoolName &pool, int promptTokens, Duration after)
+void ResponseTimeModel::onFirstByte(const PoolName &pool, int promptTokens, Duration after)
 {
     PoolEstimate &estimate = m_pools[pool];
     const double seconds = toSeconds(after);
@@ -48,7 +48,7 @@
         std::max(0.0, estimate.secondsPerKiloToken + step * tokens / norm);
 }
 
-void EngineModel::onResponse(const PoolName &pool, int promptTokens, Duration run)
+void ResponseTimeModel::onResponse(const PoolName &pool, int promptTokens, Duration run)
 {
     PoolEstimate &estimate = m_pools[pool];
     updateMean(estimate.meanRunSeconds, toSeconds(run), !estimate.hasResponse);
@@ -56,7 +56,7 @@
     estimate.hasResponse = true;
 }
 
-Duration EngineModel::expectedFirstByte(const PoolName &pool, int promptTokens) const
+Duration ResponseTimeModel::expectedFirstByte(const PoolName &pool, int promptTokens) const
 {
     const auto it = m_pools.find(pool);
     if (it == m_pools.end()) {
@@ -67,13 +67,13 @@
         estimate.baseSeconds + estimate.secondsPerKiloToken * kiloTokens(promptTokens)));
 }
 
-double EngineModel::promptSeconds(const PoolName &pool, int promptTokens) const
+double ResponseTimeModel::promptSeconds(const PoolName &pool, int promptTokens) const
 {
     const auto it = m_pools.find(pool);
     return it == m_pools.end() ? 0 : it->second.secondsPerKiloToken * kiloTokens(promptTokens);
 }
 
-std::map<PoolName, RequestCost> EngineModel::requestCosts() const
+std::map<PoolName, RequestCost> ResponseTimeModel::requestCosts() const
 {
     std::map<PoolName, RequestCost> costs;
     for (const auto &[pool, estimate] : m_pools) {
--- a/tests/Serving/EngineModelTest.cpp
+++ b/tests/Serving/ResponseTimeModelTest.cpp
@@ -1,4 +1,4 @@
-#include "marigoldspool/Serving/EngineModel.h"
+#include "marigoldspool/Serving/ResponseTimeModel.h"
 
 #include <doctest/doctest.h>
 
@@ -19,7 +19,7 @@
 
 TEST_CASE("the time to the first byte is learned from prompts of different lengths")
 {
-    EngineModel model;
+    ResponseTimeModel model;
     for (int i = 0; i < 300; ++i) {
         model.onFirstByte(Pool, 650, firstByteAt(650, 0.08, 0.00005));
         model.onFirstByte(Pool, 9000, firstByteAt(9000, 0.08, 0.00005));
@@ -32,7 +32,7 @@
 // Guards against taking a loaded pool for a slow one: then no engine would look delayed.
 TEST_CASE("responses that other requests delay hardly change the expected first byte")
 {
-    EngineModel model;
+    ResponseTimeModel model;
     for (int i = 0; i < 400; ++i) {
         const Duration delay = i % 3 == 0 ? 400ms : 0ms;
         model.onFirstByte(Pool, 650, 112ms + delay);
@@ -42,7 +42,7 @@
 
 TEST_CASE("the cost of a request follows the responses of its pool")
 {
-    EngineModel model;
+    ResponseTimeModel model;
     CHECK(model.requestCosts().empty());
     CHECK(model.expectedFirstByte(Pool, 650) == Duration::zero());
     for (int i = 0; i < 200; ++i) {
--- a/tests/Serving/SmallDecisionsTest.cpp
+++ b/tests/Serving/SmallDecisionsTest.cpp
@@ -165,10 +165,10 @@
             clock.advance(1s / StepsPerSecond);
         }
     }
-    const std::size_t windowSteps = 10 * StepsPerSecond;
-    for (std::size_t begin = 0; begin + windowSteps <= steps.size(); ++begin) {
+    constexpr std::size_t WindowSteps = std::size_t(10) * StepsPerSecond;
+    for (std::size_t begin = 0; begin + WindowSteps <= steps.size(); ++begin) {
         Step sum;
-        for (std::size_t i = begin; i < begin + windowSteps; ++i) {
+        for (std::size_t i = begin; i < begin + WindowSteps; ++i) {
             sum.requests += steps[i].requests;
             sum.retries += steps[i].retries;
         }
--- a/tests/Serving/WorkspaceQuotaTest.cpp
+++ b/tests/Serving/WorkspaceQuotaTest.cpp
@@ -437,8 +437,8 @@
     }
 }
 
-// Guards against refusals within the limit: on a site with a slack above the burst, a workspace with a
-// lowered rate got 10,750 tokens/s where rate and burst allow 14,450 (sanduhr-eg, quiet-1).
+// Guards against refusals within the limit: on a site with a slack above the burst, a workspace
+// with a lowered rate got 10,750 tokens/s where rate and burst allow 14,450 (sanduhr-eg, quiet-1).
 TEST_CASE("with a large slack, the whole burst beyond one second of the rate is admitted again")
 {
     for (const std::size_t count : {6, 62}) {
