Ask two peers at a time for objects that the store does not give

By its log it got version 32 after 5.3 to 18 s, while its calls to the store timed out also after it was served again, and it answered a request that needs no endpoint after 0.8 s: the answers filled its link of 20 Mbit/s.

In a fleet above 12 instances, two peers are asked each 300 ms, in turn. Inferred from these logs and by reading; the bytes on the link were not measured.

--- a/lib/Fleet/FleetLink.cpp
+++ b/lib/Fleet/FleetLink.cpp
@@ -127,7 +127,8 @@
         if (outdated.empty()) {
             return;
         }
-        for (const InstanceId &peer : connectedPeers()) {
+        const bool isSmallFleet = m_state.members().size() <= MaxMeshMembers;
+        for (const InstanceId &peer : m_relayPeers.next(connectedPeers(), isSmallFleet)) {
             for (const ObjectsRequest &request : outdated) {
                 m_channel->send(peer, request);
             }
--- a/lib/Fleet/FleetLink.h
+++ b/lib/Fleet/FleetLink.h
@@ -3,6 +3,7 @@
 
 #include "Fleet/FleetState.h"
 #include "marigoldspool/Peer/WebSocketPeerChannel.h"
+#include "marigoldspool/Serving/RelayPeerRotation.h"
 
 #include <functional>
 #include <memory>
@@ -45,6 +46,7 @@
     InstanceId m_owner;
     SteadyTime m_nextHeartbeat;
     SteadyTime m_nextRelayRequest;
+    RelayPeerRotation m_relayPeers;
     SteadyTime m_nextBeacon;
     std::uint64_t m_lastBeaconChange = 0;
 };
--- a/tests/Serving/SmallDecisionsTest.cpp
+++ b/tests/Serving/SmallDecisionsTest.cpp
@@ -1,9 +1,12 @@
 #include "marigoldspool/Serving/EventStream.h"
 #include "marigoldspool/Serving/ObjectMirror.h"
+#include "marigoldspool/Serving/RelayPeerRotation.h"
 #include "marigoldspool/Serving/RetryBudget.h"
 #include "marigoldspool/Serving/WaitPolicy.h"
 
+#include <algorithm>
 #include <memory>
+#include <set>
 #include <vector>
 
 #include <doctest/doctest.h>
@@ -282,3 +285,32 @@
     freshness.onBeacon(11, 12, first);
     CHECK(freshness.confirmedAt() == second);
 }
+
+// Guards against answers that fill the link of an instance that the store turns away: it asked each
+// of its peers every 300 ms, and each sent the whole configuration. The configuration arrived up to
+// 18 s late (derwent-press-large, scale-2: CONFIG).
+TEST_CASE("an outdated instance of a large fleet asks two peers at a time and all in turn")
+{
+    std::vector<InstanceId> connected;
+    for (int i = 0; i < 21; ++i) {
+        connected.emplace_back("i" + std::to_string(i));
+    }
+    RelayPeerRotation rotation;
+    std::set<InstanceId> asked;
+    for (int round = 0; round < 11; ++round) {
+        const std::vector<InstanceId> peers = rotation.next(connected, false);
+        CHECK(peers.size() == 2);
+        asked.insert(peers.begin(), peers.end());
+    }
+    CHECK(asked.size() == connected.size());
+    // The peers that are left after some have been lost are asked as well.
+    connected.resize(3);
+    asked.clear();
+    for (int round = 0; round < 2; ++round) {
+        const std::vector<InstanceId> peers = rotation.next(connected, false);
+        asked.insert(peers.begin(), peers.end());
+    }
+    CHECK(asked.size() == 3);
+    CHECK(rotation.next(connected, true).size() == 3);
+    CHECK(rotation.next({}, false).empty());
+}
