--- a/lib/Daemon/PlacementService.cpp
+++ b/lib/Daemon/PlacementService.cpp
@@ -19,6 +19,8 @@
 constexpr int UnreachableAfterFailures = 3;
 constexpr Duration StatusTimeout = std::chrono::seconds(2);
 constexpr Duration OrderTimeout = std::chrono::seconds(5);
+// An engine in trouble may send bytes without end; a status lists a few hundred models at most.
+constexpr std::size_t MaxCallAnswerBytes = 1U << 20U;
 
 PlacementOptions placementOptions(const DaemonSettings &settings)
 {
@@ -196,6 +198,7 @@
     call.target = "/engine/status";
     call.timeout = StatusTimeout;
     call.idleTimeout = StatusTimeout;
+    call.maxAnswerBytes = MaxCallAnswerBytes;
     m_client->call(std::move(call),
                    std::make_shared<StatusCall>(*this, rule.id, m_runtime.clock.now()));
 }
@@ -300,6 +303,7 @@
     call.body = formatOrder(order, remainingValidityMs(order, now));
     call.timeout = std::min(OrderTimeout, order.sendDeadline - now);
     call.idleTimeout = call.timeout;
+    call.maxAnswerBytes = MaxCallAnswerBytes;
     m_client->call(std::move(call), std::make_shared<OrderCall>(*this, order.id));
 }
 
