Stagger the first requests of a large fleet to a cold endpoint

Since requests wait for the models of a crashed engine, all of them had one to send when it came back.

Where the share is less than 1.25 requests a second, an instance begins with a part of a request that differs between instances.

--- a/include/marigoldspool/Serving/EndpointDirectory.h
+++ b/include/marigoldspool/Serving/EndpointDirectory.h
@@ -99,6 +99,9 @@
 
     /// Number of instances that share the rate limit of a cold endpoint.
     void setInstanceCount(std::size_t count) { m_instanceCount = count == 0 ? 1 : count; }
+    /// A number in (0, 1] that differs between instances; staggers their first requests to an
+    /// endpoint that has become cold.
+    void setColdPhase(double phase) { m_coldPhase = phase; }
     void setConfiguration(ServingConfigurationPtr configuration);
     void apply(const ListedEndpoint &endpoint);
     /// The endpoint stays usable for \p grace, since its entry may have expired in a store outage.
@@ -139,6 +142,7 @@
     ZoneName m_ownZone;
     const Clock &m_clock;
     std::size_t m_instanceCount = 1;
+    double m_coldPhase = 1;
     ServingConfigurationPtr m_configuration;
     std::map<EndpointId, TrackedEndpoint> m_endpoints;
     std::set<ZoneName> m_evacuated;
--- a/lib/Fleet/FleetRuntime.cpp
+++ b/lib/Fleet/FleetRuntime.cpp
@@ -18,6 +18,8 @@
     , quota(clock, options.quota)
     , retries(options.retries, clock)
     , incarnation(static_cast<std::uint64_t>(toMilliseconds(clock.wallNow().time_since_epoch())))
-{ }
+{
+    directory.setColdPhase(1 - random.uniform());
+}
 
 } // namespace marigoldspool
--- a/lib/Serving/EndpointDirectory.cpp
+++ b/lib/Serving/EndpointDirectory.cpp
@@ -55,6 +55,9 @@
 // The platform tolerates 1.5 times the configured rate of a cold endpoint. Each instance stays
 // below its share of the configured rate, because the requests of all instances add up.
 constexpr double ColdRateFraction = 0.9;
+// Below this share, the first request of every instance would together exceed the limit in the
+// first second, so instances begin with different parts of a request.
+constexpr double MinUnstaggeredColdRate = 1.25;
 // Endpoints of a zone that returns from evacuation may be cold before their entries say so. Two
 // reporting intervals.
 constexpr Duration ReportLag = milliseconds(2500);
@@ -314,7 +317,8 @@
     const double rate =
         pool->coldRequestsPerSecond * ColdRateFraction / static_cast<double>(m_instanceCount);
     if (!wasCold || !state.coldRateLimit) {
-        state.coldRateLimit.emplace(rate, std::max(1.0, rate / 4), 1.0, now);
+        const double level = rate < MinUnstaggeredColdRate ? m_coldPhase : 1.0;
+        state.coldRateLimit.emplace(rate, std::max(1.0, rate / 4), level, now);
     }
 }
 
--- a/tests/Serving/EndpointDirectoryTest.cpp
+++ b/tests/Serving/EndpointDirectoryTest.cpp
@@ -1,4 +1,8 @@
 #include "marigoldspool/Serving/EndpointDirectory.h"
+#include "marigoldspool/Support/RandomSource.h"
+
+#include <memory>
+#include <numeric>
 
 #include <doctest/doctest.h>
 
@@ -154,6 +158,50 @@
     CHECK(sent * Instances <= 18 * 1.5 + 5);
 }
 
+// Guards against a request of every instance at the same moment: 72 instances whose requests had
+// waited for an engine sent it 42 in one second where 36 were allowed (sanduhr-eg-grown,
+// all-copies-lost, seed 880493933911).
+TEST_CASE_FIXTURE(DirectoryFixture,
+                  "waiting requests of a large fleet keep the rate of a cold endpoint")
+{
+    constexpr std::size_t Instances = 72;
+    constexpr int ColdPerSecond = 18;
+    // The platform tolerates half as much again, and five more.
+    constexpr int MaxPerSecond = ColdPerSecond * 3 / 2 + 5;
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        SeededRandomSource random(seed);
+        std::vector<std::unique_ptr<EndpointDirectory>> fleet;
+        ListedEndpoint cold = engine("e1");
+        cold.remainingColdTime = 3s;
+        cold.slots = 1000;
+        for (std::size_t i = 0; i < Instances; ++i) {
+            fleet.push_back(std::make_unique<EndpointDirectory>(ZoneName("z1"), clock));
+            fleet.back()->setConfiguration(configuration);
+            fleet.back()->setInstanceCount(Instances);
+            fleet.back()->setColdPhase(1 - random.uniform());
+            fleet.back()->apply(cold);
+        }
+        std::vector<int> sentInStep;
+        int sent = 0;
+        for (int step = 0; step < 120; ++step) {
+            sentInStep.push_back(0);
+            for (const auto &instance : fleet) {
+                if (instance->choose(query("m")).kind == ChoiceKind::Send) {
+                    instance->onSent(EndpointId("e1"));
+                    ++sentInStep.back();
+                    ++sent;
+                }
+            }
+            clock.advance(25ms);
+        }
+        for (std::size_t begin = 0; begin + 40 <= sentInStep.size(); ++begin) {
+            const auto first = sentInStep.begin() + static_cast<std::ptrdiff_t>(begin);
+            CHECK(std::accumulate(first, first + 40, 0) <= MaxPerSecond);
+        }
+        CHECK(sent >= ColdPerSecond * 3 / 2);
+    }
+}
+
 TEST_CASE_FIXTURE(DirectoryFixture,
                   "after an evacuation endpoints count as cold before their entries say so")
 {
