--- a/tests/Serving/SmallDecisionsTest.cpp
+++ b/tests/Serving/SmallDecisionsTest.cpp
@@ -292,6 +292,7 @@
 TEST_CASE("an outdated instance of a large fleet asks two peers at a time and all in turn")
 {
     std::vector<InstanceId> connected;
+    connected.reserve(21);
     for (int i = 0; i < 21; ++i) {
         connected.emplace_back("i" + std::to_string(i));
     }
