--- a/lib/Serving/RetryBudget.cpp
+++ b/lib/Serving/RetryBudget.cpp
@@ -31,17 +31,17 @@
     }
 }
 
-// The ratio of this process's own requests is available at once, the slack after one window.
+// The ratio of this process's own requests is available at once; the slack grows over one window,
+// as what the process before it has used leaves the window.
 double RetryBudget::slackShare()
 {
     const SteadyTime now = m_clock.now();
     if (m_lowerCount < m_instanceCount && now >= m_lowerCountAt) {
         m_instanceCount = m_lowerCount;
     }
-    if (now - m_startedAt < m_bound.window) {
-        return 0;
-    }
-    return m_bound.slack / static_cast<double>(m_instanceCount);
+    const double grownFraction =
+        std::min(1.0, toSeconds(now - m_startedAt) / toSeconds(m_bound.window));
+    return grownFraction * m_bound.slack / static_cast<double>(m_instanceCount);
 }
 
 std::int64_t RetryBudget::currentIndex() const
