Share conversions, decay and call limits; look at suspects once a plan

Whether a request may have run, and the limits of calls to engines, stood in three and two places. - AcceptedChanges::correctReport returned confirmed loads that nobody read; the flag for answers that are passed on was not reset for an attempt. - The engines that requests wait for were visited at each report of an instance, for each of its models.

--- a/bench/serving-model/PresentScheduler.h
+++ b/bench/serving-model/PresentScheduler.h
@@ -24,7 +24,6 @@
     void onStep() override;
 
 private:
-    int promptTokens(RequestIndex request) const;
     struct Parts {
         explicit Parts(Simulation &simulation);
         PlacementPlanner planner;
@@ -44,6 +43,7 @@
         bool wasLoading = false;
     };
 
+    int promptTokens(RequestIndex request) const;
     void syncEngines();
     void syncEngine(EngineState &state, const SimulatedEngine &engine, Seen &seen);
     void reportDemand();
--- a/include/marigoldspool/Serving/AcceptedChanges.h
+++ b/include/marigoldspool/Serving/AcceptedChanges.h
@@ -25,9 +25,8 @@
     void onUnloadAccepted(const Key &unload, SteadyTime now);
     /// Adds the loads that have become due to \p models and returns them.
     std::vector<Key> applyDueLoads(LoadedModels &models, SteadyTime now);
-    /// Adds due loads to a report and removes the model that is being unloaded. Returns the loads
-    /// that the report confirms.
-    std::vector<Key> correctReport(LoadedModels &reported, bool isBusy, SteadyTime now);
+    /// Adds due loads to a report and removes the model that is being unloaded.
+    void correctReport(LoadedModels &reported, bool isBusy, SteadyTime now);
     /// Whether the engine may still be waiting for the requests of a model that it unloads.
     bool isUnloading(SteadyTime now) const;
     /// Whether a report received at \p now may be older than the end of the last load.
--- a/include/marigoldspool/Serving/PlacementPlanner.h
+++ b/include/marigoldspool/Serving/PlacementPlanner.h
@@ -161,7 +161,7 @@
     /// Memory that is kept free for adapters on each engine of a pool.
     std::map<PoolName, double> m_adapterReserveMb;
     std::map<EndpointId, EngineState> m_engines;
-    /// Fraction of each engine's slots that the current demand is expected to use.
+    /// Fraction of each engine that the current demand is expected to use.
     std::map<EndpointId, double> m_utilization;
     std::map<PoolName, RequestCost> m_requestCosts;
 
--- a/include/marigoldspool/Serving/RetryBudget.h
+++ b/include/marigoldspool/Serving/RetryBudget.h
@@ -45,7 +45,6 @@
 
     std::int64_t currentIndex() const;
     Slice &currentSlice(Window &window);
-
     double slackShare();
 
     RetryBound m_bound;
--- a/include/marigoldspool/Support/Clock.h
+++ b/include/marigoldspool/Support/Clock.h
@@ -59,6 +59,15 @@
     return std::chrono::duration<double>(duration).count();
 }
 
+/// Truncated to whole nanoseconds; \p seconds must be within the range of Duration.
+inline Duration fromSeconds(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+/// Fraction of a value that remains of it after \p elapsed; 1 if that is negative.
+double decayFactor(Duration elapsed, double halfLifeSeconds);
+
 } // namespace marigoldspool
 
 #endif
--- a/lib/Fleet/EngineCalls.h
+++ b/lib/Fleet/EngineCalls.h
@@ -23,6 +23,15 @@
 // Answers to reports and orders are lists of a few hundred names at most.
 constexpr std::size_t MaxCallAnswerBytes = 256U << 10U;
 
+/// Sets the id of a report call or an order, and what it may take.
+inline void prepareEngineCall(EndpointCall &call, std::string id)
+{
+    call.id = RequestId(std::move(id));
+    call.timeout = CallTimeout;
+    call.connectTimeout = CallTimeout;
+    call.maxAnswerBytes = MaxCallAnswerBytes;
+}
+
 /// Buffers a small response and passes on its status and body.
 class CollectingHandler final : public EndpointCallHandler
 {
--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -147,6 +147,11 @@
     }
 }
 
+RanState Exchange::ranState() const
+{
+    return m_possibleRuns > 0 ? RanState::Unknown : RanState::No;
+}
+
 bool Exchange::isRepeatable() const
 {
     return m_route->kind == RequestKind::Idempotent || m_route->resumable;
@@ -198,8 +203,7 @@
     reportDemand();
     if (callerTimeLeft() <= Duration::zero()) {
         // The caller has left or is about to, although its connection may not be closed yet.
-        refuse(RefusalReason::DeadlineTooShort,
-               m_possibleRuns > 0 ? RanState::Unknown : RanState::No, CallerGoneRetryAfter,
+        refuse(RefusalReason::DeadlineTooShort, ranState(), CallerGoneRetryAfter,
                "no endpoint became available while the caller waited");
         return;
     }
@@ -232,8 +236,7 @@
     query.retryIn = choice.retryIn;
     const WaitDecision decision = decideWait(query);
     if (!decision.wait) {
-        refuse(decision.reason, m_possibleRuns > 0 ? RanState::Unknown : RanState::No,
-               decision.retryAfter,
+        refuse(decision.reason, ranState(), decision.retryAfter,
                choice.kind == ChoiceKind::NotLoaded
                    ? "the model cannot be loaded in time"
                    : "no endpoint will have free capacity in time");
@@ -336,6 +339,7 @@
     m_answerHeaders.clear();
     m_answerBody.clear();
     m_streaming = false;
+    m_passingOn = false;
     m_events.beginResumed();
     m_attempt = std::make_shared<Attempt>(shared_from_this());
     m_runtime.directory.onSent(endpoint, m_request.promptTokens);
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -57,6 +57,8 @@
     void finish(std::string_view outcome, int status);
     Duration timeLeft() const;
     Duration callerTimeLeft() const;
+    /// Whether an endpoint may have run the request.
+    RanState ranState() const;
     bool isRepeatable() const;
     bool isEngineRequest() const;
     std::string session() const;
--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -259,8 +259,8 @@
         finish("deadline", m_status);
         return;
     }
-    refuse(RefusalReason::DeadlinePassed, m_possibleRuns > 0 ? RanState::Unknown : RanState::No,
-           Duration::zero(), "the request was not answered before its deadline");
+    refuse(RefusalReason::DeadlinePassed, ranState(), Duration::zero(),
+           "the request was not answered before its deadline");
 }
 
 void Exchange::onCallerGone()
--- a/lib/Fleet/PlacementDriver.cpp
+++ b/lib/Fleet/PlacementDriver.cpp
@@ -22,12 +22,12 @@
 constexpr Duration MaxDemandWait = milliseconds(800);
 constexpr Duration PlanInterval = milliseconds(100);
 // Pause after a plan, as a multiple of the time it took, so that planning takes at most a fifth of
-// the machine; longer than that, waiting requests would be refused for lack of a forecast.
+// the machine. After a longer pause, waiting requests would be refused for lack of a forecast.
 constexpr int PlanPauseFactor = 4;
-// The report of an engine is not repeated within this time because of waiting requests.
-constexpr Duration MinSuspectReportInterval = milliseconds(500);
 constexpr Duration MinPlanPause = milliseconds(10);
 constexpr Duration MaxPlanPause = milliseconds(400);
+// The report of an engine is not repeated within this time because of waiting requests.
+constexpr Duration MinSuspectReportInterval = milliseconds(500);
 // The users' engines load an adapter in 5 to 14 ms while they fetch few at once.
 constexpr Duration AdapterLoadTime = milliseconds(30);
 // Margin added to the forecast end of a load. Reports confirm a load much later: for nine in ten of
@@ -199,9 +199,6 @@
             waiting.push_back({PoolName(item.pool), item.model, item.adapter});
         }
     }
-    for (const DemandKey &key : waiting) {
-        checkHolders(key);
-    }
     if (!waiting.empty()) {
         m_forecastRequests[from] = std::move(waiting);
         m_isPlanDue = true;
@@ -209,17 +206,26 @@
     }
 }
 
-// Requests that wait for a loaded model could not reach its engines, which may have crashed.
-void PlacementDriver::checkHolders(const DemandKey &key)
+// Requests that wait for what an engine has loaded could not reach that engine, which may have
+// crashed.
+void PlacementDriver::checkHolders()
 {
+    std::set<DemandKey> waiting;
+    for (const auto &[instance, keys] : m_forecastRequests) {
+        waiting.insert(keys.begin(), keys.end());
+    }
     const SteadyTime now = m_runtime.clock.now();
     for (auto &[id, engine] : m_planner.engines()) {
-        if (engine.pool != key.pool || !engine.isUsable
-            || !PlacementPlanner::canServe(engine, key.model)) {
+        EngineTracker &tracker = m_trackers[id];
+        if (!engine.isUsable || now < tracker.reportedAt + MinSuspectReportInterval) {
             continue;
         }
-        EngineTracker &tracker = m_trackers[id];
-        if (now >= tracker.reportedAt + MinSuspectReportInterval) {
+        const EngineState &holder = engine;
+        const bool isSuspect = std::any_of(waiting.begin(), waiting.end(), [&](const auto &key) {
+            return holder.pool == key.pool && PlacementPlanner::canServe(holder, key.model)
+                && (key.adapter.empty() || holder.models.at(key.model).count(key.adapter) > 0);
+        });
+        if (isSuspect) {
             tracker.nextReport = std::min(tracker.nextReport, now);
         }
     }
@@ -233,6 +239,7 @@
     if (start < m_earliestPlan || (!m_isPlanDue && start < m_nextPlan)) {
         return;
     }
+    checkHolders();
     plan();
     sendForecasts();
     const SteadyTime end = m_runtime.clock.now();
@@ -324,10 +331,7 @@
     }
     EndpointCall call = m_runtime.codec.encodeOrder(
         state->listed, order, m_runtime.options.instance, m_lease.term(), tracker.acceptedOrders);
-    call.id = RequestId("order-" + std::to_string(++m_callCounter));
-    call.timeout = CallTimeout;
-    call.connectTimeout = CallTimeout;
-    call.maxAnswerBytes = MaxCallAnswerBytes;
+    prepareEngineCall(call, "order-" + std::to_string(++m_callCounter));
     const FleetDemand demand = m_demand.demandFor({engine.pool, order.model, order.adapter});
     logEvent(LogLevel::Info, "order",
              {{"endpoint", order.endpoint.str()},
--- a/lib/Fleet/PlacementDriver.h
+++ b/lib/Fleet/PlacementDriver.h
@@ -66,7 +66,7 @@
     void activate();
     void deactivate();
     void updateUsable(EngineState &engine, const EngineTracker &tracker);
-    void checkHolders(const DemandKey &key);
+    void checkHolders();
     void planIfDue();
     void plan();
     void sendForecasts();
--- a/lib/Fleet/PlacementReports.cpp
+++ b/lib/Fleet/PlacementReports.cpp
@@ -108,10 +108,7 @@
     }
     tracker.isCallPending = true;
     EndpointCall call = m_runtime.codec.encodeReportCall(state->listed);
-    call.id = RequestId("report-" + std::to_string(++m_callCounter));
-    call.timeout = CallTimeout;
-    call.connectTimeout = CallTimeout;
-    call.maxAnswerBytes = MaxCallAnswerBytes;
+    prepareEngineCall(call, "report-" + std::to_string(++m_callCounter));
     m_runtime.endpoints->call(
         std::move(call),
         std::make_shared<CollectingHandler>([this, id](Expected<std::pair<int, std::string>> it) {
--- a/lib/Limits/WorkspaceLimit.cpp
+++ b/lib/Limits/WorkspaceLimit.cpp
@@ -145,7 +145,7 @@
         // accrues them.
         const double missing = cost - m_rate.level(now);
         const double seconds = m_rate.rate() > 0 ? std::min(missing / m_rate.rate(), 3600.0) : 3600;
-        wait = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+        wait = fromSeconds(seconds);
     }
     return {LimitDecision::Outcome::Refused, RefusalReason::RateExceeded,
             std::max<Duration>(wait, context.options.loanWait)};
--- a/lib/Placement/IdlePolicy.cpp
+++ b/lib/Placement/IdlePolicy.cpp
@@ -30,8 +30,7 @@
 
 Duration IdlePolicy::bucketUpperBound(std::size_t bucket)
 {
-    return std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(std::exp2(static_cast<double>(bucket) / 2)));
+    return fromSeconds(std::exp2(static_cast<double>(bucket) / 2));
 }
 
 void IdlePolicy::onRequest(const ModelName &model, SteadyTime at)
--- a/lib/Placement/LoadDecision.cpp
+++ b/lib/Placement/LoadDecision.cpp
@@ -334,9 +334,7 @@
         return it->second;
     }
     const double seconds = static_cast<double>(model.memoryBytes) / assumedBytesPerSecond(tier);
-    const auto bySize =
-        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-    return std::min(bySize, m_options.maxAssumedLoadTime);
+    return std::min(fromSeconds(seconds), m_options.maxAssumedLoadTime);
 }
 
 bool PlacementEngine::State::isLoadUseful(const ModelDemand &demand, Duration loadTime) const
--- a/lib/Routing/Dispatcher.cpp
+++ b/lib/Routing/Dispatcher.cpp
@@ -18,33 +18,27 @@
 // request has been measured.
 constexpr Duration MaxEstimateAge = std::chrono::seconds(5);
 
-Refusal makeRefusal(RefusalReason reason, RanState ran, std::string message, std::string remedy,
-                    Duration retryAfter)
-{
-    return Refusal{reason, ran, std::move(message), std::move(remedy), retryAfter};
-}
-
 Refusal keyWithdrawnRefusal(RanState ran)
 {
-    return makeRefusal(RefusalReason::KeyWithdrawn, ran, "the key has been withdrawn",
-                       "ask the workspace's operators for another key", Duration::zero());
+    return Refusal{RefusalReason::KeyWithdrawn, ran, "the key has been withdrawn",
+                   "ask the workspace's operators for another key", Duration::zero()};
 }
 
 Refusal giveUpRefusal(const GiveUp &decision)
 {
     if (decision.reason == RefusalReason::AnswerIncomplete) {
-        return makeRefusal(decision.reason, decision.ran,
-                           "the endpoint's answer ended before it was complete",
-                           "send again only if the request may run twice", MinRetryAfter);
+        return Refusal{decision.reason, decision.ran,
+                       "the endpoint's answer ended before it was complete",
+                       "send again only if the request may run twice", MinRetryAfter};
     }
     if (decision.ran == RanState::Unknown) {
-        return makeRefusal(
-            decision.reason, decision.ran, "the endpoint failed and may have run the request",
-            "find out whether it took effect before sending it again", MinRetryAfter);
+        return Refusal{decision.reason, decision.ran,
+                       "the endpoint failed and may have run the request",
+                       "find out whether it took effect before sending it again", MinRetryAfter};
     }
-    return makeRefusal(decision.reason, decision.ran,
-                       "no endpoint accepted the request in several attempts",
-                       "send it again later", std::chrono::seconds(1));
+    return Refusal{decision.reason, decision.ran,
+                   "no endpoint accepted the request in several attempts", "send it again later",
+                   std::chrono::seconds(1)};
 }
 
 RanState ranStateOf(const Request &request)
@@ -183,10 +177,10 @@
             return request;
         }
         refuse(*request,
-               makeRefusal(RefusalReason::DeadlineTooShort, ranStateOf(*request),
-                           "the time left before the deadline is too short for an answer",
-                           "send it again later or allow a longer deadline",
-                           std::max(predictQueueWait(state), MinRetryAfter)),
+               Refusal{RefusalReason::DeadlineTooShort, ranStateOf(*request),
+                       "the time left before the deadline is too short for an answer",
+                       "send it again later or allow a longer deadline",
+                       std::max(predictQueueWait(state), MinRetryAfter)},
                actions);
     }
     return std::nullopt;
@@ -214,12 +208,12 @@
     state.overflow = state.overflow || request.overflow;
     const std::optional<Duration> wait = predictWait(request);
     if (!wait) {
-        refuse(request,
-               makeRefusal(RefusalReason::NoCapacity, RanState::No,
-                           "no endpoint of pool " + request.target.pool
-                               + " accepts requests in this zone",
-                           "send it again later", std::chrono::seconds(1)),
-               actions);
+        refuse(
+            request,
+            Refusal{RefusalReason::NoCapacity, RanState::No,
+                    "no endpoint of pool " + request.target.pool + " accepts requests in this zone",
+                    "send it again later", std::chrono::seconds(1)},
+            actions);
         return actions;
     }
     // If no wait is predicted, the request is sent at once regardless of the estimated run time,
@@ -236,18 +230,18 @@
                                            request.overflow});
         }
         refuse(request,
-               makeRefusal(RefusalReason::DeadlineTooShort, RanState::No,
-                           "the expected wait is " + std::to_string(toMilliseconds(*wait)) + " ms",
-                           "send it again later or allow a longer deadline", *wait),
+               Refusal{RefusalReason::DeadlineTooShort, RanState::No,
+                       "the expected wait is " + std::to_string(toMilliseconds(*wait)) + " ms",
+                       "send it again later or allow a longer deadline", *wait},
                actions);
         return actions;
     }
     if (state.queue.size() >= m_options.maxQueuedPerTarget) {
         std::optional<Request> evicted = state.queue.evictFor(request);
         refuse(evicted ? *evicted : request,
-               makeRefusal(RefusalReason::QueueFull, ranStateOf(evicted ? *evicted : request),
-                           "too many requests wait for this target", "send it again later",
-                           std::max(*wait, MinRetryAfter)),
+               Refusal{RefusalReason::QueueFull, ranStateOf(evicted ? *evicted : request),
+                       "too many requests wait for this target", "send it again later",
+                       std::max(*wait, MinRetryAfter)},
                actions);
         if (!evicted) {
             return actions;
@@ -503,10 +497,10 @@
         for (const Request &request : state.queue.takeExpired(now + m_options.refusalMargin)) {
             const Duration wait = predictWait(request).value_or(std::chrono::seconds(1));
             refuse(request,
-                   makeRefusal(RefusalReason::DeadlinePassed, ranStateOf(request),
-                               "the request was not served before its deadline",
-                               "send it again later or allow a longer deadline",
-                               std::max(wait, MinRetryAfter)),
+                   Refusal{RefusalReason::DeadlinePassed, ranStateOf(request),
+                           "the request was not served before its deadline",
+                           "send it again later or allow a longer deadline",
+                           std::max(wait, MinRetryAfter)},
                    actions);
         }
         dispatch(state, actions);
@@ -536,10 +530,9 @@
         const DispatchActions cancelled = cancel(id);
         actions.insert(actions.end(), cancelled.begin(), cancelled.end());
         refuse(request,
-               makeRefusal(RefusalReason::DeadlinePassed, RanState::Unknown,
-                           "the endpoint did not answer before the deadline",
-                           "find out whether it took effect before sending it again",
-                           MinRetryAfter),
+               Refusal{RefusalReason::DeadlinePassed, RanState::Unknown,
+                       "the endpoint did not answer before the deadline",
+                       "find out whether it took effect before sending it again", MinRetryAfter},
                actions);
     }
 }
--- a/lib/Routing/WaitEstimator.cpp
+++ b/lib/Routing/WaitEstimator.cpp
@@ -24,8 +24,7 @@
 
 Duration toDuration(double seconds)
 {
-    return std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(std::min(seconds, MaxWaitSeconds)));
+    return fromSeconds(std::min(seconds, MaxWaitSeconds));
 }
 
 } // namespace
--- a/lib/Serving/AcceptedChanges.cpp
+++ b/lib/Serving/AcceptedChanges.cpp
@@ -74,23 +74,19 @@
     return due;
 }
 
-std::vector<AcceptedChanges::Key> AcceptedChanges::correctReport(LoadedModels &reported,
-                                                                 bool isBusy, SteadyTime now)
+void AcceptedChanges::correctReport(LoadedModels &reported, bool isBusy, SteadyTime now)
 {
-    std::vector<Key> confirmed;
     for (auto it = m_loads.begin(); it != m_loads.end();) {
         const auto &[load, expected] = *it;
         const bool isConfirmed = isListed(reported, load);
-        if (isConfirmed) {
-            confirmed.push_back(load);
-        } else if (expected.applied && now < expected.dueAt + ExpectedLoadLifetime) {
+        const bool isOver = isConfirmed || now >= expected.dueAt + ExpectedLoadLifetime;
+        if (!isOver && expected.applied) {
             addLoad(reported, load);
         }
-        const bool isOver = isConfirmed || now >= expected.dueAt + ExpectedLoadLifetime;
         it = isOver ? m_loads.erase(it) : std::next(it);
     }
     if (!m_unload) {
-        return confirmed;
+        return;
     }
     const bool mayPredateUnload = now < m_unload->acceptedAt + MaxReportAge;
     const bool mayStillRun = isBusy && now < m_unload->acceptedAt + MaxUnloadTime;
@@ -99,7 +95,6 @@
     } else {
         m_unload.reset();
     }
-    return confirmed;
 }
 
 bool AcceptedChanges::isUnloading(SteadyTime now) const
--- a/lib/Serving/DemandAggregator.cpp
+++ b/lib/Serving/DemandAggregator.cpp
@@ -24,7 +24,7 @@
 
 double decayed(double value, SteadyTime since, SteadyTime now)
 {
-    return value * std::exp2(-std::chrono::duration<double>(now - since).count() / HalfLifeSeconds);
+    return value * decayFactor(now - since, HalfLifeSeconds);
 }
 
 } // namespace
@@ -131,7 +131,7 @@
         return;
     }
     const bool isStarting = now - *m_startedAt < MinTrendAge;
-    const double keptFraction = std::exp2(-toSeconds(now - m_laggingRatesAt) / HalfLifeSeconds);
+    const double keptFraction = decayFactor(now - m_laggingRatesAt, HalfLifeSeconds);
     std::map<DemandKey, double> rates;
     for (const auto &[key, demand] : totalDemand()) {
         const auto before = m_laggingRates.find(key);
--- a/lib/Serving/EndpointDirectory.cpp
+++ b/lib/Serving/EndpointDirectory.cpp
@@ -3,7 +3,6 @@
 #include "marigoldspool/Support/Invariant.h"
 
 #include <algorithm>
-#include <cmath>
 #include <functional>
 
 namespace marigoldspool {
@@ -62,14 +61,14 @@
 // reporting intervals.
 constexpr Duration ReportLag = milliseconds(2500);
 
-double decayed(double value, SteadyTime since, SteadyTime now, double halfLifeSeconds)
+double decayedFailures(const TrackedEndpoint &state, SteadyTime now)
 {
-    return value * std::exp2(-std::max(toSeconds(now - since), 0.0) / halfLifeSeconds);
+    return state.failureFraction * decayFactor(now - state.lastResultAt, FailureHalfLifeSeconds);
 }
 
-double decayedFailures(const TrackedEndpoint &state, SteadyTime now)
+double decayedDelay(const TrackedEndpoint &state, SteadyTime now)
 {
-    return decayed(state.failureFraction, state.lastResultAt, now, FailureHalfLifeSeconds);
+    return state.meanDelaySeconds * decayFactor(now - state.lastFirstByteAt, DelayHalfLifeSeconds);
 }
 
 } // namespace
@@ -212,11 +211,9 @@
 // seen lately, or the prompts that this instance has sent and that are still being processed.
 double EndpointDirectory::delaySeconds(const TrackedEndpoint &state, SteadyTime now) const
 {
-    const double seen =
-        decayed(state.meanDelaySeconds, state.lastFirstByteAt, now, DelayHalfLifeSeconds);
     const double pending =
         m_responseTimes.promptSeconds(state.listed.pool, state.pendingPromptTokens);
-    return std::max(seen, pending);
+    return std::max(decayedDelay(state, now), pending);
 }
 
 // Lower is better.
@@ -349,8 +346,7 @@
     const PoolName &pool = state.listed.pool;
     const double delay =
         std::max(0.0, toSeconds(after - m_responseTimes.expectedFirstByte(pool, promptTokens)));
-    const double before =
-        decayed(state.meanDelaySeconds, state.lastFirstByteAt, now, DelayHalfLifeSeconds);
+    const double before = decayedDelay(state, now);
     state.meanDelaySeconds = before + DelayWeight * (delay - before);
     state.lastFirstByteAt = now;
     state.pendingPromptTokens = std::max(0, state.pendingPromptTokens - promptTokens);
--- a/lib/Serving/PlacementCopies.cpp
+++ b/lib/Serving/PlacementCopies.cpp
@@ -19,7 +19,7 @@
 constexpr double MaxSpareCopyVictimCost = 1;
 // Seconds that each request gains from a copy that takes over part of an engine's load.
 constexpr double CopyVictimCostPerRequestRate = 0.5;
-// Above this fraction of the slots of its copies, a model's requests queue at the engines. Another
+// Above this fraction of the engines of its copies, a model's requests queue at them. Another
 // copy then serves more requests than loading a rarely used model with waiting requests.
 constexpr double UrgentUtilization = 0.7;
 constexpr double MaxPrefetchCost = 7;
@@ -28,8 +28,8 @@
 
 } // namespace
 
-// Expected fraction of the engine's slots in use, assuming that the requests for each model are
-// spread evenly over its copies.
+// Expected fraction of the engine in use, by slots or by prompts, assuming that the requests for
+// each model are spread evenly over its copies.
 double PlacementPlanner::utilization(const EngineState &engine) const
 {
     const auto it = m_utilization.find(engine.id);
--- a/lib/Serving/PlacementForecast.cpp
+++ b/lib/Serving/PlacementForecast.cpp
@@ -13,7 +13,7 @@
 
 Duration unloadTime()
 {
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(UnloadCostSeconds));
+    return fromSeconds(UnloadCostSeconds);
 }
 
 } // namespace
--- a/lib/Serving/PlacementPlanner.cpp
+++ b/lib/Serving/PlacementPlanner.cpp
@@ -282,9 +282,8 @@
         && m_reservedUntil.count(best->id) == 0;
     if (!isFree) {
         const double unloadSeconds = bestVictims.models.empty() ? 0 : UnloadCostSeconds;
-        const SteadyTime readyAt = now + loadTime(pool, model, source)
-            + std::chrono::duration_cast<Duration>(
-                                       std::chrono::duration<double>(bestWait + unloadSeconds));
+        const SteadyTime readyAt =
+            now + loadTime(pool, model, source) + fromSeconds(bestWait + unloadSeconds);
         m_reservedUntil[best->id] = readyAt;
         m_deferredLoads[{pool, model}] = readyAt;
         return true;
--- a/lib/Serving/RelayPeerRotation.cpp
+++ b/lib/Serving/RelayPeerRotation.cpp
@@ -1,7 +1,5 @@
 #include "marigoldspool/Serving/RelayPeerRotation.h"
 
-#include <algorithm>
-
 namespace marigoldspool {
 
 namespace {
--- a/lib/Serving/ResponseTimeModel.cpp
+++ b/lib/Serving/ResponseTimeModel.cpp
@@ -63,8 +63,8 @@
         return Duration::zero();
     }
     const PoolEstimate &estimate = it->second;
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-        estimate.baseSeconds + estimate.secondsPerKiloToken * kiloTokens(promptTokens)));
+    return fromSeconds(estimate.baseSeconds
+                       + estimate.secondsPerKiloToken * kiloTokens(promptTokens));
 }
 
 double ResponseTimeModel::promptSeconds(const PoolName &pool, int promptTokens) const
--- a/lib/Serving/RetryBudget.cpp
+++ b/lib/Serving/RetryBudget.cpp
@@ -25,7 +25,7 @@
         m_instanceCount = count;
         m_lowerCount = count;
     } else if (count != m_lowerCount) {
-        // The longest of several steps counts, so the time begins again with each.
+        // Each further step down begins the window anew.
         m_lowerCount = count;
         m_lowerCountAt = m_clock.now() + m_bound.window;
     }
--- a/lib/Serving/WorkspaceQuota.cpp
+++ b/lib/Serving/WorkspaceQuota.cpp
@@ -1,7 +1,6 @@
 #include "marigoldspool/Serving/WorkspaceQuota.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace marigoldspool {
 
@@ -162,7 +161,7 @@
     const double elapsedSeconds = toSeconds(now - smoothed.at);
     const double currentRate =
         elapsedSeconds > 0 ? std::max(0.0, counter - smoothed.counter) / elapsedSeconds : 0;
-    const double keptFraction = std::exp2(-elapsedSeconds / RateHalfLifeSeconds);
+    const double keptFraction = decayFactor(now - smoothed.at, RateHalfLifeSeconds);
     smoothed.rate = keptFraction * smoothed.rate + (1 - keptFraction) * currentRate;
     smoothed.counter = counter;
     smoothed.at = now;
@@ -220,9 +219,8 @@
         return std::nullopt;
     }
     // The delay grows with the excess demand, to spread the retries of more callers.
-    const auto retryDelay = std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(bucket.rate > 0 ? demand / bucket.rate / 2 : 0));
-    return std::clamp<Duration>(retryDelay, MinRetryDelay, MaxRetryDelay);
+    const Duration retryDelay = fromSeconds(bucket.rate > 0 ? demand / bucket.rate / 2 : 0);
+    return std::clamp(retryDelay, MinRetryDelay, MaxRetryDelay);
 }
 
 void WorkspaceQuota::deductUsage(const WorkspaceName &workspace, double used, double requested,
--- a/lib/Support/Clock.cpp
+++ b/lib/Support/Clock.cpp
@@ -1,12 +1,19 @@
 #include "marigoldspool/Support/Clock.h"
 
+#include <algorithm>
 #include <cassert>
+#include <cmath>
 #include <ctime>
 
 namespace marigoldspool {
 
 Clock::~Clock() = default;
 
+double decayFactor(Duration elapsed, double halfLifeSeconds)
+{
+    return std::exp2(-std::max(toSeconds(elapsed), 0.0) / halfLifeSeconds);
+}
+
 SteadyTime SystemClock::now() const
 {
     return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
--- a/tests/Support/SupportTest.cpp
+++ b/tests/Support/SupportTest.cpp
@@ -1,3 +1,4 @@
+#include "marigoldspool/Support/Clock.h"
 #include "marigoldspool/Support/Digest.h"
 #include "marigoldspool/Support/EventLog.h"
 #include "marigoldspool/Support/Invariant.h"
@@ -62,3 +63,15 @@
     setInvariantHandler(std::move(previous));
     CHECK(seen == "broken");
 }
+
+TEST_CASE("seconds convert to a duration and back, and decay halves in each half-life")
+{
+    CHECK(fromSeconds(1.5) == std::chrono::milliseconds(1500));
+    CHECK(fromSeconds(-0.25) == std::chrono::milliseconds(-250));
+    CHECK(toSeconds(fromSeconds(0.001)) == doctest::Approx(0.001));
+    CHECK(decayFactor(Duration::zero(), 3) == 1);
+    CHECK(decayFactor(std::chrono::seconds(3), 3) == doctest::Approx(0.5));
+    CHECK(decayFactor(std::chrono::seconds(6), 3) == doctest::Approx(0.25));
+    // The value was taken after the given time, as clocks of two sources may differ.
+    CHECK(decayFactor(-std::chrono::seconds(6), 3) == 1);
+}
