Log each failed attempt, and why a stream was not resumed

The line of a request has the cause of its last attempt only.

attempt_failed has one line for each attempt with its endpoint, how far it came and its cause; the cause of cut_off ends with what kept the stream from going on: not_resumable, attempts_used, deadline, retry_limit or no_endpoint.

--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -47,7 +47,9 @@
     void onAttemptFailed(EndpointOutcome outcome, EndpointResult result);
     /// Closes the connection of an attempt whose endpoint gives no usable answer.
     void abandonAttempt(std::string cause);
-    bool resume();
+    /// Resumes the stream at another endpoint; returns why not, or an empty text.
+    std::string_view resume();
+    void logFailedAttempt(EndpointOutcome outcome) const;
     void onBufferedData(std::string_view bytes);
     void forward(std::string_view bytes);
     void onDeadline();
--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -23,6 +23,27 @@
 // which the route's limit does not count.
 constexpr int MaxTotalAttempts = 6;
 constexpr Duration OverloadRetryAfter = milliseconds(300);
+// A stream with less time left is not resumed: another endpoint could send nothing more by then.
+constexpr Duration MinResumeTime = milliseconds(100);
+
+std::string_view outcomeName(EndpointOutcome outcome)
+{
+    switch (outcome) {
+    case EndpointOutcome::Answered:
+        return "answered";
+    case EndpointOutcome::RefusedOverloaded:
+        return "refused_overloaded";
+    case EndpointOutcome::RefusedNotLoaded:
+        return "refused_not_loaded";
+    case EndpointOutcome::NotSent:
+        return "not_sent";
+    case EndpointOutcome::MaybeSent:
+        return "maybe_sent";
+    case EndpointOutcome::CutOff:
+        return "cut_off";
+    }
+    return "unknown";
+}
 
 std::string fractionalSeconds(Duration value)
 {
@@ -188,14 +209,31 @@
     }
 }
 
+// The request's own line has the cause of the last attempt only.
+void Exchange::logFailedAttempt(EndpointOutcome outcome) const
+{
+    logEvent(LogLevel::Info, "attempt_failed",
+             {{"id", m_request.id.str()},
+              {"endpoint", m_endpoint.str()},
+              {"try", std::to_string(m_attemptCount)},
+              {"outcome", std::string(outcomeName(outcome))},
+              {"after_ms", millisecondsText(m_runtime.clock.now() - m_sentAt)},
+              {"answer_started", m_answerStarted ? "yes" : "no"},
+              {"possible_runs", std::to_string(m_possibleRuns)},
+              {"cause", m_lastError}});
+}
+
 void Exchange::onAttemptFailed(EndpointOutcome outcome, EndpointResult result)
 {
     endAttempt(result);
     if (mayHaveRun(outcome)) {
         ++m_possibleRuns;
     }
+    logFailedAttempt(outcome);
     if (m_answerStarted) {
-        if (!resume()) {
+        const std::string_view obstacle = resume();
+        if (!obstacle.empty()) {
+            m_lastError.append("; not resumed: ").append(obstacle);
             m_sink->abort();
             finish("cut_off", m_status);
         }
@@ -225,23 +263,31 @@
 }
 
 // Resumes the stream at another endpoint after the last complete event that the caller received.
-bool Exchange::resume()
+std::string_view Exchange::resume()
 {
-    if (!m_route->resumable || m_events.lastId().empty() || m_possibleRuns >= m_route->maxAttempts
-        || timeLeft() <= milliseconds(100) || !m_runtime.retries.tryRetry(m_pool->name)) {
-        return false;
+    if (!m_route->resumable || m_events.lastId().empty()) {
+        return "not_resumable";
+    }
+    if (m_possibleRuns >= m_route->maxAttempts) {
+        return "attempts_used";
+    }
+    if (timeLeft() <= MinResumeTime) {
+        return "deadline";
+    }
+    if (!m_runtime.retries.tryRetry(m_pool->name)) {
+        return "retry_limit";
     }
     m_runtime.metrics->countRetry(RetryReason::ConnectFailed);
     // The stream must not pause for long, so the request does not wait for an endpoint.
     if (!resolveRoute()) {
-        return true;
+        return {};
     }
     const EndpointChoice choice = m_runtime.directory.choose(endpointQuery());
     if (choice.kind != ChoiceKind::Send) {
-        return false;
+        return "no_endpoint";
     }
     send(choice.endpoint);
-    return true;
+    return {};
 }
 
 void Exchange::onDeadline()
