Resume a stream elsewhere when the next endpoint cannot be reached

Cause: while an answer was under way, every failure of the attempt that was to resume it counted as an endpoint that had broken it off. An attempt that reached no endpoint (connection refused, or not accepted in time) so used up one of the route's attempts and a part of the retry limit, and on a route with two attempts the stream was cut off although another endpoint had the model. Before the first event such an attempt has always been free.

--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -47,8 +47,9 @@
     void onAttemptFailed(EndpointOutcome outcome, EndpointResult result);
     /// Closes the connection of an attempt whose endpoint gives no usable answer.
     void abandonAttempt(std::string cause);
-    /// Resumes the stream at another endpoint; returns why not, or an empty text.
-    std::string_view resume();
+    /// Resumes the stream at another endpoint; returns why not, or an empty text. With \p isFree,
+    /// the retry limit does not count it.
+    std::string_view resume(bool isFree);
     void logFailedAttempt(EndpointOutcome outcome) const;
     void onBufferedData(std::string_view bytes);
     void forward(std::string_view bytes);
--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -200,13 +200,12 @@
 void Exchange::onFailure(SendStage stage, const Error &error)
 {
     m_lastError = error.message;
-    if (m_answerStarted) {
-        onAttemptFailed(EndpointOutcome::CutOff, EndpointResult::Failed);
-    } else if (stage == SendStage::NotSent) {
+    if (stage == SendStage::NotSent) {
         onAttemptFailed(EndpointOutcome::NotSent, EndpointResult::Unreachable);
-    } else {
-        onAttemptFailed(EndpointOutcome::MaybeSent, EndpointResult::Failed);
+        return;
     }
+    onAttemptFailed(m_answerStarted ? EndpointOutcome::CutOff : EndpointOutcome::MaybeSent,
+                    EndpointResult::Failed);
 }
 
 // The request's own line has the cause of the last attempt only.
@@ -230,8 +229,10 @@
         ++m_possibleRuns;
     }
     logFailedAttempt(outcome);
+    // An attempt that reached no endpoint does not count against the retry budget.
+    const bool isFree = outcome == EndpointOutcome::NotSent;
     if (m_answerStarted) {
-        const std::string_view obstacle = resume();
+        const std::string_view obstacle = resume(isFree);
         if (!obstacle.empty()) {
             m_lastError.append("; not resumed: ").append(obstacle);
             m_sink->abort();
@@ -245,8 +246,6 @@
     const bool hasAttempts =
         m_possibleRuns < m_route->maxAttempts && m_attemptCount < MaxTotalAttempts;
     const auto *retry = std::get_if<Retry>(&decision);
-    // An attempt that reached no endpoint does not count against the retry budget.
-    const bool isFree = outcome == EndpointOutcome::NotSent;
     if (retry != nullptr && hasTime && hasAttempts
         && (isFree || m_runtime.retries.tryRetry(m_pool->name))) {
         m_runtime.metrics->countRetry(retry->reason);
@@ -263,18 +262,18 @@
 }
 
 // Resumes the stream at another endpoint after the last complete event that the caller received.
-std::string_view Exchange::resume()
+std::string_view Exchange::resume(bool isFree)
 {
     if (!m_route->resumable || m_events.lastId().empty()) {
         return "not_resumable";
     }
-    if (m_possibleRuns >= m_route->maxAttempts) {
+    if (m_possibleRuns >= m_route->maxAttempts || m_attemptCount >= MaxTotalAttempts) {
         return "attempts_used";
     }
     if (timeLeft() <= MinResumeTime) {
         return "deadline";
     }
-    if (!m_runtime.retries.tryRetry(m_pool->name)) {
+    if (!isFree && !m_runtime.retries.tryRetry(m_pool->name)) {
         return "retry_limit";
     }
     m_runtime.metrics->countRetry(RetryReason::ConnectFailed);
--- a/tests/PlatformAdapter/StandinPlatform.h
+++ b/tests/PlatformAdapter/StandinPlatform.h
@@ -343,6 +343,9 @@
                 {"atHand", cachedModels()}, {"seq", 1}};
     }
 
+    /// Closes all connections and refuses new ones.
+    void crash() { m_server.reset(); }
+
     std::string id;
     Handler handler;
     std::vector<std::string> models;
