Give up a silent attempt only when another one can follow it

What callers saw: streams that had paused for 1.3 s ended without their last events, although their endpoint was at work and would have gone on.

Cause: an attempt that sent nothing for a while was cancelled first, and then the retry limit, the time left and the configuration were asked whether another endpoint may go on. Where one of them refused, the stream was cut off, or the request failed, only because its endpoint was slow. Instances of a large fleet have about two retries in ten seconds, and none of the slack right after a start, so the limit is reached by two slow streams on one instance.

Evidence: the two tests.

Fix: the route and the key are looked up, an endpoint is chosen and the retry is reserved before the attempt is cancelled, and the request is sent to the chosen endpoint. A route that has been withdrawn since the request may have run is refused with an unknown outcome, not as one that has not run. Tests, which failed before: "a silent stream is not cut off when the retry limit allows no other endpoint", "... when its route or key has been removed".

--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -72,44 +72,62 @@
     dispatch();
 }
 
-// Called before each attempt, since the configuration may have changed after the last one.
-bool Exchange::resolveRoute()
+Exchange::ResolvedRoute Exchange::lookUpRoute() const
 {
-    const std::shared_ptr<const RouteTable> &routes = m_runtime.routes;
-    if (routes == nullptr) {
-        refuse(RefusalReason::StoreUnavailable, RanState::No, NoConfigurationRetryAfter,
-               "this instance has not received a configuration yet");
-        return false;
+    ResolvedRoute resolved;
+    const auto refusal = [&resolved](RefusalReason reason, Duration retryAfter,
+                                     std::string message) {
+        resolved.refusal = Refusal{reason, RanState::No, std::move(message), {}, retryAfter};
+        return resolved;
+    };
+    resolved.routes = m_runtime.routes;
+    if (resolved.routes == nullptr) {
+        return refusal(RefusalReason::StoreUnavailable, NoConfigurationRetryAfter,
+                       "this instance has not received a configuration yet");
     }
-    if (routes == m_routes) {
-        return true;
+    const RouteTable &routes = *resolved.routes;
+    resolved.route = routes.find(m_request.host, m_request.target);
+    if (resolved.route == nullptr) {
+        return refusal(RefusalReason::RouteUnknown, Duration::zero(),
+                       "no route matches this host and path");
     }
-    m_routes = routes;
-    m_route = routes->find(m_request.host, m_request.target);
-    if (m_route == nullptr) {
-        refuse(RefusalReason::RouteUnknown, RanState::No, Duration::zero(),
-               "no route matches this host and path");
-        return false;
-    }
-    m_pool = routes->configuration()->pool(choosePool(*m_route, m_request.id));
-    m_priority = m_route->priority;
-    m_workspace = WorkspaceName();
-    if (routes->requiresKeys() && !m_route->open) {
-        const ServedWorkspace *workspace = routes->findWorkspace(m_request.key);
+    resolved.pool = routes.configuration()->pool(choosePool(*resolved.route, m_request.id));
+    resolved.priority = resolved.route->priority;
+    if (routes.requiresKeys() && !resolved.route->open) {
+        const ServedWorkspace *workspace = routes.findWorkspace(m_request.key);
         if (workspace == nullptr) {
-            refuse(m_request.key.empty() ? RefusalReason::KeyMissing : RefusalReason::KeyUnknown,
-                   RanState::No, Duration::zero(), "the API key is missing or unknown");
-            return false;
+            return refusal(m_request.key.empty() ? RefusalReason::KeyMissing
+                                                 : RefusalReason::KeyUnknown,
+                           Duration::zero(), "the API key is missing or unknown");
         }
-        m_workspace = workspace->name;
-        m_priority = workspace->priority.value_or(m_route->priority);
+        resolved.workspace = workspace->name;
+        resolved.priority = workspace->priority.value_or(resolved.route->priority);
     }
-    if (m_pool == nullptr) {
-        refuse(RefusalReason::NoCapacity, RanState::No, NoConfigurationRetryAfter,
-               "the route's pool is not configured");
-        return false;
+    if (resolved.pool == nullptr) {
+        return refusal(RefusalReason::NoCapacity, NoConfigurationRetryAfter,
+                       "the route's pool is not configured");
     }
-    return true;
+    return resolved;
+}
+
+// Called before each attempt, since the configuration may have changed after the last one.
+bool Exchange::resolveRoute()
+{
+    if (m_routes != nullptr && m_routes == m_runtime.routes) {
+        return true;
+    }
+    ResolvedRoute resolved = lookUpRoute();
+    m_routes = std::move(resolved.routes);
+    m_route = resolved.route;
+    m_pool = resolved.pool;
+    m_workspace = std::move(resolved.workspace);
+    m_priority = resolved.priority;
+    if (!resolved.refusal) {
+        return true;
+    }
+    refuse(resolved.refusal->reason, ranState(), resolved.refusal->retryAfter,
+           resolved.refusal->message);
+    return false;
 }
 
 bool Exchange::takeQuota()
@@ -265,8 +283,8 @@
                                                 : firstByteLimit;
 }
 
-// An endpoint that is only slow will still answer, so the attempt is given up only if another
-// endpoint can take the request at once.
+// An endpoint that is only slow will still answer, so an attempt is given up only if another one
+// can follow it at once: the configuration and the retry limit allow it, and an endpoint is free.
 void Exchange::checkSilence()
 {
     if (!m_attempt || !isRepeatable() || m_possibleRuns + 1 >= m_route->maxAttempts
@@ -274,12 +292,22 @@
         || (m_answerStarted && (!m_route->resumable || m_events.lastId().empty()))) {
         return;
     }
+    if (timeLeft() <= MinResumeTime || lookUpRoute().refusal || !resolveRoute()) {
+        return;
+    }
     EndpointQuery query = endpointQuery();
     query.onlyHealthy = true;
-    if (m_runtime.directory.choose(query).kind != ChoiceKind::Send) {
+    const EndpointChoice choice = m_runtime.directory.choose(query);
+    if (choice.kind != ChoiceKind::Send || !m_runtime.retries.tryRetry(m_pool->name)) {
         return;
     }
-    abandonAttempt("silent");
+    m_lastError = "silent";
+    m_runtime.endpoints->cancel(m_request.id);
+    ++m_possibleRuns;
+    logFailedAttempt(m_answerStarted ? EndpointOutcome::CutOff : EndpointOutcome::MaybeSent);
+    endAttempt(EndpointResult::Failed);
+    m_runtime.metrics->countRetry(RetryReason::ConnectFailed);
+    send(choice.endpoint);
 }
 
 EndpointQuery Exchange::endpointQuery() const
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -4,6 +4,7 @@
 #include "Fleet/ServingFront.h"
 #include "marigoldspool/Routing/RetryPolicy.h"
 #include "marigoldspool/Serving/EventStream.h"
+#include "marigoldspool/Support/Refusal.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -33,6 +34,22 @@
 private:
     class Attempt;
 
+    /// A stream with less time left is not moved: another endpoint could send nothing more by then.
+    static constexpr Duration MinResumeTime = std::chrono::milliseconds(100);
+
+    /// What the configuration in force says about the request.
+    struct ResolvedRoute {
+        std::shared_ptr<const RouteTable> routes;
+        const PrefixRoute *route = nullptr;
+        const EndpointPool *pool = nullptr;
+        WorkspaceName workspace;
+        int priority = 0;
+        /// Set if the request is not allowed.
+        std::optional<Refusal> refusal;
+    };
+
+    ResolvedRoute lookUpRoute() const;
+    /// Adopts the configuration in force, or refuses the request and returns false.
     bool resolveRoute();
     bool takeQuota();
     void reportDemand();
--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -23,8 +23,6 @@
 // which the route's limit does not count.
 constexpr int MaxTotalAttempts = 6;
 constexpr Duration OverloadRetryAfter = milliseconds(300);
-// A stream with less time left is not resumed: another endpoint could send nothing more by then.
-constexpr Duration MinResumeTime = milliseconds(100);
 
 std::string_view outcomeName(EndpointOutcome outcome)
 {
--- a/tests/PlatformAdapter/LostAnswerTest.cpp
+++ b/tests/PlatformAdapter/LostAnswerTest.cpp
@@ -11,11 +11,100 @@
 constexpr std::string_view SecondEvent = "id: 2\ndata: x\n\n";
 constexpr std::string_view BothEvents = "id: 1\ndata: x\n\nid: 2\ndata: x\n\n";
 
+// Longer than the time after which a silent stream is moved to another endpoint, and shorter than
+// the callers of the test route wait for an event.
+constexpr auto Pause = 2s;
+
+FleetOptions optionsWithoutRetries()
+{
+    FleetOptions options;
+    options.retries.ratio = 0;
+    options.retries.slack = 0;
+    return options;
+}
+
+class LostAnswerFixture : public RequestPathFixture
+{
+public:
+    using RequestPathFixture::RequestPathFixture;
+
+    // Two engines that have model m loaded. A stream of /llm/pause stops for a while after its
+    // first event and then goes on at the same engine.
+    void addPausingEngines()
+    {
+        engineMemoryMb = 200;
+        configure(2, {"k1"});
+        const auto stream = [this](const HttpRequest &request,
+                                   const std::shared_ptr<ResponseSink> &sink) {
+            const bool isResumed = findHeader(request.headers, "Last-Event-Id") != nullptr;
+            sink->head(200, answerHeaders(request), true);
+            if (!isResumed) {
+                sink->data(FirstEvent);
+            }
+            const auto finish = [sink] {
+                sink->data(SecondEvent);
+                sink->finish();
+            };
+            if (request.target != "/llm/pause") {
+                finish();
+                return;
+            }
+            ++pausedStreams;
+            const auto timer = std::make_shared<boost::asio::steady_timer>(io, Pause);
+            timer->async_wait([timer, finish](const boost::system::error_code &) {
+                finish();
+            });
+        };
+        addReplica("i-1", "llm", stream, {"m"});
+        addReplica("i-2", "llm", stream, {"m"});
+        callUntilStatus(200, "/llm/x", "m");
+        io.restart();
+        io.run_for(1s);
+    }
+
+    int pausedStreams = 0;
+};
+
+class NoRetriesFixture : public LostAnswerFixture
+{
+public:
+    NoRetriesFixture()
+        : LostAnswerFixture(optionsWithoutRetries())
+    { }
+};
+
 } // namespace
 
+TEST_CASE_FIXTURE(NoRetriesFixture,
+                  "a silent stream is not cut off when the retry limit allows no other endpoint")
+{
+    addPausingEngines();
+    const auto answer = callAndWait("/llm/pause", "m");
+    CHECK(answer->complete);
+    CHECK(answer->body == BothEvents);
+    CHECK(pausedStreams == 1);
+}
+
+TEST_CASE_FIXTURE(LostAnswerFixture,
+                  "a silent stream is not cut off when its route or key has been removed")
+{
+    addPausingEngines();
+    const auto answer = call("/llm/pause", "m");
+    REQUIRE(runUntil(io, [this] {
+        return pausedStreams == 1;
+    }));
+    configure(3, {"k2"});
+    callUntilStatus(401, "/app/x");
+    REQUIRE(runUntil(io, [&answer] {
+        return answer->ended;
+    }));
+    CHECK(answer->complete);
+    CHECK(answer->body == BothEvents);
+}
+
 // 27 streams of a played day were cut off because a crashed endpoint had not accepted the
 // connection on which they were to resume.
-TEST_CASE_FIXTURE(RequestPathFixture,
+TEST_CASE_FIXTURE(LostAnswerFixture,
                   "a stream resumes at a third endpoint when the second cannot be reached")
 {
     engineMemoryMb = 200;
--- a/tests/PlatformAdapter/RequestPathFixture.h
+++ b/tests/PlatformAdapter/RequestPathFixture.h
@@ -81,10 +81,9 @@
 class RequestPathFixture
 {
 public:
-    RequestPathFixture()
+    explicit RequestPathFixture(FleetOptions options = FleetOptions())
         : store(io, metrics)
     {
-        FleetOptions options;
         options.instance = InstanceId("front-1");
         options.zone = ZoneName("z1");
         const auto port = [this] {
