Answer what is still open at the end of a planned stop

What callers saw: a request that an instance had accepted after SIGTERM ended with a closed connection and no answer at the end of the grace period.

Cause: the last step of a planned stop closed the callers' connections whatever was open on them. Requests that waited for a model and requests whose endpoint had sent nothing yet were not answered, also where it was known long before that the time would not suffice.

One is a request that was read 0.9 s after SIGTERM, sent to an endpoint that answered nothing, and closed 6.6 s later; the other is a stream under way.

Fix: the end of the stop bounds the time that a request may wait, so that one that cannot be served by then is refused at once, and what is open at the end gets its answer: 503 if no endpoint can have run it, 502 if one may have. A stream that has begun is still cut off there. Tests, which failed before (status 0): "a request that waits for a model when the instance stops is told that it has not run", "a request still at its endpoint at the end of a planned stop gets an answer".

--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -202,7 +202,8 @@
 
 Duration Exchange::callerTimeLeft() const
 {
-    return m_callerDeadline - m_runtime.clock.now();
+    const SteadyTime end = std::min(m_callerDeadline, m_runtime.answersEndAt - RefusalMargin);
+    return end - m_runtime.clock.now();
 }
 
 std::optional<DemandKey> Exchange::unmetDemand() const
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -25,6 +25,8 @@
     /// When the request passes its latency objective; only while it waits.
     SteadyTime dueAt() const { return m_arrival + m_route->objective; }
     bool isWaiting() const { return m_waiting; }
+    /// Ends the request, since the instance stops now.
+    void onStop();
     /// Moves a repeatable request to another available endpoint if the current one has sent nothing
     /// for too long.
     void checkSilence();
@@ -71,6 +73,9 @@
     void onBufferedData(std::string_view bytes);
     void forward(std::string_view bytes);
     void onDeadline();
+    /// Answers the request without an endpoint's answer, or cuts off an answer that has begun.
+    void endUnanswered(RefusalReason reason, Duration retryAfter, std::string_view cutOffOutcome,
+                       std::string message);
     void onCallerGone();
     void endAttempt(EndpointResult result);
     void refuse(RefusalReason reason, RanState ran, Duration retryAfter, std::string message);
--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -23,6 +23,8 @@
 // which the route's limit does not count.
 constexpr int MaxTotalAttempts = 6;
 constexpr Duration OverloadRetryAfter = milliseconds(300);
+// Other instances can take the request at once.
+constexpr Duration StoppingRetryAfter = milliseconds(100);
 
 std::string_view outcomeName(EndpointOutcome outcome)
 {
@@ -288,6 +290,19 @@
 }
 
 void Exchange::onDeadline()
+{
+    endUnanswered(RefusalReason::DeadlinePassed, Duration::zero(), "deadline",
+                  "the request was not answered before its deadline");
+}
+
+void Exchange::onStop()
+{
+    endUnanswered(RefusalReason::Stopping, StoppingRetryAfter, "stopping",
+                  "this instance stops before the request is answered");
+}
+
+void Exchange::endUnanswered(RefusalReason reason, Duration retryAfter,
+                             std::string_view cutOffOutcome, std::string message)
 {
     if (m_finished) {
         return;
@@ -299,11 +314,10 @@
     }
     if (m_answerStarted) {
         m_sink->abort();
-        finish("deadline", m_status);
+        finish(cutOffOutcome, m_status);
         return;
     }
-    refuse(RefusalReason::DeadlinePassed, ranState(), Duration::zero(),
-           "the request was not answered before its deadline");
+    refuse(reason, ranState(), retryAfter, std::move(message));
 }
 
 void Exchange::onCallerGone()
--- a/lib/Fleet/FleetDaemon.cpp
+++ b/lib/Fleet/FleetDaemon.cpp
@@ -137,6 +137,7 @@
         const SteadyTime now = m_runtime.clock.now();
         m_acceptUntil = now + DrainAcceptTime;
         m_stopDeadline = now + m_runtime.options.gracePeriod - GraceMargin;
+        m_runtime.answersEndAt = m_stopDeadline;
         m_stopTimer.start(StopPollInterval, [this] {
             pollStop();
         });
@@ -353,6 +354,7 @@
         logEvent(LogLevel::Info, "stopped",
                  {{"open", std::to_string(m_front.openRequests())},
                   {"released", m_placement.isReleased() ? "yes" : "no"}});
+        m_front.endOpenRequests();
         m_stopTimer.stop();
         m_tickTimer.stop();
         m_state.stop();
--- a/lib/Fleet/FleetRuntime.h
+++ b/lib/Fleet/FleetRuntime.h
@@ -39,6 +39,8 @@
     std::uint64_t incarnation;
     /// Whether a planned stop is in progress.
     bool stopping = false;
+    /// When a planned stop closes the callers' connections.
+    SteadyTime answersEndAt = SteadyTime::max();
 };
 
 } // namespace marigoldspool
--- a/lib/Fleet/ServingFront.cpp
+++ b/lib/Fleet/ServingFront.cpp
@@ -117,15 +117,26 @@
     });
 }
 
+// Returns a copy, since exchanges that end remove themselves.
+std::vector<std::shared_ptr<Exchange>> ServingFront::openExchanges() const
+{
+    return {m_openExchanges.begin(), m_openExchanges.end()};
+}
+
 void ServingFront::checkSilence()
 {
-    const std::vector<std::shared_ptr<Exchange>> open(m_openExchanges.begin(),
-                                                      m_openExchanges.end());
-    for (const auto &exchange : open) {
+    for (const auto &exchange : openExchanges()) {
         exchange->checkSilence();
     }
 }
 
+void ServingFront::endOpenRequests()
+{
+    for (const auto &exchange : openExchanges()) {
+        exchange->onStop();
+    }
+}
+
 void ServingFront::onTick()
 {
     if (m_dispatching) {
--- a/lib/Fleet/ServingFront.h
+++ b/lib/Fleet/ServingFront.h
@@ -40,11 +40,14 @@
 
     void closeAfterAnswers() { m_server->closeAfterAnswers(); }
     void stopAccepting() { m_server->stopAccepting(); }
+    /// Answers all open requests, since the instance stops now.
+    void endOpenRequests();
     std::size_t openRequests() const { return m_server->openRequests(); }
 
 private:
     friend class Exchange;
     void onRequest(HttpRequest request, std::shared_ptr<ResponseSink> sink);
+    std::vector<std::shared_ptr<Exchange>> openExchanges() const;
     void addWaiting(const std::shared_ptr<Exchange> &exchange);
     void removeWaiting(const Exchange &exchange);
     /// When a model or adapter is loaded, according to the placement owner; may be in the past.
--- a/tests/PlatformAdapter/LostAnswerTest.cpp
+++ b/tests/PlatformAdapter/LostAnswerTest.cpp
@@ -2,6 +2,8 @@
 // them off.
 #include "RequestPathFixture.h"
 
+#include <boost/asio/post.hpp>
+
 using namespace marigoldspool;
 using namespace std::chrono_literals;
 
@@ -73,6 +75,31 @@
     { }
 };
 
+FleetOptions optionsWithShortGrace()
+{
+    FleetOptions options;
+    options.gracePeriod = 2s;
+    return options;
+}
+
+class ShortGraceFixture : public RequestPathFixture
+{
+public:
+    ShortGraceFixture()
+        : RequestPathFixture(optionsWithShortGrace())
+    { }
+
+    // Stops the instance and ends it as the process does.
+    void stopDaemon()
+    {
+        daemon->stop([this] {
+            boost::asio::post(io, [this] {
+                daemon.reset();
+            });
+        });
+    }
+};
+
 } // namespace
 
 TEST_CASE_FIXTURE(NoRetriesFixture,
@@ -139,3 +166,53 @@
     CHECK(answer->complete);
     CHECK(answer->body == BothEvents);
 }
+
+// The stop ends before the request has waited for as long as it may. The caller's connection was
+// closed without an answer.
+TEST_CASE_FIXTURE(
+    ShortGraceFixture,
+    "a request that waits for a model when the instance stops is told that it has not "
+    "run")
+{
+    StandinReplica &engine = addEngine();
+    // The engine executes no order, so the other model is never loaded.
+    engine.ordersToDelay = 1000;
+    engine.orderDelay = 60s;
+    callUntilStatus(200, "/llm/x", "m");
+    stopDaemon();
+    io.restart();
+    io.run_for(1600ms);
+    const auto answer = call("/llm/x", "n");
+    REQUIRE(runUntil(io, [&answer] {
+        return answer->ended;
+    }));
+    CHECK(answer->complete);
+    CHECK(answer->status == 503);
+    CHECK_FALSE(answer->retryAfter.empty());
+}
+
+// An endpoint that answers after the end of the grace period: the caller is told that the request
+// may have run, instead of losing its connection.
+TEST_CASE_FIXTURE(ShortGraceFixture,
+                  "a request still at its endpoint at the end of a planned stop gets an answer")
+{
+    std::shared_ptr<ResponseSink> openSink;
+    addReplica("i-1", "app", [&openSink](const auto &request, const auto &sink) {
+        if (request.target == "/once/slow") {
+            openSink = sink;
+            return;
+        }
+        answerOk(request, sink);
+    });
+    callUntilStatus(200, "/app/x");
+    const auto answer = call("/once/slow");
+    REQUIRE(runUntil(io, [&openSink] {
+        return openSink != nullptr;
+    }));
+    stopDaemon();
+    REQUIRE(runUntil(io, [&answer] {
+        return answer->ended;
+    }));
+    CHECK(answer->complete);
+    CHECK(answer->status == 502);
+}
