Repeat a request only as the configuration in force allows

What callers could see: a request that had been sent once was sent a second time after its route had become one that may run once, or a stream went on at another service, if the configuration changed while an endpoint was silent or had failed.

Cause: whether a request may be repeated was decided by the route at its first attempt; the new route was adopted right before the next attempt and its kind, its number of attempts and its pool were not looked at.

Fix: the route in force must have the same kind and pool and allow one more attempt, for silent attempts, resumed streams and requests that wait for their second attempt. A refusal by rate after an earlier attempt says that the outcome is unknown. Test: "a silent request is not sent again once its route allows one attempt only" (before: sent twice).

--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -147,7 +147,7 @@
         m_isQuotaTaken = true;
         return true;
     }
-    refuse(RefusalReason::RateExceeded, RanState::No, *wait,
+    refuse(RefusalReason::RateExceeded, ranState(), *wait,
            "the workspace has exceeded its rate limit");
     return false;
 }
@@ -219,6 +219,12 @@
     if (m_finished || m_attempt || !resolveRoute() || !takeQuota()) {
         return;
     }
+    if (m_possibleRuns > 0 && (!isRepeatable() || m_possibleRuns >= m_route->maxAttempts)) {
+        // The configuration has changed since the last attempt.
+        refuse(RefusalReason::OutcomeUnknown, RanState::Unknown, Duration::zero(),
+               "the route no longer allows another attempt");
+        return;
+    }
     reportDemand();
     if (callerTimeLeft() <= Duration::zero()) {
         // The caller has left or is about to, although its connection may not be closed yet.
@@ -284,6 +290,14 @@
                                                 : firstByteLimit;
 }
 
+bool Exchange::keepsRoute(int runs) const
+{
+    const ResolvedRoute next = lookUpRoute();
+    return !next.refusal && next.route->kind == m_route->kind
+        && next.route->resumable == m_route->resumable && next.pool->name == m_pool->name
+        && runs < next.route->maxAttempts;
+}
+
 // An endpoint that is only slow will still answer, so an attempt is given up only if another one
 // can follow it at once: the configuration and the retry limit allow it, and an endpoint is free.
 void Exchange::checkSilence()
@@ -293,7 +307,7 @@
         || (m_answerStarted && (!m_route->resumable || m_events.lastId().empty()))) {
         return;
     }
-    if (timeLeft() <= MinResumeTime || lookUpRoute().refusal || !resolveRoute()) {
+    if (timeLeft() <= MinResumeTime || !keepsRoute(m_possibleRuns + 1) || !resolveRoute()) {
         return;
     }
     EndpointQuery query = endpointQuery();
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -57,6 +57,8 @@
     void reportDemand();
     void waitOrRefuse(const EndpointChoice &choice);
     void send(const EndpointId &endpoint);
+    /// Whether the configuration in force still lets the request be repeated after \p runs runs.
+    bool keepsRoute(int runs) const;
     void onHead(int status, gsl::span<const HeaderField> headers);
     void onData(std::string_view bytes);
     void onComplete();
--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -273,6 +273,9 @@
     if (timeLeft() <= MinResumeTime) {
         return "deadline";
     }
+    if (!keepsRoute(m_possibleRuns)) {
+        return "route_changed";
+    }
     if (!isFree && !m_runtime.retries.tryRetry(m_pool->name)) {
         return "retry_limit";
     }
--- a/tests/PlatformAdapter/LostAnswerTest.cpp
+++ b/tests/PlatformAdapter/LostAnswerTest.cpp
@@ -167,6 +167,47 @@
     CHECK(answer->body == BothEvents);
 }
 
+TEST_CASE_FIXTURE(RequestPathFixture,
+                  "a silent request is not sent again once its route allows one attempt only")
+{
+    std::vector<std::shared_ptr<ResponseSink>> openSinks;
+    const auto answer = [&openSinks](const HttpRequest &request,
+                                     const std::shared_ptr<ResponseSink> &sink) {
+        if (request.target == "/app/slow") {
+            openSinks.push_back(sink);
+            return;
+        }
+        answerOk(request, sink);
+    };
+    addReplica("i-1", "app", answer);
+    addReplica("i-2", "app", answer);
+    callUntilStatus(200, "/app/x");
+    io.restart();
+    io.run_for(1s);
+    const auto slow = call("/app/slow");
+    REQUIRE(runUntil(io, [&openSinks] {
+        return openSinks.size() == 1;
+    }));
+    store.put("config", "main",
+              {{"version", 2},
+               {"routes",
+                {{{"name", "app"},
+                  {"host", "h"},
+                  {"prefix", "/app/"},
+                  {"kind", "non_idempotent"},
+                  {"service", "app"},
+                  {"attempts", 1},
+                  {"timeoutMs", 3000},
+                  {"goalMs", 1000}}}},
+               {"services", {{{"name", "app"}}}},
+               {"tenants", {{{"name", "t"}, {"apiKeys", {"k1"}}}}}});
+    REQUIRE(runUntil(io, [&slow] {
+        return slow->ended;
+    }));
+    CHECK(openSinks.size() == 1);
+    CHECK(slow->status == 504);
+}
+
 // The stop ends before the request has waited for as long as it may. The caller's connection was
 // closed without an answer.
 TEST_CASE_FIXTURE(
