Let a stream resume at an endpoint that was tried before

What callers saw: a stream was cut off although an endpoint had its model and would have gone on.

Cause: a stream that was resumed never returned to an endpoint that it had used. Where two endpoints had the model, one that had lost only the connection, or had been given up as silent, was excluded when the other one was full or did not accept the request; requests that have not begun already return to such endpoints. The retry was also taken from the limit before it was known that an endpoint was there.

Fix: choose first, among the untried endpoints and then among all, and take the retry after that. Attempts that a 5xx answer ended get their line in the log. Tests, which failed before: "a stream resumes at its own endpoint when only the connection was lost", "a stream returns to the endpoint that was silent when the next one refuses it".

--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -176,6 +176,7 @@
         && callerTimeLeft() > Duration::zero() && m_runtime.retries.tryRetry(m_pool->name)) {
         ++m_possibleRuns;
         m_lastError = "status_" + std::to_string(m_status);
+        logFailedAttempt(EndpointOutcome::Answered);
         m_runtime.metrics->countRetry(RetryReason::ConnectFailed);
         endAttempt(EndpointResult::Failed);
         dispatch();
@@ -276,19 +277,24 @@
     if (!keepsRoute(m_possibleRuns)) {
         return "route_changed";
     }
-    if (!isFree && !m_runtime.retries.tryRetry(m_pool->name)) {
-        return "retry_limit";
-    }
-    m_runtime.metrics->countRetry(RetryReason::ConnectFailed);
     // The stream must not pause for long, so the request does not wait for an endpoint.
-    if (!resolveRoute()) {
-        return {};
+    EndpointQuery query = endpointQuery();
+    EndpointChoice choice = m_runtime.directory.choose(query);
+    if (choice.kind != ChoiceKind::Send) {
+        // An endpoint that has lost only this connection can go on.
+        query.excluded = {};
+        choice = m_runtime.directory.choose(query);
     }
-    const EndpointChoice choice = m_runtime.directory.choose(endpointQuery());
     if (choice.kind != ChoiceKind::Send) {
         return "no_endpoint";
     }
-    send(choice.endpoint);
+    if (!isFree && !m_runtime.retries.tryRetry(m_pool->name)) {
+        return "retry_limit";
+    }
+    m_runtime.metrics->countRetry(RetryReason::ConnectFailed);
+    if (resolveRoute()) {
+        send(choice.endpoint);
+    }
     return {};
 }
 
--- a/tests/PlatformAdapter/LostAnswerTest.cpp
+++ b/tests/PlatformAdapter/LostAnswerTest.cpp
@@ -64,6 +64,18 @@
         io.run_for(1s);
     }
 
+    // The engine that has not served the paused stream.
+    StandinReplica &idleEngine()
+    {
+        const auto hasPaused = [](const auto &replica) {
+            return std::any_of(replica->requests.begin(), replica->requests.end(),
+                               [](const auto &request) {
+                                   return request.target == "/llm/pause";
+                               });
+        };
+        return hasPaused(replicas[0]) ? *replicas[1] : *replicas[0];
+    }
+
     int pausedStreams = 0;
 };
 
@@ -167,6 +179,53 @@
     CHECK(answer->body == BothEvents);
 }
 
+TEST_CASE_FIXTURE(LostAnswerFixture,
+                  "a stream returns to the endpoint that was silent when the next one refuses it")
+{
+    addPausingEngines();
+    const auto answer = call("/llm/pause", "m");
+    REQUIRE(runUntil(io, [this] {
+        return pausedStreams == 1;
+    }));
+    idleEngine().handler = [](const auto &request, const auto &sink) {
+        answerNotRun(request, sink, 503);
+    };
+    REQUIRE(runUntil(io, [&answer] {
+        return answer->ended;
+    }));
+    CHECK(answer->complete);
+    CHECK(answer->body == BothEvents);
+}
+
+TEST_CASE_FIXTURE(LostAnswerFixture,
+                  "a stream resumes at its own endpoint when only the connection was lost")
+{
+    engineMemoryMb = 200;
+    configure(2, {"k1"});
+    addReplica("i-1", "llm",
+               [](const HttpRequest &request, const std::shared_ptr<ResponseSink> &sink) {
+                   const bool isResumed = findHeader(request.headers, "Last-Event-Id") != nullptr;
+                   sink->head(200, answerHeaders(request), true);
+                   if (!isResumed) {
+                       sink->data(FirstEvent);
+                   }
+                   if (request.target == "/llm/cut" && !isResumed) {
+                       sink->abort();
+                       return;
+                   }
+                   sink->data(SecondEvent);
+                   sink->finish();
+               },
+               {"m"});
+    callUntilStatus(200, "/llm/x", "m");
+    // The retry limit grows in the first seconds.
+    io.restart();
+    io.run_for(1s);
+    const auto answer = callAndWait("/llm/cut", "m");
+    CHECK(answer->complete);
+    CHECK(answer->body == BothEvents);
+}
+
 TEST_CASE_FIXTURE(RequestPathFixture,
                   "a silent request is not sent again once its route allows one attempt only")
 {
