Ask the successor of a silent engine before giving the engine up

What callers saw: a stream that had paused was cut off after it had been moved to an engine that could not be reached, as the silent one often cannot either: both stood behind the same network partition.

Cause: the successor was chosen and the retry reserved, but whether the successor could be reached was known only after the silent attempt had been cancelled.

Fix: an engine is asked for its report first, on the connection that the request then uses; the silent attempt goes on until the successor has answered, and an answer that comes meanwhile keeps it. Silent streams cost one more probe each. Test, which failed before: "a silent stream is not given up for an endpoint that cannot be reached".

--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -1,5 +1,7 @@
 #include "Fleet/ExchangeAttempt.h"
 
+#include "Fleet/EngineCalls.h"
+
 #include "marigoldspool/Support/Invariant.h"
 
 #include <algorithm>
@@ -298,22 +300,73 @@
         && runs < next.route->maxAttempts;
 }
 
-// An endpoint that is only slow will still answer, so an attempt is given up only if another one
-// can follow it at once: the configuration and the retry limit allow it, and an endpoint is free.
+std::optional<EndpointId> Exchange::findSuccessor()
+{
+    const SteadyTime now = m_runtime.clock.now();
+    const bool canRepeat =
+        m_answerStarted ? m_route->resumable && !m_events.lastId().empty() : isRepeatable();
+    if (!m_attempt || !canRepeat || now - m_lastProgressAt < silenceLimit()
+        || timeLeft() <= MinResumeTime || m_runtime.answersEndAt - now <= MinResumeTime
+        || !keepsRoute(m_possibleRuns + 1)) {
+        return std::nullopt;
+    }
+    EndpointQuery query = endpointQuery();
+    query.onlyHealthy = true;
+    const EndpointChoice choice = m_runtime.directory.choose(query);
+    if (choice.kind != ChoiceKind::Send) {
+        return std::nullopt;
+    }
+    return choice.endpoint;
+}
+
+// An endpoint that is only slow will still answer, so an attempt is given up only for a successor
+// that is sure. An engine is asked for its report first: it may be out of reach like the silent
+// one, and the connection of the report is used for the request.
 void Exchange::checkSilence()
 {
-    if (!m_attempt || !isRepeatable() || m_possibleRuns + 1 >= m_route->maxAttempts
-        || m_runtime.clock.now() - m_lastProgressAt < silenceLimit()
-        || (m_answerStarted && (!m_route->resumable || m_events.lastId().empty()))) {
+    if (m_isAskingSuccessor) {
         return;
     }
-    if (timeLeft() <= MinResumeTime || !keepsRoute(m_possibleRuns + 1) || !resolveRoute()) {
+    const std::optional<EndpointId> successor = findSuccessor();
+    if (!successor) {
         return;
     }
-    EndpointQuery query = endpointQuery();
-    query.onlyHealthy = true;
-    const EndpointChoice choice = m_runtime.directory.choose(query);
-    if (choice.kind != ChoiceKind::Send || !m_runtime.retries.tryRetry(m_pool->name)) {
+    if (!isEngineRequest()) {
+        moveTo(*successor);
+        return;
+    }
+    m_isAskingSuccessor = true;
+    EndpointCall call =
+        m_runtime.codec.encodeReportCall(m_runtime.directory.find(*successor)->listed);
+    prepareEngineCall(call, "successor-" + m_request.id.str());
+    call.timeout = EngineConnectTimeout;
+    call.connectTimeout = EngineConnectTimeout;
+    m_runtime.endpoints->call(std::move(call),
+                              std::make_shared<CollectingHandler>(
+                                  [weak = weak_from_this(), id = *successor](const auto &answer) {
+                                      if (const auto self = weak.lock()) {
+                                          self->onSuccessorAnswer(id,
+                                                                  answer && answer->first == 200);
+                                      }
+                                  }));
+}
+
+void Exchange::onSuccessorAnswer(const EndpointId &id, bool isUsable)
+{
+    m_isAskingSuccessor = false;
+    if (!isUsable) {
+        // The next check chooses another one.
+        m_triedEndpoints.push_back(id);
+        return;
+    }
+    if (findSuccessor() && m_runtime.directory.canUse(id)) {
+        moveTo(id);
+    }
+}
+
+void Exchange::moveTo(const EndpointId &endpoint)
+{
+    if (!m_runtime.retries.tryRetry(m_pool->name)) {
         return;
     }
     m_lastError = "silent";
@@ -322,7 +375,9 @@
     logFailedAttempt(m_answerStarted ? EndpointOutcome::CutOff : EndpointOutcome::MaybeSent);
     endAttempt(EndpointResult::Failed);
     m_runtime.metrics->countRetry(RetryReason::ConnectFailed);
-    send(choice.endpoint);
+    if (resolveRoute()) {
+        send(endpoint);
+    }
 }
 
 EndpointQuery Exchange::endpointQuery() const
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -59,6 +59,11 @@
     void send(const EndpointId &endpoint);
     /// Whether the configuration in force still lets the request be repeated after \p runs runs.
     bool keepsRoute(int runs) const;
+    /// An endpoint that can take over from a silent one at once.
+    std::optional<EndpointId> findSuccessor();
+    void onSuccessorAnswer(const EndpointId &id, bool isUsable);
+    /// Gives up the silent attempt for one at \p endpoint if the retry limit allows it.
+    void moveTo(const EndpointId &endpoint);
     void onHead(int status, gsl::span<const HeaderField> headers);
     void onData(std::string_view bytes);
     void onComplete();
@@ -112,6 +117,7 @@
     bool m_isDemandReported = false;
     bool m_waiting = false;
     bool m_finished = false;
+    bool m_isAskingSuccessor = false;
     ChoiceKind m_waitReason = ChoiceKind::Send;
 
     std::vector<EndpointId> m_triedEndpoints;
--- a/tests/PlatformAdapter/LostAnswerTest.cpp
+++ b/tests/PlatformAdapter/LostAnswerTest.cpp
@@ -179,6 +179,24 @@
     CHECK(answer->body == BothEvents);
 }
 
+// 28 streams of two played days ended so: silent engines were given up for engines behind the same
+// network partition.
+TEST_CASE_FIXTURE(LostAnswerFixture,
+                  "a silent stream is not given up for an endpoint that cannot be reached")
+{
+    addPausingEngines();
+    const auto answer = call("/llm/pause", "m");
+    REQUIRE(runUntil(io, [this] {
+        return pausedStreams == 1;
+    }));
+    idleEngine().crash();
+    REQUIRE(runUntil(io, [&answer] {
+        return answer->ended;
+    }));
+    CHECK(answer->complete);
+    CHECK(answer->body == BothEvents);
+}
+
 TEST_CASE_FIXTURE(LostAnswerFixture,
                   "a stream returns to the endpoint that was silent when the next one refuses it")
 {
