Take test ports below the range of outgoing connections and lock them

Cause: RequestPathFixture and FleetSoakTest bound port 0 and gave the port up again, so it came from the range of outgoing connections (32768 to 60999), where connections and other test processes could take it before the program under test bound it. The failure of the fixture fits two processes that were given the same odd port; that is inferred, not reproduced.

Fix: FreePorts hands out ports from 10000 to 19999, or below the start of the range if that is lower. It checks each by binding it as the servers do and holds an abstract Unix socket named after it, so that another holder does not get it while the program is stopped. The search starts at a place given by the process id. Fleet.cpp already picked ports below the range, but at random, without a lock, and so could give the same one to two processes; it uses FreePorts too. Process.cpp takes no ports.

A listening socket on 127.0.0.2 as the lock, since a server on 0.0.0.0 could not bind that port. Not covered: utils/local-fleet.sh takes ports from 20000 on without a lock, apart from these.

--- a/tests/PlatformAdapter/RequestPathFixture.h
+++ b/tests/PlatformAdapter/RequestPathFixture.h
@@ -6,19 +6,11 @@
 #include "StandinPlatform.h"
 
 #include "marigoldspool/Fleet/FleetDaemon.h"
+#include "support/FreePorts.h"
 #include "support/IoRunner.h"
 
 namespace marigoldspool {
 
-inline std::uint16_t freePort(boost::asio::io_context &io, Metrics &metrics)
-{
-    auto server = makeHttpServer(
-        io, HttpServerOptions(), [](const HttpRequest &, const std::shared_ptr<ResponseSink> &) {},
-        metrics);
-    REQUIRE(server);
-    return (*server)->port();
-}
-
 inline std::string requestId(const HttpRequest &request)
 {
     return *findHeader(request.headers, "X-Marigoldspool-Request-Id");
@@ -86,8 +78,8 @@
     {
         options.instance = InstanceId("front-1");
         options.zone = ZoneName("z1");
-        const auto port = [this] {
-            return "127.0.0.1:" + std::to_string(freePort(io, metrics));
+        const auto port = [] {
+            return "127.0.0.1:" + std::to_string(takeFreePort());
         };
         callerAddress = options.callerAddress = port();
         options.readinessAddress = port();
--- a/tests/System/Fleet.cpp
+++ b/tests/System/Fleet.cpp
@@ -2,20 +2,16 @@
 
 #include "System/Wait.h"
 #include "marigoldspool/Support/Digest.h"
+#include "support/FreePorts.h"
 
 #include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
-#include <random>
 #include <sstream>
 #include <stdexcept>
 
-#include <arpa/inet.h>
 #include <doctest/doctest.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 namespace marigoldspool::system_tests {
 
@@ -26,31 +22,6 @@
 constexpr Milliseconds ControlLimit{5'000};
 constexpr const char *AskedBy = "   # asked for by: the system tests\n";
 
-bool isPortFree(int port)
-{
-    const int probe = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(static_cast<std::uint16_t>(port));
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    const bool isFree =
-        ::bind(probe, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0;
-    ::close(probe);
-    return isFree;
-}
-
-// Callers are served there, other instances 1000 above.
-int pickPort()
-{
-    static std::mt19937 random{std::random_device{}()};
-    for (;;) {
-        const int port = 11'000 + static_cast<int>(random() % 8'000);
-        if (isPortFree(port) && isPortFree(port + 1000)) {
-            return port;
-        }
-    }
-}
-
 } // namespace
 
 Fleet::Fleet()
@@ -164,7 +135,8 @@
 
 void Fleet::addInstance(const std::string &id, const std::string &zone)
 {
-    m_addresses[id] = "127.0.0.1:" + std::to_string(pickPort());
+    // Callers are served there, other instances 1000 above.
+    m_addresses[id] = "127.0.0.1:" + std::to_string(takeFreePort({0, 1000}));
     m_zones[id] = zone;
     m_platformStates[id] = "live";
     m_instances.push_back(id);
--- a/tests/System/FleetSoakTest.cpp
+++ b/tests/System/FleetSoakTest.cpp
@@ -3,6 +3,7 @@
 #include "PlatformAdapter/StandinPlatform.h"
 #include "System/LoopbackProxy.h"
 #include "System/Process.h"
+#include "support/FreePorts.h"
 #include "support/IoRunner.h"
 
 #include "marigoldspool/Gateway/EndpointClient.h"
@@ -233,15 +234,15 @@
         Node node;
         node.storeProxy = std::make_unique<LoopbackProxy>(m_io, m_store.address());
         const std::string name = "front-" + std::to_string(number);
-        const auto ports = freePorts(4);
-        node.callerAddress = "127.0.0.1:" + std::to_string(ports[0]);
+        node.callerAddress = "127.0.0.1:" + std::to_string(takeFreePort());
+        const std::string readinessAddress = "127.0.0.1:" + std::to_string(takeFreePort());
+        const int firstInnerPort = takeFreePort({0, 1});
         const json settings = {
             {"node", name},
             {"zone", "z1"},
             {"ip", "127.0.0.1"},
-            {"listen",
-             {{"front", node.callerAddress}, {"ready", "127.0.0.1:" + std::to_string(ports[1])}}},
-            {"portRange", {ports[2], ports[2] + 1}},
+            {"listen", {{"front", node.callerAddress}, {"ready", readinessAddress}}},
+            {"portRange", {firstInnerPort, firstInnerPort + 1}},
             {"bounds",
              {{"leaseMs", 3000},
               {"retryRatio", 0.2},
@@ -257,34 +258,6 @@
         start(m_nodes.back());
     }
 
-    // The ports after the third one are tried as a pair, since a node takes two in a row.
-    static std::vector<int> freePorts(int count)
-    {
-        boost::asio::io_context context;
-        std::vector<boost::asio::ip::tcp::acceptor> held;
-        std::vector<int> ports;
-        while (static_cast<int>(ports.size()) < count) {
-            held.emplace_back(
-                context,
-                boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-            const int port = held.back().local_endpoint().port();
-            if (ports.size() != 2) {
-                ports.push_back(port);
-                continue;
-            }
-            boost::system::error_code ec;
-            boost::asio::ip::tcp::acceptor next(context);
-            next.open(boost::asio::ip::tcp::v4(), ec);
-            next.bind(
-                {boost::asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port + 1)},
-                ec);
-            if (!ec) {
-                ports.push_back(port);
-            }
-        }
-        return ports;
-    }
-
     void start(Node &node)
     {
         // The process before may still run if the faults of a node overlapped.
