Find prompt parts that crash engines by elimination

What callers saw: one part of a prompt crashed each engine that began to answer it.

This adds the decision, without I/O: PromptQuarantine collects which shared prompt parts were in requests whose answers had not begun when an engine crashed, withdraws the suspicion of a part when an answer with it begins at any instance, and puts the part that remains under quarantine. PromptEvidence carries crashes, begun answers and quarantines between instances.

Ruled out: blaming all parts of a request (puts its session under quarantine as well), two crashes (chance, when engines go down and up by turns), reports without identity (they went round between two hubs and counted as new crashes, found by a review).

--- a/include/marigoldspool/Peer/Messages.h
+++ b/include/marigoldspool/Peer/Messages.h
@@ -251,11 +251,43 @@
     std::vector<WorkspaceUsage> workspaces;
 };
 
+/// An engine has crashed before it began to answer a request.
+struct EngineCrash {
+    EndpointId endpoint;
+    std::string pool;
+    /// The shared prompt parts of the request with which the sender has seen no answer begin lately.
+    std::vector<std::string> parts;
+    /// The last part of the prompt, which only this request or its session has.
+    std::string ownPart;
+};
+
+struct PromptPartRef {
+    std::string pool;
+    std::string part;
+};
+
+struct QuarantinedPart {
+    std::string pool;
+    std::string part;
+    std::int64_t sinceMs = 0;
+    std::int64_t remainingMs = 0;
+    /// How often the part has been put under quarantine.
+    std::uint64_t repetitions = 1;
+};
+
+/// What the sender knows of prompt parts that may crash engines.
+struct PromptEvidence {
+    std::vector<EngineCrash> crashes;
+    /// Suspected parts with which an answer has begun.
+    std::vector<PromptPartRef> begun;
+    std::vector<QuarantinedPart> quarantined;
+};
+
 using PeerMessage =
     std::variant<Heartbeat, ConfigRequest, ConfigTransfer, LoanRequest, LoanGrant, EpochAck,
                  ForwardRequest, ForwardHead, ForwardData, ForwardRefusal, ForwardCancel,
                  DemandReport, PlacementUpdate, ObjectsRequest, ObjectsTransfer, UsageReport,
-                 UsageTotals, LoadForecasts, RevisionBeacon>;
+                 UsageTotals, LoadForecasts, RevisionBeacon, PromptEvidence>;
 
 struct AddressedMessage {
     InstanceId to;
--- /dev/null
+++ b/include/marigoldspool/Serving/PromptQuarantine.h
@@ -0,0 +1,126 @@
+#ifndef MARIGOLDSPOOL_SERVING_PROMPTQUARANTINE_H
+#define MARIGOLDSPOOL_SERVING_PROMPTQUARANTINE_H
+
+#include "marigoldspool/Peer/Messages.h"
+#include "marigoldspool/Serving/ServingTypes.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <gsl/span>
+
+namespace marigoldspool {
+
+/// A prompt part that has been put under quarantine or released from it.
+struct QuarantineChange {
+    PoolName pool;
+    std::string part;
+    bool quarantined = false;
+    /// Number of crashes that led to the quarantine.
+    std::size_t crashes = 0;
+    /// Remaining time of the quarantine.
+    Duration remaining = Duration::zero();
+};
+
+/// Finds the prompt parts that crash every engine that begins to answer them, so that requests with
+/// such a part can be refused before they reach another engine.
+///
+/// A part is suspected when it was in a request whose answer had not begun at the crash of an
+/// engine. The instances tell each other of crashes, and each of them withdraws the suspicion of a
+/// part whose answers it has seen begin. What remains suspected after several crashes that no other
+/// part explains is put under quarantine for a time that doubles with each repetition. The last
+/// part of a prompt belongs to one request or session and is never considered.
+class PromptQuarantine
+{
+public:
+    explicit PromptQuarantine(const Clock &clock);
+
+    /// The first event of an answer to \p prompt has arrived.
+    void onAnswerBegun(const PoolName &pool, gsl::span<const PromptPart> prompt);
+    /// \p endpoint has crashed before the answer to \p prompt began.
+    void onCrash(const EndpointId &endpoint, const PoolName &pool,
+                 gsl::span<const PromptPart> prompt);
+    /// The first part of \p prompt that is under quarantine, if any.
+    std::optional<std::string> findQuarantined(const PoolName &pool,
+                                               gsl::span<const PromptPart> prompt) const;
+    /// The remaining time of a part's quarantine; zero if it is not under quarantine.
+    Duration remaining(const PoolName &pool, const std::string &part) const;
+    std::size_t quarantinedCount() const { return m_quarantined.size(); }
+
+    /// Merges what a peer has reported; with \p relay, passes on what was new to other peers.
+    void onEvidence(const PromptEvidence &evidence, bool relay);
+    /// Returns the evidence that has not been sent yet; empty lists if there is none.
+    PromptEvidence takeEvidence();
+    /// All parts under quarantine, for peers that have missed a message.
+    PromptEvidence allQuarantined() const;
+    /// Returns the changes since the last call.
+    std::vector<QuarantineChange> takeChanges();
+    /// Discards outdated entries.
+    void onTick();
+
+private:
+    using Key = std::pair<PoolName, std::string>;
+    struct Crash {
+        EndpointId endpoint;
+        SteadyTime at;
+        /// The last part of the request's prompt, which tells requests apart.
+        std::string ownPart;
+        /// Not at the moment of another crash with the part.
+        bool isSeparate = true;
+    };
+    struct Quarantine {
+        SteadyTime since;
+        SteadyTime until;
+        /// How often the part has been put under quarantine.
+        int repetitions = 1;
+        /// Crashes that the part has caused.
+        std::vector<Crash> crashes;
+    };
+
+    bool hasBegunLately(const Key &key) const;
+    /// Whether peers may suspect the part, too.
+    bool isSuspected(const Key &key) const;
+    /// Notes the crash; returns whether it was not reported before.
+    bool isNewCrash(const EngineCrash &crash);
+    /// Counts the crash for its parts and puts the one that stands out under quarantine.
+    void addCrash(const EngineCrash &crash);
+    void addSuspicion(const EngineCrash &crash, const Key &key);
+    void recordCrash(std::vector<Crash> &crashes, const EngineCrash &crash) const;
+    bool isQuarantined(const Key &key);
+    /// The crashes of a suspected part, without those that a part under quarantine has caused.
+    std::vector<Crash> unexplainedCrashes(const Key &key) const;
+    static bool hasSeveralRequests(const std::vector<Crash> &crashes);
+    /// Whether another suspected part was in a request at each of these crashes.
+    bool hasRival(const Key &key, const std::vector<Crash> &crashes) const;
+    static bool hasCrash(const std::vector<Crash> &crashes, const EndpointId &endpoint,
+                         SteadyTime at);
+    void markBegun(const Key &key, SteadyTime at);
+    void reportBegun(const Key &key);
+    void release(const Key &key);
+    void impose(const Key &key, std::size_t crashes);
+    /// Ends a quarantine whose time has passed; returns the next one.
+    std::map<Key, Quarantine>::iterator end(std::map<Key, Quarantine>::iterator it);
+
+    const Clock &m_clock;
+    /// When an answer with the part last began.
+    std::map<Key, SteadyTime> m_begun;
+    /// Distinct crashes at which the part's answer had not begun.
+    std::map<Key, std::vector<Crash>> m_suspects;
+    std::map<Key, Quarantine> m_quarantined;
+    /// Quarantines that have ended by time; the next crash repeats them.
+    std::map<Key, Quarantine> m_ended;
+    /// When a quarantine was ended by an answer; peers may report it again until it ends by time.
+    std::map<Key, SteadyTime> m_released;
+    /// Crashes by engine and last prompt part, with the time at which they became known.
+    std::map<std::pair<EndpointId, std::string>, SteadyTime> m_knownCrashes;
+    PromptEvidence m_unsent;
+    std::vector<QuarantineChange> m_changes;
+    SteadyTime m_nextCleanUp;
+};
+
+} // namespace marigoldspool
+
+#endif
--- a/lib/Peer/MessageFields.h
+++ b/lib/Peer/MessageFields.h
@@ -243,6 +243,40 @@
     visit("w", m.workspaces);
 }
 
+template <class V, class M>
+std::enable_if_t<IsMessage<M, EngineCrash>> visitFields(V &visit, M &m)
+{
+    visit("e", m.endpoint);
+    visit("p", m.pool);
+    visit("parts", m.parts);
+    visit("own", m.ownPart);
+}
+
+template <class V, class M>
+std::enable_if_t<IsMessage<M, PromptPartRef>> visitFields(V &visit, M &m)
+{
+    visit("p", m.pool);
+    visit("part", m.part);
+}
+
+template <class V, class M>
+std::enable_if_t<IsMessage<M, QuarantinedPart>> visitFields(V &visit, M &m)
+{
+    visit("p", m.pool);
+    visit("part", m.part);
+    visit("since_ms", m.sinceMs);
+    visit("remaining_ms", m.remainingMs);
+    visit("repetitions", m.repetitions);
+}
+
+template <class V, class M>
+std::enable_if_t<IsMessage<M, PromptEvidence>> visitFields(V &visit, M &m)
+{
+    visit("crashes", m.crashes);
+    visit("begun", m.begun);
+    visit("quarantined", m.quarantined);
+}
+
 } // namespace marigoldspool
 
 #endif
--- a/lib/Peer/Messages.cpp
+++ b/lib/Peer/Messages.cpp
@@ -21,7 +21,7 @@
     "heartbeat",      "config_request",  "config_transfer", "loan_request",    "loan_grant",
     "epoch_ack",      "forward_request", "forward_head",    "forward_data",    "forward_refusal",
     "forward_cancel", "demand_report",   "placement",       "objects_request", "objects",
-    "usage_report",   "usage_totals",    "load_forecasts",  "revision_beacon"};
+    "usage_report",   "usage_totals",    "load_forecasts",  "revision_beacon", "prompt_evidence"};
 
 class Encoder
 {
--- /dev/null
+++ b/lib/Serving/PromptQuarantine.cpp
@@ -0,0 +1,450 @@
+#include "marigoldspool/Serving/PromptQuarantine.h"
+
+#include <algorithm>
+
+namespace marigoldspool {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+// One crash may have any cause, and two may hit the requests of one session by chance.
+constexpr std::size_t CrashesToQuarantine = 3;
+// The repeats of one request crash several engines and so raise suspicion against all of its parts.
+// The cause is the part that the next requests have in common. Parts that still cannot be told
+// apart after this many crashes are all put under quarantine, since by then a part that crashes
+// engines must be refused.
+constexpr std::size_t CrashesToQuarantineAll = 5;
+// A part that crashes engines never begins, so a part that has begun this recently is not the cause
+// of a crash. Parts that are asked for less often are cleared when they begin.
+constexpr Duration ClearanceTime = seconds(30);
+// Instances notice one crash at different times, and an engine takes seconds to start again.
+constexpr Duration SameCrashTime = seconds(1);
+// Engines that crash together have a common cause outside of the requests, unless one request was
+// sent to them in turn.
+constexpr Duration SimultaneousTime = milliseconds(100);
+constexpr Duration EvidenceLifetime = minutes(2);
+// A part that is under quarantine by mistake is served again after this time. The time doubles with
+// each repetition, so that a part that does crash engines crashes few of them.
+constexpr Duration FirstQuarantine = minutes(10);
+constexpr Duration MaxQuarantine = minutes(60);
+// Further repetitions do not prolong the quarantine.
+constexpr int MaxRepetitions = 6;
+// How long the end of a quarantine is remembered.
+constexpr Duration RepetitionMemory = minutes(60);
+constexpr Duration CleanUpInterval = seconds(1);
+// Bounds on memory and messages. A part costs some 200 bytes.
+constexpr std::size_t MaxBegunParts = 16'384;
+constexpr std::ptrdiff_t MaxPartsOfPrompt = 32;
+constexpr std::size_t MaxSuspects = 512;
+constexpr std::size_t MaxKnownCrashes = 4096;
+constexpr std::size_t MaxQuarantinedParts = 256;
+constexpr std::size_t MaxUnsentCrashes = 64;
+constexpr std::size_t MaxUnsentBegun = 256;
+constexpr std::size_t MaxCrashesOfPart = 64;
+constexpr std::size_t MaxEndedQuarantines = 1024;
+
+// The last part of a prompt belongs to one request or session.
+gsl::span<const PromptPart> sharedParts(gsl::span<const PromptPart> prompt)
+{
+    const auto count = static_cast<std::ptrdiff_t>(prompt.size()) - 1;
+    return prompt.first(std::clamp<std::ptrdiff_t>(count, 0, MaxPartsOfPrompt));
+}
+
+// A time in a message, within the range that a peer can have.
+Duration reportedTime(std::int64_t ms)
+{
+    return milliseconds(std::clamp<std::int64_t>(ms, 0, toMilliseconds(MaxQuarantine)));
+}
+
+Duration quarantineTime(int repetitions)
+{
+    Duration time = FirstQuarantine;
+    for (int i = 1; i < std::min(repetitions, MaxRepetitions); ++i) {
+        time *= 2;
+    }
+    return std::min(time, MaxQuarantine);
+}
+
+} // namespace
+
+PromptQuarantine::PromptQuarantine(const Clock &clock)
+    : m_clock(clock)
+{ }
+
+bool PromptQuarantine::hasBegunLately(const Key &key) const
+{
+    const auto it = m_begun.find(key);
+    return it != m_begun.end() && m_clock.now() - it->second < ClearanceTime;
+}
+
+bool PromptQuarantine::isSuspected(const Key &key) const
+{
+    return m_suspects.count(key) > 0 || m_quarantined.count(key) > 0 || m_ended.count(key) > 0;
+}
+
+// A report may come back on another way, and in a large fleet two instances may pass on reports
+// while the hub changes.
+bool PromptQuarantine::isNewCrash(const EngineCrash &crash)
+{
+    if (m_knownCrashes.size() >= MaxKnownCrashes) {
+        m_knownCrashes.erase(std::min_element(m_knownCrashes.begin(), m_knownCrashes.end(),
+                                              [](const auto &a, const auto &b) {
+                                                  return a.second < b.second;
+                                              }));
+    }
+    return m_knownCrashes.emplace(std::make_pair(crash.endpoint, crash.ownPart), m_clock.now())
+        .second;
+}
+
+void PromptQuarantine::onAnswerBegun(const PoolName &pool, gsl::span<const PromptPart> prompt)
+{
+    const SteadyTime now = m_clock.now();
+    for (const PromptPart &part : sharedParts(prompt)) {
+        const Key key{pool, part.id};
+        if (isSuspected(key)) {
+            reportBegun(key);
+        }
+        markBegun(key, now);
+    }
+}
+
+void PromptQuarantine::markBegun(const Key &key, SteadyTime at)
+{
+    if (m_begun.size() < MaxBegunParts || m_begun.count(key) > 0) {
+        m_begun[key] = at;
+    }
+    m_suspects.erase(key);
+    m_ended.erase(key);
+    release(key);
+}
+
+void PromptQuarantine::reportBegun(const Key &key)
+{
+    const bool isReported =
+        std::any_of(m_unsent.begun.begin(), m_unsent.begun.end(), [&](const PromptPartRef &it) {
+            return it.pool == key.first.str() && it.part == key.second;
+        });
+    if (!isReported && m_unsent.begun.size() < MaxUnsentBegun) {
+        m_unsent.begun.push_back({key.first.str(), key.second});
+    }
+}
+
+void PromptQuarantine::release(const Key &key)
+{
+    if (m_quarantined.erase(key) > 0) {
+        if (m_released.size() >= MaxQuarantinedParts) {
+            m_released.erase(std::min_element(m_released.begin(), m_released.end(),
+                                              [](const auto &a, const auto &b) {
+                                                  return a.second < b.second;
+                                              }));
+        }
+        m_released[key] = m_clock.now();
+        m_changes.push_back({key.first, key.second, false, 0, Duration::zero()});
+    }
+}
+
+void PromptQuarantine::onCrash(const EndpointId &endpoint, const PoolName &pool,
+                               gsl::span<const PromptPart> prompt)
+{
+    EngineCrash crash{endpoint, pool.str(), {}, prompt.empty() ? "" : prompt[prompt.size() - 1].id};
+    for (const PromptPart &part : sharedParts(prompt)) {
+        if (!hasBegunLately({pool, part.id})) {
+            crash.parts.push_back(part.id);
+        }
+    }
+    if (!isNewCrash(crash)) {
+        return;
+    }
+    addCrash(crash);
+    if (!crash.parts.empty() && m_unsent.crashes.size() < MaxUnsentCrashes) {
+        m_unsent.crashes.push_back(std::move(crash));
+    }
+}
+
+void PromptQuarantine::addCrash(const EngineCrash &crash)
+{
+    std::vector<Key> suspects;
+    for (const std::string &part : crash.parts) {
+        const Key key{PoolName(crash.pool), part};
+        if (isQuarantined(key)) {
+            // Requests that were sent before the quarantine still crash engines.
+            recordCrash(m_quarantined[key].crashes, crash);
+            return;
+        }
+        suspects.push_back(key);
+    }
+    for (const Key &key : suspects) {
+        addSuspicion(crash, key);
+    }
+    std::vector<std::pair<Key, std::size_t>> causes;
+    for (const Key &key : suspects) {
+        const std::vector<Crash> crashes = unexplainedCrashes(key);
+        const std::size_t count =
+            std::count_if(crashes.begin(), crashes.end(), [](const Crash &it) {
+                return it.isSeparate;
+            });
+        const bool isEnough = count >= CrashesToQuarantineAll
+            || (count >= CrashesToQuarantine && hasSeveralRequests(crashes)
+                && !hasRival(key, crashes));
+        if (isEnough || m_ended.count(key) > 0) {
+            causes.emplace_back(key, count);
+        }
+    }
+    for (const auto &[key, count] : causes) {
+        impose(key, count);
+    }
+}
+
+bool PromptQuarantine::isQuarantined(const Key &key)
+{
+    const auto it = m_quarantined.find(key);
+    if (it != m_quarantined.end() && m_clock.now() >= it->second.until) {
+        end(it);
+        return false;
+    }
+    return it != m_quarantined.end();
+}
+
+bool PromptQuarantine::hasCrash(const std::vector<Crash> &crashes, const EndpointId &endpoint,
+                                SteadyTime at)
+{
+    return std::any_of(crashes.begin(), crashes.end(), [&](const Crash &it) {
+        return it.endpoint == endpoint && std::chrono::abs(it.at - at) < SameCrashTime;
+    });
+}
+
+std::vector<PromptQuarantine::Crash> PromptQuarantine::unexplainedCrashes(const Key &key) const
+{
+    const auto suspect = m_suspects.find(key);
+    if (suspect == m_suspects.end()) {
+        return {};
+    }
+    std::vector<Crash> crashes = suspect->second;
+    for (const auto &[otherKey, quarantine] : m_quarantined) {
+        // The cause is in all of the crashes, so it does not explain those of a part with more.
+        if (otherKey.first == key.first && quarantine.crashes.size() >= suspect->second.size()) {
+            crashes.erase(std::remove_if(crashes.begin(), crashes.end(),
+                                         [&known = quarantine.crashes](const Crash &it) {
+                                             return hasCrash(known, it.endpoint, it.at);
+                                         }),
+                          crashes.end());
+        }
+    }
+    return crashes;
+}
+
+// The attempts of one sound request may meet several engines that crash in turn.
+bool PromptQuarantine::hasSeveralRequests(const std::vector<Crash> &crashes)
+{
+    return std::any_of(crashes.begin(), crashes.end(), [&crashes](const Crash &it) {
+        return it.ownPart != crashes.front().ownPart;
+    });
+}
+
+bool PromptQuarantine::hasRival(const Key &key, const std::vector<Crash> &crashes) const
+{
+    return std::any_of(m_suspects.begin(), m_suspects.end(), [&](const auto &other) {
+        return other.first != key && other.first.first == key.first
+            && std::all_of(crashes.begin(), crashes.end(), [&](const Crash &crash) {
+                   return hasCrash(other.second, crash.endpoint, crash.at);
+               });
+    });
+}
+
+void PromptQuarantine::addSuspicion(const EngineCrash &crash, const Key &key)
+{
+    if (m_suspects.size() >= MaxSuspects && m_suspects.count(key) == 0) {
+        const auto oldest = std::min_element(
+            m_suspects.begin(), m_suspects.end(), [](const auto &a, const auto &b) {
+                return std::make_pair(a.second.size(), a.second.back().at)
+                    < std::make_pair(b.second.size(), b.second.back().at);
+            });
+        m_suspects.erase(oldest);
+    }
+    recordCrash(m_suspects[key], crash);
+}
+
+void PromptQuarantine::recordCrash(std::vector<Crash> &crashes, const EngineCrash &crash) const
+{
+    const SteadyTime now = m_clock.now();
+    if (hasCrash(crashes, crash.endpoint, now)) {
+        return;
+    }
+    const bool isSeparate = std::none_of(crashes.begin(), crashes.end(), [&](const Crash &it) {
+        const bool isSameRequest = !crash.ownPart.empty() && it.ownPart == crash.ownPart;
+        return it.isSeparate && !isSameRequest && now - it.at < SimultaneousTime;
+    });
+    if (crashes.size() >= MaxCrashesOfPart) {
+        crashes.erase(crashes.begin());
+    }
+    crashes.push_back({crash.endpoint, now, crash.ownPart, isSeparate});
+}
+
+void PromptQuarantine::impose(const Key &key, std::size_t crashes)
+{
+    if (m_quarantined.size() >= MaxQuarantinedParts) {
+        return;
+    }
+    const auto before = m_ended.find(key);
+    const int repetitions = before == m_ended.end() ? 1 : before->second.repetitions + 1;
+    const SteadyTime now = m_clock.now();
+    const Duration time = quarantineTime(repetitions);
+    m_quarantined[key] = {now, now + time, repetitions, std::move(m_suspects[key])};
+    m_suspects.erase(key);
+    m_ended.erase(key);
+    // Peers that count fewer crashes, because the reports reach them together, follow.
+    if (m_unsent.quarantined.size() < MaxQuarantinedParts) {
+        m_unsent.quarantined.push_back({key.first.str(), key.second, 0, toMilliseconds(time),
+                                        static_cast<std::uint64_t>(repetitions)});
+    }
+    m_changes.push_back({key.first, key.second, true, crashes, time});
+}
+
+std::map<PromptQuarantine::Key, PromptQuarantine::Quarantine>::iterator
+PromptQuarantine::end(std::map<Key, Quarantine>::iterator it)
+{
+    m_changes.push_back({it->first.first, it->first.second, false, 0, Duration::zero()});
+    if (m_ended.size() < MaxEndedQuarantines || m_ended.count(it->first) > 0) {
+        m_ended[it->first] = it->second;
+    }
+    return m_quarantined.erase(it);
+}
+
+std::optional<std::string>
+PromptQuarantine::findQuarantined(const PoolName &pool, gsl::span<const PromptPart> prompt) const
+{
+    if (m_quarantined.empty()) {
+        return std::nullopt;
+    }
+    for (const PromptPart &part : sharedParts(prompt)) {
+        if (remaining(pool, part.id) > Duration::zero()) {
+            return part.id;
+        }
+    }
+    return std::nullopt;
+}
+
+Duration PromptQuarantine::remaining(const PoolName &pool, const std::string &part) const
+{
+    const auto it = m_quarantined.find({pool, part});
+    return it == m_quarantined.end() ? Duration::zero()
+                                     : std::max(it->second.until - m_clock.now(), Duration::zero());
+}
+
+void PromptQuarantine::onEvidence(const PromptEvidence &evidence, bool relay)
+{
+    const SteadyTime now = m_clock.now();
+    for (const EngineCrash &crash : evidence.crashes) {
+        if (!isNewCrash(crash)) {
+            continue;
+        }
+        EngineCrash unexplained{crash.endpoint, crash.pool, {}, crash.ownPart};
+        for (const std::string &part : crash.parts) {
+            if (hasBegunLately({PoolName(crash.pool), part})) {
+                reportBegun({PoolName(crash.pool), part});
+            } else {
+                unexplained.parts.push_back(part);
+            }
+        }
+        addCrash(unexplained);
+        if (relay && m_unsent.crashes.size() < MaxUnsentCrashes) {
+            m_unsent.crashes.push_back(crash);
+        }
+    }
+    for (const PromptPartRef &it : evidence.begun) {
+        const Key key{PoolName(it.pool), it.part};
+        const bool isNew = isSuspected(key);
+        markBegun(key, now);
+        if (relay && isNew) {
+            reportBegun(key);
+        }
+    }
+    for (const QuarantinedPart &it : evidence.quarantined) {
+        const Key key{PoolName(it.pool), it.part};
+        const SteadyTime since = now - reportedTime(it.sinceMs);
+        const auto released = m_released.find(key);
+        if (hasBegunLately(key) || (released != m_released.end() && released->second > since)) {
+            reportBegun(key);
+            continue;
+        }
+        const Duration left = reportedTime(it.remainingMs);
+        const bool isKnown = m_quarantined.count(key) > 0;
+        if (isKnown || left <= Duration::zero() || m_quarantined.size() >= MaxQuarantinedParts) {
+            continue;
+        }
+        m_quarantined[key] = {
+            since, now + left,
+            static_cast<int>(std::clamp<std::uint64_t>(it.repetitions, 1, MaxRepetitions)),
+            std::move(m_suspects[key])};
+        m_suspects.erase(key);
+        if (relay && m_unsent.quarantined.size() < MaxQuarantinedParts) {
+            m_unsent.quarantined.push_back(it);
+        }
+        m_changes.push_back({key.first, key.second, true, 0, left});
+    }
+}
+
+PromptEvidence PromptQuarantine::takeEvidence()
+{
+    return std::exchange(m_unsent, {});
+}
+
+PromptEvidence PromptQuarantine::allQuarantined() const
+{
+    const SteadyTime now = m_clock.now();
+    PromptEvidence evidence;
+    for (const auto &[key, quarantine] : m_quarantined) {
+        evidence.quarantined.push_back({key.first.str(), key.second,
+                                        toMilliseconds(now - quarantine.since),
+                                        toMilliseconds(quarantine.until - now),
+                                        static_cast<std::uint64_t>(quarantine.repetitions)});
+    }
+    return evidence;
+}
+
+std::vector<QuarantineChange> PromptQuarantine::takeChanges()
+{
+    return std::exchange(m_changes, {});
+}
+
+void PromptQuarantine::onTick()
+{
+    const SteadyTime now = m_clock.now();
+    if (now < m_nextCleanUp) {
+        return;
+    }
+    m_nextCleanUp = now + CleanUpInterval;
+    for (auto it = m_begun.begin(); it != m_begun.end();) {
+        it = now - it->second >= ClearanceTime ? m_begun.erase(it) : std::next(it);
+    }
+    for (auto it = m_knownCrashes.begin(); it != m_knownCrashes.end();) {
+        it = now - it->second >= EvidenceLifetime ? m_knownCrashes.erase(it) : std::next(it);
+    }
+    for (auto it = m_suspects.begin(); it != m_suspects.end();) {
+        std::vector<Crash> &crashes = it->second;
+        crashes.erase(std::remove_if(crashes.begin(), crashes.end(),
+                                     [now](const Crash &crash) {
+                                         return now - crash.at >= EvidenceLifetime;
+                                     }),
+                      crashes.end());
+        it = crashes.empty() ? m_suspects.erase(it) : std::next(it);
+    }
+    for (auto it = m_quarantined.begin(); it != m_quarantined.end();) {
+        if (now < it->second.until) {
+            ++it;
+            continue;
+        }
+        it = end(it);
+    }
+    for (auto it = m_released.begin(); it != m_released.end();) {
+        it = now - it->second >= MaxQuarantine ? m_released.erase(it) : std::next(it);
+    }
+    for (auto it = m_ended.begin(); it != m_ended.end();) {
+        it = now - it->second.until >= RepetitionMemory ? m_ended.erase(it) : std::next(it);
+    }
+}
+
+} // namespace marigoldspool
--- a/tests/Peer/MessagesTest.cpp
+++ b/tests/Peer/MessagesTest.cpp
@@ -45,7 +45,7 @@
 
 PeerMessage anyMessage()
 {
-    switch (*rc::gen::inRange(0, 11)) {
+    switch (*rc::gen::inRange(0, 12)) {
     case 0:
         return Heartbeat{anyId<ZoneName>(),    anyText(),
                          any<std::uint64_t>(), any<std::int64_t>(),
@@ -78,6 +78,11 @@
         return ForwardRefusal{
             anyId<RequestId>(), anyReason(), any<bool>() ? RanState::No : RanState::Unknown,
             anyText(),          anyText(),   any<std::int64_t>()};
+    case 10:
+        return PromptEvidence{{{anyId<EndpointId>(), anyText(), {anyText(), anyText()}, anyText()}},
+                              {{anyText(), anyText()}},
+                              {{anyText(), anyText(), any<std::int64_t>(), any<std::int64_t>(),
+                                any<std::uint64_t>()}}};
     default:
         return ForwardCancel{anyId<RequestId>()};
     }
