Refuse prompts that crash engines

Cause: a request that crashes its engine was handled like one whose engine happened to fail: repeated at the next engine, and nothing remembered what the crashes had in common. Class of fault: a failure that the request causes is blamed on the endpoint alone.

Change: an engine that closes a connection before the answer begins is asked for a report, and a refused connection or a new process counts as a crash (CrashCheck). Instances exchange the evidence at once, and refuse requests with a part under quarantine with 503 (not run), or 502 where an engine may have run them.

Test without the bench: "a prompt part that crashes engines is refused after a few crashes, and sound requests with the other parts are served".

--- a/include/marigoldspool/Support/Refusal.h
+++ b/include/marigoldspool/Support/Refusal.h
@@ -37,6 +37,7 @@
     BodyTooLarge,
     Malformed,
     CallerGone,
+    PromptQuarantined,
 };
 
 /// Whether the refused request may have run at an endpoint.
--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -167,6 +167,34 @@
     }
 }
 
+// Also called when a part of the prompt has come under quarantine while the request waits.
+bool Exchange::refuseQuarantined()
+{
+    const std::optional<std::string> part =
+        m_runtime.quarantine.findQuarantined(m_pool->name, m_request.prompt);
+    if (!part) {
+        return false;
+    }
+    refuse(RefusalReason::PromptQuarantined, ranState(),
+           m_runtime.quarantine.remaining(m_pool->name, *part),
+           "engines have crashed on part " + *part + " of the prompt");
+    return true;
+}
+
+void Exchange::checkQuarantine()
+{
+    if (m_finished || m_answerStarted || m_pool == nullptr
+        || !m_runtime.quarantine.findQuarantined(m_pool->name, m_request.prompt)) {
+        return;
+    }
+    if (m_attempt) {
+        ++m_possibleRuns;
+        m_runtime.endpoints->cancel(m_request.id);
+        endAttempt(EndpointResult::Abandoned);
+    }
+    refuseQuarantined();
+}
+
 RanState Exchange::ranState() const
 {
     return m_possibleRuns > 0 ? RanState::Unknown : RanState::No;
@@ -218,7 +246,7 @@
 
 void Exchange::dispatch()
 {
-    if (m_finished || m_attempt || !resolveRoute() || !takeQuota()) {
+    if (m_finished || m_attempt || !resolveRoute() || refuseQuarantined() || !takeQuota()) {
         return;
     }
     if (m_possibleRuns > 0 && (!isRepeatable() || m_possibleRuns >= m_route->maxAttempts)) {
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -27,6 +27,9 @@
     bool isWaiting() const { return m_waiting; }
     /// Ends the request, since the instance stops now.
     void onStop();
+    /// Ends the request if an endpoint has not begun to answer it and its prompt is under
+    /// quarantine.
+    void checkQuarantine();
     /// Moves a repeatable request to another available endpoint if the current one has sent nothing
     /// for too long.
     void checkSilence();
@@ -54,6 +57,7 @@
     /// Adopts the configuration in force, or refuses the request and returns false.
     bool resolveRoute();
     bool takeQuota();
+    bool refuseQuarantined();
     void reportDemand();
     void waitOrRefuse(const EndpointChoice &choice);
     void send(const EndpointId &endpoint);
--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -118,6 +118,7 @@
 void Exchange::forward(std::string_view bytes)
 {
     if (!m_answerStarted) {
+        m_runtime.quarantine.onAnswerBegun(m_pool->name, m_request.prompt);
         m_answerStarted = true;
         m_firstEventAt = m_runtime.clock.now();
         m_sink->head(m_status, m_answerHeaders, true);
@@ -186,6 +187,9 @@
         m_runtime.directory.onResponse(m_endpoint, m_request.promptTokens,
                                        m_runtime.clock.now() - m_sentAt);
     }
+    if (m_status >= 200 && m_status < 300 && !m_answerStarted) {
+        m_runtime.quarantine.onAnswerBegun(m_pool->name, m_request.prompt);
+    }
     endAttempt(isServerError ? EndpointResult::Failed : EndpointResult::Answered);
     if (m_answerStarted) {
         m_sink->finish();
@@ -205,6 +209,9 @@
         onAttemptFailed(EndpointOutcome::NotSent, EndpointResult::Unreachable);
         return;
     }
+    if (!m_answerStarted && isEngineRequest()) {
+        m_front.m_crashCheck->onConnectionLost(m_endpoint, m_request.prompt);
+    }
     onAttemptFailed(m_answerStarted ? EndpointOutcome::CutOff : EndpointOutcome::MaybeSent,
                     EndpointResult::Failed);
 }
--- a/lib/Fleet/FleetDaemon.cpp
+++ b/lib/Fleet/FleetDaemon.cpp
@@ -37,6 +37,7 @@
 // Reserved at the end of the grace period for closing connections.
 constexpr Duration GraceMargin = milliseconds(500);
 constexpr Duration StopPollInterval = milliseconds(20);
+constexpr Duration QuarantineRepeatInterval = std::chrono::seconds(1);
 constexpr Duration MinLoggedTickDelay = milliseconds(250);
 
 void sendText(ResponseSink &sink, int status, std::string_view body)
@@ -179,6 +180,8 @@
             }
         } else if (const auto *usage = std::get_if<UsageReport>(&message)) {
             m_runtime.quota.onReport(from, incarnation, *usage);
+        } else if (const auto *evidence = std::get_if<PromptEvidence>(&message)) {
+            m_runtime.quarantine.onEvidence(*evidence, isEvidenceHub());
         } else if (const auto *totals = std::get_if<UsageTotals>(&message)) {
             m_usageHub.setOwner(usageOwner());
             if (m_usageHub.acceptTotals(from, m_link.connectedPeers())) {
@@ -249,21 +252,72 @@
             }
             return;
         }
-        const InstanceId owner = usageOwner();
-        m_usageHub.setOwner(owner);
-        const InstanceId hub = m_usageHub.currentHub(connected);
+        const InstanceId hub = usageHub();
         if (hub != m_runtime.options.instance) {
             m_link.send(hub, report);
             return;
         }
         const UsageTotals totals = m_runtime.quota.totals();
         for (const InstanceId &peer : connected) {
-            if (hub == owner || m_state.isInOwnZone(peer)) {
+            if (hub == usageOwner() || m_state.isInOwnZone(peer)) {
                 m_link.send(peer, totals);
             }
         }
     }
 
+    InstanceId usageHub()
+    {
+        m_usageHub.setOwner(usageOwner());
+        return m_usageHub.currentHub(m_link.connectedPeers());
+    }
+
+    /// In a large fleet, the instance that aggregates usage also passes on evidence.
+    bool isEvidenceHub() { return !isSmallFleet() && usageHub() == m_runtime.options.instance; }
+
+    void sendEvidence(const PromptEvidence &evidence)
+    {
+        if (isSmallFleet() || isEvidenceHub()) {
+            for (const InstanceId &peer : m_link.connectedPeers()) {
+                m_link.send(peer, evidence);
+            }
+            return;
+        }
+        m_link.send(usageHub(), evidence);
+    }
+
+    // Evidence is sent at once, since each request with a part that crashes engines costs one. All
+    // that is under quarantine is repeated, for instances that have started or missed a message.
+    void exchangeEvidence()
+    {
+        m_runtime.quarantine.onTick();
+        const PromptEvidence evidence = m_runtime.quarantine.takeEvidence();
+        if (!evidence.crashes.empty() || !evidence.begun.empty() || !evidence.quarantined.empty()) {
+            sendEvidence(evidence);
+        }
+        const SteadyTime now = m_runtime.clock.now();
+        if (now >= m_nextQuarantineRepeat) {
+            m_nextQuarantineRepeat = now + QuarantineRepeatInterval;
+            if (m_runtime.quarantine.quarantinedCount() > 0) {
+                sendEvidence(m_runtime.quarantine.allQuarantined());
+            }
+        }
+        bool hasNew = false;
+        for (const QuarantineChange &change : m_runtime.quarantine.takeChanges()) {
+            hasNew = hasNew || change.quarantined;
+            logEvent(LogLevel::Warning,
+                     change.quarantined ? "prompt_quarantined" : "prompt_released",
+                     {{"pool", change.pool.str()},
+                      {"part", change.part},
+                      {"crashes", std::to_string(change.crashes)},
+                      {"remaining_ms", std::to_string(toMilliseconds(change.remaining))}});
+            m_runtime.metrics->add("marigoldspool_prompt_quarantine_total", 1,
+                                   {{"change", change.quarantined ? "imposed" : "released"}});
+        }
+        if (hasNew) {
+            m_front.onQuarantine();
+        }
+    }
+
     void reportDemand()
     {
         const SteadyTime now = m_runtime.clock.now();
@@ -321,6 +375,7 @@
         m_front.setOwnerReachable(isFresh && m_link.isOwnerReachable());
         reportDemand();
         reportUsage();
+        exchangeEvidence();
         m_front.onTick();
         if (now >= m_nextSilenceCheck) {
             m_nextSilenceCheck = now + SilenceCheckInterval;
@@ -377,6 +432,7 @@
     SteadyTime m_lastTickAt;
     SteadyTime m_nextSilenceCheck;
     SteadyTime m_nextUsageReport;
+    SteadyTime m_nextQuarantineRepeat;
     SteadyTime m_lastPlacementAt;
     std::uint64_t m_placementTerm = 0;
     /// Sequence number of the last placement update received without a gap; 0: none.
--- a/lib/Fleet/FleetRuntime.cpp
+++ b/lib/Fleet/FleetRuntime.cpp
@@ -17,6 +17,7 @@
     , directory(options.zone, clock)
     , quota(clock, options.quota)
     , retries(options.retries, clock)
+    , quarantine(clock)
     , incarnation(static_cast<std::uint64_t>(toMilliseconds(clock.wallNow().time_since_epoch())))
 {
     directory.setColdPhase(1 - random.uniform());
--- a/lib/Fleet/FleetRuntime.h
+++ b/lib/Fleet/FleetRuntime.h
@@ -5,6 +5,7 @@
 #include "marigoldspool/Fleet/FleetOptions.h"
 #include "marigoldspool/Platform/ObjectStore.h"
 #include "marigoldspool/Serving/EndpointDirectory.h"
+#include "marigoldspool/Serving/PromptQuarantine.h"
 #include "marigoldspool/Serving/RouteTable.h"
 #include "marigoldspool/Serving/WorkspaceQuota.h"
 #include "marigoldspool/Support/Metrics.h"
@@ -36,6 +37,7 @@
     EndpointDirectory directory;
     WorkspaceQuota quota;
     RetryBudget retries;
+    PromptQuarantine quarantine;
     std::uint64_t incarnation;
     /// Whether a planned stop is in progress.
     bool stopping = false;
--- a/lib/Fleet/ServingFront.cpp
+++ b/lib/Fleet/ServingFront.cpp
@@ -33,6 +33,7 @@
 ServingFront::ServingFront(FleetRuntime &runtime)
     : m_runtime(runtime)
     , m_demand(runtime.clock)
+    , m_crashCheck(std::make_shared<CrashCheck>(runtime))
 { }
 
 ServingFront::~ServingFront() = default;
@@ -130,6 +131,13 @@
     }
 }
 
+void ServingFront::onQuarantine()
+{
+    for (const auto &exchange : openExchanges()) {
+        exchange->checkQuarantine();
+    }
+}
+
 void ServingFront::endOpenRequests()
 {
     for (const auto &exchange : openExchanges()) {
--- a/lib/Fleet/ServingFront.h
+++ b/lib/Fleet/ServingFront.h
@@ -1,6 +1,7 @@
 #ifndef MARIGOLDSPOOL_LIB_FLEET_SERVINGFRONT_H
 #define MARIGOLDSPOOL_LIB_FLEET_SERVINGFRONT_H
 
+#include "Fleet/CrashCheck.h"
 #include "Fleet/FleetRuntime.h"
 #include "marigoldspool/Gateway/HttpServer.h"
 #include "marigoldspool/Serving/DemandAggregator.h"
@@ -35,6 +36,8 @@
     void clearPlacement();
     void setOwnerReachable(bool reachable) { m_ownerReachable = reachable; }
     DemandReport takeDemand();
+    /// Ends open requests whose prompts have come under quarantine.
+    void onQuarantine();
     /// Whether a request waits for a load that has not been reported to the owner.
     bool hasNewDemand() const { return m_hasNewDemand; }
 
@@ -59,6 +62,7 @@
     /// Ordered by priority, then by arrival.
     std::list<std::shared_ptr<Exchange>> m_waiting;
     DemandTracker m_demand;
+    std::shared_ptr<CrashCheck> m_crashCheck;
     std::map<std::pair<ModelName, std::string>, SteadyTime> m_forecasts;
     bool m_ownerReachable = false;
     bool m_hasNewDemand = false;
--- a/lib/Support/Refusal.cpp
+++ b/lib/Support/Refusal.cpp
@@ -14,7 +14,7 @@
 };
 
 // Indexed by the enumerator's value.
-constexpr std::array<RefusalRow, 24> RefusalRows{{
+constexpr std::array<RefusalRow, 25> RefusalRows{{
     {RefusalReason::KeyMissing, "key_missing", 401},
     {RefusalReason::KeyUnknown, "key_unknown", 401},
     {RefusalReason::KeyWithdrawn, "key_withdrawn", 401},
@@ -39,6 +39,7 @@
     {RefusalReason::BodyTooLarge, "body_too_large", 413},
     {RefusalReason::Malformed, "malformed", 400},
     {RefusalReason::CallerGone, "caller_gone", 499},
+    {RefusalReason::PromptQuarantined, "prompt_quarantined", 503},
 }};
 
 constexpr std::array<RefusalReason, RefusalRows.size()> makeRefusalReasons()
--- a/tests/PlatformAdapter/RequestPathFixture.h
+++ b/tests/PlatformAdapter/RequestPathFixture.h
@@ -169,7 +169,8 @@
     }
 
     std::shared_ptr<CallerAnswer> call(const std::string &target, const std::string &model = {},
-                                       const std::string &key = "k1")
+                                       const std::string &key = "k1",
+                                       const std::string &prompt = {})
     {
         auto answer = std::make_shared<CallerAnswer>();
         EndpointCall call;
@@ -185,6 +186,9 @@
         if (!model.empty()) {
             call.headers.push_back({"X-Marigoldspool-Model", model});
         }
+        if (!prompt.empty()) {
+            call.headers.push_back({"X-Marigoldspool-Prefix-Hash", prompt});
+        }
         client->call(std::move(call), std::make_shared<CallerHandler>(answer));
         return answer;
     }
