Answer requests read behind a stream that a stop overtakes

What callers saw: of two pipelined requests, the second got no answer when a planned stop began while the first one's answer was streamed. The head of that stream did not announce "Connection: close", so the caller had reason to expect a second answer.

Cause: HttpConnection::finishRequest() closed after any answer once the server was stopping, and startDraining() then discarded the input. ResponseWriter::finish() asked isStopping() again instead of using what its head had announced.

Evidence: the new test failed before, with closeAfterAnswers() as with stopAccepting(): only one request reached the handler (REQUIRE(1 == 2)). Ruled out: answers without a stream, whose head is written when they end, so that head and close agree.

Fix: the writer keeps whether its head announced the close. Behind an answer that did not, input that is already there is processed, and the next answer announces the close. Without such input the connection closes as before (second test, which passed before as well).

--- a/lib/Gateway/HttpConnection.cpp
+++ b/lib/Gateway/HttpConnection.cpp
@@ -301,7 +301,9 @@
         close();
         return;
     }
-    if (!m_keepAlive || m_context->stopping) {
+    // Input behind an answer that announced the close is discarded. Behind a stream whose head was
+    // written before the stop began, the caller may expect further answers.
+    if (!m_keepAlive || (m_context->stopping && m_input.empty())) {
         startDraining();
         return;
     }
--- a/lib/Gateway/ResponseWriter.cpp
+++ b/lib/Gateway/ResponseWriter.cpp
@@ -119,7 +119,8 @@
     } else if (!m_stream && m_status != 204 && m_status != 304) {
         appendField(out, "Content-Length", length);
     }
-    if (closesAfter()) {
+    m_closesAfter = closesAfter();
+    if (m_closesAfter) {
         appendField(out, "Connection", "close");
     } else if (!m_shape.isHttp11) {
         appendField(out, "Connection", "keep-alive");
@@ -167,11 +168,10 @@
     } else if (isChunked()) {
         m_connection->write("0\r\n\r\n");
     }
-    const bool keepAlive = !closesAfter();
     const std::shared_ptr<HttpConnection> connection = std::move(m_connection);
     m_onCallerGone = nullptr;
     connection->detachWriter();
-    connection->endAnswer(keepAlive);
+    connection->endAnswer(!m_closesAfter);
 }
 
 void ResponseWriter::abort()
--- a/lib/Gateway/ResponseWriter.h
+++ b/lib/Gateway/ResponseWriter.h
@@ -44,6 +44,8 @@
     int m_status = 0;
     std::vector<HeaderField> m_headers;
     bool m_stream = false;
+    /// Whether the head announced that the connection closes after the answer.
+    bool m_closesAfter = false;
     std::string m_body;
     std::function<void()> m_onCallerGone;
 };
--- a/tests/Gateway/HttpServerTest.cpp
+++ b/tests/Gateway/HttpServerTest.cpp
@@ -366,6 +366,62 @@
     CHECK(busy.hasReceived("last"));
 }
 
+// Guards against a whole request that is dropped unanswered behind a stream whose head did not
+// announce the close, because the stop began after it. The part of a further request makes the
+// next answer the last one whatever follows it.
+TEST_CASE("a request read behind a stream that a stop overtakes is answered before the close")
+{
+    ServerFixture fixture;
+    RawSocket caller = fixture.connect();
+    caller.send(std::string(Get) + "GET /2 HTTP/1.1\r\nHost: x\r\n\r\nGET /3 HT");
+    REQUIRE(fixture.waitForRequests(1));
+    auto &first = *fixture.requests[0].sink;
+    first.head(200, {}, true);
+    first.data("stream");
+    REQUIRE(fixture.waitForText(caller, "stream"));
+    SUBCASE("closeAfterAnswers()")
+    {
+        fixture.server->closeAfterAnswers();
+    }
+    SUBCASE("stopAccepting()")
+    {
+        fixture.server->stopAccepting();
+    }
+    first.finish();
+    REQUIRE(fixture.loop.runUntil([&] {
+        return fixture.requests.size() == 2 || caller.isClosed();
+    }));
+    REQUIRE(fixture.requests.size() == 2);
+    CHECK(fixture.requests[1].request.target == "/2");
+    CHECK(caller.hasReceived("0\r\n\r\n"));
+    CHECK(!caller.hasReceived("Connection: close"));
+    fixture.answer(1, "second");
+    CHECK(fixture.waitForClose(caller));
+    CHECK(!caller.isReset());
+    CHECK(count(caller.received(), "Connection: close") == 1);
+    CHECK(caller.hasReceived("\r\n\r\nsecond"));
+    CHECK(fixture.server->openRequests() == 0);
+}
+
+// Guards against a connection that stays open through a stop because its last answer, a stream, did
+// not announce the close.
+TEST_CASE("a connection closes after a stream that a stop overtakes if no request is behind it")
+{
+    ServerFixture fixture;
+    RawSocket caller = fixture.connect();
+    caller.send(Get);
+    REQUIRE(fixture.waitForRequests(1));
+    auto &sink = *fixture.requests[0].sink;
+    sink.head(200, {}, true);
+    sink.data("stream");
+    REQUIRE(fixture.waitForText(caller, "stream"));
+    fixture.server->closeAfterAnswers();
+    sink.finish();
+    CHECK(fixture.waitForClose(caller));
+    CHECK(!caller.isReset());
+    CHECK(caller.hasReceived("0\r\n\r\n"));
+}
+
 TEST_CASE("a handler that drops its sink leaves no caller without an answer")
 {
     ServerFixture fixture;
