Answer what is still open at the end of the daemon's planned stop

What callers saw: requests that were open when a planned stop ended lost their connection without an answer, and requests that it could not serve in time waited until then. A request that a stopping instance had queued for another one, and had never sent, was answered 502 with an unknown outcome.

Cause: GatewayService, FrontService and HomeService each waited for a stop-timeout of their own, logged or ignored what was open and went on. Nothing told the dispatcher of the end, and nothing told the receivers of forwarded requests which of them had not been sent. Together the services could wait for the drain notice and three times the stop-timeout.

Ruled out: requests at their endpoints for other instances. The receiver takes the lost connection as an unknown outcome and sends those that may run twice elsewhere, so they are left to that; a refusal would take this away from them.

Fix: Runtime::answersEndAt is one end for all services, stop-timeout after the drain notice. From the start of the stop the dispatcher refuses queued and new requests that cannot be served before it (503 "stopping", ran "no"). Forwarded requests carry it as their deadline. At the end, queued requests are refused in the same way, which sends forwarded ones to another home; callers' requests at an endpoint or another instance get 502 "outcome_unknown", and streams end with an error event. Queued requests for other instances that can be served in time stay, since another home would have to predict their wait anew and could refuse them. Requests that come later on a connection that is still open are refused.

Not covered: a queued request that may have run in an earlier attempt (which only those that may run twice can) and was forwarded is refused with an unknown outcome instead of being sent elsewhere.

--- a/include/marigoldspool/Daemon/DaemonSettings.h
+++ b/include/marigoldspool/Daemon/DaemonSettings.h
@@ -28,7 +28,8 @@
     /// Time from the failure of `/readyz` until no connections are accepted, for the load balancer
     /// to notice.
     Duration drainNotice = Duration::zero();
-    /// Maximum time that a planned stop waits for open requests.
+    /// Maximum time that a planned stop waits for open requests, counted from the end of the drain
+    /// notice. All services share it.
     Duration stopTimeout = Duration::zero();
     Duration storeTimeout = Duration::zero();
     /// Model loads started per second by all instances together.
--- a/include/marigoldspool/Routing/Dispatcher.h
+++ b/include/marigoldspool/Routing/Dispatcher.h
@@ -114,6 +114,14 @@
     /// while requests are queued or in flight.
     DispatchActions onTick();
 
+    /// A planned stop ends at \p end: queued requests that cannot be served by then are refused,
+    /// now and from now on.
+    DispatchActions stopBy(SteadyTime end);
+    /// Refuses all queued requests, since the instance stops now.
+    DispatchActions refuseQueued();
+    /// Cancels and refuses a request in flight, since the instance stops now.
+    DispatchActions abandon(const RequestId &id);
+
     std::size_t queuedCount() const;
     std::size_t inFlightCount() const { return m_inFlight.size(); }
     /// Number of requests in flight for one model at one endpoint.
@@ -181,6 +189,9 @@
     void retryOrGiveUp(const InFlightRequest &inFlight, EndpointOutcome outcome,
                        DispatchActions &actions);
     void refuseAll(TargetState &state, const Refusal &refusal, DispatchActions &actions);
+    /// Whether a request that is answered after \p remaining is answered too late for the stop.
+    bool outlastsStop(Duration remaining) const;
+    std::vector<RequestId> queuedPastStop(const TargetState &state) const;
     bool isKeyActive(const Request &request) const;
     void updateSlots(const EndpointId &endpoint);
     void updatePools();
@@ -190,6 +201,8 @@
     SlotSource &m_slots;
     Metrics &m_metrics;
     std::shared_ptr<const Configuration> m_configuration;
+    /// The end of a planned stop, once it has begun.
+    SteadyTime m_stopEnd = SteadyTime::max();
     std::map<std::string, TargetState> m_targets;
     std::unordered_map<RequestId, InFlightRequest> m_inFlight;
     std::map<EndpointId, EndpointBehaviour> m_endpoints;
--- a/include/marigoldspool/Routing/RetryPolicy.h
+++ b/include/marigoldspool/Routing/RetryPolicy.h
@@ -48,6 +48,9 @@
 /// Returns whether an attempt that ended with \p outcome may have run the request.
 bool mayHaveRun(EndpointOutcome outcome);
 
+/// The refusal of a request that this instance cannot answer before the end of a planned stop.
+Refusal stopRefusal(RanState ran, bool answerStarted);
+
 } // namespace marigoldspool
 
 #endif
--- a/lib/Daemon/AnswerSink.h
+++ b/lib/Daemon/AnswerSink.h
@@ -48,6 +48,7 @@
 
     bool hasStarted() const { return m_started; }
     /// Events of a stream so far; about one token each.
+    bool isStarted() const { return m_started; }
     std::size_t streamedEvents() const { return m_events.dataEvents(); }
 
 private:
--- a/lib/Daemon/Daemon.cpp
+++ b/lib/Daemon/Daemon.cpp
@@ -113,8 +113,12 @@
 void Daemon::stop(std::function<void()> stopped)
 {
     logEvent(LogLevel::Info, "stopping", {{"open", std::to_string(m_impl->front.openRequests())}});
-    m_impl->runtime.stopping = true;
+    Runtime &runtime = m_impl->runtime;
+    runtime.stopping = true;
+    runtime.answersEndAt =
+        runtime.clock.now() + runtime.settings.drainNotice + runtime.settings.stopTimeout;
     m_impl->peers.announceStopping();
+    m_impl->home.beginStop();
     m_impl->root.stop(std::move(stopped));
 }
 
--- a/lib/Daemon/FrontService.cpp
+++ b/lib/Daemon/FrontService.cpp
@@ -3,6 +3,7 @@
 #include "marigoldspool/Gateway/OpenAi.h"
 #include "marigoldspool/Routing/Admission.h"
 #include "marigoldspool/Routing/HomeSelector.h"
+#include "marigoldspool/Routing/RetryPolicy.h"
 #include "marigoldspool/Support/EventLog.h"
 
 #include <algorithm>
@@ -19,6 +20,9 @@
 constexpr std::size_t RequestIdDigits = 32;
 constexpr double BytesPerToken = 4;
 constexpr double DefaultMaxTokens = 256;
+// At the end of a planned stop this instance answers before its forwarded requests expire at their
+// home instances, as their own deadlines have not passed.
+constexpr Duration ForwardedEndMargin = std::chrono::milliseconds(100);
 
 std::string_view pathOf(std::string_view target)
 {
@@ -104,6 +108,7 @@
     }
     std::size_t pendingBytes() const override { return m_http.pendingBytes(); }
     std::size_t streamedEvents() const { return m_http.streamedEvents(); }
+    bool isStarted() const { return m_http.isStarted(); }
 
 private:
     FrontService &m_front;
@@ -126,6 +131,7 @@
 
 Expected<void> FrontService::start()
 {
+    m_closed = false;
     m_timer.start(TickInterval, [this] {
         onTick();
     });
@@ -135,7 +141,6 @@
 void FrontService::stop(std::function<void()> stopped)
 {
     m_stopped = std::move(stopped);
-    m_stopDeadline = m_runtime.clock.now() + m_runtime.settings.stopTimeout;
 }
 
 void FrontService::onTick()
@@ -144,7 +149,9 @@
     for (const ForwardTable::Refuse &overdue : m_forwards.takeOverdue(now, Duration::zero())) {
         refuse(overdue.request, overdue.refusal);
     }
-    if (m_stopped && (m_requests.empty() || now >= m_stopDeadline)) {
+    if (m_stopped && (m_requests.empty() || now >= m_runtime.answersEndAt)) {
+        endOpenRequests();
+        m_closed = true;
         m_timer.stop();
         std::exchange(m_stopped, nullptr)();
     }
@@ -178,6 +185,9 @@
 std::optional<Refusal> FrontService::checkRequest(const HttpRequest &http,
                                                   ReceivedRequest &received) const
 {
+    if (m_closed) {
+        return stopRefusal(RanState::No, false);
+    }
     if (!m_config.hasConfiguration()) {
         return unconfiguredRefusal();
     }
@@ -297,9 +307,11 @@
     message.headers = received.content.headers;
     message.body = received.content.body;
     message.cost = request.cost;
-    message.deadlineMs = std::chrono::duration_cast<std::chrono::milliseconds>(
-                             request.deadline - m_runtime.clock.now())
-                             .count();
+    SteadyTime deadline = request.deadline;
+    if (m_runtime.stopping) {
+        deadline = std::min(deadline, m_runtime.answersEndAt + ForwardedEndMargin);
+    }
+    message.deadlineMs = toMilliseconds(deadline - m_runtime.clock.now());
     message.idempotent = request.idempotent;
     message.stream = request.stream;
     message.overflow = request.overflow;
@@ -448,6 +460,32 @@
                        "the caller closed the connection", "none", Duration::zero()});
 }
 
+void FrontService::endOpenRequests()
+{
+    // Ends those of callers of this instance that were sent to it as their home.
+    m_home.endOpenRequests();
+    // Requests that end remove themselves.
+    std::vector<RequestId> open;
+    for (const auto &[id, received] : m_requests) {
+        open.push_back(id);
+    }
+    for (const RequestId &id : open) {
+        const auto it = m_requests.find(id);
+        if (it == m_requests.end()) {
+            continue;
+        }
+        const ReceivedRequest &received = it->second;
+        const std::optional<InstanceId> home = m_forwards.remove(id);
+        if (home) {
+            m_peers.send(*home, ForwardCancel{id});
+        }
+        const bool mayHaveRun = home || received.request.mayHaveRun;
+        refuse(id,
+               stopRefusal(mayHaveRun ? RanState::Unknown : RanState::No,
+                           received.answer->isStarted()));
+    }
+}
+
 // Runs once for each request, however it ends. Tokens that were not generated are refunded to the
 // workspace; a request that is known not to have run costs nothing.
 void FrontService::onFinished(const RequestId &id, std::optional<Refusal> refusal)
--- a/lib/Daemon/FrontService.h
+++ b/lib/Daemon/FrontService.h
@@ -34,6 +34,8 @@
     void stop(std::function<void()> stopped) override;
 
     void handle(HttpRequest http, std::shared_ptr<ResponseSink> sink);
+    /// Refuses all open requests, since the instance stops now.
+    void endOpenRequests();
     std::size_t openRequests() const { return m_requests.size(); }
 
 private:
@@ -83,7 +85,8 @@
     std::unordered_map<RequestId, ReceivedRequest> m_requests;
     PeriodicTimer m_timer;
     std::function<void()> m_stopped;
-    SteadyTime m_stopDeadline;
+    /// Set at the end of a planned stop: nothing waits for the requests that come after it.
+    bool m_closed = false;
 };
 
 } // namespace marigoldspool
--- a/lib/Daemon/GatewayService.cpp
+++ b/lib/Daemon/GatewayService.cpp
@@ -49,16 +49,14 @@
 void GatewayService::stop(std::function<void()> stopped)
 {
     m_stopped = std::move(stopped);
-    const SteadyTime now = m_runtime.clock.now();
-    m_acceptUntil = now + m_runtime.settings.drainNotice;
-    m_stopDeadline = m_acceptUntil + m_runtime.settings.stopTimeout;
+    m_acceptUntil = m_runtime.clock.now() + m_runtime.settings.drainNotice;
     m_stopTimer.start(StopPollInterval, [this] {
         const SteadyTime time = m_runtime.clock.now();
         if (time < m_acceptUntil) {
             return;
         }
         m_server->stopAccepting();
-        if (m_server->openRequests() == 0 || time >= m_stopDeadline) {
+        if (m_server->openRequests() == 0 || time >= m_runtime.answersEndAt) {
             finishStop();
         }
     });
@@ -69,6 +67,7 @@
     if (m_server->openRequests() > 0) {
         logEvent(LogLevel::Warning, "stop_timeout",
                  {{"open", std::to_string(m_server->openRequests())}});
+        m_front.endOpenRequests();
     }
     m_stopTimer.stop();
     std::exchange(m_stopped, nullptr)();
--- a/lib/Daemon/GatewayService.h
+++ b/lib/Daemon/GatewayService.h
@@ -28,6 +28,7 @@
     std::string_view name() const override { return "gateway"; }
     Expected<void> start() override;
     /// Fails `/readyz` for the drain notice, then stops accepting and waits for open requests.
+    /// Those that are open at the end of the stop are refused.
     void stop(std::function<void()> stopped) override;
 
     void addPage(std::string path, PageSource source);
@@ -51,7 +52,6 @@
     PeriodicTimer m_stopTimer;
     std::function<void()> m_stopped;
     SteadyTime m_acceptUntil;
-    SteadyTime m_stopDeadline;
 };
 
 } // namespace marigoldspool
--- a/lib/Daemon/HomeService.cpp
+++ b/lib/Daemon/HomeService.cpp
@@ -90,23 +90,41 @@
 void HomeService::stop(std::function<void()> stopped)
 {
     m_stopped = std::move(stopped);
-    m_stopDeadline = m_runtime.clock.now() + m_runtime.settings.stopTimeout;
     stopWhenIdle();
 }
 
 void HomeService::stopWhenIdle()
 {
-    const bool overdue = m_runtime.clock.now() >= m_stopDeadline;
-    if (!m_served.empty() && !overdue) {
-        return;
-    }
-    if (overdue) {
+    if (!m_served.empty()) {
+        if (m_runtime.clock.now() < m_runtime.answersEndAt) {
+            return;
+        }
         logEvent(LogLevel::Warning, "stop_timeout", {{"open", std::to_string(m_served.size())}});
+        endOpenRequests();
     }
     m_timer.stop();
     std::exchange(m_stopped, nullptr)();
 }
 
+void HomeService::beginStop()
+{
+    apply(m_dispatcher.stopBy(m_runtime.answersEndAt));
+}
+
+void HomeService::endOpenRequests()
+{
+    apply(m_dispatcher.refuseQueued());
+    std::vector<RequestId> own;
+    for (const auto &[id, served] : m_served) {
+        if (served.receiver.empty()) {
+            own.push_back(id);
+        }
+    }
+    for (const RequestId &id : own) {
+        apply(m_dispatcher.abandon(id));
+    }
+}
+
 void HomeService::submit(Request request, RequestContent content,
                          std::shared_ptr<AnswerSink> answer)
 {
--- a/lib/Daemon/HomeService.h
+++ b/lib/Daemon/HomeService.h
@@ -32,6 +32,13 @@
     /// Waits for the requests that this instance is serving.
     void stop(std::function<void()> stopped) override;
 
+    /// A planned stop has begun: refuses, now and from now on, what cannot be served before its
+    /// end.
+    void beginStop();
+    /// Refuses the queued requests and those that callers of this instance wait for, since it stops
+    /// now. Others at their endpoints end with the connection to the instance that received them,
+    /// which sends those that may run twice to another home instance.
+    void endOpenRequests();
     void submit(Request request, RequestContent content, std::shared_ptr<AnswerSink> answer);
     /// Stops the request of a caller that has disconnected; nothing more is sent to its answer
     /// sink.
@@ -76,7 +83,6 @@
     NotLoadedHandler m_onNotLoaded;
     PeriodicTimer m_timer;
     std::function<void()> m_stopped;
-    SteadyTime m_stopDeadline;
 };
 
 } // namespace marigoldspool
--- a/lib/Daemon/Runtime.h
+++ b/lib/Daemon/Runtime.h
@@ -28,6 +28,8 @@
     std::unique_ptr<ObjectStore> store;
     /// Set by a planned stop; from then on no new requests are accepted.
     bool stopping = false;
+    /// When a planned stop ends what is still open, in all services.
+    SteadyTime answersEndAt = SteadyTime::max();
 };
 
 } // namespace marigoldspool
--- a/lib/Routing/RetryPolicy.cpp
+++ b/lib/Routing/RetryPolicy.cpp
@@ -49,4 +49,23 @@
                   ran ? RanState::Unknown : RanState::No};
 }
 
+Refusal stopRefusal(RanState ran, bool answerStarted)
+{
+    // Other instances can take the request at once.
+    constexpr Duration RetryAfter = std::chrono::milliseconds(100);
+    if (answerStarted) {
+        return Refusal{RefusalReason::AnswerIncomplete, RanState::Unknown,
+                       "the instance stopped before the answer was complete",
+                       "send again only if the request may run twice", RetryAfter};
+    }
+    if (ran == RanState::Unknown) {
+        return Refusal{RefusalReason::OutcomeUnknown, ran,
+                       "the instance stopped before the request was answered",
+                       "find out whether it took effect before sending it again", RetryAfter};
+    }
+    return Refusal{RefusalReason::Stopping, ran,
+                   "the instance stops before the request can be served",
+                   "send it to another instance", RetryAfter};
+}
+
 } // namespace marigoldspool
--- a/tests/Routing/DispatcherTest.cpp
+++ b/tests/Routing/DispatcherTest.cpp
@@ -148,6 +148,89 @@
     CHECK(actionsOf<ReportDemand>(actions).size() == 1);
 }
 
+// Guards against requests that wait for the end of a planned stop although it is known that they
+// are not served by then, and against the refusal of those that are.
+TEST_CASE("a planned stop refuses at once what cannot be served before its end, and nothing else")
+{
+    Fixture fixture;
+    fixture.dispatcher.submit(fixture.makeRequest("queued"));
+    SUBCASE("the model is expected before the end")
+    {
+        CHECK(fixture.dispatcher.stopBy(fixture.clock.now() + 3s).empty());
+        CHECK(actionsOf<RefuseRequest>(fixture.dispatcher.submit(fixture.makeRequest("late")))
+                  .empty());
+        CHECK(fixture.dispatcher.queuedCount() == 2);
+        fixture.clock.advance(2500ms);
+        CHECK(actionsOf<SendToEndpoint>(fixture.loadEverywhere()).size() == 2);
+    }
+    SUBCASE("the model is expected after the end")
+    {
+        DispatchActions actions = fixture.dispatcher.stopBy(fixture.clock.now() + 1s);
+        const DispatchActions late = fixture.dispatcher.submit(fixture.makeRequest("late"));
+        actions.insert(actions.end(), late.begin(), late.end());
+        const auto refusals = actionsOf<RefuseRequest>(actions);
+        REQUIRE(refusals.size() == 2);
+        for (const RefuseRequest &refused : refusals) {
+            CHECK(refused.refusal.reason == RefusalReason::Stopping);
+            CHECK(refused.refusal.ran == RanState::No);
+        }
+        CHECK(fixture.dispatcher.queuedCount() == 0);
+    }
+}
+
+// Guards against a refusal at the end of a planned stop that denies a possible run, and against a
+// request that is sent in the last moment because an abandoned one has freed a slot.
+TEST_CASE("what is open at the end of a planned stop is refused with what is known of its run")
+{
+    Fixture fixture;
+    fixture.dispatcher.onReplicas(ModelName("m"), {EndpointId("e0")});
+    for (const char *id : {"sent", "answering", "queued"}) {
+        fixture.dispatcher.submit(fixture.makeRequest(id));
+    }
+    REQUIRE(fixture.dispatcher.inFlightCount() == 2);
+    fixture.dispatcher.onAnswerStarted(RequestId("answering"));
+    const SteadyTime end = fixture.clock.now() + 1s;
+    CHECK(fixture.dispatcher.stopBy(end).empty());
+    fixture.clock.advance(1s);
+
+    const auto queued = actionsOf<RefuseRequest>(fixture.dispatcher.refuseQueued());
+    REQUIRE(queued.size() == 1);
+    CHECK(queued[0].request == RequestId("queued"));
+    CHECK(queued[0].refusal.reason == RefusalReason::Stopping);
+    CHECK(queued[0].refusal.ran == RanState::No);
+
+    const DispatchActions sent = fixture.dispatcher.abandon(RequestId("sent"));
+    CHECK(actionsOf<CancelAtEndpoint>(sent).size() == 1);
+    REQUIRE(actionsOf<RefuseRequest>(sent).size() == 1);
+    CHECK(actionsOf<RefuseRequest>(sent)[0].refusal.reason == RefusalReason::OutcomeUnknown);
+    CHECK(actionsOf<RefuseRequest>(sent)[0].refusal.ran == RanState::Unknown);
+
+    const auto answering =
+        actionsOf<RefuseRequest>(fixture.dispatcher.abandon(RequestId("answering")));
+    REQUIRE(answering.size() == 1);
+    CHECK(answering[0].refusal.reason == RefusalReason::AnswerIncomplete);
+    CHECK(fixture.slots.taken(EndpointId("e0")) == 0);
+    CHECK(
+        actionsOf<SendToEndpoint>(fixture.dispatcher.submit(fixture.makeRequest("after"))).empty());
+}
+
+// Guards against another attempt that cannot be answered before the end of a planned stop.
+TEST_CASE("a request that fails unsent at the end of a planned stop is refused, not sent again")
+{
+    Fixture fixture;
+    fixture.loadEverywhere();
+    fixture.dispatcher.submit(fixture.makeRequest("r"));
+    fixture.dispatcher.stopBy(fixture.clock.now() + 1s);
+    fixture.clock.advance(990ms);
+    const auto actions =
+        fixture.dispatcher.onEndpointResult(RequestId("r"), EndpointOutcome::NotSent);
+    CHECK(actionsOf<SendToEndpoint>(actions).empty());
+    const auto refusals = actionsOf<RefuseRequest>(actions);
+    REQUIRE(refusals.size() == 1);
+    CHECK(refusals[0].refusal.reason == RefusalReason::Stopping);
+    CHECK(refusals[0].refusal.ran == RanState::No);
+}
+
 TEST_CASE("a queued request is refused shortly before its deadline, not dropped")
 {
     Fixture fixture;
--- a/tests/System/Fleet.cpp
+++ b/tests/System/Fleet.cpp
@@ -162,8 +162,10 @@
     return Json::parse(command.output()).at("version").get<std::uint64_t>();
 }
 
-void Fleet::addInstance(const std::string &id, const std::string &zone)
+void Fleet::addInstance(const std::string &id, const std::string &zone,
+                        std::vector<std::string> arguments)
 {
+    m_instanceArguments[id] = std::move(arguments);
     m_addresses[id] = "127.0.0.1:" + std::to_string(pickPort());
     m_zones[id] = zone;
     m_platformStates[id] = "live";
@@ -174,9 +176,13 @@
 
 void Fleet::startInstance(const std::string &id)
 {
-    start(id, "marigoldspoold",
-          {"--instance=" + id, "--zone=" + m_zones.at(id), "--listen=" + address(id),
-           "--platform=" + address("platform"), "--peer-secret=system", "--drain-notice=1s"});
+    std::vector<std::string> arguments{
+        "--instance=" + id,        "--zone=" + m_zones.at(id),
+        "--listen=" + address(id), "--platform=" + address("platform"),
+        "--peer-secret=system",    "--drain-notice=1s"};
+    const std::vector<std::string> &further = m_instanceArguments.at(id);
+    arguments.insert(arguments.end(), further.begin(), further.end());
+    start(id, "marigoldspoold", std::move(arguments));
     Call call;
     call.target = "/healthz";
     call.limit = Milliseconds(1000);
--- a/tests/System/Fleet.h
+++ b/tests/System/Fleet.h
@@ -40,7 +40,9 @@
                                              const std::string &author) const;
     const std::string &rules() const { return m_rules; }
 
-    void addInstance(const std::string &id, const std::string &zone);
+    /// \p arguments holds further settings of the instance.
+    void addInstance(const std::string &id, const std::string &zone,
+                     std::vector<std::string> arguments = {});
     /// Starts an instance that has ended again, at its former address, and waits until it listens.
     void startInstance(const std::string &id);
     /// Marks an instance or endpoint as leaving or live in the platform's list.
@@ -81,6 +83,7 @@
     std::map<std::string, std::string> m_addresses;
     std::vector<std::string> m_instances;
     std::map<std::string, std::string> m_zones;
+    std::map<std::string, std::vector<std::string>> m_instanceArguments;
     std::map<std::string, std::string> m_platformStates;
     std::string m_rules;
 };
