--- a/include/marigoldspool/Peer/Messages.h
+++ b/include/marigoldspool/Peer/Messages.h
@@ -255,7 +255,8 @@
 struct EngineCrash {
     EndpointId endpoint;
     std::string pool;
-    /// The shared prompt parts of the request with which the sender has seen no answer begin lately.
+    /// The shared prompt parts of the request with which the sender has seen no answer begin
+    /// lately.
     std::vector<std::string> parts;
     /// The last part of the prompt, which only this request or its session has.
     std::string ownPart;
--- a/tests/PlatformAdapter/LostAnswerTest.cpp
+++ b/tests/PlatformAdapter/LostAnswerTest.cpp
@@ -64,6 +64,26 @@
         io.run_for(1s);
     }
 
+    // Sends a request whose stream is in its pause.
+    std::shared_ptr<CallerAnswer> callPaused()
+    {
+        addPausingEngines();
+        auto answer = call("/llm/pause", "m");
+        REQUIRE(runUntil(io, [this] {
+            return pausedStreams == 1;
+        }));
+        return answer;
+    }
+
+    void checkWhole(const std::shared_ptr<CallerAnswer> &answer)
+    {
+        REQUIRE(runUntil(io, [&answer] {
+            return answer->ended;
+        }));
+        CHECK(answer->complete);
+        CHECK(answer->body == BothEvents);
+    }
+
     // The engine that has not served the paused stream.
     StandinReplica &idleEngine()
     {
@@ -127,18 +147,10 @@
 TEST_CASE_FIXTURE(LostAnswerFixture,
                   "a silent stream is not cut off when its route or key has been removed")
 {
-    addPausingEngines();
-    const auto answer = call("/llm/pause", "m");
-    REQUIRE(runUntil(io, [this] {
-        return pausedStreams == 1;
-    }));
+    const auto answer = callPaused();
     configure(3, {"k2"});
     callUntilStatus(401, "/app/x");
-    REQUIRE(runUntil(io, [&answer] {
-        return answer->ended;
-    }));
-    CHECK(answer->complete);
-    CHECK(answer->body == BothEvents);
+    checkWhole(answer);
 }
 
 // 27 streams of a played day were cut off because a crashed endpoint had not accepted the
@@ -184,35 +196,19 @@
 TEST_CASE_FIXTURE(LostAnswerFixture,
                   "a silent stream is not given up for an endpoint that cannot be reached")
 {
-    addPausingEngines();
-    const auto answer = call("/llm/pause", "m");
-    REQUIRE(runUntil(io, [this] {
-        return pausedStreams == 1;
-    }));
+    const auto answer = callPaused();
     idleEngine().crash();
-    REQUIRE(runUntil(io, [&answer] {
-        return answer->ended;
-    }));
-    CHECK(answer->complete);
-    CHECK(answer->body == BothEvents);
+    checkWhole(answer);
 }
 
 TEST_CASE_FIXTURE(LostAnswerFixture,
                   "a stream returns to the endpoint that was silent when the next one refuses it")
 {
-    addPausingEngines();
-    const auto answer = call("/llm/pause", "m");
-    REQUIRE(runUntil(io, [this] {
-        return pausedStreams == 1;
-    }));
+    const auto answer = callPaused();
     idleEngine().handler = [](const auto &request, const auto &sink) {
         answerNotRun(request, sink, 503);
     };
-    REQUIRE(runUntil(io, [&answer] {
-        return answer->ended;
-    }));
-    CHECK(answer->complete);
-    CHECK(answer->body == BothEvents);
+    checkWhole(answer);
 }
 
 TEST_CASE_FIXTURE(LostAnswerFixture,
--- a/tests/Serving/PromptQuarantineReplayTest.cpp
+++ b/tests/Serving/PromptQuarantineReplayTest.cpp
@@ -1,3 +1,5 @@
+#include "Serving/Prompts.h"
+
 #include "marigoldspool/Serving/PromptQuarantine.h"
 
 #include <algorithm>
@@ -13,28 +15,6 @@
 
 namespace {
 
-using Prompt = std::vector<PromptPart>;
-
-const PoolName Pool("pool");
-const std::string Crashing = "crashing";
-
-EndpointId engineNamed(std::size_t number)
-{
-    return EndpointId("engine-" + std::to_string(number));
-}
-
-// A prompt with these shared parts and a last part of its own.
-Prompt promptWith(const std::vector<std::string> &sharedParts)
-{
-    static int count = 0;
-    Prompt prompt;
-    for (const std::string &part : sharedParts) {
-        prompt.push_back({part, 100});
-    }
-    prompt.push_back({"own-" + std::to_string(++count), 10});
-    return prompt;
-}
-
 struct ReplayOptions {
     std::size_t instances = 8;
     std::size_t engines = 18;
--- a/tests/Serving/PromptQuarantineTest.cpp
+++ b/tests/Serving/PromptQuarantineTest.cpp
@@ -1,3 +1,5 @@
+#include "Serving/Prompts.h"
+
 #include "marigoldspool/Serving/PromptQuarantine.h"
 
 #include <limits>
@@ -9,30 +11,9 @@
 
 namespace {
 
-using Prompt = std::vector<PromptPart>;
-
-const PoolName Pool("pool");
-const std::string Crashing = "crashing";
 // Crashes with this pause between them are separate, whatever their engines are.
 constexpr Duration CrashPause = 1100ms;
 
-EndpointId engineNamed(std::size_t number)
-{
-    return EndpointId("engine-" + std::to_string(number));
-}
-
-// A prompt with these shared parts and a last part of its own.
-Prompt promptWith(const std::vector<std::string> &sharedParts)
-{
-    static int count = 0;
-    Prompt prompt;
-    for (const std::string &part : sharedParts) {
-        prompt.push_back({part, 100});
-    }
-    prompt.push_back({"own-" + std::to_string(++count), 10});
-    return prompt;
-}
-
 // Crashes of different engines, each on another prompt with the part.
 void crashEngines(PromptQuarantine &quarantine, ManualClock &clock, const std::string &part,
                   std::size_t count)
