--- a/include/marigoldspool/Routing/Request.h
+++ b/include/marigoldspool/Routing/Request.h
@@ -3,6 +3,7 @@
 
 #include "marigoldspool/Support/Clock.h"
 #include "marigoldspool/Support/Identifiers.h"
+#include "marigoldspool/Support/Refusal.h"
 
 #include <cstdint>
 #include <string>
@@ -44,6 +45,12 @@
     bool overflow = false;
 };
 
+/// What a refusal of the request says about earlier attempts.
+inline RanState ranStateOf(const Request &request)
+{
+    return request.mayHaveRun ? RanState::Unknown : RanState::No;
+}
+
 } // namespace marigoldspool
 
 #endif
