Share the steps that end an attempt, and the pruning of timed maps

No change of behaviour. A silent attempt that is moved and one that fails recorded the failure each in its own lines; so did the deadline, the stop and the quarantine with the cancellation of an attempt. PromptQuarantine pruned three maps with three copies of a loop and evicted the oldest entry with two copies of a search. HttpAnswerSink::hasStarted() has one name in FrontService, too.

--- a/lib/Daemon/FrontService.cpp
+++ b/lib/Daemon/FrontService.cpp
@@ -108,7 +108,7 @@
     }
     std::size_t pendingBytes() const override { return m_http.pendingBytes(); }
     std::size_t streamedEvents() const { return m_http.streamedEvents(); }
-    bool isStarted() const { return m_http.hasStarted(); }
+    bool hasStarted() const { return m_http.hasStarted(); }
 
 private:
     FrontService &m_front;
@@ -482,7 +482,7 @@
         const bool mayHaveRun = home || received.request.mayHaveRun;
         refuse(id,
                stopRefusal(mayHaveRun ? RanState::Unknown : RanState::No,
-                           received.answer->isStarted()));
+                           received.answer->hasStarted()));
     }
 }
 
--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -187,11 +187,7 @@
         || !m_runtime.quarantine.findQuarantined(m_pool->name, m_request.prompt)) {
         return;
     }
-    if (m_attempt) {
-        ++m_possibleRuns;
-        m_runtime.endpoints->cancel(m_request.id);
-        endAttempt(EndpointResult::Abandoned);
-    }
+    cancelAttempt();
     refuseQuarantined();
 }
 
@@ -399,9 +395,8 @@
     }
     m_lastError = "silent";
     m_runtime.endpoints->cancel(m_request.id);
-    ++m_possibleRuns;
-    logFailedAttempt(m_answerStarted ? EndpointOutcome::CutOff : EndpointOutcome::MaybeSent);
-    endAttempt(EndpointResult::Failed);
+    recordFailedAttempt(m_answerStarted ? EndpointOutcome::CutOff : EndpointOutcome::MaybeSent,
+                        EndpointResult::Failed);
     m_runtime.metrics->countRetry(RetryReason::ConnectFailed);
     if (resolveRoute()) {
         send(endpoint);
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -81,6 +81,10 @@
     /// the retry limit does not count it.
     std::string_view resume(bool isFree);
     void logFailedAttempt(EndpointOutcome outcome) const;
+    /// Ends a failed attempt and counts it if the endpoint may have run the request.
+    void recordFailedAttempt(EndpointOutcome outcome, EndpointResult result);
+    /// Cancels the attempt under way, if any; it counts as one that may have run.
+    void cancelAttempt();
     void onBufferedData(std::string_view bytes);
     void forward(std::string_view bytes);
     void onDeadline();
--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -230,13 +230,18 @@
               {"cause", m_lastError}});
 }
 
-void Exchange::onAttemptFailed(EndpointOutcome outcome, EndpointResult result)
+void Exchange::recordFailedAttempt(EndpointOutcome outcome, EndpointResult result)
 {
     endAttempt(result);
     if (mayHaveRun(outcome)) {
         ++m_possibleRuns;
     }
     logFailedAttempt(outcome);
+}
+
+void Exchange::onAttemptFailed(EndpointOutcome outcome, EndpointResult result)
+{
+    recordFailedAttempt(outcome, result);
     // An attempt that reached no endpoint does not count against the retry budget.
     const bool isFree = outcome == EndpointOutcome::NotSent;
     if (m_answerStarted) {
@@ -317,17 +322,23 @@
                   "this instance stops before the request is answered");
 }
 
+void Exchange::cancelAttempt()
+{
+    if (!m_attempt) {
+        return;
+    }
+    ++m_possibleRuns;
+    m_runtime.endpoints->cancel(m_request.id);
+    endAttempt(EndpointResult::Abandoned);
+}
+
 void Exchange::endUnanswered(RefusalReason reason, Duration retryAfter,
                              std::string_view cutOffOutcome, std::string message)
 {
     if (m_finished) {
         return;
     }
-    if (m_attempt) {
-        ++m_possibleRuns;
-        m_runtime.endpoints->cancel(m_request.id);
-        endAttempt(EndpointResult::Abandoned);
-    }
+    cancelAttempt();
     if (m_answerStarted) {
         m_sink->abort();
         finish(cutOffOutcome, m_status);
--- a/lib/Serving/PromptQuarantine.cpp
+++ b/lib/Serving/PromptQuarantine.cpp
@@ -53,6 +53,22 @@
     return prompt.first(std::clamp<std::ptrdiff_t>(count, 0, MaxPartsOfPrompt));
 }
 
+template <class Key>
+void eraseOldest(std::map<Key, SteadyTime> &times)
+{
+    times.erase(std::min_element(times.begin(), times.end(), [](const auto &a, const auto &b) {
+        return a.second < b.second;
+    }));
+}
+
+template <class Key>
+void eraseUntil(std::map<Key, SteadyTime> &times, SteadyTime end)
+{
+    for (auto it = times.begin(); it != times.end();) {
+        it = it->second <= end ? times.erase(it) : std::next(it);
+    }
+}
+
 // A time in a message, within the range that a peer can have.
 Duration reportedTime(std::int64_t ms)
 {
@@ -90,10 +106,7 @@
 bool PromptQuarantine::isNewCrash(const EngineCrash &crash)
 {
     if (m_knownCrashes.size() >= MaxKnownCrashes) {
-        m_knownCrashes.erase(std::min_element(m_knownCrashes.begin(), m_knownCrashes.end(),
-                                              [](const auto &a, const auto &b) {
-                                                  return a.second < b.second;
-                                              }));
+        eraseOldest(m_knownCrashes);
     }
     return m_knownCrashes.emplace(std::make_pair(crash.endpoint, crash.ownPart), m_clock.now())
         .second;
@@ -136,10 +149,7 @@
 {
     if (m_quarantined.erase(key) > 0) {
         if (m_released.size() >= MaxQuarantinedParts) {
-            m_released.erase(std::min_element(m_released.begin(), m_released.end(),
-                                              [](const auto &a, const auto &b) {
-                                                  return a.second < b.second;
-                                              }));
+            eraseOldest(m_released);
         }
         m_released[key] = m_clock.now();
         m_changes.push_back({key.first, key.second, false, 0, Duration::zero()});
@@ -417,12 +427,8 @@
         return;
     }
     m_nextCleanUp = now + CleanUpInterval;
-    for (auto it = m_begun.begin(); it != m_begun.end();) {
-        it = now - it->second >= ClearanceTime ? m_begun.erase(it) : std::next(it);
-    }
-    for (auto it = m_knownCrashes.begin(); it != m_knownCrashes.end();) {
-        it = now - it->second >= EvidenceLifetime ? m_knownCrashes.erase(it) : std::next(it);
-    }
+    eraseUntil(m_begun, now - ClearanceTime);
+    eraseUntil(m_knownCrashes, now - EvidenceLifetime);
     for (auto it = m_suspects.begin(); it != m_suspects.end();) {
         std::vector<Crash> &crashes = it->second;
         crashes.erase(std::remove_if(crashes.begin(), crashes.end(),
@@ -439,9 +445,7 @@
         }
         it = end(it);
     }
-    for (auto it = m_released.begin(); it != m_released.end();) {
-        it = now - it->second >= MaxQuarantine ? m_released.erase(it) : std::next(it);
-    }
+    eraseUntil(m_released, now - MaxQuarantine);
     for (auto it = m_ended.begin(); it != m_ended.end();) {
         it = now - it->second.until >= RepetitionMemory ? m_ended.erase(it) : std::next(it);
     }
