Count started and finished requests, and tell what a new version met

The log could not tell the hypotheses on lost answers beside a change of the configuration apart: it did not say how long the adoption of a version held up the event loop, nor which requests were open then, and a cut answer had its cause in free text only.

- `configuration_in_force` is logged when adoption has ended, with decode_ms and adopt_ms, and `open_requests` counts the requests that wait, that are unanswered at an endpoint and that are being answered.
- `marigoldspool_answers_cut_off_total{cause}` counts answers that end before they are complete.
- `marigoldspool_requests_started_total` counts requests when they start; the finished ones had a counter already.
At the end of a planned stop, the invariant `started_requests_finished` holds that the two are equal.
Test programs fail on a violated invariant, so each test that stops an instance with open requests checks it.

--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -44,6 +44,7 @@
 
 void Exchange::start()
 {
+    m_front.onStarted();
     m_sink->onCallerGone([weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->onCallerGone();
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -25,6 +25,10 @@
     /// When the request passes its latency objective; only while it waits.
     SteadyTime dueAt() const { return m_arrival + m_route->objective; }
     bool isWaiting() const { return m_waiting; }
+    /// Whether an endpoint has the request.
+    bool isSent() const { return m_attempt != nullptr; }
+    /// Whether the caller has received a part of the answer.
+    bool isAnswerStarted() const { return m_answerStarted; }
     /// Ends the request, since the instance stops now.
     void onStop();
     /// Ends the request if an endpoint has not begun to answer it and its prompt is under
@@ -92,6 +96,8 @@
     void endUnanswered(RefusalReason reason, Duration retryAfter, std::string_view cutOffOutcome,
                        std::string message);
     void onCallerGone();
+    /// Ends an answer that has begun by closing the caller's connection.
+    void cutOff(std::string_view outcome, std::string_view cause);
     void endAttempt(EndpointResult result);
     void refuse(RefusalReason reason, RanState ran, Duration retryAfter, std::string message);
     void finish(std::string_view outcome, int status);
--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -127,8 +127,7 @@
     if (m_sink->pendingBytes() > MaxPendingBytes) {
         m_runtime.endpoints->cancel(m_request.id);
         endAttempt(EndpointResult::Abandoned);
-        m_sink->abort();
-        finish("caller_too_slow", m_status);
+        cutOff("caller_too_slow", "caller_too_slow");
     }
 }
 
@@ -248,8 +247,7 @@
         const std::string_view obstacle = resume(isFree);
         if (!obstacle.empty()) {
             m_lastError.append("; not resumed: ").append(obstacle);
-            m_sink->abort();
-            finish("cut_off", m_status);
+            cutOff("cut_off", obstacle);
         }
         return;
     }
@@ -340,8 +338,7 @@
     }
     cancelAttempt();
     if (m_answerStarted) {
-        m_sink->abort();
-        finish(cutOffOutcome, m_status);
+        cutOff(cutOffOutcome, cutOffOutcome);
         return;
     }
     refuse(reason, ranState(), retryAfter, std::move(message));
@@ -359,6 +356,14 @@
     finish("caller_gone", 0);
 }
 
+void Exchange::cutOff(std::string_view outcome, std::string_view cause)
+{
+    m_sink->abort();
+    m_runtime.metrics->add("marigoldspool_answers_cut_off_total", 1,
+                           {{"cause", std::string(cause)}});
+    finish(outcome, m_status);
+}
+
 void Exchange::endAttempt(EndpointResult result)
 {
     if (!m_attempt) {
@@ -380,8 +385,7 @@
         return;
     }
     if (m_answerStarted) {
-        m_sink->abort();
-        finish("cut_off", m_status);
+        cutOff("cut_off", refusalCode(reason));
         return;
     }
     constexpr int GatewayTimeout = 504;
@@ -446,7 +450,7 @@
     m_runtime.metrics->observe("marigoldspool_request_seconds",
                                std::chrono::duration<double>(now - m_arrival).count(),
                                {{"outcome", std::string(outcome)}});
-    m_front.m_openExchanges.erase(shared_from_this());
+    m_front.onFinished(shared_from_this());
 }
 
 } // namespace marigoldspool
--- a/lib/Fleet/FleetDaemon.cpp
+++ b/lib/Fleet/FleetDaemon.cpp
@@ -77,6 +77,7 @@
             m_placement.onConfiguration();
             m_placement.onEndpoints();
             m_front.scheduleDispatch();
+            logOpenRequests();
         });
         m_state.setEndpointsHandler([this] {
             m_placement.onEndpoints();
@@ -166,6 +167,16 @@
         return {};
     }
 
+    // Tells which requests a change of the configuration can have affected.
+    void logOpenRequests() const
+    {
+        const RequestCounts counts = m_front.requestCounts();
+        logEvent(LogLevel::Info, "open_requests",
+                 {{"waiting", std::to_string(counts.waiting)},
+                  {"unanswered", std::to_string(counts.unanswered)},
+                  {"answering", std::to_string(counts.answering)}});
+    }
+
     bool isReady() const { return !m_runtime.stopping && m_state.isLoaded(); }
 
     void onMessage(const InstanceId &from, std::uint64_t incarnation, const PeerMessage &message)
@@ -406,10 +417,18 @@
 
     void finishStop()
     {
+        const std::size_t openCount = m_front.openRequests();
+        m_front.endOpenRequests();
+        const RequestCounts counts = m_front.requestCounts();
+        const std::string started = std::to_string(counts.started);
+        const std::string finished = std::to_string(counts.finished);
+        checkInvariant(counts.started == counts.finished, "started_requests_finished",
+                       started + " started, " + finished + " finished");
         logEvent(LogLevel::Info, "stopped",
-                 {{"open", std::to_string(m_front.openRequests())},
+                 {{"open", std::to_string(openCount)},
+                  {"started", started},
+                  {"finished", finished},
                   {"released", m_placement.isReleased() ? "yes" : "no"}});
-        m_front.endOpenRequests();
         m_stopTimer.stop();
         m_tickTimer.stop();
         m_state.stop();
--- a/lib/Fleet/FleetState.cpp
+++ b/lib/Fleet/FleetState.cpp
@@ -384,7 +384,9 @@
     if (event.deleted) {
         return;
     }
+    const SteadyTime receivedAt = m_runtime.clock.now();
     Expected<ServingConfiguration> decoded = m_runtime.codec.decodeConfiguration(event.value);
+    const SteadyTime decodedAt = m_runtime.clock.now();
     if (!decoded) {
         m_runtime.metrics->add("marigoldspool_unreadable_objects_total", 1, {{"kind", "config"}});
         logEvent(LogLevel::Error, "configuration_unreadable",
@@ -401,15 +403,17 @@
     m_runtime.routes = std::make_shared<const RouteTable>(configuration);
     m_runtime.directory.setConfiguration(configuration);
     m_runtime.quota.setConfiguration(configuration);
+    if (m_onConfiguration) {
+        m_onConfiguration();
+    }
     logEvent(LogLevel::Info, "configuration_in_force",
              {{"version", std::to_string(configuration->version)},
               {"before", std::to_string(current)},
               {"store_version", std::to_string(event.version)},
               {"routes", std::to_string(configuration->routes.size())},
-              {"workspaces", std::to_string(configuration->workspaces.size())}});
-    if (m_onConfiguration) {
-        m_onConfiguration();
-    }
+              {"workspaces", std::to_string(configuration->workspaces.size())},
+              {"decode_ms", std::to_string(toMilliseconds(decodedAt - receivedAt))},
+              {"adopt_ms", std::to_string(toMilliseconds(m_runtime.clock.now() - decodedAt))}});
 }
 
 void FleetState::onEndpoint(const WatchEvent &event)
--- a/lib/Fleet/ServingFront.cpp
+++ b/lib/Fleet/ServingFront.cpp
@@ -73,6 +73,35 @@
     exchange->start();
 }
 
+void ServingFront::onStarted()
+{
+    ++m_startedCount;
+    m_runtime.metrics->add("marigoldspool_requests_started_total");
+}
+
+void ServingFront::onFinished(const std::shared_ptr<Exchange> &exchange)
+{
+    ++m_finishedCount;
+    m_openExchanges.erase(exchange);
+}
+
+RequestCounts ServingFront::requestCounts() const
+{
+    RequestCounts counts;
+    counts.started = m_startedCount;
+    counts.finished = m_finishedCount;
+    for (const auto &exchange : m_openExchanges) {
+        if (exchange->isAnswerStarted()) {
+            ++counts.answering;
+        } else if (exchange->isWaiting()) {
+            ++counts.waiting;
+        } else if (exchange->isSent()) {
+            ++counts.unanswered;
+        }
+    }
+    return counts;
+}
+
 void ServingFront::addWaiting(const std::shared_ptr<Exchange> &exchange)
 {
     const auto isLater = [&exchange](const std::shared_ptr<Exchange> &it) {
--- a/lib/Fleet/ServingFront.h
+++ b/lib/Fleet/ServingFront.h
@@ -17,6 +17,17 @@
 
 class Exchange;
 
+/// Requests of callers by state.
+struct RequestCounts {
+    std::uint64_t started = 0;
+    std::uint64_t finished = 0;
+    /// Of the open ones: waiting for an endpoint, at an endpoint without an answer, and being
+    /// answered.
+    std::size_t waiting = 0;
+    std::size_t unanswered = 0;
+    std::size_t answering = 0;
+};
+
 /// Accepts callers' requests and keeps the queue of those that wait for an endpoint.
 class ServingFront
 {
@@ -46,9 +57,12 @@
     /// Answers all open requests, since the instance stops now.
     void endOpenRequests();
     std::size_t openRequests() const { return m_server->openRequests(); }
+    RequestCounts requestCounts() const;
 
 private:
     friend class Exchange;
+    void onStarted();
+    void onFinished(const std::shared_ptr<Exchange> &exchange);
     void onRequest(HttpRequest request, std::shared_ptr<ResponseSink> sink);
     std::vector<std::shared_ptr<Exchange>> openExchanges() const;
     void addWaiting(const std::shared_ptr<Exchange> &exchange);
@@ -59,6 +73,8 @@
     FleetRuntime &m_runtime;
     std::unique_ptr<HttpServer> m_server;
     std::unordered_set<std::shared_ptr<Exchange>> m_openExchanges;
+    std::uint64_t m_startedCount = 0;
+    std::uint64_t m_finishedCount = 0;
     /// Ordered by priority, then by arrival.
     std::list<std::shared_ptr<Exchange>> m_waiting;
     DemandTracker m_demand;
