Keep a silent answer until its successor has accepted the request

Callers saw streams that had begun and were closed in the middle, with no disruption of their endpoint.

Cause: an engine that had sent nothing for 1.3 s was cancelled as soon as another one had answered a report call. If that one then refused the request (503 while it is full or loads, 421), closed the connection or answered 500, the stream could go on only through one more attempt. Where the retry limit, the route's attempts or the choice of endpoints did not allow it, the stream was cut off, though its first engine was sound and would have gone on.

The successor of an answer that has begun now gets the request while the silent engine still has it. The silent one is given up when the successor begins a sealed answer, or has not refused within 300 ms; the platform allows both to work on the request for 400 ms. If the successor refuses or fails, the silent engine keeps the request and the next check asks another one. If the silent engine goes on first, the successor is cancelled and counts as a possible run. An answer that has not begun is still moved at once: its caller gets a complete answer either way. As two calls with the id of one request may be open now, a call is cancelled by its handler.

The functions that deal with silence have a file of their own.

Ruled out: more retries for such streams, since the platform's limit on them is a rule; a longer silence, since callers leave after 2 s without an event.

--- a/include/marigoldspool/Gateway/EndpointClient.h
+++ b/include/marigoldspool/Gateway/EndpointClient.h
@@ -68,8 +68,10 @@
     virtual ~EndpointClient();
     /// The handler is never called from within call().
     virtual void call(EndpointCall call, std::shared_ptr<EndpointCallHandler> handler) = 0;
-    /// Closes the connection of the call; its handler is not called any more.
+    /// Closes the connections of all calls with this id; their handlers are not called any more.
     virtual void cancel(const RequestId &id) = 0;
+    /// Cancels one of several calls with the same id.
+    virtual void cancel(const RequestId &id, const EndpointCallHandler &handler) = 0;
 };
 
 std::unique_ptr<EndpointClient> makeEndpointClient(boost::asio::io_context &io, const Clock &clock,
--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -1,7 +1,5 @@
 #include "Fleet/ExchangeAttempt.h"
 
-#include "Fleet/EngineCalls.h"
-
 #include "marigoldspool/Support/Invariant.h"
 
 #include <algorithm>
@@ -21,13 +19,7 @@
 // A request that cannot be served is refused this long before the caller gives up.
 constexpr Duration RefusalMargin = milliseconds(40);
 
-constexpr Duration EngineConnectTimeout = milliseconds(600);
 constexpr Duration ServiceConnectTimeout = milliseconds(200);
-// A repeatable request moves to another endpoint after this long without data: a fixed time within
-// a stream, and a multiple of the route's objective before the first byte.
-constexpr Duration MaxStreamSilence = milliseconds(1300);
-constexpr double FirstByteWaitPerObjective = 2.5;
-constexpr Duration MinFirstByteWait = milliseconds(250);
 constexpr Duration NoConfigurationRetryAfter = milliseconds(500);
 constexpr Duration CallerGoneRetryAfter = milliseconds(500);
 
@@ -40,6 +32,7 @@
     , m_sink(std::move(sink))
     , m_timer(m_runtime.io)
     , m_arrival(m_runtime.clock.now())
+    , m_trialTimer(m_runtime.io)
 { }
 
 void Exchange::start()
@@ -305,105 +298,6 @@
     }
 }
 
-Duration Exchange::silenceLimit() const
-{
-    if (m_answerStarted) {
-        return MaxStreamSilence;
-    }
-    const auto objectiveLimit =
-        std::chrono::duration_cast<Duration>(m_route->objective * FirstByteWaitPerObjective);
-    const Duration firstByteLimit = std::max(MinFirstByteWait, objectiveLimit);
-    return m_route->kind == RequestKind::Stream ? std::max(firstByteLimit, MaxStreamSilence)
-                                                : firstByteLimit;
-}
-
-bool Exchange::keepsRoute(int runs) const
-{
-    const ResolvedRoute next = lookUpRoute();
-    return !next.refusal && next.route->kind == m_route->kind
-        && next.route->resumable == m_route->resumable && next.pool->name == m_pool->name
-        && runs < next.route->maxAttempts;
-}
-
-std::optional<EndpointId> Exchange::findSuccessor()
-{
-    const SteadyTime now = m_runtime.clock.now();
-    const bool canRepeat =
-        m_answerStarted ? m_route->resumable && !m_events.lastId().empty() : isRepeatable();
-    if (!m_attempt || !canRepeat || now - m_lastProgressAt < silenceLimit()
-        || timeLeft() <= MinResumeTime || m_runtime.answersEndAt - now <= MinResumeTime
-        || !keepsRoute(m_possibleRuns + 1)) {
-        return std::nullopt;
-    }
-    EndpointQuery query = endpointQuery();
-    query.onlyHealthy = true;
-    const EndpointChoice choice = m_runtime.directory.choose(query);
-    if (choice.kind != ChoiceKind::Send) {
-        return std::nullopt;
-    }
-    return choice.endpoint;
-}
-
-// An endpoint that is only slow will still answer, so an attempt is given up only for a successor
-// that is sure. An engine is asked for its report first: it may be out of reach like the silent
-// one, and the connection of the report is used for the request.
-void Exchange::checkSilence()
-{
-    if (m_isAskingSuccessor) {
-        return;
-    }
-    const std::optional<EndpointId> successor = findSuccessor();
-    if (!successor) {
-        return;
-    }
-    if (!isEngineRequest()) {
-        moveTo(*successor);
-        return;
-    }
-    m_isAskingSuccessor = true;
-    EndpointCall call =
-        m_runtime.codec.encodeReportCall(m_runtime.directory.find(*successor)->listed);
-    prepareEngineCall(call, "successor-" + m_request.id.str());
-    call.timeout = EngineConnectTimeout;
-    call.connectTimeout = EngineConnectTimeout;
-    m_runtime.endpoints->call(std::move(call),
-                              std::make_shared<CollectingHandler>(
-                                  [weak = weak_from_this(), id = *successor](const auto &answer) {
-                                      if (const auto self = weak.lock()) {
-                                          self->onSuccessorAnswer(id,
-                                                                  answer && answer->first == 200);
-                                      }
-                                  }));
-}
-
-void Exchange::onSuccessorAnswer(const EndpointId &id, bool isUsable)
-{
-    m_isAskingSuccessor = false;
-    if (!isUsable) {
-        // The next check chooses another one.
-        m_triedEndpoints.push_back(id);
-        return;
-    }
-    if (findSuccessor() && m_runtime.directory.canUse(id)) {
-        moveTo(id);
-    }
-}
-
-void Exchange::moveTo(const EndpointId &endpoint)
-{
-    if (!m_runtime.retries.tryRetry(m_pool->name)) {
-        return;
-    }
-    m_lastError = "silent";
-    m_runtime.endpoints->cancel(m_request.id);
-    recordFailedAttempt(m_answerStarted ? EndpointOutcome::CutOff : EndpointOutcome::MaybeSent,
-                        EndpointResult::Failed);
-    m_runtime.metrics->countRetry(RetryReason::ConnectFailed);
-    if (resolveRoute()) {
-        send(endpoint);
-    }
-}
-
 EndpointQuery Exchange::endpointQuery() const
 {
     EndpointQuery query;
@@ -419,19 +313,11 @@
     return query;
 }
 
-void Exchange::send(const EndpointId &endpoint)
+EndpointCall Exchange::makeCall(const EndpointId &endpoint) const
 {
-    if (m_waiting) {
-        m_waiting = false;
-        m_front.removeWaiting(*this);
-    }
     const TrackedEndpoint *state = m_runtime.directory.find(endpoint);
     checkInvariant(m_runtime.directory.canUse(endpoint), "sent_to_usable_endpoint", endpoint.str());
     const Duration left = timeLeft();
-    if (left <= Duration::zero()) {
-        onDeadline();
-        return;
-    }
     SendContext context;
     context.workspace = m_workspace;
     context.timeLeft = left;
@@ -447,25 +333,45 @@
     // checkSilence() handles idle endpoints; TCP keep-alive detects dead connections.
     call.idleTimeout = call.timeout;
     call.mayEndWithConnection = true;
+    return call;
+}
 
-    m_endpoint = endpoint;
+void Exchange::send(const EndpointId &endpoint)
+{
+    if (m_waiting) {
+        m_waiting = false;
+        m_front.removeWaiting(*this);
+    }
+    if (timeLeft() <= Duration::zero()) {
+        onDeadline();
+        return;
+    }
+    EndpointCall call = makeCall(endpoint);
+    const SteadyTime now = m_runtime.clock.now();
+    if (m_attemptCount == 0) {
+        m_firstSentAt = now;
+    }
     m_triedEndpoints.push_back(endpoint);
+    beginAttempt(std::make_shared<Attempt>(shared_from_this()), endpoint, now);
+    m_runtime.directory.onSent(endpoint, m_request.promptTokens);
+    m_runtime.endpoints->call(std::move(call), m_attempt);
+}
+
+void Exchange::beginAttempt(std::shared_ptr<Attempt> attempt, const EndpointId &endpoint,
+                            SteadyTime sentAt)
+{
+    m_attempt = std::move(attempt);
+    m_endpoint = endpoint;
     ++m_attemptCount;
-    m_sentAt = m_runtime.clock.now();
-    if (m_attemptCount == 1) {
-        m_firstSentAt = m_sentAt;
-    }
+    m_sentAt = sentAt;
     m_firstByteSeen = false;
-    m_lastProgressAt = m_sentAt;
+    m_lastProgressAt = sentAt;
     m_status = 0;
     m_answerHeaders.clear();
     m_answerBody.clear();
     m_streaming = false;
     m_passingOn = false;
     m_events.beginResumed();
-    m_attempt = std::make_shared<Attempt>(shared_from_this());
-    m_runtime.directory.onSent(endpoint, m_request.promptTokens);
-    m_runtime.endpoints->call(std::move(call), m_attempt);
 }
 
 } // namespace marigoldspool
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -45,6 +45,10 @@
 
     /// A stream with less time left is not moved: another endpoint could send nothing more by then.
     static constexpr Duration MinResumeTime = std::chrono::milliseconds(100);
+    /// Bounds all attempts, including those that the endpoint refused without processing the
+    /// request, which the route's limit does not count.
+    static constexpr int MaxTotalAttempts = 6;
+    static constexpr Duration EngineConnectTimeout = std::chrono::milliseconds(600);
 
     /// What the configuration in force says about the request.
     struct ResolvedRoute {
@@ -64,7 +68,11 @@
     bool refuseQuarantined();
     void reportDemand();
     void waitOrRefuse(const EndpointChoice &choice);
+    EndpointCall makeCall(const EndpointId &endpoint) const;
     void send(const EndpointId &endpoint);
+    /// Expects the answer to the request from \p attempt.
+    void beginAttempt(std::shared_ptr<Attempt> attempt, const EndpointId &endpoint,
+                      SteadyTime sentAt);
     /// Whether the configuration in force still lets the request be repeated after \p runs runs.
     bool keepsRoute(int runs) const;
     /// An endpoint that can take over from a silent one at once.
@@ -72,6 +80,16 @@
     void onSuccessorAnswer(const EndpointId &id, bool isUsable);
     /// Gives up the silent attempt for one at \p endpoint if the retry limit allows it.
     void moveTo(const EndpointId &endpoint);
+    void giveUpSilentAttempt();
+    /// Sends the request to \p endpoint as well, to see whether it takes over.
+    void startTrial(const EndpointId &endpoint);
+    /// Returns whether the endpoint has taken over.
+    bool onTrialHead(int status, gsl::span<const HeaderField> headers);
+    void onTrialFailure(SendStage stage, const Error &error);
+    /// Makes the trial the attempt under way.
+    void acceptTrial();
+    void cancelTrial();
+    void endTrial(EndpointResult result, RanState ran, std::string_view cause);
     void onHead(int status, gsl::span<const HeaderField> headers);
     void onData(std::string_view bytes);
     void onComplete();
@@ -87,6 +105,8 @@
     void logFailedAttempt(EndpointOutcome outcome) const;
     /// Ends a failed attempt and counts it if the endpoint may have run the request.
     void recordFailedAttempt(EndpointOutcome outcome, EndpointResult result);
+    /// Closes the connection of the attempt under way.
+    void cancelCall();
     /// Cancels the attempt under way, if any; it counts as one that may have run.
     void cancelAttempt();
     void onBufferedData(std::string_view bytes);
@@ -140,6 +160,11 @@
     int m_possibleRuns = 0;
     std::shared_ptr<Attempt> m_attempt;
     EndpointId m_endpoint;
+    /// An attempt at another endpoint while the one under way is silent.
+    std::shared_ptr<Attempt> m_trial;
+    EndpointId m_trialEndpoint;
+    SteadyTime m_trialSentAt;
+    boost::asio::steady_timer m_trialTimer;
     SteadyTime m_sentAt;
     SteadyTime m_firstSentAt;
     bool m_firstByteSeen = false;
--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -19,9 +19,6 @@
 constexpr std::size_t MaxPendingBytes = 4U << 20U;
 // Body bytes kept until an answer is complete.
 constexpr std::size_t MaxBufferedBytes = 512U << 10U;
-// Bounds all attempts, including those that the endpoint refused without processing the request,
-// which the route's limit does not count.
-constexpr int MaxTotalAttempts = 6;
 constexpr Duration OverloadRetryAfter = milliseconds(300);
 // Other instances can take the request at once.
 constexpr Duration StoppingRetryAfter = milliseconds(100);
@@ -83,6 +80,7 @@
     }
     const std::string events = m_events.feed(bytes);
     if (!events.empty()) {
+        cancelTrial();
         m_lastProgressAt = m_runtime.clock.now();
         forward(events);
     }
@@ -125,7 +123,7 @@
     }
     m_sink->data(bytes);
     if (m_sink->pendingBytes() > MaxPendingBytes) {
-        m_runtime.endpoints->cancel(m_request.id);
+        cancelCall();
         endAttempt(EndpointResult::Abandoned);
         cutOff("caller_too_slow", "caller_too_slow");
     }
@@ -134,7 +132,7 @@
 void Exchange::abandonAttempt(std::string cause)
 {
     m_lastError = std::move(cause);
-    m_runtime.endpoints->cancel(m_request.id);
+    cancelCall();
     onAttemptFailed(m_answerStarted ? EndpointOutcome::CutOff : EndpointOutcome::MaybeSent,
                     EndpointResult::Failed);
 }
@@ -243,6 +241,10 @@
     recordFailedAttempt(outcome, result);
     // An attempt that reached no endpoint does not count against the retry budget.
     const bool isFree = outcome == EndpointOutcome::NotSent;
+    if (m_trial) {
+        acceptTrial();
+        return;
+    }
     if (m_answerStarted) {
         const std::string_view obstacle = resume(isFree);
         if (!obstacle.empty()) {
@@ -320,13 +322,20 @@
                   "this instance stops before the request is answered");
 }
 
+void Exchange::cancelCall()
+{
+    if (m_attempt) {
+        m_runtime.endpoints->cancel(m_request.id, *m_attempt);
+    }
+}
+
 void Exchange::cancelAttempt()
 {
     if (!m_attempt) {
         return;
     }
     ++m_possibleRuns;
-    m_runtime.endpoints->cancel(m_request.id);
+    cancelCall();
     endAttempt(EndpointResult::Abandoned);
 }
 
@@ -350,7 +359,7 @@
         return;
     }
     if (m_attempt) {
-        m_runtime.endpoints->cancel(m_request.id);
+        cancelCall();
         endAttempt(EndpointResult::Abandoned);
     }
     finish("caller_gone", 0);
@@ -420,6 +429,7 @@
     }
     m_finished = true;
     m_timer.cancel();
+    cancelTrial();
     if (m_waiting) {
         m_waiting = false;
         m_front.removeWaiting(*this);
--- a/lib/Fleet/ExchangeAttempt.h
+++ b/lib/Fleet/ExchangeAttempt.h
@@ -9,15 +9,24 @@
 class Exchange::Attempt final : public EndpointCallHandler
 {
 public:
-    explicit Attempt(std::shared_ptr<Exchange> exchange)
+    enum class Role {
+        Answer,
+        Trial, ///< Another attempt is still expected to answer.
+    };
+
+    explicit Attempt(std::shared_ptr<Exchange> exchange, Role role = Role::Answer)
         : m_exchange(std::move(exchange))
+        , m_role(role)
     { }
 
+    void acceptTrial() { m_role = Role::Answer; }
+
     void detach() { m_exchange.reset(); }
 
     void onHead(int status, gsl::span<const HeaderField> headers) override
     {
-        if (const auto exchange = m_exchange) {
+        const auto exchange = m_exchange;
+        if (exchange && (m_role == Role::Answer || exchange->onTrialHead(status, headers))) {
             exchange->onHead(status, headers);
         }
     }
@@ -35,13 +44,20 @@
     }
     void onFailure(SendStage stage, Error error) override
     {
-        if (const auto exchange = m_exchange) {
+        const auto exchange = m_exchange;
+        if (!exchange) {
+            return;
+        }
+        if (m_role == Role::Trial) {
+            exchange->onTrialFailure(stage, error);
+        } else {
             exchange->onFailure(stage, error);
         }
     }
 
 private:
     std::shared_ptr<Exchange> m_exchange;
+    Role m_role;
 };
 
 } // namespace marigoldspool
--- /dev/null
+++ b/lib/Fleet/ExchangeSuccessor.cpp
@@ -0,0 +1,228 @@
+// The part of Exchange that moves requests away from endpoints that have fallen silent.
+#include "Fleet/EngineCalls.h"
+#include "Fleet/ExchangeAttempt.h"
+
+#include "marigoldspool/Support/EventLog.h"
+
+#include <algorithm>
+
+namespace marigoldspool {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A repeatable request moves to another endpoint after this long without data: a fixed time within
+// a stream, and a multiple of the route's objective before the first byte.
+constexpr Duration MaxStreamSilence = milliseconds(1300);
+constexpr double FirstByteWaitPerObjective = 2.5;
+constexpr Duration MinFirstByteWait = milliseconds(250);
+// How long the silent endpoint and its successor may both have a request. The platform allows
+// 400 ms; the rest is left for the cancellation to arrive. Endpoints refuse within milliseconds.
+constexpr Duration MaxTrialTime = milliseconds(300);
+// Shorter than a trial, so that a successor that has not accepted the connection ends no attempt.
+constexpr Duration TrialConnectTimeout = milliseconds(250);
+
+} // namespace
+
+Duration Exchange::silenceLimit() const
+{
+    if (m_answerStarted) {
+        return MaxStreamSilence;
+    }
+    const auto objectiveLimit =
+        std::chrono::duration_cast<Duration>(m_route->objective * FirstByteWaitPerObjective);
+    const Duration firstByteLimit = std::max(MinFirstByteWait, objectiveLimit);
+    return m_route->kind == RequestKind::Stream ? std::max(firstByteLimit, MaxStreamSilence)
+                                                : firstByteLimit;
+}
+
+bool Exchange::keepsRoute(int runs) const
+{
+    const ResolvedRoute next = lookUpRoute();
+    return !next.refusal && next.route->kind == m_route->kind
+        && next.route->resumable == m_route->resumable && next.pool->name == m_pool->name
+        && runs < next.route->maxAttempts;
+}
+
+std::optional<EndpointId> Exchange::findSuccessor()
+{
+    if (!m_attempt) {
+        return std::nullopt;
+    }
+    const SteadyTime now = m_runtime.clock.now();
+    const bool canRepeat =
+        m_answerStarted ? m_route->resumable && !m_events.lastId().empty() : isRepeatable();
+    if (!canRepeat || m_attemptCount >= MaxTotalAttempts || now - m_lastProgressAt < silenceLimit()
+        || timeLeft() <= MinResumeTime || m_runtime.answersEndAt - now <= MinResumeTime
+        || !keepsRoute(m_possibleRuns + 1)) {
+        return std::nullopt;
+    }
+    EndpointQuery query = endpointQuery();
+    query.onlyHealthy = true;
+    const EndpointChoice choice = m_runtime.directory.choose(query);
+    if (choice.kind != ChoiceKind::Send) {
+        return std::nullopt;
+    }
+    return choice.endpoint;
+}
+
+// An endpoint that is only slow will still answer, so an attempt is given up only for a successor
+// that is sure. An engine is asked for its report first: it may be out of reach like the silent
+// one, and the connection of the report is used for the request.
+void Exchange::checkSilence()
+{
+    if (m_isAskingSuccessor || m_trial) {
+        return;
+    }
+    const std::optional<EndpointId> successor = findSuccessor();
+    if (!successor) {
+        return;
+    }
+    if (!isEngineRequest()) {
+        moveTo(*successor);
+        return;
+    }
+    m_isAskingSuccessor = true;
+    EndpointCall call =
+        m_runtime.codec.encodeReportCall(m_runtime.directory.find(*successor)->listed);
+    prepareEngineCall(call, "successor-" + m_request.id.str());
+    call.timeout = EngineConnectTimeout;
+    call.connectTimeout = EngineConnectTimeout;
+    m_runtime.endpoints->call(std::move(call),
+                              std::make_shared<CollectingHandler>(
+                                  [weak = weak_from_this(), id = *successor](const auto &answer) {
+                                      if (const auto self = weak.lock()) {
+                                          self->onSuccessorAnswer(id,
+                                                                  answer && answer->first == 200);
+                                      }
+                                  }));
+}
+
+void Exchange::onSuccessorAnswer(const EndpointId &id, bool isUsable)
+{
+    m_isAskingSuccessor = false;
+    if (!isUsable) {
+        // The next check chooses another one.
+        m_triedEndpoints.push_back(id);
+        return;
+    }
+    if (findSuccessor() && m_runtime.directory.canUse(id)) {
+        moveTo(id);
+    }
+}
+
+void Exchange::moveTo(const EndpointId &endpoint)
+{
+    if (!m_runtime.retries.tryRetry(m_pool->name)) {
+        return;
+    }
+    m_runtime.metrics->countRetry(RetryReason::ConnectFailed);
+    if (m_answerStarted) {
+        startTrial(endpoint);
+        return;
+    }
+    giveUpSilentAttempt();
+    if (resolveRoute()) {
+        send(endpoint);
+    }
+}
+
+void Exchange::giveUpSilentAttempt()
+{
+    m_lastError = "silent";
+    cancelCall();
+    recordFailedAttempt(m_answerStarted ? EndpointOutcome::CutOff : EndpointOutcome::MaybeSent,
+                        EndpointResult::Failed);
+}
+
+// An answer that has begun must not end because its successor refuses, so the silent attempt is
+// kept until the successor has accepted the request.
+void Exchange::startTrial(const EndpointId &endpoint)
+{
+    if (!resolveRoute()) {
+        return;
+    }
+    EndpointCall call = makeCall(endpoint);
+    call.connectTimeout = TrialConnectTimeout;
+    m_trialEndpoint = endpoint;
+    m_trialSentAt = m_runtime.clock.now();
+    m_triedEndpoints.push_back(endpoint);
+    m_trial = std::make_shared<Attempt>(shared_from_this(), Attempt::Role::Trial);
+    m_runtime.directory.onSent(endpoint, m_request.promptTokens);
+    m_runtime.endpoints->call(std::move(call), m_trial);
+    m_trialTimer.expires_after(MaxTrialTime);
+    m_trialTimer.async_wait([weak = weak_from_this(), trial = std::weak_ptr<Attempt>(m_trial)](
+                                const boost::system::error_code &ec) {
+        const auto self = weak.lock();
+        if (!ec && self && self->m_trial && self->m_trial == trial.lock()) {
+            self->giveUpSilentAttempt();
+            self->acceptTrial();
+        }
+    });
+}
+
+bool Exchange::onTrialHead(int status, gsl::span<const HeaderField> headers)
+{
+    const AnswerTraits traits = m_runtime.codec.decodeAnswer(status, headers);
+    if (traits.misdirected || traits.notRun) {
+        endTrial(traits.misdirected ? EndpointResult::RefusedNotLoaded
+                                    : EndpointResult::RefusedBusy,
+                 RanState::No, traits.misdirected ? "absent" : "busy");
+        return false;
+    }
+    const bool isSuccess = status >= 200 && status < 300;
+    if (!isSuccess || !traits.sealed || traits.encoded) {
+        m_runtime.endpoints->cancel(m_request.id, *m_trial);
+        endTrial(EndpointResult::Failed, RanState::Unknown, "status_" + std::to_string(status));
+        return false;
+    }
+    giveUpSilentAttempt();
+    acceptTrial();
+    return true;
+}
+
+void Exchange::onTrialFailure(SendStage stage, const Error &error)
+{
+    const bool isSent = stage != SendStage::NotSent;
+    endTrial(isSent ? EndpointResult::Failed : EndpointResult::Unreachable,
+             isSent ? RanState::Unknown : RanState::No, error.message);
+}
+
+void Exchange::acceptTrial()
+{
+    m_trialTimer.cancel();
+    m_trial->acceptTrial();
+    beginAttempt(std::move(m_trial), m_trialEndpoint, m_trialSentAt);
+}
+
+void Exchange::cancelTrial()
+{
+    if (m_trial) {
+        m_runtime.endpoints->cancel(m_request.id, *m_trial);
+        endTrial(EndpointResult::Abandoned, RanState::Unknown, "not_needed");
+    }
+}
+
+void Exchange::endTrial(EndpointResult result, RanState ran, std::string_view cause)
+{
+    m_trialTimer.cancel();
+    m_trial->detach();
+    m_trial.reset();
+    ++m_attemptCount;
+    if (ran == RanState::Unknown) {
+        ++m_possibleRuns;
+    }
+    m_runtime.directory.onNoFirstByte(m_trialEndpoint, m_request.promptTokens);
+    m_runtime.directory.onResult(m_trialEndpoint, result, m_request.model, m_request.adapter);
+    logEvent(LogLevel::Info, "successor_failed",
+             {{"id", m_request.id.str()},
+              {"endpoint", m_trialEndpoint.str()},
+              {"silent", m_endpoint.str()},
+              {"after_ms", std::to_string(toMilliseconds(m_runtime.clock.now() - m_trialSentAt))},
+              {"possible_runs", std::to_string(m_possibleRuns)},
+              {"cause", std::string(cause)}});
+    m_front.scheduleDispatch();
+}
+
+} // namespace marigoldspool
--- a/lib/Gateway/EndpointClient.cpp
+++ b/lib/Gateway/EndpointClient.cpp
@@ -75,6 +75,18 @@
         }
     }
 
+    void cancel(const RequestId &id, const EndpointCallHandler &handler) override
+    {
+        const auto [begin, end] = m_calls.equal_range(id);
+        const auto it = std::find_if(begin, end, [&handler](const auto &entry) {
+            return entry.second->isCalledBy(handler);
+        });
+        if (it != end) {
+            const ConnectionPtr connection = it->second;
+            connection->close();
+        }
+    }
+
 private:
     void refuse(std::shared_ptr<EndpointCallHandler> handler)
     {
--- a/lib/Gateway/EndpointConnection.h
+++ b/lib/Gateway/EndpointConnection.h
@@ -51,6 +51,11 @@
 
     const std::string &address() const { return m_address; }
     bool isClosed() const { return m_state == State::Closed; }
+    /// Whether the answer to the call under way goes to \p handler.
+    bool isCalledBy(const EndpointCallHandler &handler) const
+    {
+        return m_handler.get() == &handler;
+    }
 
 private:
     enum class State {
--- a/tests/PlatformAdapter/LostAnswerTest.cpp
+++ b/tests/PlatformAdapter/LostAnswerTest.cpp
@@ -17,6 +17,16 @@
 // the callers of the test route wait for an event.
 constexpr auto Pause = 2s;
 
+// For one retry in each second.
+FleetOptions optionsWithOneRetry()
+{
+    FleetOptions options;
+    options.retries.ratio = 0;
+    options.retries.slack = 2;
+    options.retries.window = 1s;
+    return options;
+}
+
 FleetOptions optionsWithoutRetries()
 {
     FleetOptions options;
@@ -52,7 +62,10 @@
                 return;
             }
             ++pausedStreams;
-            const auto timer = std::make_shared<boost::asio::steady_timer>(io, Pause);
+            sink->onCallerGone([this] {
+                pausedGoneAt = clock.now();
+            });
+            const auto timer = std::make_shared<boost::asio::steady_timer>(io, pause);
             timer->async_wait([timer, finish](const boost::system::error_code &) {
                 finish();
             });
@@ -97,6 +110,17 @@
     }
 
     int pausedStreams = 0;
+    Duration pause = Pause;
+    /// When the paused stream was cancelled.
+    std::optional<SteadyTime> pausedGoneAt;
+};
+
+class OneRetryFixture : public LostAnswerFixture
+{
+public:
+    OneRetryFixture()
+        : LostAnswerFixture(optionsWithOneRetry())
+    { }
 };
 
 class NoRetriesFixture : public LostAnswerFixture
@@ -211,6 +235,89 @@
     checkWhole(answer);
 }
 
+TEST_CASE_FIXTURE(OneRetryFixture,
+                  "a stream whose silent engine is given up for one that refuses is not cut off")
+{
+    StandinReplica::Handler successor;
+    std::shared_ptr<ResponseSink> openSink;
+    SUBCASE("busy")
+    {
+        successor = [](const auto &request, const auto &sink) {
+            answerNotRun(request, sink, 503);
+        };
+    }
+    SUBCASE("model not loaded")
+    {
+        successor = [](const auto &request, const auto &sink) {
+            answerNotRun(request, sink, 421);
+        };
+    }
+    SUBCASE("error")
+    {
+        successor = [](const auto &request, const auto &sink) {
+            sink->head(500, answerHeaders(request), false);
+            sink->data("failed");
+            sink->finish();
+        };
+    }
+    SUBCASE("closed connection")
+    {
+        successor = [](const auto &, const auto &sink) {
+            sink->abort();
+        };
+    }
+    SUBCASE("no answer before the silent engine goes on")
+    {
+        pause = 1500ms;
+        successor = [&openSink](const auto &, const auto &sink) {
+            openSink = sink;
+        };
+    }
+    const auto answer = callPaused();
+    idleEngine().handler = successor;
+    checkWhole(answer);
+    CHECK(pausedStreams == 1);
+}
+
+// Both engines may work on the request for 400 ms.
+TEST_CASE_FIXTURE(LostAnswerFixture,
+                  "a silent engine does not keep a stream that another engine has accepted")
+{
+    std::optional<SteadyTime> acceptedAt;
+    std::shared_ptr<ResponseSink> openSink;
+    bool isAnswering = false;
+    const auto answer = callPaused();
+    const auto accept = [&](const HttpRequest &, const std::shared_ptr<ResponseSink> &sink) {
+        acceptedAt = clock.now();
+        openSink = sink;
+    };
+    const auto begin = [&] {
+        openSink->head(200, answerHeaders(idleEngine().requests.back()), true);
+        openSink->data(SecondEvent);
+        isAnswering = true;
+    };
+    SUBCASE("and has not begun to answer")
+    {
+        idleEngine().handler = accept;
+    }
+    SUBCASE("and answers")
+    {
+        idleEngine().handler = [&](const auto &request, const auto &sink) {
+            accept(request, sink);
+            begin();
+        };
+    }
+    REQUIRE(runUntil(io, [&] {
+        return pausedGoneAt && acceptedAt;
+    }));
+    CHECK(*pausedGoneAt - *acceptedAt < 400ms);
+    if (!isAnswering) {
+        begin();
+    }
+    openSink->finish();
+    checkWhole(answer);
+}
+
 TEST_CASE_FIXTURE(LostAnswerFixture,
                   "a stream resumes at its own endpoint when only the connection was lost")
 {
