--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -19,9 +19,6 @@
 constexpr std::size_t MaxPendingBytes = 4U << 20U;
 // Body bytes kept until an answer is complete.
 constexpr std::size_t MaxBufferedBytes = 512U << 10U;
-// Bounds all attempts, including those that the endpoint refused without processing the request,
-// which the route's limit does not count.
-constexpr int MaxTotalAttempts = 6;
 constexpr Duration OverloadRetryAfter = milliseconds(300);
 // Other instances can take the request at once.
 constexpr Duration StoppingRetryAfter = milliseconds(100);
@@ -83,6 +80,7 @@
     }
     const std::string events = m_events.feed(bytes);
     if (!events.empty()) {
+        cancelTrial();
         m_lastProgressAt = m_runtime.clock.now();
         forward(events);
     }
@@ -125,17 +123,16 @@
     }
     m_sink->data(bytes);
     if (m_sink->pendingBytes() > MaxPendingBytes) {
-        m_runtime.endpoints->cancel(m_request.id);
+        cancelCall();
         endAttempt(EndpointResult::Abandoned);
-        m_sink->abort();
-        finish("caller_too_slow", m_status);
+        cutOff("caller_too_slow", "caller_too_slow");
     }
 }
 
 void Exchange::abandonAttempt(std::string cause)
 {
     m_lastError = std::move(cause);
-    m_runtime.endpoints->cancel(m_request.id);
+    cancelCall();
     onAttemptFailed(m_answerStarted ? EndpointOutcome::CutOff : EndpointOutcome::MaybeSent,
                     EndpointResult::Failed);
 }
@@ -244,12 +241,15 @@
     recordFailedAttempt(outcome, result);
     // An attempt that reached no endpoint does not count against the retry budget.
     const bool isFree = outcome == EndpointOutcome::NotSent;
+    if (m_trial) {
+        acceptTrial();
+        return;
+    }
     if (m_answerStarted) {
         const std::string_view obstacle = resume(isFree);
         if (!obstacle.empty()) {
             m_lastError.append("; not resumed: ").append(obstacle);
-            m_sink->abort();
-            finish("cut_off", m_status);
+            cutOff("cut_off", obstacle);
         }
         return;
     }
@@ -322,13 +322,20 @@
                   "this instance stops before the request is answered");
 }
 
+void Exchange::cancelCall()
+{
+    if (m_attempt) {
+        m_runtime.endpoints->cancel(m_request.id, *m_attempt);
+    }
+}
+
 void Exchange::cancelAttempt()
 {
     if (!m_attempt) {
         return;
     }
     ++m_possibleRuns;
-    m_runtime.endpoints->cancel(m_request.id);
+    cancelCall();
     endAttempt(EndpointResult::Abandoned);
 }
 
@@ -340,8 +347,7 @@
     }
     cancelAttempt();
     if (m_answerStarted) {
-        m_sink->abort();
-        finish(cutOffOutcome, m_status);
+        cutOff(cutOffOutcome, cutOffOutcome);
         return;
     }
     refuse(reason, ranState(), retryAfter, std::move(message));
@@ -353,12 +359,20 @@
         return;
     }
     if (m_attempt) {
-        m_runtime.endpoints->cancel(m_request.id);
+        cancelCall();
         endAttempt(EndpointResult::Abandoned);
     }
     finish("caller_gone", 0);
 }
 
+void Exchange::cutOff(std::string_view outcome, std::string_view cause)
+{
+    m_sink->abort();
+    m_runtime.metrics->add("marigoldspool_answers_cut_off_total", 1,
+                           {{"cause", std::string(cause)}});
+    finish(outcome, m_status);
+}
+
 void Exchange::endAttempt(EndpointResult result)
 {
     if (!m_attempt) {
@@ -380,8 +394,7 @@
         return;
     }
     if (m_answerStarted) {
-        m_sink->abort();
-        finish("cut_off", m_status);
+        cutOff("cut_off", refusalCode(reason));
         return;
     }
     constexpr int GatewayTimeout = 504;
@@ -416,6 +429,7 @@
     }
     m_finished = true;
     m_timer.cancel();
+    cancelTrial();
     if (m_waiting) {
         m_waiting = false;
         m_front.removeWaiting(*this);
@@ -446,7 +460,7 @@
     m_runtime.metrics->observe("marigoldspool_request_seconds",
                                std::chrono::duration<double>(now - m_arrival).count(),
                                {{"outcome", std::string(outcome)}});
-    m_front.m_openExchanges.erase(shared_from_this());
+    m_front.onFinished(shared_from_this());
 }
 
 } // namespace marigoldspool
