Keep an attempt that no other one can follow while its path is lost

Callers saw answers cut off, or 502, three seconds after the path to an endpoint was lost, although the endpoint still worked on the request and the path came back within their patience.

Cause: every connection to an endpoint failed after three seconds of keep-alive probes without an acknowledgement, also where nothing can follow: requests that may run only once, streams that may not be resumed, and the last attempt that a route allows.

The limit is a field of the call now. An attempt that another one can follow keeps the three seconds; any other one has until the end of the call.

Evidence: the test "an attempt that no other one can follow outlasts the loss of its path" printed `CHECK( keepAliveSeconds(replica.address()) == seconds ) ... values: CHECK( 3 == 4 )` for the route that allows one run. It reads the options of the connection, since a path can't be cut on one machine without privileges.

--- a/include/marigoldspool/Gateway/EndpointClient.h
+++ b/include/marigoldspool/Gateway/EndpointClient.h
@@ -6,6 +6,7 @@
 #include "marigoldspool/Support/HeaderField.h"
 #include "marigoldspool/Support/Identifiers.h"
 #include "marigoldspool/Support/Metrics.h"
+#include "marigoldspool/Support/SocketOptions.h"
 
 #include <memory>
 #include <string>
@@ -37,6 +38,8 @@
     Duration idleTimeout = std::chrono::seconds(10);
     /// For opening a new connection; zero: only the other limits apply.
     Duration connectTimeout = Duration::zero();
+    /// The call fails when the endpoint's machine acknowledges nothing for this long.
+    Duration peerTimeout = DefaultPeerTimeout;
     /// The Host field. When set, the other fields are passed on as they are, without an id of ours.
     std::string host;
     /// Field in which the endpoint repeats the request's id; empty when it repeats none. Answers
--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -313,6 +313,13 @@
     return query;
 }
 
+// Whether the limits let another attempt follow one that is sent now and may have run.
+bool Exchange::canFollowAttempt() const
+{
+    return isRepeatable() && m_possibleRuns + 1 < m_route->maxAttempts
+        && m_attemptCount + 1 < MaxTotalAttempts;
+}
+
 EndpointCall Exchange::makeCall(const EndpointId &endpoint) const
 {
     const TrackedEndpoint *state = m_runtime.directory.find(endpoint);
@@ -330,8 +337,12 @@
     call.timeout = left + milliseconds(200);
     call.connectTimeout =
         std::min<Duration>(left, isEngineRequest() ? EngineConnectTimeout : ServiceConnectTimeout);
-    // checkSilence() handles idle endpoints; TCP keep-alive detects dead connections.
+    // checkSilence() handles idle endpoints. TCP keep-alive detects dead connections; a path that
+    // is lost may return, so only an attempt that another one can follow ends early.
     call.idleTimeout = call.timeout;
+    if (!canFollowAttempt()) {
+        call.peerTimeout = call.timeout;
+    }
     call.mayEndWithConnection = true;
     return call;
 }
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -126,6 +126,7 @@
     /// Whether an endpoint may have run the request.
     RanState ranState() const;
     bool isRepeatable() const;
+    bool canFollowAttempt() const;
     bool isEngineRequest() const;
     std::string session() const;
     int sessionTokens() const;
--- a/lib/Gateway/EndpointConnection.cpp
+++ b/lib/Gateway/EndpointConnection.cpp
@@ -106,6 +106,7 @@
     m_mayEndWithConnection = call.mayEndWithConnection;
     m_keepAliveTimeout = DefaultKeepAliveTimeout;
     m_idleTimeout = call.idleTimeout;
+    m_peerTimeout = call.peerTimeout;
     m_lastActivity = m_context->clock.now();
     m_callDeadline = m_lastActivity + call.timeout;
     m_connectDeadline = call.connectTimeout > Duration::zero()
@@ -146,7 +147,7 @@
         return;
     }
     m_state = State::Busy;
-    enableKeepAlive(m_socket.native_handle());
+    enableKeepAlive(m_socket.native_handle(), m_peerTimeout);
     m_connectDeadline = SteadyTime::max();
     m_lastActivity = m_context->clock.now();
     armRead();
@@ -156,6 +157,9 @@
 void EndpointConnection::send(EndpointCall call, std::shared_ptr<EndpointCallHandler> handler)
 {
     m_state = State::Busy;
+    if (call.peerTimeout != m_peerTimeout) {
+        enableKeepAlive(m_socket.native_handle(), call.peerTimeout);
+    }
     // The connect timeout does not apply once the connection is open.
     call.connectTimeout = Duration::zero();
     beginCall(std::move(call), std::move(handler));
--- a/lib/Gateway/EndpointConnection.h
+++ b/lib/Gateway/EndpointConnection.h
@@ -110,6 +110,7 @@
     /// Received bytes that the parser has not consumed yet.
     std::string m_unparsed;
     Duration m_idleTimeout = Duration::zero();
+    Duration m_peerTimeout = Duration::zero();
     SteadyTime m_callDeadline;
     SteadyTime m_lastActivity;
     std::optional<SteadyTime> m_timerExpiry;
--- a/tests/PlatformAdapter/LostAnswerTest.cpp
+++ b/tests/PlatformAdapter/LostAnswerTest.cpp
@@ -2,6 +2,12 @@
 // them off.
 #include "RequestPathFixture.h"
 
+#include "marigoldspool/Support/IpAddress.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <boost/asio/post.hpp>
 
 using namespace marigoldspool;
@@ -156,6 +162,28 @@
     }
 };
 
+// Seconds without an acknowledgement after which the kernel ends a connection to the address.
+int keepAliveSeconds(const std::string &address)
+{
+    constexpr int MaxDescriptor = 1024;
+    const auto option = [](int socket, int name) {
+        int value = 0;
+        socklen_t size = sizeof(value);
+        ::getsockopt(socket, IPPROTO_TCP, name, &value, &size);
+        return value;
+    };
+    for (int socket = 0; socket < MaxDescriptor; ++socket) {
+        sockaddr_in peer{};
+        socklen_t size = sizeof(peer);
+        if (::getpeername(socket, reinterpret_cast<sockaddr *>(&peer), &size) == 0
+            && ntohs(peer.sin_port) == splitAddress(address)->port) {
+            return option(socket, TCP_KEEPIDLE)
+                + option(socket, TCP_KEEPINTVL) * option(socket, TCP_KEEPCNT);
+        }
+    }
+    return 0;
+}
+
 } // namespace
 
 TEST_CASE_FIXTURE(NoRetriesFixture,
@@ -437,3 +465,36 @@
     CHECK(answer->complete);
     CHECK(answer->status == 502);
 }
+
+// The connection of each request failed after 3 s without a path to the endpoint. Requests that may
+// run only once were answered 502, and streams were cut off, although the path came back in time.
+TEST_CASE_FIXTURE(RequestPathFixture,
+                  "an attempt that no other one can follow outlasts the loss of its path")
+{
+    std::vector<std::shared_ptr<ResponseSink>> openSinks;
+    const StandinReplica &replica =
+        addReplica("i-1", "app", [&openSinks](const auto &request, const auto &sink) {
+            if (request.target == "/app/x") {
+                answerOk(request, sink);
+                return;
+            }
+            openSinks.push_back(sink);
+        });
+    callUntilStatus(200, "/app/x");
+    // The second call uses the connection of the first one.
+    const std::pair<std::string, int> rows[] = {{"/app/slow", 3}, {"/once/slow", 4}};
+    for (const auto &row : rows) {
+        CAPTURE(row.first);
+        const auto answer = call(row.first);
+        REQUIRE(runUntil(io, [&openSinks] {
+            return openSinks.size() == 1;
+        }));
+        CHECK(keepAliveSeconds(replica.address()) == row.second);
+        openSinks.front()->head(500, {}, false);
+        openSinks.front()->finish();
+        openSinks.clear();
+        REQUIRE(runUntil(io, [&answer] {
+            return answer->ended;
+        }));
+    }
+}
