Do not take time in which the event loop was held up for silence of an endpoint

Callers got a late answer, 502 or 504 for a request that its first endpoint had answered: the attempt was cancelled as silent while its answer waited in the socket, and the request was sent to a second endpoint, which also counts against the retry limit and the route's attempts.

Cause: silence was measured by the clock. The event loop reads ready sockets before it runs timers that are due, but when something else due at the same moment holds the loop up (a large message, a process without processor time), the tick that is already queued behind it runs before the sockets are read. Each request that was waiting then looked silent for as long as the delay; requests of services are moved after 250 ms or more. A stream that has begun was protected in part, as its successor is asked for a report first and the answer is read meanwhile.

`ObservedTime` counts a tick by at most 100 ms, four times its interval, and silence is measured in it. So sockets are read before a delay can count as silence.

Ruled out: connect time-outs. A timer is queued only when it is due at the moment at which ready sockets are collected, so a connection that had been accepted by then is handled first. Links between instances skip a check after a delay already.

The routes of the tests' configuration are a member of the fixture now, so that a test can change one of them.

--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -365,7 +365,7 @@
     ++m_attemptCount;
     m_sentAt = sentAt;
     m_firstByteSeen = false;
-    m_lastProgressAt = sentAt;
+    m_lastProgressAt = m_runtime.observedTime.at(m_runtime.clock.now());
     m_status = 0;
     m_answerHeaders.clear();
     m_answerBody.clear();
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -168,7 +168,7 @@
     SteadyTime m_sentAt;
     SteadyTime m_firstSentAt;
     bool m_firstByteSeen = false;
-    /// When the attempt last came closer to a whole answer or event.
+    /// When the attempt last came closer to a whole answer or event, in observed time.
     SteadyTime m_lastProgressAt;
     int m_status = 0;
     AnswerTraits m_traits;
--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -59,7 +59,7 @@
 void Exchange::onHead(int status, gsl::span<const HeaderField> headers)
 {
     m_status = status;
-    m_lastProgressAt = m_runtime.clock.now();
+    m_lastProgressAt = m_runtime.observedTime.at(m_runtime.clock.now());
     m_traits = m_runtime.codec.decodeAnswer(status, headers);
     m_answerHeaders.assign(headers.begin(), headers.end());
     const bool isSuccess = status >= 200 && status < 300;
@@ -81,7 +81,7 @@
     const std::string events = m_events.feed(bytes);
     if (!events.empty()) {
         cancelTrial();
-        m_lastProgressAt = m_runtime.clock.now();
+        m_lastProgressAt = m_runtime.observedTime.at(m_runtime.clock.now());
         forward(events);
     }
     if (m_events.isMalformed() && m_attempt) {
@@ -93,7 +93,7 @@
 // arrives, if the endpoint has stated its length; without a length it may have no end.
 void Exchange::onBufferedData(std::string_view bytes)
 {
-    m_lastProgressAt = m_runtime.clock.now();
+    m_lastProgressAt = m_runtime.observedTime.at(m_runtime.clock.now());
     if (m_passingOn) {
         forward(bytes);
         return;
--- a/lib/Fleet/ExchangeSuccessor.cpp
+++ b/lib/Fleet/ExchangeSuccessor.cpp
@@ -53,7 +53,8 @@
     const SteadyTime now = m_runtime.clock.now();
     const bool canRepeat =
         m_answerStarted ? m_route->resumable && !m_events.lastId().empty() : isRepeatable();
-    if (!canRepeat || m_attemptCount >= MaxTotalAttempts || now - m_lastProgressAt < silenceLimit()
+    if (!canRepeat || m_attemptCount >= MaxTotalAttempts
+        || m_runtime.observedTime.at(now) - m_lastProgressAt < silenceLimit()
         || timeLeft() <= MinResumeTime || m_runtime.answersEndAt - now <= MinResumeTime
         || !keepsRoute(m_possibleRuns + 1)) {
         return std::nullopt;
--- a/lib/Fleet/FleetDaemon.cpp
+++ b/lib/Fleet/FleetDaemon.cpp
@@ -369,6 +369,7 @@
     void onTick()
     {
         checkTickDelay();
+        m_runtime.observedTime.onTick(m_runtime.clock.now());
         m_state.onTick();
         m_link.onTick();
         m_placement.onTick();
--- a/lib/Fleet/FleetRuntime.cpp
+++ b/lib/Fleet/FleetRuntime.cpp
@@ -2,6 +2,13 @@
 
 namespace marigoldspool {
 
+namespace {
+
+// Four ticks of the event loop.
+constexpr Duration MaxObservedStep = std::chrono::milliseconds(100);
+
+} // namespace
+
 FleetCodec::~FleetCodec() = default;
 
 FleetRuntime::FleetRuntime(boost::asio::io_context &ioContext, FleetOptions fleetOptions,
@@ -10,6 +17,7 @@
     : io(ioContext)
     , options(std::move(fleetOptions))
     , codec(fleetCodec)
+    , observedTime(clock.now(), MaxObservedStep)
     , random(entropySeed())
     , metrics(std::move(fleetMetrics))
     , store(std::move(objectStore))
--- a/lib/Fleet/FleetRuntime.h
+++ b/lib/Fleet/FleetRuntime.h
@@ -5,6 +5,7 @@
 #include "marigoldspool/Fleet/FleetOptions.h"
 #include "marigoldspool/Platform/ObjectStore.h"
 #include "marigoldspool/Serving/EndpointDirectory.h"
+#include "marigoldspool/Serving/ObservedTime.h"
 #include "marigoldspool/Serving/PromptQuarantine.h"
 #include "marigoldspool/Serving/RouteTable.h"
 #include "marigoldspool/Serving/WorkspaceQuota.h"
@@ -28,6 +29,7 @@
     const FleetCodec &codec;
     SystemClock clock;
     SuspendAwareClock orderClock;
+    ObservedTime observedTime;
     SeededRandomSource random;
     std::unique_ptr<Metrics> metrics;
     std::unique_ptr<ObjectStore> store;
--- a/tests/PlatformAdapter/LostAnswerTest.cpp
+++ b/tests/PlatformAdapter/LostAnswerTest.cpp
@@ -2,6 +2,8 @@
 // them off.
 #include "RequestPathFixture.h"
 
+#include <thread>
+
 #include <boost/asio/post.hpp>
 
 using namespace marigoldspool;
@@ -368,19 +370,9 @@
     REQUIRE(runUntil(io, [&openSinks] {
         return openSinks.size() == 1;
     }));
-    store.put("config", "main",
-              {{"version", 2},
-               {"routes",
-                {{{"name", "app"},
-                  {"host", "h"},
-                  {"prefix", "/app/"},
-                  {"kind", "non_idempotent"},
-                  {"service", "app"},
-                  {"attempts", 1},
-                  {"timeoutMs", 3000},
-                  {"goalMs", 1000}}}},
-               {"services", {{{"name", "app"}}}},
-               {"tenants", {{{"name", "t"}, {"apiKeys", {"k1"}}}}}});
+    routes[0]["kind"] = "non_idempotent";
+    routes[0]["attempts"] = 1;
+    configure(2, {"k1"});
     REQUIRE(runUntil(io, [&slow] {
         return slow->ended;
     }));
@@ -388,6 +380,50 @@
     CHECK(slow->status == 504);
 }
 
+TEST_CASE_FIXTURE(RequestPathFixture,
+                  "an answer that arrives while the event loop is held up is not requested again")
+{
+    std::shared_ptr<ResponseSink> openSink;
+    HttpRequest received;
+    int sent = 0;
+    const auto answer = [&](const HttpRequest &request, const std::shared_ptr<ResponseSink> &sink) {
+        if (request.target == "/app/slow") {
+            ++sent;
+            received = request;
+            openSink = sink;
+            return;
+        }
+        answerOk(request, sink);
+    };
+    // Silent requests of the route are moved after 250 ms.
+    routes[0]["goalMs"] = 100;
+    configure(2, {"k1"});
+    addReplica("i-1", "app", answer);
+    addReplica("i-2", "app", answer);
+    callUntilStatus(200, "/app/x");
+    io.restart();
+    io.run_for(1s);
+    const auto slow = call("/app/slow");
+    REQUIRE(runUntil(io, [&sent] {
+        return sent == 1;
+    }));
+    // The answer arrives, and the loop is held up, when the instance's next tick is due already.
+    boost::asio::steady_timer stall(io);
+    boost::asio::post(io, [&] {
+        stall.expires_after(0s);
+        stall.async_wait([&](const boost::system::error_code &) {
+            answerOk(received, openSink);
+            std::this_thread::sleep_for(400ms);
+        });
+        std::this_thread::sleep_for(60ms);
+    });
+    REQUIRE(runUntil(io, [&slow] {
+        return slow->ended;
+    }));
+    CHECK(slow->status == 200);
+    CHECK(sent == 1);
+}
+
 // The stop ends before the request has waited for as long as it may. The caller's connection was
 // closed without an answer.
 TEST_CASE_FIXTURE(
--- a/tests/PlatformAdapter/RequestPathFixture.h
+++ b/tests/PlatformAdapter/RequestPathFixture.h
@@ -118,32 +118,7 @@
               {{"name", "n"}, {"weightsMb", 60}, {"loadS", 0.05}, {"warmS", 0.05}}}}};
         store.put("config", "main",
                   {{"version", version},
-                   {"routes",
-                    {{{"name", "app"},
-                      {"host", "h"},
-                      {"prefix", "/app/"},
-                      {"kind", "idempotent"},
-                      {"service", "app"},
-                      {"attempts", 2},
-                      {"timeoutMs", 3000},
-                      {"goalMs", 1000}},
-                     {{"name", "once"},
-                      {"host", "h"},
-                      {"prefix", "/once/"},
-                      {"kind", "non_idempotent"},
-                      {"service", "app"},
-                      {"attempts", 1},
-                      {"timeoutMs", 3000},
-                      {"goalMs", 1000}},
-                     {{"name", "llm"},
-                      {"host", "h"},
-                      {"prefix", "/llm/"},
-                      {"kind", "stream"},
-                      {"service", "llm"},
-                      {"attempts", 2},
-                      {"timeoutMs", 5000},
-                      {"goalMs", 1000},
-                      {"resumable", true}}}},
+                   {"routes", routes},
                    {"services", {{{"name", "app"}}, {{"name", "llm"}, {"engine", engine}}}},
                    {"tenants", {{{"name", "t"}, {"apiKeys", keys}}}}});
     }
@@ -249,6 +224,32 @@
     int requests = 0;
     /// Memory for one of the two models.
     int engineMemoryMb = 100;
+    /// The routes of the next configuration.
+    nlohmann::json routes = {{{"name", "app"},
+                              {"host", "h"},
+                              {"prefix", "/app/"},
+                              {"kind", "idempotent"},
+                              {"service", "app"},
+                              {"attempts", 2},
+                              {"timeoutMs", 3000},
+                              {"goalMs", 1000}},
+                             {{"name", "once"},
+                              {"host", "h"},
+                              {"prefix", "/once/"},
+                              {"kind", "non_idempotent"},
+                              {"service", "app"},
+                              {"attempts", 1},
+                              {"timeoutMs", 3000},
+                              {"goalMs", 1000}},
+                             {{"name", "llm"},
+                              {"host", "h"},
+                              {"prefix", "/llm/"},
+                              {"kind", "stream"},
+                              {"service", "llm"},
+                              {"attempts", 2},
+                              {"timeoutMs", 5000},
+                              {"goalMs", 1000},
+                              {"resumable", true}}};
 };
 
 } // namespace marigoldspool
--- a/tests/Serving/SmallDecisionsTest.cpp
+++ b/tests/Serving/SmallDecisionsTest.cpp
@@ -1,5 +1,6 @@
 #include "marigoldspool/Serving/EventStream.h"
 #include "marigoldspool/Serving/ObjectMirror.h"
+#include "marigoldspool/Serving/ObservedTime.h"
 #include "marigoldspool/Serving/RelayPeerRotation.h"
 #include "marigoldspool/Serving/RetryBudget.h"
 #include "marigoldspool/Serving/WaitPolicy.h"
@@ -31,6 +32,17 @@
     }
 }
 
+TEST_CASE("time in which the event loop was held up does not count as silence of an endpoint")
+{
+    const SteadyTime start(1000s);
+    ObservedTime time(start, 100ms);
+    CHECK(time.at(start + 20ms) - start == 20ms);
+    time.onTick(start + 25ms);
+    CHECK(time.at(start + 2s) - start == 125ms);
+    time.onTick(start + 2s);
+    CHECK(time.at(start + 2s + 25ms) - start == 150ms);
+}
+
 // Guards against unbounded memory when an endpoint never ends an event, and against passing on text
 // that is no event.
 TEST_CASE("a stream that sends text without an event is malformed")
