Let an unreadable object in the store affect only itself

What callers saw: with an entry of kind `servers` that nests 100,000 arrays, the process ended by a segmentation fault when it read the list or the event, again after each start. With a number of 1e999 or bytes that are no UTF-8 in one entry, the instance answered 503 to all requests if the entry was in the first list, and followed no later change of the list if it came as an event.

Cause: the answer of the store was parsed as one JSON value, which fails as a whole for one number or byte that cannot be represented, and each spec was written back to text by a function that recurses once per level.

An object without a readable name or revision is passed over, counted as kind `metadata` and logged: it can be no entry to use, and the next watch starts behind it. The parts of the answer that belong to the store itself (list, revision, `removed`) still have to be valid, else the call fails as before.

Ruled out: parsing is not the part that overflows (by reading: the parser and the destructor of the library are iterative); the other objects of the same answer were sound.

--- a/lib/Fleet/FleetState.cpp
+++ b/lib/Fleet/FleetState.cpp
@@ -3,6 +3,7 @@
 #include "Fleet/FleetLink.h"
 #include "marigoldspool/Peer/PeerTable.h"
 #include "marigoldspool/Support/EventLog.h"
+#include "marigoldspool/Support/JsonText.h"
 
 #include <algorithm>
 
@@ -475,7 +476,7 @@
             m_ownVersion = 0;
         }
     } else {
-        const json value = json::parse(event.value, nullptr, false);
+        const json value = parseJson(event.value);
         if (!value.is_object() || !value.contains("peer") || !value["peer"].is_string()
             || !value.contains("zone") || !value["zone"].is_string()) {
             m_runtime.metrics->add("marigoldspool_unreadable_objects_total", 1,
--- a/lib/Fleet/PlacementLease.cpp
+++ b/lib/Fleet/PlacementLease.cpp
@@ -2,6 +2,7 @@
 #include "Fleet/PlacementDriver.h"
 
 #include "marigoldspool/Support/EventLog.h"
+#include "marigoldspool/Support/JsonText.h"
 
 #include <nlohmann/json.hpp>
 
@@ -28,7 +29,7 @@
 
 Expected<LeaseRecord> leaseFromJson(const StoredObject &object)
 {
-    const json value = json::parse(object.value, nullptr, false);
+    const json value = parseJson(object.value);
     const bool valid = value.is_object() && value.contains("holder") && value["holder"].is_string()
         && value.contains("term") && value["term"].is_number_unsigned() && value.contains("renewal")
         && value["renewal"].is_number_unsigned() && value.contains("released")
--- a/tests/PlatformAdapter/PlatformStoreTest.cpp
+++ b/tests/PlatformAdapter/PlatformStoreTest.cpp
@@ -140,3 +140,40 @@
     CHECK(refused.error().kind == ErrorKind::Unavailable);
     CHECK(list("servers/").error().kind == ErrorKind::Unavailable);
 }
+
+// One object without a readable name made the whole list or watch unreadable.
+TEST_CASE_FIXTURE(StoreFixture, "an object without a readable name or revision is passed over")
+{
+    const std::string oddMetadata[] = {"null",
+                                       "[]",
+                                       R"({"rev":5})",
+                                       R"({"name":5,"rev":5})",
+                                       "{\"name\":\"\xff\",\"rev\":5}",
+                                       R"({"name":"b"})",
+                                       R"({"name":"b","rev":-1})",
+                                       R"({"name":"b","rev":1e999})",
+                                       R"({"name":)" + std::string(100'000, '[')
+                                           + std::string(100'000, ']') + R"(,"rev":5})"};
+    const auto start = list("servers/");
+    REQUIRE(start);
+    standin.put("servers", "a", {{"n", 1}});
+    for (std::size_t i = 0; i < std::size(oddMetadata); ++i) {
+        standin.putText("servers", "b" + std::to_string(i), "{}", oddMetadata[i]);
+    }
+    standin.put("servers", "c", {{"n", 1}});
+    const auto listed = list("servers/");
+    REQUIRE(listed);
+    REQUIRE(listed->objects.size() == 2);
+    CHECK(listed->objects[1].key == "servers/c");
+    const auto batch = watch("servers/", start->revision, 1s);
+    REQUIRE(batch);
+    REQUIRE(batch->events.size() == 2);
+    CHECK(batch->events[1].key == "servers/c");
+    CHECK(batch->revision == listed->revision);
+    CHECK(metrics.counterValue("marigoldspool_unreadable_objects_total", {{"kind", "metadata"}})
+          == 2 * std::size(oddMetadata));
+    // An answer that ends in the middle is no list, whatever the reason.
+    standin.putText("servers", "d", "[");
+    CHECK(list("servers/").error().kind == ErrorKind::Malformed);
+    CHECK(watch("servers/", start->revision, 1s).error().kind == ErrorKind::Malformed);
+}
--- a/tests/PlatformAdapter/RequestPathFixture.h
+++ b/tests/PlatformAdapter/RequestPathFixture.h
@@ -88,19 +88,26 @@
         auto objectStore =
             makePlatformStore(io, store.address(), std::chrono::milliseconds(800), metrics);
         REQUIRE(objectStore);
+        auto ownMetrics = std::make_unique<Metrics>();
+        daemonMetrics = ownMetrics.get();
         daemon = std::make_unique<FleetDaemon>(io, options, codec, std::move(*objectStore),
-                                               std::make_unique<Metrics>());
+                                               std::move(ownMetrics));
         REQUIRE(daemon->start());
         client = makeEndpointClient(io, clock, metrics);
         configure(1, {"k1"});
     }
 
+    StandinReplica &startReplica(const std::string &id, StandinReplica::Handler handler)
+    {
+        replicas.push_back(std::make_unique<StandinReplica>(io, metrics, id, std::move(handler)));
+        return *replicas.back();
+    }
+
     StandinReplica &addReplica(const std::string &id, const std::string &service,
                                StandinReplica::Handler handler,
                                std::vector<std::string> models = {})
     {
-        replicas.push_back(std::make_unique<StandinReplica>(io, metrics, id, std::move(handler)));
-        StandinReplica &replica = *replicas.back();
+        StandinReplica &replica = startReplica(id, std::move(handler));
         replica.models = std::move(models);
         store.put("servers", id, replica.entry(service));
         return replica;
@@ -244,6 +251,8 @@
     StandinStore store;
     std::vector<std::unique_ptr<StandinReplica>> replicas;
     std::unique_ptr<FleetDaemon> daemon;
+    /// Owned by the daemon.
+    const Metrics *daemonMetrics = nullptr;
     std::unique_ptr<EndpointClient> client;
     std::string callerAddress;
     int requests = 0;
--- a/tests/PlatformAdapter/StandinPlatform.h
+++ b/tests/PlatformAdapter/StandinPlatform.h
@@ -22,14 +22,34 @@
     return "127.0.0.1:" + std::to_string(server.port());
 }
 
-inline void answerJson(ResponseSink &sink, int status, const nlohmann::json &body)
+inline void answerText(ResponseSink &sink, int status, const std::string &body)
 {
     const HeaderField headers[] = {{"Content-Type", "application/json"}};
     sink.head(status, headers, false);
-    sink.data(body.dump());
+    sink.data(body);
     sink.finish();
 }
 
+inline void answerJson(ResponseSink &sink, int status, const nlohmann::json &body)
+{
+    answerText(sink, status, body.dump());
+}
+
+/// Decodes the percent-encoded characters of a part of a request target.
+inline std::string percentDecoded(const std::string &text)
+{
+    std::string decoded;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        if (text[i] == '%' && i + 2 < text.size()) {
+            decoded.push_back(static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, 16)));
+            i += 2;
+        } else {
+            decoded.push_back(text[i]);
+        }
+    }
+    return decoded;
+}
+
 /// Sends \p filler on an answer whose head has been sent, until the caller closes the connection.
 inline void sendWithoutEnd(boost::asio::io_context &io, const std::shared_ptr<ResponseSink> &sink,
                            const std::string &filler)
@@ -86,8 +106,16 @@
 
     void put(const std::string &kind, const std::string &name, const Json &spec)
     {
-        m_objects[kind][name] = {++m_revision, spec};
-        m_history.push_back({m_revision, kind, name, false, spec});
+        putText(kind, name, spec.dump());
+    }
+
+    /// Stores a spec that need not be a valid JSON value. If \p metadata is not empty, the object
+    /// is sent with it instead of its name and revision.
+    void putText(const std::string &kind, const std::string &name, const std::string &spec,
+                 const std::string &metadata = {})
+    {
+        m_objects[kind][name] = {++m_revision, spec, metadata};
+        m_history.push_back({m_revision, kind, name, false, m_objects[kind][name]});
         answerWatches();
     }
 
@@ -95,7 +123,7 @@
     {
         const Object old = m_objects[kind][name];
         m_objects[kind].erase(name);
-        m_history.push_back({++m_revision, kind, name, true, old.spec});
+        m_history.push_back({++m_revision, kind, name, true, old});
         answerWatches();
     }
 
@@ -124,14 +152,15 @@
 private:
     struct Object {
         std::uint64_t revision = 0;
-        Json spec;
+        std::string spec;
+        std::string metadata;
     };
     struct Change {
         std::uint64_t revision = 0;
         std::string kind;
         std::string name;
         bool removed = false;
-        Json spec;
+        Object object;
     };
     struct Watch {
         std::string kind;
@@ -140,13 +169,17 @@
         std::shared_ptr<boost::asio::steady_timer> timer;
     };
 
-    static Json toJson(const std::string &name, std::uint64_t revision, const Json &spec)
+    static std::string toText(const std::string &name, std::uint64_t revision, const Object &object)
+    {
+        const Json metadata = {
+            {"name", name}, {"rev", revision}, {"createRev", 1}, {"finalizers", Json::array()}};
+        return R"({"metadata":)" + (object.metadata.empty() ? metadata.dump() : object.metadata)
+            + R"(,"spec":)" + object.spec + R"(,"status":null})";
+    }
+
+    static void append(std::string &list, const std::string &item)
     {
-        return {
-            {"metadata",
-             {{"name", name}, {"rev", revision}, {"createRev", 1}, {"finalizers", Json::array()}}},
-            {"spec", spec},
-            {"status", nullptr}};
+        list += (list.empty() ? "" : ",") + item;
     }
 
     static std::string parameter(const std::string &target, const std::string &name)
@@ -156,7 +189,7 @@
             return {};
         }
         const std::size_t begin = at + name.size() + 1;
-        return target.substr(begin, target.find('&', begin) - begin);
+        return percentDecoded(target.substr(begin, target.find('&', begin) - begin));
     }
 
     void handle(const HttpRequest &request, const std::shared_ptr<ResponseSink> &sink)
@@ -178,7 +211,7 @@
         const std::size_t slash = path.find('/');
         const std::string kind = path.substr(0, slash);
         const std::string name =
-            slash == std::string::npos ? std::string() : path.substr(slash + 1);
+            slash == std::string::npos ? std::string() : percentDecoded(path.substr(slash + 1));
         if (request.method == "GET" && name.empty()) {
             parameter(request.target, "watch").empty() ? list(request, kind, *sink)
                                                        : watch(request, kind, sink);
@@ -196,25 +229,29 @@
             return;
         }
         const Object &object = m_objects[kind][name];
-        answerJson(sink, 200, toJson(name, object.revision, object.spec));
+        answerText(sink, 200, toText(name, object.revision, object));
     }
 
     void list(const HttpRequest &request, const std::string &kind, ResponseSink &sink)
     {
         const std::string after = parameter(request.target, "after");
-        Json items = Json::array();
+        std::string items;
+        std::size_t count = 0;
         bool truncated = false;
         for (const auto &[name, object] : m_objects[kind]) {
-            if (name <= after) {
+            if (name <= after && !after.empty()) {
                 continue;
             }
-            if (items.size() == pageSize) {
+            if (count == pageSize) {
                 truncated = true;
                 break;
             }
-            items.push_back(toJson(name, object.revision, object.spec));
+            append(items, toText(name, object.revision, object));
+            ++count;
         }
-        answerJson(sink, 200, {{"items", items}, {"truncated", truncated}, {"asOf", m_revision}});
+        answerText(sink, 200,
+                   R"({"items":[)" + items + R"(],"truncated":)" + (truncated ? "true" : "false")
+                       + R"(,"asOf":)" + std::to_string(m_revision) + '}');
     }
 
     void watch(const HttpRequest &request, const std::string &kind,
@@ -272,22 +309,24 @@
             sink.abort();
             return;
         }
-        answerJson(sink, 200,
-                   request.method == "DELETE" ? Json::object()
-                                              : toJson(name, m_revision, body["spec"]));
+        answerText(sink, 200,
+                   request.method == "DELETE" ? "{}"
+                                              : toText(name, m_revision, m_objects[kind][name]));
     }
 
     void answerWatches()
     {
         for (auto it = m_watches.begin(); it != m_watches.end();) {
-            Json events = Json::array();
+            std::string events;
             for (const Change &change : m_history) {
                 if (change.kind == it->kind && change.revision > it->from) {
                     // A removal contains the object with its old revision.
                     const std::uint64_t revision =
                         change.removed ? change.revision - 1 : change.revision;
-                    events.push_back({{"removed", change.removed},
-                                      {"object", toJson(change.name, revision, change.spec)}});
+                    append(events,
+                           std::string(R"({"removed":)") + (change.removed ? "true" : "false")
+                               + R"(,"object":)" + toText(change.name, revision, change.object)
+                               + '}');
                 }
             }
             if (events.empty()) {
@@ -295,7 +334,9 @@
                 continue;
             }
             it->timer->cancel();
-            answerJson(*it->sink, 200, {{"events", events}, {"asOf", m_revision}});
+            answerText(*it->sink, 200,
+                       R"({"events":[)" + events + R"(],"asOf":)" + std::to_string(m_revision)
+                           + '}');
             it = m_watches.erase(it);
         }
     }
