--- a/tests/PlatformAdapter/PlatformStoreTest.cpp
+++ b/tests/PlatformAdapter/PlatformStoreTest.cpp
@@ -4,6 +4,7 @@
 #include "support/IoRunner.h"
 
 #include <optional>
+#include <set>
 
 using namespace marigoldspool;
 using namespace std::chrono_literals;
@@ -85,16 +86,58 @@
     CHECK_FALSE(standin.has("locks", "a"));
 }
 
-TEST_CASE_FIXTURE(StoreFixture, "all pages of a list are read")
+// A list ended or did not end at a name that stands for something else in a request target.
+TEST_CASE_FIXTURE(StoreFixture, "all pages of a list are read, whatever the names")
 {
-    standin.pageSize = 2;
-    for (const char *name : {"a", "b", "c", "d", "e"}) {
+    const std::string names[] = {"",       "a b", "a%62", "a&b=c", "a/b", "a?b",
+                                 "a#\r\n", "b",   "b+c",  "c",     "d\"", "\xc3\xa4"};
+    for (const std::string &name : names) {
         standin.put("servers", name, {{"n", name}});
     }
-    const auto listed = list("servers/");
-    REQUIRE(listed);
-    REQUIRE(listed->objects.size() == 5);
-    CHECK(listed->objects[4].key == "servers/e");
+    for (const std::size_t pageSize : {2, 3, 500}) {
+        standin.pageSize = pageSize;
+        const auto listed = list("servers/");
+        REQUIRE(listed);
+        std::set<std::string> keys;
+        for (const StoredObject &object : listed->objects) {
+            keys.insert(object.key);
+        }
+        CHECK(keys.size() == std::size(names));
+        CHECK(listed->objects.size() == std::size(names));
+    }
+}
+
+// The rest of the list would count as removed.
+TEST_CASE_FIXTURE(StoreFixture, "a list that cannot be continued fails")
+{
+    standin.pageSize = 1;
+    standin.put("servers", "", {{"n", 1}});
+    standin.put("servers", "a", {{"n", 1}});
+    CHECK(list("servers/").error().kind == ErrorKind::Malformed);
+    standin.erase("servers", "");
+    for (const char *name : {"b", "c"}) {
+        standin.putText("servers", name, "{}", R"({"name":"a","rev":1})");
+    }
+    CHECK(list("servers/").error().kind == ErrorKind::Malformed);
+}
+
+TEST_CASE_FIXTURE(StoreFixture, "objects with unusual names are read, replaced and removed")
+{
+    for (const char *name : {"a b", "a%62", "a&b?c", "a/b"}) {
+        const std::string key = std::string("locks/") + name;
+        const auto created = put(key, 0, {{"x", 1}});
+        REQUIRE(created);
+        const auto replaced = put(key, *created, {{"x", 2}});
+        REQUIRE(replaced);
+        const auto read = wait<StoredObject>([&](auto done) {
+            store->get(key, done);
+        });
+        REQUIRE(read);
+        CHECK(read->key == key);
+        CHECK(wait<std::uint64_t>([&](auto done) {
+            store->remove(key, *replaced, done);
+        }));
+    }
 }
 
 // A removal event contains the object with its old revision, for which a watcher would skip it.
