Bound every number in entries, reports and the configuration

What callers saw: an entry with a port of 99999 or another address that names nothing was offered as an endpoint, and a request was tried at it in vain. Numbers like 1e300 or above 2^63 for slots, cold time, start, counters, priorities, time-outs and versions went through llround() and casts whose result is undefined there; negative slots and times were taken as they were. The name of an entry was written into a header field of each request as it stood, line breaks included.

An entry must have the eight fields that the protocol names with their types, an address of IP:PORT with a port of 1 to 65535, and a name of visible characters; otherwise it names no replica. `atHand` with something else than lists made the entry lose its list silently; it makes the entry or the report unreadable now.

A part of the configuration that is out of range rejects its version as a whole, as another malformed part did before: the store accepts only valid configurations, and the version in force stays in force. A dropped route would hand its requests to the route of a shorter prefix.

--- a/tests/PlatformAdapter/OddEntryTest.cpp
+++ b/tests/PlatformAdapter/OddEntryTest.cpp
@@ -24,6 +24,7 @@
     {"nested models", "models", nested(100'000)},
     {"a nested spec", "", nested(100'000)},
     {"a number too large", "slots", "1e999"},
+    {"a port out of range", "addr", "\"127.0.0.1:99999\""},
     {"bytes that are no UTF-8", "zone", "\"\xff\xfe\""},
 };
 
--- a/tests/PlatformAdapter/PlatformCodecTest.cpp
+++ b/tests/PlatformAdapter/PlatformCodecTest.cpp
@@ -176,20 +176,63 @@
     CHECK(Codec.decodeEndpoint("i-7", leaving.dump())->leaving);
 }
 
-TEST_CASE("a malformed endpoint entry is rejected")
+// Conversions of numbers out of range are undefined, and an address without a valid port names no
+// replica.
+TEST_CASE("an endpoint entry with an invalid or missing field is rejected")
 {
-    const auto isReadable = [](const char *field, const json &value) {
+    const auto isReadable = [](const std::string &field, const std::string &text) {
         json entry = validEntry();
-        entry[field] = value;
-        return Codec.decodeEndpoint("i-7", entry.dump()).has_value();
+        entry.erase(field);
+        std::string spec = entry.dump();
+        if (!text.empty()) {
+            spec.back() = ',';
+            spec += json(field).dump() + ':' + text + '}';
+        }
+        return Codec.decodeEndpoint("i-7", spec).has_value();
+    };
+    const std::vector<std::string> noText{"", "5", "null", "[]", "{}", "true"};
+    const std::vector<std::string> noNumber{"\"5\"",
+                                            "-1",
+                                            "-1e300",
+                                            "1e300",
+                                            "1e999",
+                                            "[]",
+                                            "true",
+                                            "9223372036854775808",
+                                            "18446744073709551616"};
+    const std::vector<std::pair<std::vector<std::string>, std::vector<std::string>>> rows{
+        {{"service", "zone", "version"}, noText},
+        {{"state"}, {"", "5", "\"sleeping\"", "[]"}},
+        {{"addr"},
+         {"", "5", "\"\"", "\":80\"", "\"10.0.0.9\"", "\"10.0.0.9:\"", "\"10.0.0.9:0\"",
+          "\"10.0.0.9:-5\"", "\"10.0.0.9:+80\"", "\"10.0.0.9:65536\"", "\"10.0.0.9:80 \"",
+          "\"10.0.0.9:4294967376\"", "\"host:80\"", "\"10.0.0.9:80:80\"", "\"999.0.0.9:80\""}},
+        {{"slots", "seq", "coldLeftMs"}, {"", "null"}},
+        {{"slots", "seq", "coldLeftMs", "born"}, noNumber},
+        {{"slots", "seq", "born"}, {"0.5"}},
+        {{"models"}, {"5", "\"m\"", "[5]", "[{}]", "[{\"name\":\"m\",\"adapters\":[5]}]"}},
+        {{"atHand"}, {"5", "[]", "{\"inMemory\":5}", "{\"onDisk\":[5]}"}},
     };
-    CHECK_FALSE(isReadable("state", "sleeping"));
-    CHECK_FALSE(isReadable("slots", "many"));
-    CHECK_FALSE(isReadable("addr", 5));
-    CHECK_FALSE(isReadable("models", "m"));
-    CHECK_FALSE(isReadable("models", json::array({5})));
-    CHECK_FALSE(Codec.decodeEndpoint("i-7", "\xff{").has_value());
-    CHECK_FALSE(Codec.decodeEndpoint("i-7", "null").has_value());
+    for (const auto &[fields, texts] : rows) {
+        for (const std::string &field : fields) {
+            for (const std::string &text : texts) {
+                CHECK_FALSE_MESSAGE(isReadable(field, text), field, " is ", text);
+            }
+        }
+    }
+    CHECK(isReadable("slots", "48.0"));
+    CHECK(isReadable("coldLeftMs", "1499.5"));
+    CHECK(isReadable("addr", "\"10.0.0.9:65535\""));
+    CHECK(isReadable("addr", "\"[2001:db8::9]:1\""));
+    CHECK(isReadable("other", "-1e300"));
+    for (const std::string spec : {"", "null", "[]", "5", "\xff{", "{"}) {
+        CHECK_FALSE_MESSAGE(Codec.decodeEndpoint("i-7", spec), spec);
+    }
+    // The name is sent in a header field.
+    for (const std::string name : {"", " ", "i 7", "i-7\r\nX-Other: 1", "\xc3\xa4"}) {
+        CHECK_FALSE_MESSAGE(Codec.decodeEndpoint(name, validEntry().dump()), name);
+    }
+    CHECK(Codec.decodeEndpoint("i/7&a=%20", validEntry().dump()));
 }
 
 TEST_CASE("the configuration is decoded and a malformed one rejected")
@@ -224,8 +267,21 @@
     CHECK(model.memoryLoadTime == 570ms);
     CHECK(configuration->workspaces[0].countsTokens);
     CHECK(configuration->workspaces[0].defaultCost == 200);
-    CHECK_FALSE(Codec.decodeConfiguration("{\"version\": \"x\"}"));
-    CHECK_FALSE(Codec.decodeConfiguration("{\"version\": 1, \"routes\": [{}]}"));
+    for (const std::string part :
+         {"\"version\": \"x\"", "\"version\": -1", "\"version\": 1e300", "\"routes\": [{}]",
+          R"("routes": [{"name": "r", "host": "h", "prefix": "/", "kind": "stream",
+              "service": "app", "timeoutMs": 1e300}])",
+          R"("routes": [{"name": "r", "host": "h", "prefix": "/", "kind": "stream",
+              "backends": [{"service": "app", "weight": -1}]}])",
+          R"("services": [{"name": "app", "maxConns": 3e9}])",
+          R"("services": [{"name": "llm", "engine": {"kvTokens": 1e300}}])",
+          R"("services": [{"name": "llm", "engine": {"models": [{"name": "m", "weightsMb": 1,
+              "loadS": -1}]}}])",
+          R"("tenants": [{"name": "t", "ratePerS": -1}])",
+          R"("tenants": [{"name": "t", "priority": 9223372036854775808}])"}) {
+        // Of two members with the same name, the last one counts.
+        CHECK_FALSE_MESSAGE(Codec.decodeConfiguration(R"({"version": 1, )" + part + '}'), part);
+    }
 }
 
 TEST_CASE("an engine's report is decoded with the adapters that are loading")
@@ -239,7 +295,16 @@
     CHECK(report->busy);
     CHECK(report->loadingAdapters.count({ModelName("m"), "a2"}) == 1);
     CHECK(report->inMemory.size() == 1);
-    CHECK_FALSE(Codec.decodeReport("{\"models\":[]}"));
+    const std::string deep = std::string(100'000, '[') + std::string(100'000, ']');
+    for (const std::string &body :
+         {std::string(), std::string("[]"), std::string("{\"models\":[]}"),
+          std::string("{\"seq\":1e300}"), std::string("{\"seq\":-1}"), std::string("{\"seq\":0.5}"),
+          std::string("{\"seq\":1,\"born\":1e300}"), std::string("{\"seq\":1,\"active\":-1}"),
+          std::string("{\"seq\":1,\"queued\":9223372036854775808}"),
+          std::string("{\"seq\":1,\"other\":1e999}"), std::string("{\"seq\":1,\"coming\":[5]}"),
+          "{\"seq\":1,\"other\":" + deep + '}', "{\"seq\":1,\"models\":" + deep + '}', deep}) {
+        CHECK_FALSE_MESSAGE(Codec.decodeReport(body), body.substr(0, 40));
+    }
 }
 
 TEST_CASE("an order contains the holder, the fencing token and the expected number of orders")
