Take only an answer with the request's id for its answer

What callers saw: "not run, try again" (503) for a request that a replica was running, or such a request ran at a second replica, when a faulty replica had written an earlier refusal once more on a kept connection.

Cause: the client of the endpoints skipped answers with the id of another request, but took an answer without any id for the answer to the request in flight. A refusal without an id therefore counted as proof that the request had not run. The check of an idle connection for unread bytes doesn't help, since the bytes may come after it.

Fix: a call that names an echo field takes only an answer that repeats its id. Others are skipped, as those with another id were, and the connection isn't used again. If the awaited answer doesn't follow, the call ends as one that may have run: a request that may run once gets 502 or 504, and goes to no second replica. As small answers can now be skipped without end, a call skips eight at most.

Ruled out: that sound replicas leave the id out.

Evidence, tests on the code before: "a request whose only answer bears no id counts as one that may have run": CHECK( 200 == 502 ), and the second replica had the request, CHECK( 2 == 1 ). "an answer without the id of the running request does not end the request": CHECK_FALSE( answer->ended ) failed for 503, 429 and 421, and the test stopped at 421, because the request went elsewhere. "answers to other requests without end fail the call": CHECK( handler->failed ) failed for small answers without an id.

The heads in "a body without end fails the call at its limit" and "a chunk header or trailer without end fails the call" now repeat the id: without it they are answers to other requests, which the case above covers.

--- a/include/marigoldspool/Gateway/EndpointClient.h
+++ b/include/marigoldspool/Gateway/EndpointClient.h
@@ -40,7 +40,7 @@
     /// The Host field. When set, the other fields are passed on as they are, without an id of ours.
     std::string host;
     /// Field in which the endpoint repeats the request's id; empty when it repeats none. Answers
-    /// with another id belong to other requests and are skipped.
+    /// without this id may belong to other requests and are skipped.
     std::string echoField;
     /// The call fails when the body of the answer is longer, in bytes; zero: unlimited.
     std::size_t maxAnswerBytes = 0;
--- a/lib/Gateway/EndpointConnection.cpp
+++ b/lib/Gateway/EndpointConnection.cpp
@@ -28,7 +28,9 @@
 
 constexpr std::size_t ReceiveBufferBytes = 65'536;
 
-// Body of an answer to another request, which is read to find the start of the awaited one.
+// Answers to other requests, and the body of each, which are read to find the start of the awaited
+// one.
+constexpr int MaxSkippedAnswers = 8;
 constexpr std::size_t MaxSkippedBytes = 1U << 20U;
 
 // Fields that this client sets itself, and credentials of the caller, which are never forwarded.
@@ -101,6 +103,7 @@
     m_headDelivered = false;
     m_echoField = std::move(call.echoField);
     m_skippingAnswer = false;
+    m_skippedAnswers = 0;
     m_maxAnswerBytes = call.maxAnswerBytes;
     m_answerBytes = 0;
     m_mayEndWithConnection = call.mayEndWithConnection;
@@ -280,10 +283,15 @@
     }
 }
 
-bool EndpointConnection::isAnswerToOtherRequest(const std::vector<HeaderField> &headers) const
+// An answer without the id may be an earlier one that the endpoint has written again, so only the
+// id proves that the answer is to this request.
+bool EndpointConnection::isAnswerToThisRequest(const std::vector<HeaderField> &headers) const
 {
-    const std::string *echoed = m_echoField.empty() ? nullptr : findHeader(headers, m_echoField);
-    return echoed != nullptr && *echoed != m_id.str();
+    if (m_echoField.empty()) {
+        return true;
+    }
+    const std::string *echoed = findHeader(headers, m_echoField);
+    return echoed != nullptr && *echoed == m_id.str();
 }
 
 // Returns false when the handler has cancelled the call.
@@ -297,10 +305,15 @@
                 Duration::zero());
         }
         const std::vector<HeaderField> headers = m_parser->takeHeaders();
-        if (isAnswerToOtherRequest(headers)) {
+        if (!isAnswerToThisRequest(headers)) {
+            m_context->metrics.add("marigoldspool_endpoint_crossed_answers_total");
+            if (++m_skippedAnswers > MaxSkippedAnswers) {
+                fail(ErrorKind::Malformed, m_address + " sends answers to other requests",
+                     "check that the endpoint repeats the id of the request");
+                return false;
+            }
             m_skippingAnswer = true;
             m_mustNotReuse = true;
-            m_context->metrics.add("marigoldspool_endpoint_crossed_answers_total");
             return true;
         }
         m_headDelivered = true;
--- a/lib/Gateway/EndpointConnection.h
+++ b/lib/Gateway/EndpointConnection.h
@@ -67,7 +67,7 @@
     void onReadable();
     void onBytes(std::string_view bytes);
     bool deliverAnswer();
-    bool isAnswerToOtherRequest(const std::vector<HeaderField> &headers) const;
+    bool isAnswerToThisRequest(const std::vector<HeaderField> &headers) const;
     void complete(bool reusable);
     void onEndOfStream(const boost::system::error_code &ec);
     /// Closes the connection and posts the failure to the handler.
@@ -93,10 +93,11 @@
     bool m_headDelivered = false;
     std::string m_echoField;
     bool m_isHeadRequest = false;
-    /// The answer being read belongs to another request.
     std::size_t m_maxAnswerBytes = 0;
     std::size_t m_answerBytes = 0;
+    /// The answer being read may belong to another request.
     bool m_skippingAnswer = false;
+    int m_skippedAnswers = 0;
     /// The endpoint sent unsolicited data, so the connection must not be reused.
     bool m_mustNotReuse = false;
     bool m_mayEndWithConnection = false;
--- a/tests/Gateway/EndlessAnswerTest.cpp
+++ b/tests/Gateway/EndlessAnswerTest.cpp
@@ -71,6 +71,8 @@
     std::unique_ptr<EndpointClient> client = makeEndpointClient(loop.io(), clock, metrics);
 };
 
+const std::string OwnHead = "HTTP/1.1 200 OK\r\nX-Echo: r1\r\n";
+const std::string OwnChunkedHead = OwnHead + "Transfer-Encoding: chunked\r\n";
 const std::string ChunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
 const std::string Chunk = "1000\r\n" + std::string(4096, 'x') + "\r\n";
 
@@ -104,9 +106,8 @@
     constexpr std::size_t Limit = 100'000;
     // Read in pieces of at most 64 KiB.
     constexpr std::size_t OnePiece = 65'536;
-    for (const std::string &prefix :
-         {ChunkedHead + "\r\n", std::string("HTTP/1.1 200 OK\r\n\r\n"),
-          std::string("HTTP/1.1 200 OK\r\nContent-Length: 100000000000\r\n\r\n")}) {
+    for (const std::string &prefix : {OwnChunkedHead + "\r\n", OwnHead + "\r\n",
+                                      OwnHead + "Content-Length: 100000000000\r\n\r\n"}) {
         const auto handler = call(prefix, Chunk, Limit);
         CHECK(handler->failed);
         CHECK(handler->heads == 1);
@@ -118,7 +119,7 @@
 TEST_CASE_FIXTURE(EndlessFixture, "a chunk header or trailer without end fails the call")
 {
     for (const std::string &prefix :
-         {ChunkedHead + "\r\n10;", ChunkedHead + "\r\n0\r\nX-Trailer: "}) {
+         {OwnChunkedHead + "\r\n10;", OwnChunkedHead + "\r\n0\r\nX-Trailer: "}) {
         const auto handler = call(prefix, std::string(4096, 'y'), 0);
         CHECK(handler->failed);
         CHECK(handler->bodyBytes == 0);
@@ -126,10 +127,16 @@
 }
 
 // An answer to another request is skipped, as the awaited one may follow it.
-TEST_CASE_FIXTURE(EndlessFixture, "an answer to another request without end fails the call")
+TEST_CASE_FIXTURE(EndlessFixture, "answers to other requests without end fail the call")
 {
-    const auto handler = call(ChunkedHead + "X-Echo: other\r\n\r\n", Chunk, 0);
-    CHECK(handler->failed);
-    CHECK(handler->heads == 0);
-    CHECK(handler->bodyBytes == 0);
+    const std::string small = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx";
+    for (const auto &[prefix, filler] :
+         {std::pair{ChunkedHead + "X-Echo: other\r\n\r\n", Chunk},
+          std::pair{ChunkedHead + "\r\n", Chunk}, std::pair{small, small}}) {
+        const auto handler = call(prefix, filler, 0);
+        CHECK(handler->failed);
+        CHECK(handler->stage == SendStage::MaybeSent);
+        CHECK(handler->heads == 0);
+        CHECK(handler->bodyBytes == 0);
+    }
 }
--- /dev/null
+++ b/tests/PlatformAdapter/UnprovenRefusalTest.cpp
@@ -0,0 +1,139 @@
+// Replicas that write an earlier refusal once more, while they run the request that waits for its
+// answer on that connection.
+#include "Gateway/Harness.h"
+#include "RequestPathFixture.h"
+
+using namespace marigoldspool;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string EchoField = "X-Marigoldspool-Request-Id: ";
+const std::string NotRunField = "X-Marigoldspool-Not-Run: 1\r\n";
+const std::string SealField = "X-Marigoldspool-Replica-Seal: seal\r\n";
+
+const std::string Body = "id: 1\ndata: x\n\n";
+
+std::string answerText(const std::string &status, const std::string &fields,
+                       const std::string &body = {})
+{
+    return "HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: " + std::to_string(body.size())
+        + "\r\n\r\n" + body;
+}
+
+/// A replica and an engine whose answers the tests write byte for byte, and a replica in another
+/// zone that is used when the first one refuses.
+class RawReplicaFixture : public RequestPathFixture
+{
+public:
+    RawReplicaFixture()
+    {
+        StandinReplica &other = addReplica("i-2", "app", answerOk);
+        auto entry = other.entry("app");
+        entry["zone"] = "z2";
+        store.put("servers", "i-2", entry);
+        callUntilStatus(200, "/app/x");
+        entry["zone"] = "z1";
+        entry["addr"] = raw.address();
+        store.put("servers", "i-1", entry);
+        other.models = {"m"};
+        entry = other.entry("llm");
+        entry["addr"] = raw.address();
+        store.put("servers", "i-3", entry);
+        // Wait until the entries are known.
+        run(1s);
+    }
+
+    void run(Duration time)
+    {
+        io.restart();
+        io.run_for(time);
+    }
+
+    std::string currentId() const { return "r" + std::to_string(requests); }
+
+    // The connections on which the current request has come, in the order of their opening.
+    std::vector<RawSocket *> carriers()
+    {
+        std::vector<RawSocket *> found;
+        for (std::size_t i = 0; i < raw.connections(); ++i) {
+            if (raw.connection(i).hasReceived(EchoField + currentId() + "\r\n")) {
+                found.push_back(&raw.connection(i));
+            }
+        }
+        return found;
+    }
+
+    RawSocket &waitForRequest()
+    {
+        REQUIRE(runUntil(io, [this] {
+            return !carriers().empty();
+        }));
+        return *carriers().front();
+    }
+
+    std::string ownAnswer() const
+    {
+        return answerText("200 OK", EchoField + currentId() + "\r\n" + SealField, Body);
+    }
+
+    RawListener raw;
+};
+
+struct ForeignAnswer {
+    std::string status;
+    std::string fields;
+};
+
+const std::vector<ForeignAnswer> ForeignAnswers{
+    {"503 Busy", NotRunField},
+    {"429 Many", NotRunField},
+    {"421 Other", NotRunField},
+    {"400 Bad", NotRunField},
+    {"500 Failed", SealField},
+    {"200 OK", SealField},
+    {"503 Busy", NotRunField + EchoField + "\r\n"},
+    {"503 Busy", NotRunField + EchoField + "r0\r\n"},
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(RawReplicaFixture,
+                  "an answer without the id of the running request does not end the request")
+{
+    const std::size_t before = replicas.front()->requests.size();
+    for (const ForeignAnswer &it : ForeignAnswers) {
+        for (const std::string target : {"/once/x", "/app/x", "/llm/x"}) {
+            CAPTURE(it.status);
+            CAPTURE(it.fields);
+            CAPTURE(target);
+            const auto answer = call(target, target == "/llm/x" ? "m" : "");
+            RawSocket &replica = waitForRequest();
+            replica.send(answerText(it.status, it.fields, "another's"));
+            run(100ms);
+            CHECK_FALSE(answer->ended);
+            replica.send(ownAnswer());
+            REQUIRE(runUntil(io, [&answer] {
+                return answer->ended;
+            }));
+            CHECK(answer->status == 200);
+            CHECK(answer->body == Body);
+        }
+    }
+    CHECK(replicas.front()->requests.size() == before);
+}
+
+TEST_CASE_FIXTURE(RawReplicaFixture,
+                  "a request whose only answer bears no id counts as one that may have run")
+{
+    const std::size_t before = replicas.front()->requests.size();
+    const auto answer = call("/once/x");
+    RawSocket &replica = waitForRequest();
+    replica.send(answerText("503 Busy", NotRunField));
+    replica.closeSending();
+    REQUIRE(runUntil(io, [&answer] {
+        return answer->ended;
+    }));
+    CHECK(answer->status == 502);
+    CHECK(replicas.front()->requests.size() == before);
+}
