Send a repeat to the same endpoint on another connection

What callers saw: "not run, try again" (503) for a request that a replica was running, or such a request was sent to it again, when a faulty replica had written its refusal once more on a kept connection.

Cause: a request that an endpoint has refused without running it may go to the same endpoint again. It went out on the connection that had just become idle, with the same id, so the refusal, written once more, bore the id of the request in flight.

Fix: a call may name the time since which a connection must not have begun a call. A repeat to an endpoint that the request was sent to before names the time of its first attempt: no connection idle since then has carried its id, so whatever comes with that id answers the repeat. Without such a connection a new one is opened. Connections that remember the ids of their calls would need memory without bound, and a new connection for each repeat costs more and may be reset by a replica with a long queue.

Evidence, tests on the code before: "a refusal that is written again does not end the repeated request": CHECK( carriers().empty() ) failed, as the request was sent a third time while the replica ran it, and CHECK( &first != &second ).

--- a/include/marigoldspool/Gateway/EndpointClient.h
+++ b/include/marigoldspool/Gateway/EndpointClient.h
@@ -39,6 +39,10 @@
     Duration connectTimeout = Duration::zero();
     /// The Host field. When set, the other fields are passed on as they are, without an id of ours.
     std::string host;
+    /// Only connections that began their last call before this time are reused. An endpoint may
+    /// write an answer twice, so a repeated call must not wait for its answer on a connection that
+    /// has carried the same id.
+    SteadyTime onlyIdleSince = SteadyTime::max();
     /// Field in which the endpoint repeats the request's id; empty when it repeats none. Answers
     /// without this id may belong to other requests and are skipped.
     std::string echoField;
--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -446,6 +446,11 @@
     // checkSilence() handles idle endpoints; TCP keep-alive detects dead connections.
     call.idleTimeout = call.timeout;
     call.mayEndWithConnection = true;
+    if (std::find(m_triedEndpoints.begin(), m_triedEndpoints.end(), endpoint)
+        != m_triedEndpoints.end()) {
+        // The endpoint may write its answer to the earlier attempt once more, with the same id.
+        call.onlyIdleSince = m_firstSentAt;
+    }
 
     m_endpoint = endpoint;
     m_triedEndpoints.push_back(endpoint);
--- a/lib/Gateway/EndpointClient.cpp
+++ b/lib/Gateway/EndpointClient.cpp
@@ -52,7 +52,7 @@
             return;
         }
         const RequestId id = call.id;
-        if (const ConnectionPtr idle = takeIdle(call.address)) {
+        if (const ConnectionPtr idle = takeIdle(call)) {
             m_calls.emplace(id, idle);
             idle->send(std::move(call), std::move(handler));
             return;
@@ -87,21 +87,20 @@
     }
 
     // The connection used last is the least likely to be closed by the endpoint.
-    ConnectionPtr takeIdle(const std::string &address)
+    ConnectionPtr takeIdle(const EndpointCall &call)
     {
-        const auto it = m_idle.find(address);
-        while (it != m_idle.end() && !it->second.empty()) {
-            ConnectionPtr connection = it->second.back();
+        const auto it = m_idle.find(call.address);
+        for (std::size_t i = it == m_idle.end() ? 0 : it->second.size(); i > 0; --i) {
+            ConnectionPtr connection = it->second[i - 1];
+            if (connection->callBeganAt() >= call.onlyIdleSince) {
+                continue;
+            }
             if (connection->isReusable()) {
-                it->second.pop_back();
+                it->second.erase(it->second.begin() + static_cast<std::ptrdiff_t>(i) - 1);
                 return connection;
             }
-            // Erases the map's entry when it was the last one.
-            const bool isLast = it->second.size() == 1;
+            // Erases the connection from the list, and the map's entry when it was the last one.
             connection->close();
-            if (isLast) {
-                break;
-            }
         }
         return nullptr;
     }
--- a/lib/Gateway/EndpointConnection.cpp
+++ b/lib/Gateway/EndpointConnection.cpp
@@ -109,7 +109,8 @@
     m_mayEndWithConnection = call.mayEndWithConnection;
     m_keepAliveTimeout = DefaultKeepAliveTimeout;
     m_idleTimeout = call.idleTimeout;
-    m_lastActivity = m_context->clock.now();
+    m_callBeganAt = m_context->clock.now();
+    m_lastActivity = m_callBeganAt;
     m_callDeadline = m_lastActivity + call.timeout;
     m_connectDeadline = call.connectTimeout > Duration::zero()
         ? m_lastActivity + call.connectTimeout
--- a/lib/Gateway/EndpointConnection.h
+++ b/lib/Gateway/EndpointConnection.h
@@ -50,6 +50,7 @@
     void close();
 
     const std::string &address() const { return m_address; }
+    SteadyTime callBeganAt() const { return m_callBeganAt; }
     bool isClosed() const { return m_state == State::Closed; }
 
 private:
@@ -106,6 +107,7 @@
     /// Received bytes that the parser has not consumed yet.
     std::string m_unparsed;
     Duration m_idleTimeout = Duration::zero();
+    SteadyTime m_callBeganAt;
     SteadyTime m_callDeadline;
     SteadyTime m_lastActivity;
     std::optional<SteadyTime> m_timerExpiry;
--- a/tests/PlatformAdapter/UnprovenRefusalTest.cpp
+++ b/tests/PlatformAdapter/UnprovenRefusalTest.cpp
@@ -77,6 +77,11 @@
         return answerText("200 OK", EchoField + currentId() + "\r\n" + SealField, Body);
     }
 
+    std::string refusal() const
+    {
+        return answerText("503 Busy", EchoField + currentId() + "\r\n" + NotRunField);
+    }
+
     RawListener raw;
 };
 
@@ -137,3 +142,34 @@
     CHECK(answer->status == 502);
     CHECK(replicas.front()->requests.size() == before);
 }
+
+TEST_CASE_FIXTURE(RawReplicaFixture,
+                  "a refusal that is written again does not end the repeated request")
+{
+    store.erase("servers", "i-2");
+    run(3s);
+    // The first refusal is written once or, in one piece, twice.
+    for (const int copies : {1, 2}) {
+        CAPTURE(copies);
+        const auto answer = call("/once/x");
+        RawSocket &first = waitForRequest();
+        std::string text;
+        for (int i = 0; i < copies; ++i) {
+            text.append(refusal());
+        }
+        first.clearReceived();
+        first.send(text);
+        RawSocket &second = waitForRequest();
+        second.clearReceived();
+        first.send(refusal());
+        run(200ms);
+        CHECK_FALSE(answer->ended);
+        CHECK(carriers().empty());
+        second.send(ownAnswer());
+        REQUIRE(runUntil(io, [&answer] {
+            return answer->ended;
+        }));
+        CHECK(answer->status == 200);
+        CHECK(&first != &second);
+    }
+}
