--- a/include/marigoldspool/Gateway/EndpointClient.h
+++ b/include/marigoldspool/Gateway/EndpointClient.h
@@ -42,8 +42,12 @@
     Duration peerTimeout = DefaultPeerTimeout;
     /// The Host field. When set, the other fields are passed on as they are, without an id of ours.
     std::string host;
+    /// Only connections that began their last call before this time are reused. An endpoint may
+    /// write an answer twice, so a repeated call must not wait for its answer on a connection that
+    /// has carried the same id.
+    SteadyTime onlyIdleSince = SteadyTime::max();
     /// Field in which the endpoint repeats the request's id; empty when it repeats none. Answers
-    /// with another id belong to other requests and are skipped.
+    /// without this id may belong to other requests and are skipped.
     std::string echoField;
     /// The call fails when the body of the answer is longer, in bytes; zero: unlimited.
     std::size_t maxAnswerBytes = 0;
--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -344,6 +344,11 @@
         call.peerTimeout = call.timeout;
     }
     call.mayEndWithConnection = true;
+    if (std::find(m_triedEndpoints.begin(), m_triedEndpoints.end(), endpoint)
+        != m_triedEndpoints.end()) {
+        // The endpoint may write its answer to the earlier attempt once more, with the same id.
+        call.onlyIdleSince = m_firstSentAt;
+    }
     return call;
 }
 
