Pass on a resumed answer only if it is the rest of the stream

What callers saw: a stream had begun and broke off, and the next endpoint answered the resumed request with something else. The text of a JSON error, an event without id, a comment, events from another place of the stream or from its beginning got into the caller's stream, or the stream ended as complete behind a 204 or a connection that closed without an event.

Cause: any 2xx with a signature counted as the continuation. Its type and the ids of its events were not looked at, a body without a stated end was complete when the connection closed, and an empty body of any kind ended the stream.

Rule: EventStream checks each event of a stream whose ids are numbers: it has to have the next number, across all endpoints, also in the first answer, where a gap or a repetition is a fault of the endpoint like text that is no event. What precedes the fault is passed on, the attempt has failed. Streams with other ids pass within one answer and are not resumed, since nothing can show that a second one continues them. Where the caller itself resumes, its Last-Event-Id is where the numbers begin. A resumed answer must be 200, signed, not encoded and `text/event-stream`, and must state its end (length or last chunk); if it has no event then, the caller has all. First answers may still end with their connection. A success of another type on a stream route is passed on as a plain answer; it used to be broken off when it did not end in a blank line.

Everything else is a failed attempt as before: the endpoint is charged, attempts of the route and the retry limit count it, and the stream goes on at another endpoint or ends as broken off. An unsigned or encoded answer to a resumed request is logged as cut_off, no longer as maybe_sent; causes are event_out_of_order, not_an_event_stream, unsealed, encoded, status_N.

The stand-in endpoints of older tests state the type of their streams now, as the protocol says; no check changed.

--- a/include/marigoldspool/Fleet/FleetCodec.h
+++ b/include/marigoldspool/Fleet/FleetCodec.h
@@ -34,6 +34,8 @@
     bool sealed = false;
     /// An intermediary has applied a content encoding to the body.
     bool encoded = false;
+    /// The body is a stream of server-sent events.
+    bool eventStream = false;
 };
 
 /// Status that an engine reports.
--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -52,6 +52,9 @@
     if (!resolveRoute()) {
         return;
     }
+    if (m_route->resumable) {
+        m_events = EventStream(m_request.lastEventId);
+    }
     m_deadline = m_arrival + m_route->timeout;
     if (m_request.callerTimeout) {
         m_deadline = std::min(m_deadline, m_arrival + *m_request.callerTimeout);
@@ -328,7 +331,7 @@
 {
     const SteadyTime now = m_runtime.clock.now();
     const bool canRepeat =
-        m_answerStarted ? m_route->resumable && !m_events.lastId().empty() : isRepeatable();
+        m_answerStarted ? m_route->resumable && m_events.canResume() : isRepeatable();
     if (!m_attempt || !canRepeat || now - m_lastProgressAt < silenceLimit()
         || timeLeft() <= MinResumeTime || m_runtime.answersEndAt - now <= MinResumeTime
         || !keepsRoute(m_possibleRuns + 1)) {
@@ -445,7 +448,9 @@
         std::min<Duration>(left, isEngineRequest() ? EngineConnectTimeout : ServiceConnectTimeout);
     // checkSilence() handles idle endpoints; TCP keep-alive detects dead connections.
     call.idleTimeout = call.timeout;
-    call.mayEndWithConnection = true;
+    // The end of a connection does not show whether more events would have followed. An answer that
+    // only continues a stream has to state its end.
+    call.mayEndWithConnection = !m_answerStarted;
 
     m_endpoint = endpoint;
     m_triedEndpoints.push_back(endpoint);
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -73,6 +73,9 @@
     void onComplete();
     void onFailure(SendStage stage, const Error &error);
     void onResponse();
+    /// Why the whole answer that has come can't be passed on, as a cause for the log; empty if it
+    /// can.
+    std::string answerDefect() const;
     /// Ends an attempt that brought no response that can be forwarded: retries or refuses.
     void onAttemptFailed(EndpointOutcome outcome, EndpointResult result);
     /// Closes the connection of an attempt whose endpoint gives no usable answer.
--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -25,6 +25,12 @@
 constexpr Duration OverloadRetryAfter = milliseconds(300);
 // Other instances can take the request at once.
 constexpr Duration StoppingRetryAfter = milliseconds(100);
+constexpr int StatusOk = 200;
+
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
 
 std::string_view outcomeName(EndpointOutcome outcome)
 {
@@ -65,9 +71,10 @@
     m_lastProgressAt = m_runtime.clock.now();
     m_traits = m_runtime.codec.decodeAnswer(status, headers);
     m_answerHeaders.assign(headers.begin(), headers.end());
-    const bool isSuccess = status >= 200 && status < 300;
-    m_streaming = isSuccess && m_route->kind == RequestKind::Stream && m_traits.sealed
-        && !m_traits.encoded && !m_traits.notRun;
+    // Nothing but the rest of it may follow what the caller has received of a stream.
+    const bool isUsable = m_answerStarted ? status == StatusOk : isSuccess(status);
+    m_streaming = isUsable && m_route->kind == RequestKind::Stream && m_traits.eventStream
+        && m_traits.sealed && !m_traits.encoded && !m_traits.notRun;
     if (!m_firstByteSeen && !m_traits.notRun && !m_traits.misdirected) {
         m_firstByteSeen = true;
         m_runtime.directory.onFirstByte(m_endpoint, m_request.promptTokens,
@@ -87,7 +94,8 @@
         forward(events);
     }
     if (m_events.isMalformed() && m_attempt) {
-        abandonAttempt("malformed_stream");
+        abandonAttempt(m_events.fault() == StreamFault::NotNext ? "event_out_of_order"
+                                                                : "malformed_stream");
     }
 }
 
@@ -150,24 +158,28 @@
             isMisdirected ? EndpointResult::RefusedNotLoaded : EndpointResult::RefusedBusy);
         return;
     }
-    const bool isSuccess = m_status >= 200 && m_status < 300;
-    if (isSuccess && (!m_traits.sealed || m_traits.encoded)) {
-        m_lastError = "unsealed";
-        onAttemptFailed(EndpointOutcome::MaybeSent, EndpointResult::Failed);
+    std::string defect = answerDefect();
+    if (!defect.empty()) {
+        m_lastError = std::move(defect);
+        onAttemptFailed(m_answerStarted ? EndpointOutcome::CutOff : EndpointOutcome::MaybeSent,
+                        EndpointResult::Failed);
         return;
     }
-    if (m_answerStarted && !m_streaming && !m_passingOn) {
-        // The endpoint that was to resume the stream failed, so the caller's stream is incomplete.
-        m_lastError = "status_" + std::to_string(m_status);
-        onAttemptFailed(EndpointOutcome::CutOff, EndpointResult::Failed);
-        return;
+    onResponse();
+}
+
+std::string Exchange::answerDefect() const
+{
+    if (isSuccess(m_status) && !m_traits.sealed) {
+        return "unsealed";
     }
-    if (m_streaming && m_events.hasPartialEvent()) {
-        m_lastError = "partial_event";
-        onAttemptFailed(EndpointOutcome::CutOff, EndpointResult::Failed);
-        return;
+    if (isSuccess(m_status) && m_traits.encoded) {
+        return "encoded";
     }
-    onResponse();
+    if (m_answerStarted && !m_streaming && !m_passingOn) {
+        return m_status == StatusOk ? "not_an_event_stream" : "status_" + std::to_string(m_status);
+    }
+    return m_streaming && m_events.hasPartialEvent() ? "partial_event" : "";
 }
 
 void Exchange::onResponse()
@@ -187,7 +199,7 @@
         m_runtime.directory.onResponse(m_endpoint, m_request.promptTokens,
                                        m_runtime.clock.now() - m_sentAt);
     }
-    if (m_status >= 200 && m_status < 300 && !m_answerStarted) {
+    if (isSuccess(m_status) && !m_answerStarted) {
         m_runtime.quarantine.onAnswerBegun(m_pool->name, m_request.prompt);
     }
     endAttempt(isServerError ? EndpointResult::Failed : EndpointResult::Answered);
@@ -277,7 +289,7 @@
 // Resumes the stream at another endpoint after the last complete event that the caller received.
 std::string_view Exchange::resume(bool isFree)
 {
-    if (!m_route->resumable || m_events.lastId().empty()) {
+    if (!m_route->resumable || !m_events.canResume()) {
         return "not_resumable";
     }
     if (m_possibleRuns >= m_route->maxAttempts || m_attemptCount >= MaxTotalAttempts) {
--- a/tests/PlatformAdapter/CrashingPromptTest.cpp
+++ b/tests/PlatformAdapter/CrashingPromptTest.cpp
@@ -32,7 +32,7 @@
                 });
                 return;
             }
-            sink->head(200, answerHeaders(request), true);
+            sink->head(200, streamHeaders(request), true);
             sink->data("id: 1\ndata: x\n\n");
             sink->finish();
         };
@@ -114,12 +114,12 @@
     const auto loseAnswer = [](const HttpRequest &request,
                                const std::shared_ptr<ResponseSink> &sink) {
         if (findHeader(request.headers, "X-Marigoldspool-Prefix-Hash") == nullptr) {
-            sink->head(200, answerHeaders(request), true);
+            sink->head(200, streamHeaders(request), true);
             sink->data("id: 1\ndata: x\n\n");
             sink->finish();
             return;
         }
-        sink->head(200, answerHeaders(request), true);
+        sink->head(200, streamHeaders(request), true);
         sink->abort();
     };
     for (int i = 0; i < 3; ++i) {
--- a/tests/PlatformAdapter/EndlessReplicaTest.cpp
+++ b/tests/PlatformAdapter/EndlessReplicaTest.cpp
@@ -2,7 +2,6 @@
 // memory stays bounded, connections are closed, other requests are answered, and a request is sent
 // again only if that is safe.
 #include "RequestPathFixture.h"
-#include "support/EndlessServer.h"
 
 #include <fstream>
 #include <unistd.h>
@@ -37,22 +36,6 @@
 class EndlessReplicaFixture : public RequestPathFixture
 {
 public:
-    void addServer(const std::string &id, const std::string &service, const EndlessServer &server,
-                   const json &models = json::array())
-    {
-        store.put("servers", id,
-                  {{"service", service},
-                   {"addr", server.address()},
-                   {"zone", "z1"},
-                   {"version", "v1"},
-                   {"slots", 300},
-                   {"state", "ready"},
-                   {"coldLeftMs", 0},
-                   {"born", 1},
-                   {"models", models},
-                   {"seq", 1}});
-    }
-
     // Waits until the instance knows the configuration and the replicas.
     void settle()
     {
@@ -115,7 +98,7 @@
     addServer("i-1", "app", endless);
     addReplica("i-2", "llm",
                [](const HttpRequest &request, const std::shared_ptr<ResponseSink> &sink) {
-                   sink->head(200, answerHeaders(request), true);
+                   sink->head(200, streamHeaders(request), true);
                    sink->data("id: 1\ndata: x\n\n");
                    sink->finish();
                },
@@ -161,7 +144,7 @@
         const auto stream = [this, filler](const HttpRequest &request,
                                            const std::shared_ptr<ResponseSink> &sink) {
             const bool isResumed = findHeader(request.headers, "Last-Event-Id") != nullptr;
-            sink->head(200, answerHeaders(request), true);
+            sink->head(200, streamHeaders(request), true);
             if (!isResumed) {
                 sink->data("id: 1\ndata: x\n\n");
             }
--- a/tests/PlatformAdapter/LostAnswerTest.cpp
+++ b/tests/PlatformAdapter/LostAnswerTest.cpp
@@ -39,7 +39,7 @@
         const auto stream = [this](const HttpRequest &request,
                                    const std::shared_ptr<ResponseSink> &sink) {
             const bool isResumed = findHeader(request.headers, "Last-Event-Id") != nullptr;
-            sink->head(200, answerHeaders(request), true);
+            sink->head(200, streamHeaders(request), true);
             if (!isResumed) {
                 sink->data(FirstEvent);
             }
@@ -163,7 +163,7 @@
     const auto stream = [this](const HttpRequest &request,
                                const std::shared_ptr<ResponseSink> &sink) {
         const bool isResumed = findHeader(request.headers, "Last-Event-Id") != nullptr;
-        sink->head(200, answerHeaders(request), true);
+        sink->head(200, streamHeaders(request), true);
         if (!isResumed) {
             sink->data(FirstEvent);
         }
@@ -219,7 +219,7 @@
     addReplica("i-1", "llm",
                [](const HttpRequest &request, const std::shared_ptr<ResponseSink> &sink) {
                    const bool isResumed = findHeader(request.headers, "Last-Event-Id") != nullptr;
-                   sink->head(200, answerHeaders(request), true);
+                   sink->head(200, streamHeaders(request), true);
                    if (!isResumed) {
                        sink->data(FirstEvent);
                    }
--- a/tests/PlatformAdapter/RequestPathFixture.h
+++ b/tests/PlatformAdapter/RequestPathFixture.h
@@ -6,6 +6,7 @@
 #include "StandinPlatform.h"
 
 #include "marigoldspool/Fleet/FleetDaemon.h"
+#include "support/EndlessServer.h"
 #include "support/FreePorts.h"
 #include "support/IoRunner.h"
 
@@ -22,6 +23,13 @@
             {"X-Marigoldspool-Replica-Seal", "seal"}};
 }
 
+inline std::vector<HeaderField> streamHeaders(const HttpRequest &request)
+{
+    std::vector<HeaderField> headers = answerHeaders(request);
+    headers.push_back({"Content-Type", "text/event-stream"});
+    return headers;
+}
+
 inline void answerOk(const HttpRequest &request, const std::shared_ptr<ResponseSink> &sink)
 {
     sink->head(200, answerHeaders(request), false);
@@ -106,6 +114,22 @@
         return replica;
     }
 
+    void addServer(const std::string &id, const std::string &service, const EndlessServer &server,
+                   const nlohmann::json &models = nlohmann::json::array())
+    {
+        store.put("servers", id,
+                  {{"service", service},
+                   {"addr", server.address()},
+                   {"zone", "z1"},
+                   {"version", "v1"},
+                   {"slots", 300},
+                   {"state", "ready"},
+                   {"coldLeftMs", 0},
+                   {"born", 1},
+                   {"models", models},
+                   {"seq", 1}});
+    }
+
     void configure(int version, const std::vector<std::string> &keys)
     {
         const nlohmann::json engine = {
@@ -140,7 +164,7 @@
                       {"prefix", "/llm/"},
                       {"kind", "stream"},
                       {"service", "llm"},
-                      {"attempts", 2},
+                      {"attempts", streamAttempts},
                       {"timeoutMs", 5000},
                       {"goalMs", 1000},
                       {"resumable", true}}}},
@@ -161,7 +185,7 @@
                     answerNotRun(request, sink, 421);
                     return;
                 }
-                sink->head(200, answerHeaders(request), true);
+                sink->head(200, streamHeaders(request), true);
                 sink->data("id: 1\ndata: x\n\n");
                 sink->finish();
             },
@@ -186,6 +210,9 @@
         if (!model.empty()) {
             call.headers.push_back({"X-Marigoldspool-Model", model});
         }
+        if (!lastEventId.empty()) {
+            call.headers.push_back({"Last-Event-Id", lastEventId});
+        }
         if (!prompt.empty()) {
             call.headers.push_back({"X-Marigoldspool-Prefix-Hash", prompt});
         }
@@ -249,6 +276,9 @@
     int requests = 0;
     /// Memory for one of the two models.
     int engineMemoryMb = 100;
+    int streamAttempts = 2;
+    /// The event after which callers resume their streams; empty for new ones.
+    std::string lastEventId;
 };
 
 } // namespace marigoldspool
--- a/tests/PlatformAdapter/RequestPathTest.cpp
+++ b/tests/PlatformAdapter/RequestPathTest.cpp
@@ -77,7 +77,7 @@
         }
         const int begin = after == nullptr ? 1 : std::stoi(*after) + 1;
         const bool isCut = request.target == "/llm/cut" && after == nullptr;
-        sink->head(200, answerHeaders(request), true);
+        sink->head(200, streamHeaders(request), true);
         for (int i = begin; i <= (isCut ? CutAfter : Events); ++i) {
             sink->data("id: " + std::to_string(i) + "\ndata: x\n\n");
         }
@@ -107,7 +107,7 @@
             sink->finish();
             return;
         }
-        sink->head(200, answerHeaders(request), true);
+        sink->head(200, streamHeaders(request), true);
         sink->data("id: 1\ndata: x\n\n");
         if (request.target == "/llm/cut") {
             sink->abort();
@@ -141,7 +141,7 @@
                   "a model of a replica that has crashed is loaded on another one")
 {
     const auto answer = [](const HttpRequest &request, const std::shared_ptr<ResponseSink> &sink) {
-        sink->head(200, answerHeaders(request), true);
+        sink->head(200, streamHeaders(request), true);
         sink->data("id: 1\ndata: x\n\n");
         sink->finish();
     };
--- a/tests/Serving/SmallDecisionsTest.cpp
+++ b/tests/Serving/SmallDecisionsTest.cpp
@@ -5,6 +5,7 @@
 #include "marigoldspool/Serving/WaitPolicy.h"
 
 #include <algorithm>
+#include <limits>
 #include <memory>
 #include <set>
 #include <vector>
@@ -67,6 +68,78 @@
     CHECK_FALSE(comment.isMalformed());
 }
 
+// Guards against a stream that is joined from two runs, misses an event or has one twice.
+TEST_CASE("a stream goes on with the next event only")
+{
+    struct Row {
+        std::string lastId;
+        std::string text;
+        std::size_t accepted;
+        StreamFault fault;
+    };
+    const std::string maxId = std::to_string(std::numeric_limits<std::uint64_t>::max());
+    constexpr std::size_t Nothing = 0;
+    constexpr std::size_t Whole = std::string::npos;
+    const std::string next = "id: 3\ndata: x\n\n";
+    const std::vector<Row> rows{
+        {"2", next, Whole, StreamFault::None},
+        {"2", "id:003\r\ndata: x\r\n\r\n", Whole, StreamFault::None},
+        {"2", "version: 4\nid: 3\ndata: x\n\nid: 4\n\n", Whole, StreamFault::None},
+        {"2", ": comment\n\n" + next + ": comment\n\n", Whole, StreamFault::None},
+        {"2", ": comment\n\n", Nothing, StreamFault::None},
+        {"2", "id: 2\ndata: x\n\n" + next, Nothing, StreamFault::NotNext},
+        {"2", "id: 1\ndata: x\n\n", Nothing, StreamFault::NotNext},
+        {"2", "id: 9\ndata: x\n\n", Nothing, StreamFault::NotNext},
+        {"2", "id: x\ndata: x\n\n", Nothing, StreamFault::NotNext},
+        {"2", "id: 3x\ndata: x\n\n", Nothing, StreamFault::NotNext},
+        {"2", "id: -3\ndata: x\n\n", Nothing, StreamFault::NotNext},
+        {"2", "id: 18446744073709551619\ndata: x\n\n", Nothing, StreamFault::NotNext},
+        {maxId, "id: 0\ndata: x\n\n", Nothing, StreamFault::NotNext},
+        {"2", "data: x\n\n", Nothing, StreamFault::NotNext},
+        {"2", ": comment\n\ndata: x\n\n", Nothing, StreamFault::NotNext},
+        {"2", "id: 3\nid: 3\ndata: x\n\n", Nothing, StreamFault::NoEvent},
+        {"2", next + "id: 5\ndata: x\n\n", next.size(), StreamFault::NotNext},
+        {"2", next + next, next.size(), StreamFault::NotNext},
+        {"2", next + "data: x\n\n", next.size(), StreamFault::NotNext},
+        // A new stream may begin with any id, and ids that are no numbers show no order.
+        {"", next + "id: 4\ndata: x\n\n", Whole, StreamFault::None},
+        {"", next + "id: 5\ndata: x\n\n", next.size(), StreamFault::NotNext},
+        {"", "id: a\ndata: x\n\n" + next + "data: x\n\n", Whole, StreamFault::None},
+        {"a", next, Whole, StreamFault::None},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.lastId);
+        CAPTURE(row.text);
+        for (const std::size_t size : {row.text.size(), std::size_t{1}}) {
+            EventStream stream(row.lastId);
+            stream.beginResumed();
+            CHECK_FALSE(stream.canResume());
+            std::string passed;
+            for (std::size_t at = 0; at < row.text.size(); at += size) {
+                passed += stream.feed(std::string_view(row.text).substr(at, size));
+            }
+            CHECK(stream.fault() == row.fault);
+            CHECK(passed == row.text.substr(0, row.accepted));
+        }
+    }
+}
+
+TEST_CASE("only a stream whose events are numbered is resumed")
+{
+    EventStream numbered;
+    CHECK_FALSE(numbered.canResume());
+    numbered.feed(": comment\n\n");
+    CHECK_FALSE(numbered.canResume());
+    numbered.feed("id: 7\ndata: x\n\n");
+    CHECK(numbered.canResume());
+    for (const std::string &text : {std::string("id: a\ndata: x\n\n"), std::string("data: x\n\n"),
+                                    std::string("data: x\n\nid: 2\ndata: x\n\n")}) {
+        EventStream other;
+        CHECK(other.feed(text) == text);
+        CHECK_FALSE(other.canResume());
+    }
+}
+
 TEST_CASE("retries stay within this instance's share of the limit in every window")
 {
     ManualClock clock;
--- a/tests/support/EndlessServer.h
+++ b/tests/support/EndlessServer.h
@@ -14,7 +14,8 @@
 namespace marigoldspool {
 
 /// A server in trouble: answers each request with the bytes of \c prefix and then sends \c filler
-/// again and again until the caller closes the connection.
+/// again and again until the caller closes the connection. Without \c filler it closes the
+/// connection.
 class EndlessServer
 {
 public:
@@ -93,6 +94,11 @@
                     --open;
                     return;
                 }
+                if (m_filler.empty()) {
+                    connection->socket.close();
+                    --open;
+                    return;
+                }
                 write(connection, m_filler);
             });
     }
