--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -46,6 +46,9 @@
     if (!resolveRoute()) {
         return;
     }
+    if (m_route->resumable) {
+        m_events = EventStream(m_request.lastEventId);
+    }
     m_deadline = m_arrival + m_route->timeout;
     if (m_request.callerTimeout) {
         m_deadline = std::min(m_deadline, m_arrival + *m_request.callerTimeout);
@@ -343,7 +346,9 @@
     if (!canFollowAttempt()) {
         call.peerTimeout = call.timeout;
     }
-    call.mayEndWithConnection = true;
+    // The end of a connection does not show whether more events would have followed. An answer that
+    // only continues a stream has to state its end.
+    call.mayEndWithConnection = !m_answerStarted;
     if (std::find(m_triedEndpoints.begin(), m_triedEndpoints.end(), endpoint)
         != m_triedEndpoints.end()) {
         // The endpoint may write its answer to the earlier attempt once more, with the same id.
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -91,10 +91,15 @@
     void cancelTrial();
     void endTrial(EndpointResult result, RanState ran, std::string_view cause);
     void onHead(int status, gsl::span<const HeaderField> headers);
+    /// Whether the events behind this head can be passed on.
+    bool isStreamHead(int status, const AnswerTraits &traits) const;
     void onData(std::string_view bytes);
     void onComplete();
     void onFailure(SendStage stage, const Error &error);
     void onResponse();
+    /// Why the whole answer that has come can't be passed on, as a cause for the log; empty if it
+    /// can.
+    std::string answerDefect() const;
     /// Ends an attempt that brought no response that can be forwarded: retries or refuses.
     void onAttemptFailed(EndpointOutcome outcome, EndpointResult result);
     /// Closes the connection of an attempt whose endpoint gives no usable answer.
--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -22,6 +22,12 @@
 constexpr Duration OverloadRetryAfter = milliseconds(300);
 // Other instances can take the request at once.
 constexpr Duration StoppingRetryAfter = milliseconds(100);
+constexpr int StatusOk = 200;
+
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
 
 std::string_view outcomeName(EndpointOutcome outcome)
 {
@@ -62,9 +68,7 @@
     m_lastProgressAt = m_runtime.observedTime.at(m_runtime.clock.now());
     m_traits = m_runtime.codec.decodeAnswer(status, headers);
     m_answerHeaders.assign(headers.begin(), headers.end());
-    const bool isSuccess = status >= 200 && status < 300;
-    m_streaming = isSuccess && m_route->kind == RequestKind::Stream && m_traits.sealed
-        && !m_traits.encoded && !m_traits.notRun;
+    m_streaming = isStreamHead(status, m_traits);
     if (!m_firstByteSeen && !m_traits.notRun && !m_traits.misdirected) {
         m_firstByteSeen = true;
         m_runtime.directory.onFirstByte(m_endpoint, m_request.promptTokens,
@@ -72,6 +76,14 @@
     }
 }
 
+bool Exchange::isStreamHead(int status, const AnswerTraits &traits) const
+{
+    // Nothing but the rest of it may follow what the caller has received of a stream.
+    const bool isUsable = m_answerStarted ? status == StatusOk : isSuccess(status);
+    return isUsable && m_route->kind == RequestKind::Stream && traits.eventStream && traits.sealed
+        && !traits.encoded && !traits.notRun;
+}
+
 void Exchange::onData(std::string_view bytes)
 {
     if (!m_streaming) {
@@ -85,7 +97,8 @@
         forward(events);
     }
     if (m_events.isMalformed() && m_attempt) {
-        abandonAttempt("malformed_stream");
+        abandonAttempt(m_events.fault() == StreamFault::NotNext ? "event_out_of_order"
+                                                                : "malformed_stream");
     }
 }
 
@@ -147,24 +160,28 @@
             isMisdirected ? EndpointResult::RefusedNotLoaded : EndpointResult::RefusedBusy);
         return;
     }
-    const bool isSuccess = m_status >= 200 && m_status < 300;
-    if (isSuccess && (!m_traits.sealed || m_traits.encoded)) {
-        m_lastError = "unsealed";
-        onAttemptFailed(EndpointOutcome::MaybeSent, EndpointResult::Failed);
+    std::string defect = answerDefect();
+    if (!defect.empty()) {
+        m_lastError = std::move(defect);
+        onAttemptFailed(m_answerStarted ? EndpointOutcome::CutOff : EndpointOutcome::MaybeSent,
+                        EndpointResult::Failed);
         return;
     }
-    if (m_answerStarted && !m_streaming && !m_passingOn) {
-        // The endpoint that was to resume the stream failed, so the caller's stream is incomplete.
-        m_lastError = "status_" + std::to_string(m_status);
-        onAttemptFailed(EndpointOutcome::CutOff, EndpointResult::Failed);
-        return;
+    onResponse();
+}
+
+std::string Exchange::answerDefect() const
+{
+    if (isSuccess(m_status) && !m_traits.sealed) {
+        return "unsealed";
     }
-    if (m_streaming && m_events.hasPartialEvent()) {
-        m_lastError = "partial_event";
-        onAttemptFailed(EndpointOutcome::CutOff, EndpointResult::Failed);
-        return;
+    if (isSuccess(m_status) && m_traits.encoded) {
+        return "encoded";
     }
-    onResponse();
+    if (m_answerStarted && !m_streaming && !m_passingOn) {
+        return m_status == StatusOk ? "not_an_event_stream" : "status_" + std::to_string(m_status);
+    }
+    return m_streaming && m_events.hasPartialEvent() ? "partial_event" : "";
 }
 
 void Exchange::onResponse()
@@ -184,7 +201,7 @@
         m_runtime.directory.onResponse(m_endpoint, m_request.promptTokens,
                                        m_runtime.clock.now() - m_sentAt);
     }
-    if (m_status >= 200 && m_status < 300 && !m_answerStarted) {
+    if (isSuccess(m_status) && !m_answerStarted) {
         m_runtime.quarantine.onAnswerBegun(m_pool->name, m_request.prompt);
     }
     endAttempt(isServerError ? EndpointResult::Failed : EndpointResult::Answered);
@@ -277,7 +294,7 @@
 // Resumes the stream at another endpoint after the last complete event that the caller received.
 std::string_view Exchange::resume(bool isFree)
 {
-    if (!m_route->resumable || m_events.lastId().empty()) {
+    if (!m_route->resumable || !m_events.canResume()) {
         return "not_resumable";
     }
     if (m_possibleRuns >= m_route->maxAttempts || m_attemptCount >= MaxTotalAttempts) {
--- a/lib/Fleet/ExchangeSuccessor.cpp
+++ b/lib/Fleet/ExchangeSuccessor.cpp
@@ -52,7 +52,7 @@
     }
     const SteadyTime now = m_runtime.clock.now();
     const bool canRepeat =
-        m_answerStarted ? m_route->resumable && !m_events.lastId().empty() : isRepeatable();
+        m_answerStarted ? m_route->resumable && m_events.canResume() : isRepeatable();
     if (!canRepeat || m_attemptCount >= MaxTotalAttempts
         || m_runtime.observedTime.at(now) - m_lastProgressAt < silenceLimit()
         || timeLeft() <= MinResumeTime || m_runtime.answersEndAt - now <= MinResumeTime
@@ -172,8 +172,7 @@
                  RanState::No, traits.misdirected ? "absent" : "busy");
         return false;
     }
-    const bool isSuccess = status >= 200 && status < 300;
-    if (!isSuccess || !traits.sealed || traits.encoded) {
+    if (!isStreamHead(status, traits)) {
         m_runtime.endpoints->cancel(m_request.id, *m_trial);
         endTrial(EndpointResult::Failed, RanState::Unknown, "status_" + std::to_string(status));
         return false;
