--- a/tests/PlatformAdapter/RequestPathTest.cpp
+++ b/tests/PlatformAdapter/RequestPathTest.cpp
@@ -279,3 +279,12 @@
     CHECK(slow->complete);
     CHECK(slow->body == "late");
 }
+
+// The name of an adapter stands in the order to load it.
+TEST_CASE_FIXTURE(RequestPathFixture, "an adapter's name that is no UTF-8 does not end the process")
+{
+    addEngine();
+    callUntilStatus(200, "/llm/x", "m");
+    CHECK(callAndWait("/llm/x", "m/\xff\xfe")->status >= 400);
+    callUntilStatus(200, "/llm/x", "m");
+}
