--- a/tests/PlatformAdapter/PlatformCodecTest.cpp
+++ b/tests/PlatformAdapter/PlatformCodecTest.cpp
@@ -1,6 +1,7 @@
 #include "PlatformCodec.h"
 
 #include <algorithm>
+#include <limits>
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
@@ -145,6 +146,30 @@
     CHECK(decoded->key.empty());
 }
 
+// A conversion to a narrower type made large counts negative, and with them the request's cost.
+TEST_CASE("large numbers in a caller's header fields are bounded")
+{
+    for (const std::string number :
+         {"2147483648", "4294967295", "9223372036854775807", "18446744073709551616"}) {
+        HttpRequest request = callerRequest();
+        request.headers[3].value = std::string(number).append(",").append(number);
+        request.headers[4].value =
+            std::string("a:").append(number).append(",b:").append(number).append(",c:1");
+        request.headers[5].value = number;
+        const Expected<ServingRequest> decoded = Codec.decodeRequest(request);
+        REQUIRE(decoded);
+        CHECK(decoded->promptTokens >= 1'000'000);
+        CHECK(decoded->outputTokens >= 1'000'000);
+        CHECK(decoded->promptTokens <= std::numeric_limits<int>::max() / 100);
+        REQUIRE(decoded->prompt.size() == 3);
+        CHECK(decoded->prompt[0].tokens >= 1'000'000);
+        CHECK(decoded->prompt[0].tokens + std::int64_t(decoded->prompt[1].tokens)
+                  + decoded->prompt[2].tokens
+              <= std::numeric_limits<int>::max());
+        CHECK(*decoded->callerTimeout > 1h);
+    }
+}
+
 TEST_CASE("only an endpoint's own header or status 421 marks a request as not processed")
 {
     const HeaderField notRun[] = {{"X-Marigoldspool-Not-Run", "1"}};
