Bound the times in messages between instances

A message between instances with a time of, for example, 2^63 - 1 ms (age of a beacon, forecast of a load, waiting times of a demand report) passed the decoder, and the receivers' conversion to nanoseconds overflowed, which is undefined. Nothing is known to send such times.

The decoder reads signed numbers as at most 126 years in either direction, which fits into a time of the clock.

Ruled out, by tests that were there and by reading: nesting (16 levels), declared lengths beyond the end, truncated and corrupted frames, NaN and infinite amounts, the times of PromptEvidence (bounded by its reader).

--- a/lib/Peer/Messages.cpp
+++ b/lib/Peer/Messages.cpp
@@ -3,6 +3,7 @@
 #include "CborReader.h"
 #include "MessageFields.h"
 
+#include <algorithm>
 #include <array>
 #include <cmath>
 #include <limits>
@@ -96,6 +97,9 @@
     json m_fields = json::object();
 };
 
+// 126 years: as good as endless, and less than half of what a time in nanoseconds can represent.
+constexpr std::int64_t MaxMilliseconds = 4'000'000'000'000;
+
 /// Reads the fields of a map and records the name of the first one that is missing or mistyped.
 class Decoder
 {
@@ -177,6 +181,8 @@
         return true;
     }
 
+    // Most signed fields are times in milliseconds, which the receiver adds to or subtracts from a
+    // time in nanoseconds.
     static bool read(const json &field, std::int64_t &value)
     {
         constexpr std::uint64_t MaxValue = std::numeric_limits<std::int64_t>::max();
@@ -184,7 +190,7 @@
             || (field.is_number_unsigned() && field.get<std::uint64_t>() > MaxValue)) {
             return false;
         }
-        value = field.get<std::int64_t>();
+        value = std::clamp(field.get<std::int64_t>(), -MaxMilliseconds, MaxMilliseconds);
         return true;
     }
 
