Don't pass on a refusal whose endpoint does not state that the request has not run

What callers would see: 503, 429 or 408, each of which tells them that the request has not run, for a request that may have run.

Cause: only the field tells that a request has not run, and the choice of the next attempt went by it; but an answer with such a status and without the field was passed on as it came, and callers go by the status. Same class as the refusals without an id: an answer is believed without its proof.

Fix: such an answer ends the attempt as one that may have run, like a 2xx without the signature: it is repeated where that is allowed, else the caller gets 502. A 421 stays as it is: the protocol says that a replica doesn't run what it answers so.

Evidence, the test on the code before: CHECK( 408 == 502 ), CHECK( 429 == 502 ), CHECK( 503 == 502 ).

--- a/include/marigoldspool/Fleet/FleetCodec.h
+++ b/include/marigoldspool/Fleet/FleetCodec.h
@@ -28,6 +28,8 @@
 struct AnswerTraits {
     /// The endpoint states that it has not processed the request.
     bool notRun = false;
+    /// The status tells callers that the request has not run, but the endpoint does not state it.
+    bool isUnprovenRefusal = false;
     /// The endpoint is not the expected one, or does not have the model.
     bool misdirected = false;
     /// The response has the endpoint's signature.
--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -105,7 +105,7 @@
         return;
     }
     const bool canPassOn = !m_answerStarted && m_traits.sealed && !m_traits.encoded
-        && !m_traits.notRun && !m_traits.misdirected
+        && !m_traits.notRun && !m_traits.misdirected && !m_traits.isUnprovenRefusal
         && findHeader(m_answerHeaders, "Content-Length") != nullptr;
     if (!canPassOn) {
         abandonAttempt("answer_too_long");
@@ -150,6 +150,12 @@
             isMisdirected ? EndpointResult::RefusedNotLoaded : EndpointResult::RefusedBusy);
         return;
     }
+    if (m_traits.isUnprovenRefusal) {
+        m_lastError = "status_" + std::to_string(m_status);
+        onAttemptFailed(m_answerStarted ? EndpointOutcome::CutOff : EndpointOutcome::MaybeSent,
+                        EndpointResult::Failed);
+        return;
+    }
     const bool isSuccess = m_status >= 200 && m_status < 300;
     if (isSuccess && (!m_traits.sealed || m_traits.encoded)) {
         m_lastError = "unsealed";
--- a/tests/PlatformAdapter/PlatformCodecTest.cpp
+++ b/tests/PlatformAdapter/PlatformCodecTest.cpp
@@ -152,6 +152,7 @@
     const HeaderField compressed[] = {{"X-Marigoldspool-Replica-Seal", "s"},
                                       {"Content-Encoding", "gzip"}};
     CHECK(Codec.decodeAnswer(503, notRun).notRun);
+    CHECK_FALSE(Codec.decodeAnswer(503, notRun).isUnprovenRefusal);
     CHECK_FALSE(Codec.decodeAnswer(503, sealed).notRun);
     CHECK(Codec.decodeAnswer(421, sealed).notRun);
     CHECK(Codec.decodeAnswer(421, sealed).misdirected);
--- a/tests/PlatformAdapter/UnprovenRefusalTest.cpp
+++ b/tests/PlatformAdapter/UnprovenRefusalTest.cpp
@@ -1,5 +1,5 @@
-// Replicas that write an earlier refusal once more, while they run the request that waits for its
-// answer on that connection.
+// Answers that look like refusals of a request that a replica has run or is running: earlier ones
+// written once more, and some that do not state it.
 #include "Gateway/Harness.h"
 #include "RequestPathFixture.h"
 
@@ -173,3 +173,22 @@
         CHECK(&first != &second);
     }
 }
+
+TEST_CASE_FIXTURE(RequestPathFixture,
+                  "a refusal that does not state that the request has not run is not passed on")
+{
+    int status = 200;
+    StandinReplica &replica =
+        addReplica("i-1", "app", [&status](const auto &request, const auto &sink) {
+            sink->head(status, answerHeaders(request), false);
+            sink->finish();
+        });
+    callUntilStatus(200, "/app/x");
+    for (const int refused : {408, 429, 503}) {
+        CAPTURE(refused);
+        status = refused;
+        const std::size_t before = replica.requests.size();
+        CHECK(callAndWait("/once/x")->status == 502);
+        CHECK(replica.requests.size() == before + 1);
+    }
+}
