Close a connection to the store that sent bytes after an answer

What callers would see: an instance that takes one answer of the store for another, such as a write or an object that is reported missing. Not seen in play; found by looking for answers that are believed without proof that they belong to the call.

Cause: an answer that came in one piece with further bytes left these in the connection's buffer. The check before the next call looks at the socket only, so the next call read its answer from the buffer, even on a new connection.

Fix: a connection is kept only if nothing follows its answer.

Ruled out: a late answer after a call that timed out; that closes the connection, as a broken one does. What can't be told apart remains: answers of the store bear no id, so one that arrives between the check and the sending of the next call counts as its answer.

--- a/lib/Platform/StoreConnectionPool.cpp
+++ b/lib/Platform/StoreConnectionPool.cpp
@@ -154,7 +154,8 @@
     void onAnswer()
     {
         auto message = m_parser->release();
-        const bool reusable = message.keep_alive();
+        // Answers bear no id, so further bytes would be taken for the answer to the next call.
+        const bool reusable = message.keep_alive() && m_buffer.size() == 0;
         m_reused = true;
         finish(StoreAnswer{message.result_int(), std::move(message.body())}, reusable);
     }
--- a/tests/Platform/HttpObjectStoreTest.cpp
+++ b/tests/Platform/HttpObjectStoreTest.cpp
@@ -1,5 +1,6 @@
 #include "marigoldspool/Platform/HttpObjectStore.h"
 #include "standins/platform-standin/PlatformServer.h"
+#include "support/EndlessServer.h"
 #include "support/IoRunner.h"
 
 #include <optional>
@@ -193,6 +194,23 @@
     CHECK(server.connectionsAccepted() == 2);
 }
 
+TEST_CASE_FIXTURE(StoreFixture, "an answer that is sent twice is not the answer to the next call")
+{
+    const std::string missing = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
+    int calls = 0;
+    EndlessServer repeating(
+        io,
+        [&](const std::string &) {
+            return ++calls == 1 ? missing + missing
+                                : "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+        },
+        std::string(16'384, 'x'));
+    store = makeHttpObjectStore(io, repeating.address(), std::chrono::seconds(30), metrics);
+    CHECK(kindOf(get("a")) == ErrorKind::NotFound);
+    CHECK(kindOf(get("b")) == ErrorKind::Unavailable);
+    store.reset();
+}
+
 TEST_CASE_FIXTURE(StoreFixture, "pending watches do not block other calls")
 {
     int completed = 0;
