Offer a refused model again only when the owner newly lists it

What callers saw: a request that went to the same engine five times within 0.25 s, was answered 421 each time, and was refused.

Cause: the owner lists a model at the expected end of its load. An engine that is late answers 421, and this instance sends it no request for that model for 400 ms. But each update of the owner about that engine, such as an unload of another model that it plans or gives up, lists the model again, and that ended the pause.

Fix: only a model that the owner had not listed for that engine before ends the pause, since only then it has been loaded after the refusal.

Ruled out: another process at the engine's address, which answers 421 as well.

Evidence: the test on the code before: CHECK( choose("m").kind == ChoiceKind::NotLoaded ) failed.

--- a/lib/Serving/EndpointDirectory.cpp
+++ b/lib/Serving/EndpointDirectory.cpp
@@ -138,15 +138,23 @@
     if (it == m_endpoints.end()) {
         return;
     }
+    TrackedEndpoint &state = it->second;
+    // Updates repeat the models that the endpoint has refused; one that is newly listed has been
+    // loaded since then.
+    const auto onListed = [&state](const ModelName &model, const std::string &adapter) {
+        if (!hasModel(state, model, adapter)) {
+            state.notLoadedUntil.erase({model, adapter});
+        }
+    };
     if (models) {
         for (const auto &[model, adapters] : *models) {
-            it->second.notLoadedUntil.erase({model, {}});
+            onListed(model, {});
             for (const std::string &adapter : adapters) {
-                it->second.notLoadedUntil.erase({model, adapter});
+                onListed(model, adapter);
             }
         }
     }
-    it->second.ownerModels = std::move(models);
+    state.ownerModels = std::move(models);
 }
 
 void EndpointDirectory::clearOwnerModels()
--- a/tests/Serving/EndpointDirectoryTest.cpp
+++ b/tests/Serving/EndpointDirectoryTest.cpp
@@ -264,6 +264,31 @@
     CHECK(choose("m").kind == ChoiceKind::Send);
 }
 
+// The owner offers a model at the expected end of its load. While an engine was late, updates about
+// its other models made one request go there five times within 0.25 s.
+TEST_CASE_FIXTURE(DirectoryFixture,
+                  "an update that does not newly list a refused model does not offer it again")
+{
+    directory.apply(engine("e1"));
+    const LoadedModels offered{{ModelName("m"), {"a1"}}, {ModelName("n"), {}}};
+    directory.setOwnerModels(EndpointId("e1"), offered);
+    for (const char *adapter : {"", "a1"}) {
+        directory.onSent(EndpointId("e1"));
+        directory.onResult(EndpointId("e1"), EndpointResult::RefusedNotLoaded, ModelName("m"),
+                           adapter);
+    }
+    directory.setOwnerModels(EndpointId("e1"), LoadedModels{{ModelName("m"), {"a1"}}});
+    CHECK(choose("m").kind == ChoiceKind::NotLoaded);
+    CHECK(choose("m", "a1").kind == ChoiceKind::NotLoaded);
+    directory.setOwnerModels(EndpointId("e1"), LoadedModels{{ModelName("m"), {}}});
+    directory.setOwnerModels(EndpointId("e1"), LoadedModels{{ModelName("m"), {"a1"}}});
+    CHECK(choose("m").kind == ChoiceKind::NotLoaded);
+    CHECK(choose("m", "a1").kind == ChoiceKind::Send);
+    directory.setOwnerModels(EndpointId("e1"), LoadedModels());
+    directory.setOwnerModels(EndpointId("e1"), offered);
+    CHECK(choose("m").kind == ChoiceKind::Send);
+}
+
 TEST_CASE_FIXTURE(DirectoryFixture,
                   "a restarted endpoint has none of the models known before the restart")
 {
