--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -116,7 +116,7 @@
         return;
     }
     const bool canPassOn = !m_answerStarted && m_traits.sealed && !m_traits.encoded
-        && !m_traits.notRun && !m_traits.misdirected
+        && !m_traits.notRun && !m_traits.misdirected && !m_traits.isUnprovenRefusal
         && findHeader(m_answerHeaders, "Content-Length") != nullptr;
     if (!canPassOn) {
         abandonAttempt("answer_too_long");
@@ -178,8 +178,12 @@
     if (isSuccess(m_status) && m_traits.encoded) {
         return "encoded";
     }
+    const std::string status = "status_" + std::to_string(m_status);
+    if (m_traits.isUnprovenRefusal) {
+        return status;
+    }
     if (m_answerStarted && !m_streaming && !m_passingOn) {
-        return m_status == StatusOk ? "not_an_event_stream" : "status_" + std::to_string(m_status);
+        return m_status == StatusOk ? "not_an_event_stream" : status;
     }
     return m_streaming && m_events.hasPartialEvent() ? "partial_event" : "";
 }
