End a cut stream of the daemon with an error event of its own, never within an event

What callers of the daemon saw: when an endpoint failed under way, the error's text came as a plain `data:` line. If the endpoint had failed in the middle of an event, the text stood in the middle of that event's line, and the blank line behind it made both one event. Elsewhere it looked like an event of the endpoint, while docs/callers.md promises `event: error`.

Cause: HttpAnswerSink wrote the line itself, wherever the stream stood; errorEvent(), which has the promised form, had no caller.

Fix: the sink knows whether the bytes sent so far end with a blank line. Forwarded answers pass through the same sink at the instance that received the request.

Looked at besides, nothing found by reading: a second answer behind a begun one (EndpointAttempt reports CutOff once the head is forwarded, decideRetry then gives up, and ForwardTable takes one head and consecutive parts from one instance); long plain answers that the node passes on as they arrive (only a first answer can begin so, and it is never resumed).

--- a/lib/Daemon/AnswerSink.cpp
+++ b/lib/Daemon/AnswerSink.cpp
@@ -2,6 +2,7 @@
 
 #include "marigoldspool/Gateway/OpenAi.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace marigoldspool {
@@ -11,6 +12,9 @@
 // Small enough that one large answer does not delay other messages to the same peer.
 constexpr std::size_t ForwardChunkBytes = std::size_t{64} * 1024;
 
+// The longest line ends before and of a blank line.
+constexpr std::size_t MaxBlankLineBytes = std::string_view("\r\n\r\n").size();
+
 std::vector<HeaderField> refusalHeaders(const Refusal &refusal, const RequestId &id)
 {
     std::vector<HeaderField> headers{{"Content-Type", "application/json"},
@@ -46,10 +50,21 @@
 {
     if (m_stream) {
         m_events.feed(bytes);
+        m_tail.append(bytes.substr(bytes.size() - std::min(bytes.size(), MaxBlankLineBytes)));
+        m_tail.erase(0, m_tail.size() - std::min(m_tail.size(), MaxBlankLineBytes));
     }
     m_sink->data(bytes);
 }
 
+bool HttpAnswerSink::isBetweenEvents() const
+{
+    const auto endsWith = [this](std::string_view blankLine) {
+        return m_tail.size() >= blankLine.size()
+            && m_tail.compare(m_tail.size() - blankLine.size(), blankLine.size(), blankLine) == 0;
+    };
+    return m_tail.empty() || endsWith("\n\n") || endsWith("\r\n\r\n") || endsWith("\r\r");
+}
+
 void HttpAnswerSink::finish()
 {
     m_sink->finish();
@@ -57,16 +72,16 @@
 
 void HttpAnswerSink::refuse(const Refusal &refusal)
 {
-    const std::string body = errorBody(refusal, m_id);
     if (!m_started) {
         m_started = true;
         m_sink->head(refusalHttpStatus(refusal.reason), refusalHeaders(refusal, m_id), false);
-        m_sink->data(body);
+        m_sink->data(errorBody(refusal, m_id));
         m_sink->finish();
         return;
     }
-    if (m_stream) {
-        m_sink->data("data: " + body + "\n\n");
+    // Behind a part of an event, the error would be read as the rest of it.
+    if (m_stream && isBetweenEvents()) {
+        m_sink->data(errorEvent(refusal, m_id));
     }
     m_sink->abort();
 }
--- a/lib/Daemon/AnswerSink.h
+++ b/lib/Daemon/AnswerSink.h
@@ -51,9 +51,14 @@
     std::size_t streamedEvents() const { return m_events.dataEvents(); }
 
 private:
+    /// Whether the stream has begun no event that it has not ended.
+    bool isBetweenEvents() const;
+
     RequestId m_id;
     std::shared_ptr<ResponseSink> m_sink;
     SseScanner m_events;
+    /// The last bytes of the stream.
+    std::string m_tail;
     bool m_started = false;
     bool m_stream = false;
 };
