Log the status that a caller received when its stream breaks off

What operators saw: the line of a request whose stream had begun with 200 and broke off gave the status of the last attempt: 404, 500 or 204 of the endpoint that was to resume it, or 0 when that one sent no head.

Cause: Exchange keeps one status, which each attempt overwrites. Fix: the status that was forwarded is kept, and the line has it once the answer has begun.

--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -150,6 +150,8 @@
     /// A long answer of a known length is passed on as it arrives.
     bool m_passingOn = false;
     bool m_answerStarted = false;
+    /// The status that the caller has received, once the answer has begun.
+    int m_callerStatus = 0;
     EventStream m_events;
     std::optional<SteadyTime> m_firstEventAt;
     std::string m_lastError;
--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -128,6 +128,7 @@
     if (!m_answerStarted) {
         m_runtime.quarantine.onAnswerBegun(m_pool->name, m_request.prompt);
         m_answerStarted = true;
+        m_callerStatus = m_status;
         m_firstEventAt = m_runtime.clock.now();
         m_sink->head(m_status, m_answerHeaders, true);
     }
@@ -437,7 +438,7 @@
     logEvent(LogLevel::Info, "request",
              {{"id", m_request.id.str()},
               {"outcome", std::string(outcome)},
-              {"status", std::to_string(status)},
+              {"status", std::to_string(m_answerStarted ? m_callerStatus : status)},
               {"route", route},
               {"workspace", m_workspace.str()},
               {"model", m_request.model.str()},
--- a/tests/PlatformAdapter/ResumedStreamTest.cpp
+++ b/tests/PlatformAdapter/ResumedStreamTest.cpp
@@ -2,6 +2,10 @@
 // it is the rest of the stream.
 #include "RequestPathFixture.h"
 
+#include "marigoldspool/Support/EventLog.h"
+
+#include <map>
+
 using namespace marigoldspool;
 using namespace std::chrono_literals;
 using nlohmann::json;
@@ -133,6 +137,21 @@
     return options;
 }
 
+/// Keeps the last line of each event.
+class LastLines final : public EventLog
+{
+public:
+    LastLines() { setEventLog(this); }
+    ~LastLines() override { setEventLog(nullptr); }
+
+    void write(LogLevel, std::string_view event, gsl::span<const LogField> fields) override
+    {
+        lines[std::string(event)] = formatEvent(event, fields);
+    }
+
+    std::map<std::string, std::string> lines;
+};
+
 // Three engines whose answers are stated byte by byte.
 class ResumedStreamFixture : public RequestPathFixture
 {
@@ -241,3 +260,24 @@
     CHECK(answer->status == 200);
     CHECK(answer->body.empty());
 }
+
+// Guards against the status of an answer that the caller never got, and against failures within a
+// stream that look like failures before it.
+TEST_CASE_FIXTURE(ResumedStreamFixture,
+                  "the log of a stream that breaks off has the caller's status")
+{
+    for (const OtherAnswer &other : OtherAnswers) {
+        if (other.name == NotRun) {
+            continue;
+        }
+        CAPTURE(other.name);
+        LastLines log;
+        callWith({Started, other.bytes});
+        const std::string &failed = log.lines["attempt_failed"];
+        CAPTURE(failed);
+        CHECK(failed.find(" outcome=cut_off ") != std::string::npos);
+        const std::string &request = log.lines["request"];
+        CAPTURE(request);
+        CHECK(request.find(" outcome=cut_off status=200 ") != std::string::npos);
+    }
+}
