Let an answer that has begun go on until a timeout that was raised meanwhile

Callers saw a stream closed in the middle at the timeout that its route had at its arrival, although a version adopted meanwhile allows more and the caller's own deadline had not come.

Cause: the deadline was computed once, from the version at the arrival. The timer, the call to the endpoint and the check before a stream is resumed all kept to it.

When the deadline of an answer that has begun is reached, or the stream is to be resumed shortly before it, the timeout of the version in force counts if it is longer, within the caller's own deadline. An endpoint stops at the deadline that it was given, so the stream may break off there; it is then resumed with the time that is left. The call to the endpoint has no timeout of its own any more, since the request's timer cancels it. A timeout that was lowered shortens nothing. A request without an answer keeps the timeout that it was accepted with: the platform counts requests without a final answer 0.5 s after it, and 504 at the deadline is an answer.

Evidence: the test "a stream is not cut off at a timeout that a new version has raised" failed before in both cases (the same engine goes on; another one, as the first ends at the old deadline) with `CHECK( answer->complete ) is NOT correct! values: CHECK( false )`. "a request without an answer is not held beyond the timeout it was accepted with" passed before and guards the other side. 58 cases of PlatformAdapterTests pass.

--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -20,6 +20,7 @@
 constexpr Duration RefusalMargin = milliseconds(40);
 
 constexpr Duration ServiceConnectTimeout = milliseconds(200);
+constexpr Duration MaxCallTime = std::chrono::hours(1);
 constexpr Duration NoConfigurationRetryAfter = milliseconds(500);
 constexpr Duration CallerGoneRetryAfter = milliseconds(500);
 
@@ -46,10 +47,7 @@
     if (!resolveRoute()) {
         return;
     }
-    m_deadline = m_arrival + m_route->timeout;
-    if (m_request.callerTimeout) {
-        m_deadline = std::min(m_deadline, m_arrival + *m_request.callerTimeout);
-    }
+    m_deadline = deadlineFor(*m_route);
     m_callerDeadline = m_deadline - RefusalMargin;
     if (m_route->kind == RequestKind::Stream) {
         const Duration patience =
@@ -57,15 +55,36 @@
                       m_route->maxEventGap * PatiencePerPause});
         m_callerDeadline = std::min(m_callerDeadline, m_arrival + patience - RefusalMargin);
     }
-    m_timer.expires_after(m_deadline - m_arrival);
+    startTimer();
+    m_runtime.retries.onRequest(m_pool->name);
+    dispatch();
+}
+
+SteadyTime Exchange::deadlineFor(const PrefixRoute &route) const
+{
+    return m_arrival + std::min(route.timeout, m_request.callerTimeout.value_or(route.timeout));
+}
+
+void Exchange::startTimer()
+{
+    m_timer.expires_after(timeLeft());
     m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &ec) {
         const auto self = weak.lock();
         if (!ec && self) {
             self->onDeadline();
         }
     });
-    m_runtime.retries.onRequest(m_pool->name);
-    dispatch();
+}
+
+bool Exchange::extendDeadline()
+{
+    const ResolvedRoute current = lookUpRoute();
+    if (!m_answerStarted || current.refusal || deadlineFor(*current.route) <= m_deadline) {
+        return false;
+    }
+    m_deadline = deadlineFor(*current.route);
+    startTimer();
+    return true;
 }
 
 Exchange::ResolvedRoute Exchange::lookUpRoute() const
@@ -327,7 +346,8 @@
     context.lastEventId = m_events.lastId().empty() ? m_request.lastEventId : m_events.lastId();
     EndpointCall call = m_runtime.codec.encodeCall(m_request, state->listed, context);
     call.id = m_request.id;
-    call.timeout = left + milliseconds(200);
+    // This class ends the call at the deadline, which a new version may move.
+    call.timeout = MaxCallTime;
     call.connectTimeout =
         std::min<Duration>(left, isEngineRequest() ? EngineConnectTimeout : ServiceConnectTimeout);
     // checkSilence() handles idle endpoints; TCP keep-alive detects dead connections.
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -121,6 +121,12 @@
     void endAttempt(EndpointResult result);
     void refuse(RefusalReason reason, RanState ran, Duration retryAfter, std::string message);
     void finish(std::string_view outcome, int status);
+    /// The end of the time that the route and the caller allow.
+    SteadyTime deadlineFor(const PrefixRoute &route) const;
+    void startTimer();
+    /// Adopts a longer timeout of the configuration in force for an answer that has begun, which a
+    /// shorter one would cut off. Without an answer, the timeout at the arrival holds.
+    bool extendDeadline();
     Duration timeLeft() const;
     Duration callerTimeLeft() const;
     /// Whether an endpoint may have run the request.
--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -283,7 +283,7 @@
     if (m_possibleRuns >= m_route->maxAttempts || m_attemptCount >= MaxTotalAttempts) {
         return "attempts_used";
     }
-    if (timeLeft() <= MinResumeTime) {
+    if (timeLeft() <= MinResumeTime && !extendDeadline()) {
         return "deadline";
     }
     if (!keepsRoute(m_possibleRuns)) {
@@ -312,6 +312,10 @@
 
 void Exchange::onDeadline()
 {
+    // The deadline may have been extended after the timer expired.
+    if (timeLeft() > Duration::zero() || extendDeadline()) {
+        return;
+    }
     endUnanswered(RefusalReason::DeadlinePassed, Duration::zero(), "deadline",
                   "the request was not answered before its deadline");
 }
--- a/tests/PlatformAdapter/LostAnswerTest.cpp
+++ b/tests/PlatformAdapter/LostAnswerTest.cpp
@@ -64,6 +64,7 @@
                 return;
             }
             ++pausedStreams;
+            pausedSink = sink;
             sink->onCallerGone([this] {
                 pausedGoneAt = clock.now();
             });
@@ -113,6 +114,7 @@
 
     int pausedStreams = 0;
     Duration pause = Pause;
+    std::shared_ptr<ResponseSink> pausedSink;
     /// When the paused stream was cancelled.
     std::optional<SteadyTime> pausedGoneAt;
 };
@@ -320,6 +322,62 @@
     checkWhole(answer);
 }
 
+TEST_CASE_FIXTURE(LostAnswerFixture,
+                  "a stream is not cut off at a timeout that a new version has raised")
+{
+    bool isCutByEngine = false;
+    SUBCASE("at the same engine") { }
+    SUBCASE("at another engine, since the first one ends it at the old deadline")
+    {
+        isCutByEngine = true;
+    }
+    pause = 1200ms;
+    routes[2]["timeoutMs"] = 1000;
+    const auto answer = callPaused();
+    routes[2]["timeoutMs"] = 4000;
+    configure(3, {"k1"});
+    if (isCutByEngine) {
+        io.restart();
+        io.run_for(950ms);
+        idleEngine().handler = [](const auto &request, const auto &sink) {
+            sink->head(200, answerHeaders(request), true);
+            sink->data(SecondEvent);
+            sink->finish();
+        };
+        pausedSink->abort();
+    }
+    checkWhole(answer);
+}
+
+// The platform expects the final answer at the timeout of the version at its arrival.
+TEST_CASE_FIXTURE(RequestPathFixture,
+                  "a request without an answer is not held beyond the timeout it was accepted with")
+{
+    std::shared_ptr<ResponseSink> openSink;
+    routes[1]["timeoutMs"] = 600;
+    configure(2, {"k1"});
+    addReplica("i-1", "app", [&openSink](const auto &request, const auto &sink) {
+        if (request.target == "/app/x") {
+            answerOk(request, sink);
+        } else {
+            openSink = sink;
+        }
+    });
+    callUntilStatus(200, "/app/x");
+    const SteadyTime before = clock.now();
+    const auto answer = call("/once/slow");
+    REQUIRE(runUntil(io, [&openSink] {
+        return openSink != nullptr;
+    }));
+    routes[1]["timeoutMs"] = 3000;
+    configure(3, {"k1"});
+    REQUIRE(runUntil(io, [&answer] {
+        return answer->ended;
+    }));
+    CHECK(answer->status == 504);
+    CHECK(clock.now() - before < 1s);
+}
+
 TEST_CASE_FIXTURE(LostAnswerFixture,
                   "a stream resumes at its own endpoint when only the connection was lost")
 {
