Test requests that are being read when their route is removed

Ruled out: that a request whose body is under way, or one pipelined behind it, is dropped when a version takes effect, with and without `Expect: 100-continue`. Both are answered 404 on the same connection.

--- a/tests/PlatformAdapter/ConfigurationChangeTest.cpp
+++ b/tests/PlatformAdapter/ConfigurationChangeTest.cpp
@@ -2,6 +2,9 @@
 // get a whole answer.
 #include "RequestPathFixture.h"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
 using namespace marigoldspool;
 using namespace std::chrono_literals;
 using nlohmann::json;
@@ -270,3 +273,47 @@
         });
     }));
 }
+
+// The second request is pipelined behind the one that is being read.
+TEST_CASE_FIXTURE(ConfigurationChangeFixture,
+                  "requests that are being read when their route is removed are answered")
+{
+    const std::string head = "POST /once/x HTTP/1.1\r\nHost: h\r\nAuthorization: Token k1\r\n"
+                             "X-Marigoldspool-Request-Id: a\r\nContent-Length: 4\r\n";
+    bool expectsContinue = false;
+    SUBCASE("a body") { }
+    SUBCASE("a body that the caller announces")
+    {
+        expectsContinue = true;
+    }
+    put({"none", [](json &) {}});
+    waitUntilAdopted();
+    boost::asio::ip::tcp::socket socket(io);
+    const std::size_t colon = callerAddress.rfind(':');
+    socket.connect({boost::asio::ip::make_address(callerAddress.substr(0, colon)),
+                    static_cast<std::uint16_t>(std::stoi(callerAddress.substr(colon + 1)))});
+    socket.non_blocking(true);
+    const auto send = [&socket](const std::string &text) {
+        boost::asio::write(socket, boost::asio::buffer(text));
+    };
+    send(head + (expectsContinue ? "Expect: 100-continue\r\n\r\n" : "\r\nbo"));
+    put(changes().front());
+    waitUntilAdopted();
+    send((expectsContinue ? "body" : "dy") + head + "\r\nbody");
+    std::string received;
+    const auto countOf = [&received](const std::string &text) {
+        int n = 0;
+        for (std::size_t at = received.find(text); at != std::string::npos;
+             at = received.find(text, at + 1)) {
+            ++n;
+        }
+        return n;
+    };
+    CHECK(runUntil(io, [&] {
+        std::array<char, 4096> buf{};
+        boost::system::error_code ec;
+        received.append(buf.data(), socket.read_some(boost::asio::buffer(buf), ec));
+        return countOf("HTTP/1.1 404") == 2;
+    }));
+    CHECK(countOf("HTTP/1.1 100") == (expectsContinue ? 1 : 0));
+}
