Count only instances that can be reached

An object of kind `instances` whose address names nothing (port 0 or 99999, a host name, an empty text) counted as an instance: the others divided all limits by one more, and tried to connect to it without end. Its address has to be an IP:PORT with a port of 1 to 65535 now, as that of a replica; otherwise the object is counted and logged as unreadable. An object that becomes unreadable leaves the instance that it named in place, as before: that instance most likely runs on and uses its share.

Test failed before: "odd instances and leases do not keep requests from being served", 7 == 11 unreadable instances. Its other rows (nesting, 1e999, no UTF-8, wrong types, for the lease as well) guard the change of the store's answers. An unreadable lease is logged at each reading, and nothing is ordered until the object is removed, as before: its term is unknown, and a new one must be higher.

"thousands of odd entries do not keep the others from being used": 3,000 entries on 31 pages are read and counted in 0.2 s; it passed at once.

Run: SupportTests 18, PeerTests 41, ServingTests 125, LimitsTests 33, RoutingTests 42, DaemonTests 11, PlatformTests 29, ConfigTests 39, OperatorTests 36, GatewayTests 83, PlacementTests 27, PlatformAdapterTests 61 cases, all passed; format and lint of the changed files clean.

--- a/include/marigoldspool/Support/IpAddress.h
+++ b/include/marigoldspool/Support/IpAddress.h
@@ -18,6 +18,9 @@
 /// Splits `IP:PORT`, with an IPv6 address in brackets. Fails with InvalidArgument.
 Expected<IpAddress> splitAddress(std::string_view text);
 
+/// Whether \p text is an `IP:PORT` to which a connection can be opened: its port is not 0.
+bool isConnectableAddress(std::string_view text);
+
 } // namespace marigoldspool
 
 #endif
--- a/lib/Fleet/FleetState.cpp
+++ b/lib/Fleet/FleetState.cpp
@@ -3,9 +3,11 @@
 #include "Fleet/FleetLink.h"
 #include "marigoldspool/Peer/PeerTable.h"
 #include "marigoldspool/Support/EventLog.h"
+#include "marigoldspool/Support/IpAddress.h"
 #include "marigoldspool/Support/JsonText.h"
 
 #include <algorithm>
+#include <optional>
 
 #include <nlohmann/json.hpp>
 
@@ -55,6 +57,20 @@
     return std::string(key.substr(key.find('/') + 1));
 }
 
+std::optional<FleetMember> decodeMember(const InstanceId &id, std::string_view text)
+{
+    const json value = parseJson(text);
+    if (id.empty() || !value.is_object() || !value.contains("peer") || !value["peer"].is_string()
+        || !value.contains("zone") || !value["zone"].is_string()) {
+        return std::nullopt;
+    }
+    FleetMember member{id, ZoneName(value["zone"].get<std::string>()),
+                       value["peer"].get<std::string>()};
+    // An instance that cannot be reached would still take a share of all limits.
+    return isConnectableAddress(member.peerAddress) ? std::make_optional(std::move(member))
+                                                    : std::nullopt;
+}
+
 } // namespace
 
 /// State of one watched prefix, merged from the store and from peers.
@@ -476,9 +492,8 @@
             m_ownVersion = 0;
         }
     } else {
-        const json value = parseJson(event.value);
-        if (!value.is_object() || !value.contains("peer") || !value["peer"].is_string()
-            || !value.contains("zone") || !value["zone"].is_string()) {
+        const std::optional<FleetMember> member = decodeMember(id, event.value);
+        if (!member) {
             m_runtime.metrics->add("marigoldspool_unreadable_objects_total", 1,
                                    {{"kind", "instance"}});
             logEvent(LogLevel::Warning, "instance_unreadable", {{"instance", id.str()}});
@@ -487,8 +502,7 @@
         if (id == m_runtime.options.instance) {
             m_ownVersion = event.version;
         }
-        m_members[id] = {id, ZoneName(value["zone"].get<std::string>()),
-                         value["peer"].get<std::string>()};
+        m_members[id] = *member;
     }
     // This instance uses its own share from its start, even before it is listed.
     const bool isListed = m_members.count(m_runtime.options.instance) > 0;
--- a/lib/Support/IpAddress.cpp
+++ b/lib/Support/IpAddress.cpp
@@ -20,4 +20,10 @@
     return address;
 }
 
+bool isConnectableAddress(std::string_view text)
+{
+    const Expected<IpAddress> address = splitAddress(text);
+    return address && address->port != 0;
+}
+
 } // namespace marigoldspool
--- a/tests/PlatformAdapter/OddEntryTest.cpp
+++ b/tests/PlatformAdapter/OddEntryTest.cpp
@@ -123,3 +123,62 @@
     removeSoundReplica();
     callUntilServedBy(odd);
 }
+
+// The kinds that the system creates are as open to other writers as that of the replicas.
+TEST_CASE_FIXTURE(OddEntryFixture,
+                  "odd instances and leases do not keep requests from being served")
+{
+    const std::string oddTexts[] = {
+        nested(100'000),
+        "{\"holder\":1e999}",
+        "\"\xff\"",
+        "null",
+        R"({"zone":"z1","peer":5})",
+        R"({"zone":"z1","peer":""})",
+        R"({"zone":"z1","peer":"127.0.0.1:0"})",
+        R"({"zone":"z1","peer":"127.0.0.1:99999"})",
+        R"({"zone":"z1","peer":"host:80"})",
+        R"({"holder":"x","term":-1,"renewal":1e300,"released":false,"ordered":[]})",
+        R"({"holder":"x","term":1,"renewal":1,"released":false,"ordered":5})",
+    };
+    replaceSoundReplica();
+    for (const std::string &text : oddTexts) {
+        store.putText("instances", "front-" + std::to_string(store.calls + 10), text);
+        store.putText("leases", "placement", text);
+        replaceSoundReplica();
+        store.dropHistory();
+    }
+    CHECK(runUntil(io, [this, &oddTexts] {
+        return daemonMetrics->counterValue("marigoldspool_unreadable_objects_total",
+                                           {{"kind", "instance"}})
+            >= std::size(oddTexts);
+    }));
+    CHECK(callAndWait("/app/x")->status == 200);
+    CHECK(daemonMetrics->counterValue("marigoldspool_unreadable_objects_total",
+                                      {{"kind", "instance"}})
+          == std::size(oddTexts));
+}
+
+// Objects are read in one batch, while requests wait.
+TEST_CASE_FIXTURE(OddEntryFixture,
+                  "thousands of odd entries do not keep the others from being used")
+{
+    constexpr int Count = 3'000;
+    store.pageSize = 100;
+    startReplica("i-1", answerOk);
+    for (int i = 0; i < Count; ++i) {
+        const OddEntry &odd = OddEntries[static_cast<std::size_t>(i) % std::size(OddEntries)];
+        OddEntry small = odd;
+        if (odd.text.size() > 1'000) {
+            small.text = nested(1'000);
+        }
+        store.putText("servers", (i % 2 == 0 ? "a/" : "z ") + std::to_string(i),
+                      oddSpec(small, *replicas.front()));
+    }
+    replaceSoundReplica();
+    CHECK(callAndWait("/app/x")->status == 200);
+    CHECK(daemonMetrics->counterValue("marigoldspool_unreadable_objects_total",
+                                      {{"kind", "endpoint"}})
+          == Count);
+    CHECK(replicas.front()->requests.empty());
+}
