--- a/tests/PlatformAdapter/OddEntryTest.cpp
+++ b/tests/PlatformAdapter/OddEntryTest.cpp
@@ -159,6 +159,21 @@
           == std::size(oddTexts));
 }
 
+// The event that was passed over left the entry's earlier version in use.
+TEST_CASE_FIXTURE(OddEntryFixture, "an entry whose revision becomes unreadable is not used")
+{
+    StandinReplica &odd = startReplica("i-1", answerOk);
+    store.put("servers", "i-1", odd.entry("app"));
+    callUntilServedBy(odd);
+    store.putText("servers", "i-1", odd.entry("app").dump(), R"({"name":"i-1"})");
+    replaceSoundReplica();
+    odd.requests.clear();
+    for (int i = 0; i < 10; ++i) {
+        CHECK(callAndWait("/app/x")->status == 200);
+    }
+    CHECK(odd.requests.empty());
+}
+
 // Objects are read in one batch, while requests wait.
 TEST_CASE_FIXTURE(OddEntryFixture,
                   "thousands of odd entries do not keep the others from being used")
--- a/tests/PlatformAdapter/PlatformStoreTest.cpp
+++ b/tests/PlatformAdapter/PlatformStoreTest.cpp
@@ -213,6 +213,7 @@
     REQUIRE(batch->events.size() == 2);
     CHECK(batch->events[1].key == "servers/c");
     CHECK(batch->revision == listed->revision);
+    CHECK(batch->gap);
     CHECK(metrics.counterValue("marigoldspool_unreadable_objects_total", {{"kind", "metadata"}})
           == 2 * std::size(oddMetadata));
     // An answer that ends in the middle is no list, whatever the reason.
