Skip answers to requests on the calls of reports and orders

What callers would see: models that are waited for and don't come, since the owner takes an order for carried out that the engine never carried out.

Cause: reports and orders share the kept connections of the requests. A late second answer to a request, where that to an order is awaited, was taken for it: a 200 means that the order holds already, a 421 that another process has the address. Same class as the refusals without an id.

Fix: these calls bear no id, so an answer that repeats one is skipped like other answers that aren't the awaited one. An answer that repeats none, such as that to an earlier report, can't be told apart; the count of orders that each order states bounds what it does.

Ruled out: to send an id with these calls.

Evidence, the test on the code before: "an answer to a request is not taken for that to an order": CHECK( 200 == 409 ).

--- a/include/marigoldspool/Gateway/EndpointClient.h
+++ b/include/marigoldspool/Gateway/EndpointClient.h
@@ -46,6 +46,8 @@
     /// Field in which the endpoint repeats the request's id; empty when it repeats none. Answers
     /// without this id may belong to other requests and are skipped.
     std::string echoField;
+    /// The call bears no id for the endpoint to repeat; answers that repeat one are skipped.
+    bool sendsNoId = false;
     /// The call fails when the body of the answer is longer, in bytes; zero: unlimited.
     std::size_t maxAnswerBytes = 0;
     /// An answer without a length is complete when the endpoint closes the connection cleanly.
--- a/lib/Gateway/EndpointConnection.cpp
+++ b/lib/Gateway/EndpointConnection.cpp
@@ -102,6 +102,7 @@
     m_parser.emplace(m_isHeadRequest);
     m_headDelivered = false;
     m_echoField = std::move(call.echoField);
+    m_sendsNoId = call.sendsNoId;
     m_skippingAnswer = false;
     m_skippedAnswers = 0;
     m_maxAnswerBytes = call.maxAnswerBytes;
@@ -292,7 +293,7 @@
         return true;
     }
     const std::string *echoed = findHeader(headers, m_echoField);
-    return echoed != nullptr && *echoed == m_id.str();
+    return m_sendsNoId ? echoed == nullptr : echoed != nullptr && *echoed == m_id.str();
 }
 
 // Returns false when the handler has cancelled the call.
--- a/lib/Gateway/EndpointConnection.h
+++ b/lib/Gateway/EndpointConnection.h
@@ -93,6 +93,7 @@
     std::optional<ResponseParser> m_parser;
     bool m_headDelivered = false;
     std::string m_echoField;
+    bool m_sendsNoId = false;
     bool m_isHeadRequest = false;
     std::size_t m_maxAnswerBytes = 0;
     std::size_t m_answerBytes = 0;
--- a/tests/PlatformAdapter/UnprovenRefusalTest.cpp
+++ b/tests/PlatformAdapter/UnprovenRefusalTest.cpp
@@ -179,3 +179,26 @@
         CHECK(replica.requests.size() == before + 1);
     }
 }
+
+// Orders and reports share the connections of the requests, and bear no id.
+TEST_CASE_FIXTURE(RawReplicaFixture, "an answer to a request is not taken for that to an order")
+{
+    ListedEndpoint engine;
+    engine.id = EndpointId("i-3");
+    engine.address = raw.address();
+    EndpointCall order = codec.encodeOrder(engine, PlacementOrder(), InstanceId("tester"), 1, 0);
+    order.id = RequestId("order");
+    const auto answer = std::make_shared<CallerAnswer>();
+    client->call(std::move(order), std::make_shared<CallerHandler>(answer));
+    RawSocket *carrier = nullptr;
+    REQUIRE(runUntil(io, [&] {
+        for (std::size_t i = 0; carrier == nullptr && i < raw.connections(); ++i) {
+            carrier = raw.connection(i).hasReceived("tester") ? &raw.connection(i) : nullptr;
+        }
+        return carrier != nullptr;
+    }));
+    carrier->send(ownAnswer());
+    carrier->send(answerText("409 Conflict", ""));
+    waitForEnd(*answer);
+    CHECK(answer->status == 409);
+}
