Test that the successor takes over when the silent engine breaks off

The accepted trial becomes the attempt under way without a further retry. Without that step, the test failed with `CHECK( answer->complete ) is NOT correct! values: CHECK( false )`.

--- a/tests/PlatformAdapter/LostAnswerTest.cpp
+++ b/tests/PlatformAdapter/LostAnswerTest.cpp
@@ -277,6 +277,18 @@
             openSink = sink;
         };
     }
+    SUBCASE("accepted, and the silent engine breaks off")
+    {
+        successor = [this](const HttpRequest &request, const std::shared_ptr<ResponseSink> &sink) {
+            pausedSink->abort();
+            const auto timer = std::make_shared<boost::asio::steady_timer>(io, 50ms);
+            timer->async_wait([timer, request, sink](const boost::system::error_code &) {
+                sink->head(200, answerHeaders(request), true);
+                sink->data(SecondEvent);
+                sink->finish();
+            });
+        };
+    }
     const auto answer = callPaused();
     idleEngine().handler = successor;
     checkWhole(answer);
