--- a/tests/PlatformAdapter/ConfigurationChangeTest.cpp
+++ b/tests/PlatformAdapter/ConfigurationChangeTest.cpp
@@ -11,102 +11,37 @@
 
 namespace {
 
+/// A change of one value of the configuration.
 struct Change {
-    std::string name;
-    std::function<void(json &)> apply;
+    std::string at;
+    std::string value;
     /// The status that a request which waits for a model gets at once; 0: it goes on waiting.
     int waitingStatus = 0;
 };
 
-json &llmRoute(json &configuration)
-{
-    return configuration["routes"][2];
-}
-
-json &llmEngine(json &configuration)
-{
-    return configuration["services"][1]["engine"];
-}
+const Change NoRoutes{"/routes", "[]", 404};
+const Change Nothing{"/version", "0"};
 
-// Also such as the platform's store would not accept.
-const std::vector<Change> &changes()
-{
-    constexpr int NotFound = 404;
-    constexpr int Unauthorized = 401;
-    constexpr int Unavailable = 503;
-    static const std::vector<Change> all{
-        {"no routes",
-         [](json &it) {
-             it["routes"] = json::array();
-         },
-         NotFound},
-        {"another key",
-         [](json &it) {
-             it["tenants"][0]["apiKeys"] = {"k2"};
-         },
-         Unauthorized},
-        {"no tenants",
-         [](json &it) {
-             it["tenants"] = json::array();
-         }},
-        {"no services",
-         [](json &it) {
-             it["services"] = json::array();
-         },
-         Unavailable},
-        {"a service without endpoints",
-         [](json &it) {
-             llmRoute(it)["service"] = "none";
-         },
-         Unavailable},
-        {"weights of zero",
-         [](json &it) {
-             llmRoute(it)["backends"] = {{{"service", "llm"}, {"weight", 0}},
-                                         {{"service", "none"}, {"weight", 0}}};
-         },
-         Unavailable},
-        {"negative weights",
-         [](json &it) {
-             llmRoute(it)["backends"] = {{{"service", "llm"}, {"weight", -1}}};
-         }},
-        {"two routes with one prefix",
-         [](json &it) {
-             it["routes"].push_back(llmRoute(it));
-         }},
-        {"not resumable",
-         [](json &it) {
-             llmRoute(it)["resumable"] = false;
-         }},
-        {"another kind",
-         [](json &it) {
-             llmRoute(it)["kind"] = "idempotent";
-         }},
-        {"no attempts",
-         [](json &it) {
-             llmRoute(it)["attempts"] = 0;
-         }},
-        {"no time",
-         [](json &it) {
-             for (json &route : it["routes"]) {
-                 route["timeoutMs"] = 0;
-             }
-         }},
-        {"no engine",
-         [](json &it) {
-             it["services"][1].erase("engine");
-         },
-         Unavailable},
-        {"an engine without models",
-         [](json &it) {
-             llmEngine(it)["models"] = json::array();
-         }},
-        {"no slots",
-         [](json &it) {
-             llmEngine(it)["slots"] = 0;
-         }},
-    };
-    return all;
-}
+// Also values that the platform's store would not accept.
+const std::vector<Change> Changes{
+    NoRoutes,
+    {"/tenants/0/apiKeys", R"(["k2"])", 401},
+    {"/tenants", "[]"},
+    {"/services", "[]", 503},
+    {"/services/1/engine", "null", 503},
+    {"/services/1/engine/models", "[]"},
+    {"/services/1/engine/slots", "0"},
+    {"/routes/2/service", R"("none")", 503},
+    {"/routes/2/backends", R"([{"service": "llm", "weight": 0}, {"service": "none", "weight": 0}])",
+     503},
+    {"/routes/2/backends", R"([{"service": "llm", "weight": -1}])"},
+    // Another route with the same prefix, before it.
+    {"/routes/1/prefix", R"("/llm/")", 200},
+    {"/routes/2/resumable", "false"},
+    {"/routes/2/kind", R"("idempotent")"},
+    {"/routes/2/attempts", "0"},
+    {"/routes/2/timeoutMs", "0"},
+};
 
 class ConfigurationChangeFixture : public RequestPathFixture
 {
@@ -152,7 +87,7 @@
 
     void open()
     {
-        put({"none", [](json &) {}});
+        put(Nothing);
         waitUntilAdopted();
         callUntilStatus(200, "/llm/x", "m");
         callUntilStatus(200, "/once/x");
@@ -168,8 +103,9 @@
 
     void put(const Change &change)
     {
-        json next = configuration(++version, {"k1"});
-        change.apply(next);
+        json next = configuration(0, {"k1"});
+        next[json::json_pointer(change.at)] = json::parse(change.value);
+        next["version"] = ++version;
         next["routes"].push_back({{"name", "probe"},
                                   {"host", "h"},
                                   {"prefix", "/" + std::to_string(version) + "/"},
@@ -218,8 +154,9 @@
 TEST_CASE_FIXTURE(ConfigurationChangeFixture,
                   "requests that are open when a new version takes effect are answered")
 {
-    for (const Change &change : changes()) {
-        CAPTURE(change.name);
+    for (const Change &change : Changes) {
+        CAPTURE(change.at);
+        CAPTURE(change.value);
         open();
         put(change);
         waitUntilAdopted();
@@ -233,7 +170,7 @@
                   "requests that are open when versions follow each other at once are answered")
 {
     open();
-    for (const Change &change : changes()) {
+    for (const Change &change : Changes) {
         put(change);
         io.restart();
         io.run_for(10ms);
@@ -248,7 +185,7 @@
 {
     // The endpoint's slots and its queue.
     constexpr std::size_t MaxInFlight = 12;
-    put({"none", [](json &) {}});
+    put(Nothing);
     waitUntilAdopted();
     std::vector<std::shared_ptr<CallerAnswer>> sent;
     for (std::size_t i = 0; i < MaxInFlight; ++i) {
@@ -261,7 +198,7 @@
     io.restart();
     io.run_for(50ms);
     REQUIRE_FALSE(queued->ended);
-    put(changes().front());
+    put(NoRoutes);
     waitUntilAdopted();
     CHECK(queued->status == 404);
     for (const auto &sink : heldSinks) {
@@ -286,7 +223,7 @@
     {
         expectsContinue = true;
     }
-    put({"none", [](json &) {}});
+    put(Nothing);
     waitUntilAdopted();
     boost::asio::ip::tcp::socket socket(io);
     const std::size_t colon = callerAddress.rfind(':');
@@ -297,7 +234,7 @@
         boost::asio::write(socket, boost::asio::buffer(text));
     };
     send(head + (expectsContinue ? "Expect: 100-continue\r\n\r\n" : "\r\nbo"));
-    put(changes().front());
+    put(NoRoutes);
     waitUntilAdopted();
     send((expectsContinue ? "body" : "dy") + head + "\r\nbody");
     std::string received;
