--- a/tests/PlatformAdapter/LostAnswerTest.cpp
+++ b/tests/PlatformAdapter/LostAnswerTest.cpp
@@ -311,7 +311,7 @@
             pausedSink->abort();
             const auto timer = std::make_shared<boost::asio::steady_timer>(io, 50ms);
             timer->async_wait([timer, request, sink](const boost::system::error_code &) {
-                sink->head(200, answerHeaders(request), true);
+                sink->head(200, streamHeaders(request), true);
                 sink->data(SecondEvent);
                 sink->finish();
             });
