--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -179,7 +179,7 @@
     if (isSuccess(m_status) && m_traits.encoded) {
         return "encoded";
     }
-    const std::string status = "status_" + std::to_string(m_status);
+    std::string status = "status_" + std::to_string(m_status);
     if (m_traits.isUnprovenRefusal) {
         return status;
     }
