Keep endpoints' statements about themselves in the endpoint directory

Endpoints may say in their answers that they are leaving (Server-Leaving: 1) and, with 503, for how long they want no requests (Retry-After). Nothing read either field. Both are decoded into AnswerTraits and kept by EndpointStatements, which the directory owns: a leaving endpoint is out of use until an entry with a later start, one that wants no requests gets none before the stated time, and afterwards its limit of concurrent requests grows from one within a second.

--- a/include/marigoldspool/Fleet/FleetCodec.h
+++ b/include/marigoldspool/Fleet/FleetCodec.h
@@ -3,6 +3,7 @@
 
 #include "marigoldspool/Gateway/EndpointClient.h"
 #include "marigoldspool/Gateway/HttpServer.h"
+#include "marigoldspool/Serving/EndpointStatements.h"
 #include "marigoldspool/Serving/OwnerLease.h"
 #include "marigoldspool/Serving/PlacementPlanner.h"
 #include "marigoldspool/Serving/ServingTypes.h"
@@ -34,8 +35,17 @@
     bool sealed = false;
     /// An intermediary has applied a content encoding to the body.
     bool encoded = false;
+    /// The response repeats the request's id.
+    bool echoed = false;
+    /// The endpoint that has answered, if the response names it.
+    EndpointId answeredBy;
+    EndpointStatement statement;
 };
 
+/// Whether the response is that of \p endpoint, which the request named as the one that it expects.
+/// Reports and answers to orders (\p isEngineCall) bear no mark of the endpoint.
+bool isAnswerOf(const AnswerTraits &traits, const EndpointId &endpoint, bool isEngineCall);
+
 /// Status that an engine reports.
 struct EngineReport {
     /// Number of orders accepted since the engine started.
--- a/include/marigoldspool/Serving/EndpointDirectory.h
+++ b/include/marigoldspool/Serving/EndpointDirectory.h
@@ -2,6 +2,7 @@
 #define MARIGOLDSPOOL_SERVING_ENDPOINTDIRECTORY_H
 
 #include "marigoldspool/Limits/TokenBucket.h"
+#include "marigoldspool/Serving/EndpointStatements.h"
 #include "marigoldspool/Serving/ResponseTimeModel.h"
 #include "marigoldspool/Serving/ServingTypes.h"
 
@@ -60,7 +61,8 @@
     Send,
     /// No usable endpoint has the model or adapter loaded.
     NotLoaded,
-    /// All endpoints that have it loaded are full or rate limited while cold.
+    /// All endpoints that have it loaded are full, rate limited while cold, or want no requests
+    /// now.
     Busy,
     /// The pool has no usable endpoint.
     NoEndpoint,
@@ -71,6 +73,8 @@
     EndpointId endpoint;
     /// For Busy: when to call choose() again.
     Duration retryIn = std::chrono::milliseconds(50);
+    /// For Busy: all candidates want no requests until then.
+    bool isPaused = false;
     /// Endpoints that could take the request, including those that are full.
     int candidateCount = 0;
 };
@@ -115,8 +119,18 @@
     void onTick();
 
     EndpointChoice choose(const EndpointQuery &query);
-    /// Whether requests may be sent to \p id.
+    /// What \p from has stated about itself in an answer.
+    void onStatement(const EndpointIncarnation &from, const EndpointStatement &statement,
+                     StatementSource source);
+    std::vector<StatementChange> takeChanges() { return m_statements.takeChanges(); }
+    const EndpointStatements &statements() const { return m_statements; }
+
+    /// Whether \p id is in use: neither leaving nor in an evacuated zone.
     bool canUse(const EndpointId &id) const;
+    /// Whether \p id has neither stated that it is leaving nor that it wants no requests now.
+    bool acceptsCalls(const EndpointId &id) const;
+    /// Whether requests and orders may be sent to \p id now.
+    bool canSend(const EndpointId &id) const { return canUse(id) && acceptsCalls(id); }
     const TrackedEndpoint *find(const EndpointId &id) const;
     const std::map<EndpointId, TrackedEndpoint> &endpoints() const { return m_endpoints; }
     const ResponseTimeModel &responseTimes() const { return m_responseTimes; }
@@ -136,6 +150,7 @@
     bool isUsable(const TrackedEndpoint &state) const;
     double score(const TrackedEndpoint &state, const EndpointQuery &query, SteadyTime now) const;
     int maxInFlight(const TrackedEndpoint &state) const;
+    int currentMaxInFlight(const TrackedEndpoint &state) const;
     void markCold(TrackedEndpoint &state, Duration left);
     double delaySeconds(const TrackedEndpoint &state, SteadyTime now) const;
 
@@ -146,6 +161,7 @@
     ServingConfigurationPtr m_configuration;
     std::map<EndpointId, TrackedEndpoint> m_endpoints;
     std::set<ZoneName> m_evacuated;
+    EndpointStatements m_statements;
     ResponseTimeModel m_responseTimes;
 };
 
--- /dev/null
+++ b/include/marigoldspool/Serving/EndpointStatements.h
@@ -0,0 +1,122 @@
+#ifndef MARIGOLDSPOOL_SERVING_ENDPOINTSTATEMENTS_H
+#define MARIGOLDSPOOL_SERVING_ENDPOINTSTATEMENTS_H
+
+#include "marigoldspool/Support/Clock.h"
+#include "marigoldspool/Support/Identifiers.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace marigoldspool {
+
+/// What an endpoint states about itself in an answer.
+struct EndpointStatement {
+    bool leaving = false;
+    /// How long the endpoint wants no requests from this instance.
+    std::optional<Duration> noRequestsFor;
+};
+
+/// How a statement has reached this instance.
+enum class StatementSource {
+    Answer,
+    Report,
+    Order,
+    /// Another instance has received it.
+    Peer,
+};
+
+std::string_view statementSourceName(StatementSource source);
+
+/// One process of an endpoint.
+struct EndpointIncarnation {
+    EndpointId endpoint;
+    /// Start of the process in Unix milliseconds.
+    std::int64_t startedAtMs = 0;
+};
+
+enum class StatementChangeKind {
+    Leaving,
+    /// A later process has replaced the one that was leaving.
+    LeavingEnded,
+    NoRequests,
+    NoRequestsEnded,
+};
+
+/// A change of what is known from an endpoint's statements.
+struct StatementChange {
+    StatementChangeKind kind = StatementChangeKind::Leaving;
+    EndpointIncarnation incarnation;
+    StatementSource source = StatementSource::Answer;
+    /// For NoRequests: the stated time.
+    Duration remaining = Duration::zero();
+};
+
+/// Records what endpoints have stated about themselves. A statement applies to the process that
+/// made it, whatever the platform's list says of that process.
+class EndpointStatements
+{
+public:
+    /// Bounds the time for which an endpoint may ask for no requests.
+    static constexpr Duration MaxNoRequests = std::chrono::seconds(300);
+    /// After that time, the number of concurrent requests grows to the endpoint's limit within this
+    /// time. An endpoint that is still overloaded refuses the first of them meanwhile.
+    static constexpr Duration ReturnTime = std::chrono::seconds(1);
+    /// How long statements are kept after the endpoint was removed from the list, to which an older
+    /// entry may return after an outage of the store. A leaving endpoint ends long before.
+    static constexpr Duration UnlistedRetention = std::chrono::minutes(10);
+
+    explicit EndpointStatements(const Clock &clock);
+
+    void onStatement(const EndpointIncarnation &from, const EndpointStatement &statement,
+                     StatementSource source);
+    /// The platform lists this process; it ends the statements of an earlier one.
+    void onListed(const EndpointIncarnation &incarnation);
+    void onTick(const std::function<bool(const EndpointId &)> &isListed);
+
+    bool isLeaving(const EndpointId &id) const;
+    /// When the endpoint wants requests again; in the past if it has not asked for a pause.
+    SteadyTime noRequestsUntil(const EndpointId &id) const;
+    /// Fraction of the endpoint's limit of concurrent requests that may be used; below 1 for a
+    /// short time after a pause.
+    double usableFraction(const EndpointId &id) const;
+
+    /// Returns the changes since the last call.
+    std::vector<StatementChange> takeChanges();
+    /// Leaving endpoints, without those that are known from other instances only.
+    std::vector<EndpointIncarnation> heardLeaving() const;
+    std::size_t leavingCount() const;
+    std::size_t pausedCount() const;
+
+private:
+    /// A statement of one process.
+    struct Stated {
+        std::int64_t startedAtMs = 0;
+        StatementSource source = StatementSource::Answer;
+    };
+    struct Record {
+        std::optional<Stated> leaving;
+        std::optional<Stated> pause;
+        /// With \c pause: its end.
+        SteadyTime noRequestsUntil;
+        /// The end of the pause has not been reported.
+        bool isPaused = false;
+        SteadyTime lastListedAt;
+    };
+
+    void addLeaving(Record &record, const EndpointIncarnation &from, StatementSource source);
+    void addPause(Record &record, const EndpointIncarnation &from, Duration length,
+                  StatementSource source);
+    void endPause(const EndpointId &id, Record &record);
+
+    const Clock &m_clock;
+    std::map<EndpointId, Record> m_records;
+    std::vector<StatementChange> m_changes;
+};
+
+} // namespace marigoldspool
+
+#endif
--- a/lib/Fleet/FleetRuntime.cpp
+++ b/lib/Fleet/FleetRuntime.cpp
@@ -4,6 +4,20 @@
 
 FleetCodec::~FleetCodec() = default;
 
+// An address may have been assigned to another endpoint, which refuses as misdirected what was
+// meant for the earlier one. Its refusal says nothing about the earlier one, and looks like the
+// endpoint's own refusal of a model that it has not loaded, unless the answer names the endpoint.
+bool isAnswerOf(const AnswerTraits &traits, const EndpointId &endpoint, bool isEngineCall)
+{
+    if (!traits.answeredBy.empty()) {
+        return traits.answeredBy == endpoint;
+    }
+    if (traits.misdirected) {
+        return false;
+    }
+    return isEngineCall || traits.sealed || traits.notRun || traits.echoed;
+}
+
 FleetRuntime::FleetRuntime(boost::asio::io_context &ioContext, FleetOptions fleetOptions,
                            const FleetCodec &fleetCodec, std::unique_ptr<ObjectStore> objectStore,
                            std::unique_ptr<Metrics> fleetMetrics)
@@ -23,4 +37,12 @@
     directory.setColdPhase(1 - random.uniform());
 }
 
+void FleetRuntime::noteAnswer(const EndpointIncarnation &called, const AnswerTraits &traits,
+                              StatementSource source)
+{
+    if (isAnswerOf(traits, called.endpoint, source != StatementSource::Answer)) {
+        directory.onStatement(called, traits.statement, source);
+    }
+}
+
 } // namespace marigoldspool
--- a/lib/Fleet/FleetRuntime.h
+++ b/lib/Fleet/FleetRuntime.h
@@ -23,6 +23,10 @@
                  const FleetCodec &fleetCodec, std::unique_ptr<ObjectStore> objectStore,
                  std::unique_ptr<Metrics> fleetMetrics);
 
+    /// Records what an endpoint states about itself in its answer to a call that named it.
+    void noteAnswer(const EndpointIncarnation &called, const AnswerTraits &traits,
+                    StatementSource source);
+
     boost::asio::io_context &io;
     FleetOptions options;
     const FleetCodec &codec;
--- a/lib/Serving/EndpointDirectory.cpp
+++ b/lib/Serving/EndpointDirectory.cpp
@@ -76,6 +76,7 @@
 EndpointDirectory::EndpointDirectory(ZoneName ownZone, const Clock &clock)
     : m_ownZone(std::move(ownZone))
     , m_clock(clock)
+    , m_statements(clock)
 { }
 
 void EndpointDirectory::setConfiguration(ServingConfigurationPtr configuration)
@@ -85,6 +86,7 @@
 
 void EndpointDirectory::apply(const ListedEndpoint &endpoint)
 {
+    m_statements.onListed({endpoint.id, endpoint.startedAtMs});
     TrackedEndpoint &state = m_endpoints[endpoint.id];
     const bool isNewProcess = state.listed.startedAtMs != endpoint.startedAtMs;
     if (isNewProcess) {
@@ -167,11 +169,25 @@
         }
         it = isDue && state.inFlight == 0 ? m_endpoints.erase(it) : std::next(it);
     }
+    m_statements.onTick([this](const EndpointId &id) {
+        return m_endpoints.count(id) > 0;
+    });
+}
+
+// The entry of a later process may arrive before the last answers of an earlier one.
+void EndpointDirectory::onStatement(const EndpointIncarnation &from,
+                                    const EndpointStatement &statement, StatementSource source)
+{
+    const TrackedEndpoint *state = find(from.endpoint);
+    if (state == nullptr || from.startedAtMs >= state->listed.startedAtMs) {
+        m_statements.onStatement(from, statement, source);
+    }
 }
 
 bool EndpointDirectory::isUsable(const TrackedEndpoint &state) const
 {
-    return !state.listed.leaving && m_evacuated.count(state.listed.zone) == 0;
+    return !state.listed.leaving && !m_statements.isLeaving(state.listed.id)
+        && m_evacuated.count(state.listed.zone) == 0;
 }
 
 bool EndpointDirectory::canUse(const EndpointId &id) const
@@ -180,6 +196,11 @@
     return state != nullptr && isUsable(*state);
 }
 
+bool EndpointDirectory::acceptsCalls(const EndpointId &id) const
+{
+    return !m_statements.isLeaving(id) && m_clock.now() >= m_statements.noRequestsUntil(id);
+}
+
 const TrackedEndpoint *EndpointDirectory::find(const EndpointId &id) const
 {
     const auto it = m_endpoints.find(id);
@@ -207,6 +228,13 @@
     return state.listed.slots + MaxServiceQueue;
 }
 
+// After a pause that the endpoint has asked for, the limit grows from a single request.
+int EndpointDirectory::currentMaxInFlight(const TrackedEndpoint &state) const
+{
+    const double limit = maxInFlight(state) * m_statements.usableFraction(state.listed.id);
+    return std::max(1, static_cast<int>(limit));
+}
+
 // By how much a first byte is expected to come later than from an endpoint without load: delays
 // seen lately, or the prompts that this instance has sent and that are still being processed.
 double EndpointDirectory::delaySeconds(const TrackedEndpoint &state, SteadyTime now) const
@@ -254,6 +282,8 @@
     double bestScore = 0;
     bool hasUsableEndpoint = false;
     Duration minColdDelay = Duration::max();
+    Duration minPause = Duration::max();
+    int pausedCount = 0;
     for (auto &[id, state] : m_endpoints) {
         if (query.pool == nullptr || state.listed.pool != query.pool->name || !isUsable(state)) {
             continue;
@@ -276,7 +306,13 @@
             continue;
         }
         ++choice.candidateCount;
-        if (now < state.busyUntil || state.inFlight >= maxInFlight(state)) {
+        const SteadyTime pausedUntil = m_statements.noRequestsUntil(id);
+        if (now < pausedUntil) {
+            ++pausedCount;
+            minPause = std::min(minPause, pausedUntil - now);
+            continue;
+        }
+        if (now < state.busyUntil || state.inFlight >= currentMaxInFlight(state)) {
             continue;
         }
         if (now < state.coldUntil && state.coldRateLimit && state.coldRateLimit->level(now) < 1) {
@@ -297,7 +333,10 @@
     choice.kind = choice.candidateCount > 0 ? ChoiceKind::Busy
         : hasUsableEndpoint                 ? ChoiceKind::NotLoaded
                                             : ChoiceKind::NoEndpoint;
-    choice.retryIn = std::min(std::max(minColdDelay, BusyPause), Duration(milliseconds(500)));
+    choice.isPaused = pausedCount > 0 && pausedCount == choice.candidateCount;
+    choice.retryIn = choice.isPaused
+        ? minPause
+        : std::min(std::max(minColdDelay, BusyPause), Duration(milliseconds(500)));
     return choice;
 }
 
@@ -383,6 +422,10 @@
     if (result == EndpointResult::Abandoned) {
         return;
     }
+    if (result == EndpointResult::RefusedBusy && !acceptsCalls(id)) {
+        // The endpoint itself has stated when it wants requests again.
+        return;
+    }
     if (result == EndpointResult::RefusedBusy) {
         // An engine with free slots refuses because it is loading or unloading the model.
         if (!model.empty() && state.inFlight < maxInFlight(state) / 2) {
--- /dev/null
+++ b/lib/Serving/EndpointStatements.cpp
@@ -0,0 +1,179 @@
+#include "marigoldspool/Serving/EndpointStatements.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace marigoldspool {
+
+std::string_view statementSourceName(StatementSource source)
+{
+    switch (source) {
+    case StatementSource::Answer:
+        return "answer";
+    case StatementSource::Report:
+        return "report";
+    case StatementSource::Order:
+        return "order";
+    case StatementSource::Peer:
+        return "peer";
+    }
+    return "unknown";
+}
+
+EndpointStatements::EndpointStatements(const Clock &clock)
+    : m_clock(clock)
+{ }
+
+void EndpointStatements::onStatement(const EndpointIncarnation &from,
+                                     const EndpointStatement &statement, StatementSource source)
+{
+    const bool hasPause = statement.noRequestsFor && *statement.noRequestsFor > Duration::zero();
+    if (!statement.leaving && !hasPause) {
+        return;
+    }
+    onListed(from);
+    const auto [it, isNew] = m_records.try_emplace(from.endpoint);
+    if (isNew) {
+        it->second.lastListedAt = m_clock.now();
+    }
+    if (statement.leaving) {
+        addLeaving(it->second, from, source);
+    }
+    if (hasPause) {
+        addPause(it->second, from, std::min(*statement.noRequestsFor, MaxNoRequests), source);
+    }
+}
+
+void EndpointStatements::addLeaving(Record &record, const EndpointIncarnation &from,
+                                    StatementSource source)
+{
+    if (!record.leaving) {
+        record.leaving = Stated{from.startedAtMs, source};
+        m_changes.push_back({StatementChangeKind::Leaving, from, source});
+        return;
+    }
+    record.leaving->startedAtMs = std::max(record.leaving->startedAtMs, from.startedAtMs);
+    if (source != StatementSource::Peer) {
+        record.leaving->source = source;
+    }
+}
+
+void EndpointStatements::addPause(Record &record, const EndpointIncarnation &from, Duration length,
+                                  StatementSource source)
+{
+    const SteadyTime until = m_clock.now() + length;
+    if (!record.pause) {
+        record.pause = Stated{from.startedAtMs, source};
+        record.noRequestsUntil = until;
+    }
+    record.pause->startedAtMs = std::max(record.pause->startedAtMs, from.startedAtMs);
+    record.noRequestsUntil = std::max(record.noRequestsUntil, until);
+    if (!std::exchange(record.isPaused, true)) {
+        record.pause->source = source;
+        m_changes.push_back({StatementChangeKind::NoRequests, from, source, length});
+    }
+}
+
+void EndpointStatements::onListed(const EndpointIncarnation &incarnation)
+{
+    const auto it = m_records.find(incarnation.endpoint);
+    if (it == m_records.end()) {
+        return;
+    }
+    Record &record = it->second;
+    if (record.leaving && incarnation.startedAtMs > record.leaving->startedAtMs) {
+        m_changes.push_back({StatementChangeKind::LeavingEnded,
+                             {it->first, record.leaving->startedAtMs},
+                             record.leaving->source});
+        record.leaving.reset();
+    }
+    if (record.pause && incarnation.startedAtMs > record.pause->startedAtMs) {
+        endPause(it->first, record);
+        record.pause.reset();
+    }
+}
+
+void EndpointStatements::onTick(const std::function<bool(const EndpointId &)> &isListed)
+{
+    const SteadyTime now = m_clock.now();
+    for (auto it = m_records.begin(); it != m_records.end();) {
+        Record &record = it->second;
+        if (record.pause && now >= record.noRequestsUntil) {
+            endPause(it->first, record);
+            if (now - record.noRequestsUntil >= ReturnTime) {
+                record.pause.reset();
+            }
+        }
+        if (isListed(it->first)) {
+            record.lastListedAt = now;
+        }
+        const bool isObsolete = !record.leaving && !record.pause;
+        const bool isForgotten = now - record.lastListedAt >= UnlistedRetention;
+        it = isObsolete || isForgotten ? m_records.erase(it) : std::next(it);
+    }
+}
+
+void EndpointStatements::endPause(const EndpointId &id, Record &record)
+{
+    if (std::exchange(record.isPaused, false)) {
+        m_changes.push_back({StatementChangeKind::NoRequestsEnded,
+                             {id, record.pause->startedAtMs},
+                             record.pause->source});
+    }
+}
+
+bool EndpointStatements::isLeaving(const EndpointId &id) const
+{
+    const auto it = m_records.find(id);
+    return it != m_records.end() && it->second.leaving.has_value();
+}
+
+SteadyTime EndpointStatements::noRequestsUntil(const EndpointId &id) const
+{
+    const auto it = m_records.find(id);
+    return it != m_records.end() && it->second.pause ? it->second.noRequestsUntil : SteadyTime();
+}
+
+double EndpointStatements::usableFraction(const EndpointId &id) const
+{
+    const auto it = m_records.find(id);
+    if (it == m_records.end() || !it->second.pause) {
+        return 1;
+    }
+    const double since = toSeconds(m_clock.now() - it->second.noRequestsUntil);
+    return std::clamp(since / toSeconds(ReturnTime), 0.0, 1.0);
+}
+
+std::vector<StatementChange> EndpointStatements::takeChanges()
+{
+    return std::exchange(m_changes, {});
+}
+
+std::vector<EndpointIncarnation> EndpointStatements::heardLeaving() const
+{
+    std::vector<EndpointIncarnation> result;
+    for (const auto &[id, record] : m_records) {
+        if (record.leaving && record.leaving->source != StatementSource::Peer) {
+            result.push_back({id, record.leaving->startedAtMs});
+        }
+    }
+    return result;
+}
+
+std::size_t EndpointStatements::leavingCount() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_records.begin(), m_records.end(), [](const auto &entry) {
+            return entry.second.leaving.has_value();
+        }));
+}
+
+std::size_t EndpointStatements::pausedCount() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_records.begin(), m_records.end(), [](const auto &entry) {
+            return entry.second.isPaused;
+        }));
+}
+
+} // namespace marigoldspool
--- a/tests/PlatformAdapter/PlatformCodecTest.cpp
+++ b/tests/PlatformAdapter/PlatformCodecTest.cpp
@@ -160,6 +160,84 @@
     CHECK(Codec.decodeAnswer(200, compressed).encoded);
 }
 
+TEST_CASE(
+    "an answer's statements about its endpoint are decoded, and values out of range are bounded")
+{
+    const auto pause = [](int status, const std::string &value) {
+        const HeaderField headers[] = {{"X-Marigoldspool-Not-Run", "1"}, {"Retry-After", value}};
+        return Codec.decodeAnswer(status, headers).statement.noRequestsFor;
+    };
+    const std::optional<Duration> none;
+    const Duration longest = EndpointStatements::MaxNoRequests;
+    const std::string tooLong(400, '9');
+    struct Row {
+        const char *value;
+        std::optional<Duration> expected;
+    };
+    const Row rows[] = {{"2", 2s},
+                        {"0.25", 250ms},
+                        {" 1.5 ", 1500ms},
+                        {"300.0", longest},
+                        {"0", 0s},
+                        {"0.0", 0s},
+                        {"301", longest},
+                        {"99999999999999999999", longest},
+                        {tooLong.c_str(), longest},
+                        {"-1", none},
+                        {"+1", none},
+                        {"", none},
+                        {"1e3", none},
+                        {"nan", none},
+                        {"inf", none},
+                        {"1.2.3", none},
+                        {".5", none},
+                        {"5.", none},
+                        {"1 2", none},
+                        {"Sat, 05 Dec 2026 01:00:00 GMT", none}};
+    for (const Row &row : rows) {
+        CAPTURE(row.value);
+        CHECK(pause(503, row.value) == row.expected);
+    }
+    CHECK(pause(429, "2") == none);
+    CHECK(pause(200, "2") == none);
+    const auto isLeaving = [](const std::string &value) {
+        const HeaderField headers[] = {{"server-leaving", value}};
+        return Codec.decodeAnswer(200, headers).statement.leaving;
+    };
+    CHECK(isLeaving("1"));
+    CHECK_FALSE(isLeaving("0"));
+    CHECK_FALSE(isLeaving("yes"));
+    CHECK_FALSE(isLeaving(""));
+}
+
+// Another endpoint's answer at an address that was assigned anew would take a sound endpoint out of
+// use.
+TEST_CASE("only an answer of the endpoint itself states something about it")
+{
+    struct Row {
+        int status;
+        HeaderField mark;
+        bool isOwnAnswer;
+        bool isOwnReport;
+    };
+    const Row rows[] = {{200, {"X-Marigoldspool-Replica-Seal", "s"}, true, true},
+                        {503, {"X-Marigoldspool-Not-Run", "1"}, true, true},
+                        {500, {"X-Marigoldspool-Request-Id", "r"}, true, true},
+                        {503, {"X-Marigoldspool-Replica-Id", "i-1"}, true, true},
+                        {421, {"X-Marigoldspool-Replica-Id", "i-1"}, true, true},
+                        {421, {"X-Marigoldspool-Not-Run", "1"}, false, false},
+                        {421, {"X-Marigoldspool-Request-Id", "r"}, false, false},
+                        {200, {"X-Marigoldspool-Replica-Id", "i-2"}, false, false},
+                        {200, {"Content-Type", "text/plain"}, false, true}};
+    for (const Row &row : rows) {
+        CAPTURE(row.status);
+        CAPTURE(row.mark.name);
+        const AnswerTraits traits = Codec.decodeAnswer(row.status, {&row.mark, 1});
+        CHECK(isAnswerOf(traits, EndpointId("i-1"), false) == row.isOwnAnswer);
+        CHECK(isAnswerOf(traits, EndpointId("i-1"), true) == row.isOwnReport);
+    }
+}
+
 TEST_CASE("a valid endpoint entry is decoded")
 {
     const Expected<ListedEndpoint> entry = Codec.decodeEndpoint("i-7", validEntry().dump());
