Heed endpoints that say that they are leaving, or that they want no requests

Callers' requests, repeats, resumed streams, reports and orders went to endpoints whose answers said Server-Leaving, as long as the store listed them as ready, and to endpoints that had refused with Retry-After, about 40 ms later.

Every answer of an endpoint now reports its statements to the directory: answers to requests with their first line and fields, reports, answers to orders, and the reports that the check for crashes and the move of a silent stream ask for. StatementMonitor logs and counts the changes, closes idle connections to leaving endpoints and tells the placement owner of those that its list may still show as ready (LeavingEndpoints, sent at once and every second until the list agrees). The owner's planner sees them as unusable, so their models are loaded elsewhere. Reports and orders wait for the end of a pause. A 503 with Retry-After that is no promise counts neither for nor against the endpoint's health. A connection that a leaving endpoint closes is no sign of a crash, so the engine is not asked, and the prompt gets no blame.

The stand-ins state both on request ({"leaving": true, "retry_after": "1.5"} to /control).

--- a/include/marigoldspool/Gateway/EndpointClient.h
+++ b/include/marigoldspool/Gateway/EndpointClient.h
@@ -70,6 +70,8 @@
     virtual void call(EndpointCall call, std::shared_ptr<EndpointCallHandler> handler) = 0;
     /// Closes the connection of the call; its handler is not called any more.
     virtual void cancel(const RequestId &id) = 0;
+    /// Closes the kept connections to \p address that have no call; others stay open.
+    virtual void closeIdle(const std::string &address) = 0;
 };
 
 std::unique_ptr<EndpointClient> makeEndpointClient(boost::asio::io_context &io, const Clock &clock,
--- a/include/marigoldspool/Peer/Messages.h
+++ b/include/marigoldspool/Peer/Messages.h
@@ -284,11 +284,22 @@
     std::vector<QuarantinedPart> quarantined;
 };
 
+struct LeavingEndpoint {
+    EndpointId endpoint;
+    /// Start of the process that leaves, in Unix milliseconds.
+    std::int64_t startedAtMs = 0;
+};
+
+/// Endpoints that have told the sender that they are leaving. Sent to the placement owner.
+struct LeavingEndpoints {
+    std::vector<LeavingEndpoint> endpoints;
+};
+
 using PeerMessage =
     std::variant<Heartbeat, ConfigRequest, ConfigTransfer, LoanRequest, LoanGrant, EpochAck,
                  ForwardRequest, ForwardHead, ForwardData, ForwardRefusal, ForwardCancel,
                  DemandReport, PlacementUpdate, ObjectsRequest, ObjectsTransfer, UsageReport,
-                 UsageTotals, LoadForecasts, RevisionBeacon, PromptEvidence>;
+                 UsageTotals, LoadForecasts, RevisionBeacon, PromptEvidence, LeavingEndpoints>;
 
 struct AddressedMessage {
     InstanceId to;
--- a/lib/Fleet/CrashCheck.cpp
+++ b/lib/Fleet/CrashCheck.cpp
@@ -31,6 +31,8 @@
         m_status = status;
         if (const auto check = m_check.lock()) {
             m_traits = check->m_runtime.codec.decodeAnswer(status, headers);
+            check->m_runtime.noteAnswer({m_engine.id, m_engine.startedAtMs}, m_traits,
+                                        StatementSource::Report);
         }
     }
     void onData(std::string_view bytes) override { m_body.append(bytes); }
@@ -76,7 +78,9 @@
 void CrashCheck::onConnectionLost(const EndpointId &engine, const std::vector<PromptPart> &prompt)
 {
     const TrackedEndpoint *state = m_runtime.directory.find(engine);
-    if (state == nullptr || prompt.empty()) {
+    // An engine that leaves ends its connections without a crash, and one that wants no requests is
+    // not asked either.
+    if (state == nullptr || prompt.empty() || !m_runtime.directory.acceptsCalls(engine)) {
         return;
     }
     const auto [it, isFirst] = m_lostPrompts.try_emplace(engine);
--- a/lib/Fleet/EngineCalls.h
+++ b/lib/Fleet/EngineCalls.h
@@ -1,7 +1,7 @@
 #ifndef MARIGOLDSPOOL_LIB_FLEET_ENGINECALLS_H
 #define MARIGOLDSPOOL_LIB_FLEET_ENGINECALLS_H
 
-#include "marigoldspool/Gateway/EndpointClient.h"
+#include "Fleet/FleetRuntime.h"
 
 #include <functional>
 #include <string>
@@ -32,19 +32,25 @@
     call.maxAnswerBytes = MaxCallAnswerBytes;
 }
 
-/// Buffers a small response and passes on its status and body.
+/// Buffers a small response, records what the engine states about itself in it, and passes on its
+/// status and body.
 class CollectingHandler final : public EndpointCallHandler
 {
 public:
     using Done = std::function<void(Expected<std::pair<int, std::string>>)>;
 
-    explicit CollectingHandler(Done done)
-        : m_done(std::move(done))
+    CollectingHandler(FleetRuntime &runtime, const ListedEndpoint &engine, StatementSource source,
+                      Done done)
+        : m_runtime(runtime)
+        , m_called{engine.id, engine.startedAtMs}
+        , m_source(source)
+        , m_done(std::move(done))
     { }
 
-    void onHead(int status, gsl::span<const HeaderField> /*headers*/) override
+    void onHead(int status, gsl::span<const HeaderField> headers) override
     {
         m_status = status;
+        m_runtime.noteAnswer(m_called, m_runtime.codec.decodeAnswer(status, headers), m_source);
     }
     void onData(std::string_view bytes) override { m_body.append(bytes); }
     void onComplete() override { m_done(std::make_pair(m_status, std::move(m_body))); }
@@ -54,6 +60,9 @@
     }
 
 private:
+    FleetRuntime &m_runtime;
+    EndpointIncarnation m_called;
+    StatementSource m_source;
     Done m_done;
     int m_status = 0;
     std::string m_body;
--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -360,13 +360,14 @@
         return;
     }
     m_isAskingSuccessor = true;
-    EndpointCall call =
-        m_runtime.codec.encodeReportCall(m_runtime.directory.find(*successor)->listed);
+    const TrackedEndpoint *state = m_runtime.directory.find(*successor);
+    EndpointCall call = m_runtime.codec.encodeReportCall(state->listed);
     prepareEngineCall(call, "successor-" + m_request.id.str());
     call.timeout = EngineConnectTimeout;
     call.connectTimeout = EngineConnectTimeout;
     m_runtime.endpoints->call(std::move(call),
                               std::make_shared<CollectingHandler>(
+                                  m_runtime, state->listed, StatementSource::Report,
                                   [weak = weak_from_this(), id = *successor](const auto &answer) {
                                       if (const auto self = weak.lock()) {
                                           self->onSuccessorAnswer(id,
@@ -383,7 +384,7 @@
         m_triedEndpoints.push_back(id);
         return;
     }
-    if (findSuccessor() && m_runtime.directory.canUse(id)) {
+    if (findSuccessor() && m_runtime.directory.canSend(id)) {
         moveTo(id);
     }
 }
@@ -425,7 +426,8 @@
         m_front.removeWaiting(*this);
     }
     const TrackedEndpoint *state = m_runtime.directory.find(endpoint);
-    checkInvariant(m_runtime.directory.canUse(endpoint), "sent_to_usable_endpoint", endpoint.str());
+    checkInvariant(m_runtime.directory.canSend(endpoint), "sent_to_usable_endpoint",
+                   endpoint.str());
     const Duration left = timeLeft();
     if (left <= Duration::zero()) {
         onDeadline();
@@ -448,6 +450,7 @@
     call.mayEndWithConnection = true;
 
     m_endpoint = endpoint;
+    m_endpointStartedAtMs = state->listed.startedAtMs;
     m_triedEndpoints.push_back(endpoint);
     ++m_attemptCount;
     m_sentAt = m_runtime.clock.now();
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -105,6 +105,8 @@
     int sessionTokens() const;
     Duration silenceLimit() const;
     EndpointQuery endpointQuery() const;
+    /// When the caller of a request that endpoints have refused should send it again.
+    Duration overloadRetryAfter();
 
     ServingFront &m_front;
     FleetRuntime &m_runtime;
@@ -134,6 +136,8 @@
     int m_possibleRuns = 0;
     std::shared_ptr<Attempt> m_attempt;
     EndpointId m_endpoint;
+    /// Start of the endpoint's process when the request was sent.
+    std::int64_t m_endpointStartedAtMs = 0;
     SteadyTime m_sentAt;
     SteadyTime m_firstSentAt;
     bool m_firstByteSeen = false;
--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -64,6 +64,7 @@
     m_status = status;
     m_lastProgressAt = m_runtime.clock.now();
     m_traits = m_runtime.codec.decodeAnswer(status, headers);
+    m_runtime.noteAnswer({m_endpoint, m_endpointStartedAtMs}, m_traits, StatementSource::Answer);
     m_answerHeaders.assign(headers.begin(), headers.end());
     const bool isSuccess = status >= 200 && status < 300;
     m_streaming = isSuccess && m_route->kind == RequestKind::Stream && m_traits.sealed
@@ -173,13 +174,16 @@
 void Exchange::onResponse()
 {
     const bool isServerError = m_status >= 500;
+    // An endpoint that asks for a pause is overloaded, not faulty.
+    const EndpointResult serverErrorResult =
+        m_traits.statement.noRequestsFor ? EndpointResult::Abandoned : EndpointResult::Failed;
     if (isServerError && !m_answerStarted && isRepeatable() && m_attemptCount < m_route->maxAttempts
         && callerTimeLeft() > Duration::zero() && m_runtime.retries.tryRetry(m_pool->name)) {
         ++m_possibleRuns;
         m_lastError = "status_" + std::to_string(m_status);
         logFailedAttempt(EndpointOutcome::Answered);
         m_runtime.metrics->countRetry(RetryReason::ConnectFailed);
-        endAttempt(EndpointResult::Failed);
+        endAttempt(serverErrorResult);
         dispatch();
         return;
     }
@@ -190,7 +194,7 @@
     if (m_status >= 200 && m_status < 300 && !m_answerStarted) {
         m_runtime.quarantine.onAnswerBegun(m_pool->name, m_request.prompt);
     }
-    endAttempt(isServerError ? EndpointResult::Failed : EndpointResult::Answered);
+    endAttempt(isServerError ? serverErrorResult : EndpointResult::Answered);
     if (m_answerStarted) {
         m_sink->finish();
         finish("served", m_status);
@@ -270,10 +274,18 @@
                "the endpoint failed during the request: " + m_lastError);
         return;
     }
-    refuse(RefusalReason::NoCapacity, RanState::No, OverloadRetryAfter,
+    refuse(RefusalReason::NoCapacity, RanState::No, overloadRetryAfter(),
            "no endpoint accepted the request: " + m_lastError);
 }
 
+Duration Exchange::overloadRetryAfter()
+{
+    EndpointQuery query = endpointQuery();
+    query.excluded = {};
+    const EndpointChoice choice = m_runtime.directory.choose(query);
+    return choice.isPaused ? std::max(choice.retryIn, OverloadRetryAfter) : OverloadRetryAfter;
+}
+
 // Resumes the stream at another endpoint after the last complete event that the caller received.
 std::string_view Exchange::resume(bool isFree)
 {
--- a/lib/Fleet/FleetDaemon.cpp
+++ b/lib/Fleet/FleetDaemon.cpp
@@ -5,6 +5,7 @@
 #include "Fleet/FleetState.h"
 #include "Fleet/PlacementDriver.h"
 #include "Fleet/ServingFront.h"
+#include "Fleet/StatementMonitor.h"
 #include "marigoldspool/Serving/UsageHubSelector.h"
 #include "marigoldspool/Support/EventLog.h"
 #include "marigoldspool/Support/Invariant.h"
@@ -60,6 +61,7 @@
         , m_link(m_runtime, m_state)
         , m_placement(m_runtime, m_link)
         , m_front(m_runtime)
+        , m_statements(m_runtime, m_link)
         , m_usageHub(m_runtime.options.instance, m_runtime.clock)
         , m_tickTimer(io)
         , m_stopTimer(io)
@@ -78,10 +80,12 @@
             m_placement.onEndpoints();
             m_front.scheduleDispatch();
         });
-        m_state.setEndpointsHandler([this] {
+        const auto onEndpoints = [this] {
             m_placement.onEndpoints();
             m_front.scheduleDispatch();
-        });
+        };
+        m_state.setEndpointsHandler(onEndpoints);
+        m_statements.setChangeHandler(onEndpoints);
         m_link.setHandler(
             [this](const InstanceId &from, std::uint64_t incarnation, const PeerMessage &message) {
                 onMessage(from, incarnation, message);
@@ -182,6 +186,8 @@
             m_runtime.quota.onReport(from, incarnation, *usage);
         } else if (const auto *evidence = std::get_if<PromptEvidence>(&message)) {
             m_runtime.quarantine.onEvidence(*evidence, isEvidenceHub());
+        } else if (const auto *leaving = std::get_if<LeavingEndpoints>(&message)) {
+            m_statements.onLeaving(*leaving);
         } else if (const auto *totals = std::get_if<UsageTotals>(&message)) {
             m_usageHub.setOwner(usageOwner());
             if (m_usageHub.acceptTotals(from, m_link.connectedPeers())) {
@@ -362,6 +368,7 @@
         m_link.onTick();
         m_placement.onTick();
         m_runtime.directory.onTick();
+        m_statements.onTick();
         const SteadyTime now = m_runtime.clock.now();
         const bool isFresh = now - m_lastPlacementAt < PlacementFreshness;
         if (m_wasPlacementFresh && !isFresh) {
@@ -421,6 +428,7 @@
     FleetLink m_link;
     PlacementDriver m_placement;
     ServingFront m_front;
+    StatementMonitor m_statements;
     UsageHubSelector m_usageHub;
     std::unique_ptr<HttpServer> m_readinessServer;
     std::unique_ptr<HttpServer> m_metricsServer;
--- a/lib/Fleet/PlacementDriver.cpp
+++ b/lib/Fleet/PlacementDriver.cpp
@@ -293,7 +293,8 @@
     for (auto &[id, engine] : m_planner.engines()) {
         const EngineTracker &tracker = m_trackers[id];
         if (!engine.hasPendingOrder
-            && (tracker.isCallPending || now < tracker.noOrderBefore || !m_lease.canOrder(id))) {
+            && (tracker.isCallPending || now < tracker.noOrderBefore || !m_lease.canOrder(id)
+                || !m_runtime.directory.acceptsCalls(id))) {
             engine.hasPendingOrder = true;
             blocked.push_back(id);
         }
@@ -317,7 +318,8 @@
     EngineState &engine = m_planner.engines()[order.endpoint];
     // The lease may have expired since the planner ran, so it is checked again right before
     // sending.
-    if (state == nullptr || !m_lease.canOrder(order.endpoint) || tracker.isCallPending) {
+    if (state == nullptr || !m_lease.canOrder(order.endpoint) || tracker.isCallPending
+        || !m_runtime.directory.canSend(order.endpoint)) {
         onOrderFailed(engine, tracker, order, ConflictPause);
         return;
     }
@@ -349,6 +351,7 @@
         {{"op", order.isLoad ? "load" : "unload"}, {"source", sourceName(order)}});
     m_runtime.endpoints->call(std::move(call),
                               std::make_shared<CollectingHandler>(
+                                  m_runtime, state->listed, StatementSource::Order,
                                   [this, order](Expected<std::pair<int, std::string>> it) {
                                       if (it) {
                                           onOrderAnswer(order, it->first);
--- a/lib/Fleet/PlacementReports.cpp
+++ b/lib/Fleet/PlacementReports.cpp
@@ -48,7 +48,8 @@
 {
     const SteadyTime now = m_runtime.clock.now();
     for (auto &[id, tracker] : m_trackers) {
-        if (!tracker.isCallPending && now >= tracker.nextReport) {
+        if (!tracker.isCallPending && now >= tracker.nextReport
+            && m_runtime.directory.acceptsCalls(id)) {
             requestReport(id);
         }
     }
@@ -109,21 +110,23 @@
     tracker.isCallPending = true;
     EndpointCall call = m_runtime.codec.encodeReportCall(state->listed);
     prepareEngineCall(call, "report-" + std::to_string(++m_callCounter));
-    m_runtime.endpoints->call(
-        std::move(call),
-        std::make_shared<CollectingHandler>([this, id](Expected<std::pair<int, std::string>> it) {
-            if (!it) {
-                onReport(id, tl::make_unexpected(it.error()));
-            } else if (it->first != 200) {
-                onReport(id,
-                         unexpectedError(ErrorKind::Unavailable,
-                                         "the report request returned status "
-                                             + std::to_string(it->first),
-                                         "check the engine"));
-            } else {
-                onReport(id, std::move(it->second));
-            }
-        }));
+    m_runtime.endpoints->call(std::move(call),
+                              std::make_shared<CollectingHandler>(
+                                  m_runtime, state->listed, StatementSource::Report,
+                                  [this, id](Expected<std::pair<int, std::string>> it) {
+                                      if (!it) {
+                                          onReport(id, tl::make_unexpected(it.error()));
+                                      } else if (it->first != 200) {
+                                          onReport(
+                                              id,
+                                              unexpectedError(ErrorKind::Unavailable,
+                                                              "the report request returned status "
+                                                                  + std::to_string(it->first),
+                                                              "check the engine"));
+                                      } else {
+                                          onReport(id, std::move(it->second));
+                                      }
+                                  }));
 }
 
 void PlacementDriver::onReport(const EndpointId &id, Expected<std::string> body)
@@ -141,6 +144,12 @@
     tracker.nextReport = now + IdleReportInterval;
     Expected<EngineReport> report =
         body ? m_runtime.codec.decodeReport(*body) : tl::make_unexpected(body.error());
+    if (!report && !m_runtime.directory.acceptsCalls(id)) {
+        // The engine has answered that it leaves or wants no requests now; it is asked again at the
+        // end of that time.
+        tracker.nextReport = now;
+        return;
+    }
     if (!report) {
         ++tracker.failures;
         tracker.nextReport =
--- a/lib/Gateway/EndpointClient.cpp
+++ b/lib/Gateway/EndpointClient.cpp
@@ -75,6 +75,19 @@
         }
     }
 
+    void closeIdle(const std::string &address) override
+    {
+        const auto it = m_idle.find(address);
+        if (it == m_idle.end()) {
+            return;
+        }
+        // A copy, since each connection that is closed removes itself.
+        const std::vector<ConnectionPtr> idle = it->second;
+        for (const ConnectionPtr &connection : idle) {
+            connection->close();
+        }
+    }
+
 private:
     void refuse(std::shared_ptr<EndpointCallHandler> handler)
     {
--- a/lib/Peer/MessageFields.h
+++ b/lib/Peer/MessageFields.h
@@ -277,6 +277,19 @@
     visit("quarantined", m.quarantined);
 }
 
+template <class V, class M>
+std::enable_if_t<IsMessage<M, LeavingEndpoint>> visitFields(V &visit, M &m)
+{
+    visit("e", m.endpoint);
+    visit("started_ms", m.startedAtMs);
+}
+
+template <class V, class M>
+std::enable_if_t<IsMessage<M, LeavingEndpoints>> visitFields(V &visit, M &m)
+{
+    visit("endpoints", m.endpoints);
+}
+
 } // namespace marigoldspool
 
 #endif
--- a/tests/Gateway/EndpointClientTest.cpp
+++ b/tests/Gateway/EndpointClientTest.cpp
@@ -434,6 +434,27 @@
     }));
 }
 
+TEST_CASE("idle connections to an address are closed on request, and those in use stay open")
+{
+    ClientFixture fixture;
+    const HandlerPtr first = fixture.start(fixture.makeCall("r1"));
+    const HandlerPtr second = fixture.start(fixture.makeCall("r2"));
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx";
+    fixture.waitForRequest(0, "r1").send(answer);
+    fixture.waitForEnd(first);
+    RawSocket &inUse = fixture.waitForRequest(1, "r2");
+    fixture.client->closeIdle("127.0.0.1:1");
+    fixture.loop.settle();
+    CHECK_FALSE(fixture.listener.connection(0).isClosed());
+    fixture.client->closeIdle(fixture.makeCall("r3").address);
+    CHECK(fixture.loop.runUntil([&] {
+        return fixture.listener.connection(0).isClosed();
+    }));
+    inUse.send(answer);
+    fixture.waitForEnd(second);
+    CHECK(second->completed == 1);
+}
+
 TEST_CASE("destroying the client closes its connections without calling handlers")
 {
     ClientFixture fixture;
--- a/tests/Gateway/EngineStandinTest.cpp
+++ b/tests/Gateway/EngineStandinTest.cpp
@@ -10,7 +10,11 @@
 namespace {
 
 struct Answer final : public EndpointCallHandler {
-    void onHead(int newStatus, gsl::span<const HeaderField>) override { status = newStatus; }
+    void onHead(int newStatus, gsl::span<const HeaderField> newHeaders) override
+    {
+        status = newStatus;
+        headers.assign(newHeaders.begin(), newHeaders.end());
+    }
     void onData(std::string_view bytes) override
     {
         body.append(bytes);
@@ -18,10 +22,16 @@
     }
     void onComplete() override { completed = true; }
     void onFailure(SendStage, Error) override { failed = true; }
+    bool hasField(const std::string &name, const std::string &value) const
+    {
+        const std::string *field = findHeader(headers, name);
+        return field != nullptr && *field == value;
+    }
     bool isOver() const { return completed || failed; }
     Json json() const { return Json::parse(body); }
 
     int status = 0;
+    std::vector<HeaderField> headers;
     std::string body;
     SseScanner scanner;
     bool completed = false;
@@ -198,6 +208,31 @@
     CHECK(fixture.engine.counts()["refused_fresh"] == 1);
 }
 
+TEST_CASE("engine-standin: on request all answers state that it leaves, and refusals for how long")
+{
+    EngineFixture fixture;
+    fixture.load("m");
+    REQUIRE(
+        fixture
+            .wait(fixture.start("c", "/control",
+                                {{"mode", "normal"}, {"leaving", true}, {"retry_after", "1.5"}}))
+            ->status
+        == 200);
+    for (const AnswerPtr &answer :
+         {fixture.complete("r1"), fixture.complete("r2", true),
+          fixture.start("status", "/engine/status"), fixture.start("none", "/none")}) {
+        CHECK(fixture.wait(answer)->hasField("Server-Leaving", "1"));
+        CHECK_FALSE(answer->hasField("Retry-After", "1.5"));
+    }
+    const AnswerPtr refused = fixture.wait(
+        fixture.start("r3", "/v1/chat/completions", {{"model", "absent"}, {"messages", ""}}));
+    CHECK(refused->status == 503);
+    CHECK(refused->hasField("Server-Leaving", "1"));
+    CHECK(refused->hasField("Retry-After", "1.5"));
+    fixture.setMode("normal");
+    CHECK_FALSE(fixture.wait(fixture.complete("r4"))->hasField("Server-Leaving", "1"));
+}
+
 TEST_CASE("engine-standin: truncated answers end midway, in JSON and in streams")
 {
     EngineFixture fixture;
--- a/tests/Peer/MessagesTest.cpp
+++ b/tests/Peer/MessagesTest.cpp
@@ -45,7 +45,7 @@
 
 PeerMessage anyMessage()
 {
-    switch (*rc::gen::inRange(0, 12)) {
+    switch (*rc::gen::inRange(0, 13)) {
     case 0:
         return Heartbeat{anyId<ZoneName>(),    anyText(),
                          any<std::uint64_t>(), any<std::int64_t>(),
@@ -83,6 +83,8 @@
                               {{anyText(), anyText()}},
                               {{anyText(), anyText(), any<std::int64_t>(), any<std::int64_t>(),
                                 any<std::uint64_t>()}}};
+    case 11:
+        return LeavingEndpoints{{{anyId<EndpointId>(), any<std::int64_t>()}}};
     default:
         return ForwardCancel{anyId<RequestId>()};
     }
--- a/tests/PlatformAdapter/RequestPathFixture.h
+++ b/tests/PlatformAdapter/RequestPathFixture.h
@@ -76,7 +76,16 @@
     explicit RequestPathFixture(FleetOptions options = FleetOptions())
         : store(io, metrics)
     {
-        options.instance = InstanceId("front-1");
+        daemon = addInstance("front-1", std::move(options));
+        client = makeEndpointClient(io, clock, metrics);
+        configure(1, {"k1"});
+    }
+
+    /// Starts an instance, to which the next requests of callers go.
+    std::unique_ptr<FleetDaemon> addInstance(const std::string &name,
+                                             FleetOptions options = FleetOptions())
+    {
+        options.instance = InstanceId(name);
         options.zone = ZoneName("z1");
         const auto port = [] {
             return "127.0.0.1:" + std::to_string(takeFreePort());
@@ -88,11 +97,10 @@
         auto objectStore =
             makePlatformStore(io, store.address(), std::chrono::milliseconds(800), metrics);
         REQUIRE(objectStore);
-        daemon = std::make_unique<FleetDaemon>(io, options, codec, std::move(*objectStore),
-                                               std::make_unique<Metrics>());
-        REQUIRE(daemon->start());
-        client = makeEndpointClient(io, clock, metrics);
-        configure(1, {"k1"});
+        auto instance = std::make_unique<FleetDaemon>(io, options, codec, std::move(*objectStore),
+                                                      std::make_unique<Metrics>());
+        REQUIRE(instance->start());
+        return instance;
     }
 
     StandinReplica &addReplica(const std::string &id, const std::string &service,
--- a/tests/PlatformAdapter/StandinPlatform.h
+++ b/tests/PlatformAdapter/StandinPlatform.h
@@ -22,9 +22,10 @@
     return "127.0.0.1:" + std::to_string(server.port());
 }
 
-inline void answerJson(ResponseSink &sink, int status, const nlohmann::json &body)
+inline void answerJson(ResponseSink &sink, int status, const nlohmann::json &body,
+                       std::vector<HeaderField> headers = {})
 {
-    const HeaderField headers[] = {{"Content-Type", "application/json"}};
+    headers.push_back({"Content-Type", "application/json"});
     sink.head(status, headers, false);
     sink.data(body.dump());
     sink.finish();
@@ -339,7 +340,7 @@
     {
         return {{"service", service},       {"addr", address()}, {"zone", "z1"},
                 {"version", "v1"},          {"slots", 8},        {"state", state},
-                {"coldLeftMs", 0},          {"born", 1},         {"models", modelList(models)},
+                {"coldLeftMs", 0},          {"born", born},      {"models", modelList(models)},
                 {"atHand", cachedModels()}, {"seq", 1}};
     }
 
@@ -362,6 +363,13 @@
     int ordersToDelay = 0;
     std::chrono::milliseconds orderDelay{0};
     std::size_t maxModels = 0;
+    std::int64_t born = 1;
+    /// What answers to orders, and to reports if \c reportsState is set, say of the replica.
+    std::vector<HeaderField> statement;
+    bool reportsState = true;
+    /// Refuse reports and orders with this status, if set.
+    int engineCallStatus = 0;
+    int refusedCalls = 0;
 
 private:
     Json cachedModels() const { return {{"inMemory", inMemory}, {"onDisk", Json::array()}}; }
@@ -377,7 +385,13 @@
 
     void handle(const HttpRequest &request, const std::shared_ptr<ResponseSink> &sink)
     {
-        if (request.target == "/v1/report") {
+        const bool isReport = request.target == "/v1/report";
+        if (engineCallStatus != 0 && (isReport || request.target == "/v1/order")) {
+            ++refusedCalls;
+            answerJson(*sink, engineCallStatus, Json::object(), statement);
+            return;
+        }
+        if (isReport) {
             ++reports;
             if (reportsWithoutEnd) {
                 sink->head(200, {}, true);
@@ -393,9 +407,10 @@
                         {"atHand", cachedModels()},
                         {"busy", false},
                         {"seq", orders.size()},
-                        {"born", 1},
+                        {"born", born},
                         {"queued", 0},
-                        {"active", 0}});
+                        {"active", 0}},
+                       reportsState ? statement : std::vector<HeaderField>());
             return;
         }
         if (request.target == "/v1/order") {
@@ -411,7 +426,7 @@
                 });
                 return;
             }
-            answerJson(*sink, execute(order) ? 202 : 409, Json::object());
+            answerJson(*sink, execute(order) ? 202 : 409, Json::object(), statement);
             return;
         }
         requests.push_back(request);
--- a/tests/standins/common/StandinBase.h
+++ b/tests/standins/common/StandinBase.h
@@ -150,6 +150,20 @@
             });
     }
 
+    /// Fields of an answer, with those that state something about this program: `Server-Leaving`
+    /// and, with status 503, `Retry-After`, if the last call to `/control` has set them.
+    std::vector<HeaderField> answerFields(int status, std::string contentType) const
+    {
+        std::vector<HeaderField> fields{{"Content-Type", std::move(contentType)}};
+        if (m_isLeaving) {
+            fields.push_back({"Server-Leaving", "1"});
+        }
+        if (status == 503 && !m_retryAfter.empty()) {
+            fields.push_back({"Retry-After", m_retryAfter});
+        }
+        return fields;
+    }
+
     /// Keeps the connection open without an answer.
     void leaveUnanswered(Sink sink) { m_unanswered.push_back(std::move(sink)); }
 
@@ -166,7 +180,7 @@
             return;
         }
         if (request.target == "/control/counts") {
-            sendJson(*sink, 200, counts().dump());
+            sendJson(*sink, 200, counts().dump(), answerFields(200, JsonType));
             return;
         }
         noteHeaders(request);
@@ -183,15 +197,18 @@
         const bool isNamed = body.is_object() && body.contains("mode") && body["mode"].is_string();
         const auto mode = isNamed ? modeFromName(body["mode"].get<std::string>()) : std::nullopt;
         if (!mode) {
-            sendJson(sink, 400, errorJson("unknown_mode", "no").dump());
+            sendJson(sink, 400, errorJson("unknown_mode", "no").dump(),
+                     answerFields(400, JsonType));
             return;
         }
         m_mode = *mode == Mode::Cold ? Mode::Normal : *mode;
         m_delay = std::chrono::milliseconds(body.value("delay_ms", 1000));
+        m_isLeaving = body.value("leaving", false);
+        m_retryAfter = body.value("retry_after", std::string());
         if (*mode == Mode::Cold) {
             becomeCold();
         }
-        sendJson(sink, 200, "{}");
+        sendJson(sink, 200, "{}", answerFields(200, JsonType));
     }
 
     void noteHeaders(const HttpRequest &request)
@@ -208,31 +225,34 @@
     void answerNow(ResponseSink &sink, int status, const std::string &text) const
     {
         if (m_mode == Mode::Fail) {
-            sendJson(sink, 500, errorJson("failed", "unknown").dump());
+            sendJson(sink, 500, errorJson("failed", "unknown").dump(), answerFields(500, JsonType));
             return;
         }
         if (m_mode == Mode::CutAnswers) {
-            sink.head(status, jsonHeaders(), true);
+            sink.head(status, answerFields(status, JsonType), true);
             sink.data(std::string_view(text).substr(0, text.size() / 2));
             sink.abort();
             return;
         }
-        sendJson(sink, status, text);
+        sendJson(sink, status, text, answerFields(status, JsonType));
     }
 
-    static void sendJson(ResponseSink &sink, int status, std::string_view text)
+    static void sendJson(ResponseSink &sink, int status, std::string_view text,
+                         const std::vector<HeaderField> &fields)
     {
-        sink.head(status, jsonHeaders(), false);
+        sink.head(status, fields, false);
         sink.data(text);
         sink.finish();
     }
 
-    static std::vector<HeaderField> jsonHeaders() { return {{"Content-Type", "application/json"}}; }
+    static constexpr const char *JsonType = "application/json";
 
     boost::asio::io_context &m_io;
     Metrics m_metrics;
     Mode m_mode = Mode::Normal;
     Duration m_delay = std::chrono::seconds(1);
+    bool m_isLeaving = false;
+    std::string m_retryAfter;
     std::vector<Sink> m_unanswered;
     std::map<std::string, std::uint64_t> m_runs;
     std::uint64_t m_runsTotal = 0;
--- a/tests/standins/engine-standin/Engine.cpp
+++ b/tests/standins/engine-standin/Engine.cpp
@@ -322,8 +322,7 @@
     if (call.isStream) {
         if (!call.headSent) {
             call.headSent = true;
-            const std::vector<HeaderField> headers{{"Content-Type", "text/event-stream"}};
-            call.sink->head(200, headers, true);
+            call.sink->head(200, answerFields(200, "text/event-stream"), true);
         }
         Json choice{{"index", 0}, {"finish_reason", nullptr}};
         const std::string text = call.id + " ";
