Test that answers in progress end and that orders wait for the end of a pause

A stream in progress at an endpoint that says that it is leaving goes on; idle connections to it are closed, and the one in use when it becomes idle.

--- a/tests/PlatformAdapter/EndpointStatementTest.cpp
+++ b/tests/PlatformAdapter/EndpointStatementTest.cpp
@@ -2,6 +2,10 @@
 // while.
 #include "RequestPathFixture.h"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
 using namespace marigoldspool;
 using namespace std::chrono_literals;
 using nlohmann::json;
@@ -33,6 +37,73 @@
     return options;
 }
 
+/// A replica that keeps its connections open: states on the path /app/state that it is leaving, and
+/// sends half of its answer on /app/slow until it is told to finish.
+class KeptConnections
+{
+public:
+    explicit KeptConnections(boost::asio::io_context &io)
+        : m_acceptor(io, {boost::asio::ip::address_v4::loopback(), 0})
+    {
+        accept();
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    }
+    bool hasUnfinished() const { return m_unfinished != nullptr; }
+    void finish() { boost::asio::write(*m_unfinished, boost::asio::buffer("b", 1)); }
+
+    int accepted = 0;
+    int open = 0;
+
+private:
+    using Socket = boost::asio::ip::tcp::socket;
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](const boost::system::error_code &ec, Socket socket) {
+            if (!ec) {
+                ++accepted;
+                ++open;
+                read(std::make_shared<Socket>(std::move(socket)), std::make_shared<std::string>());
+                accept();
+            }
+        });
+    }
+
+    void read(const std::shared_ptr<Socket> &socket, const std::shared_ptr<std::string> &request)
+    {
+        boost::asio::async_read_until(*socket, boost::asio::dynamic_buffer(*request), "\r\n\r\n",
+                                      [=](const boost::system::error_code &ec, std::size_t /*n*/) {
+                                          if (ec) {
+                                              --open;
+                                              return;
+                                          }
+                                          answer(socket, *request);
+                                          request->clear();
+                                          read(socket, request);
+                                      });
+    }
+
+    void answer(const std::shared_ptr<Socket> &socket, const std::string &request)
+    {
+        const bool isSlow = request.find("/app/slow") != std::string::npos;
+        const bool isStating = request.find("/app/state") != std::string::npos;
+        const std::string text = std::string("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n")
+            + "X-Marigoldspool-Replica-Seal: seal\r\n" + (isStating ? "Server-Leaving: 1\r\n" : "")
+            + (isSlow ? "\r\na" : "\r\nab");
+        boost::asio::write(*socket, boost::asio::buffer(text));
+        if (isSlow) {
+            m_unfinished = socket;
+        }
+    }
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::shared_ptr<Socket> m_unfinished;
+};
+
 class StatementFixture : public RequestPathFixture
 {
 public:
@@ -230,6 +301,35 @@
     CHECK(second.requests.empty());
 }
 
+// A stream that was cut off because its replica is leaving would be lost for its caller.
+TEST_CASE_FIXTURE(StatementFixture,
+                  "what a leaving replica is answering ends, and its connections are closed then")
+{
+    KeptConnections connections(io);
+    json entry = addReplica("i-9", "else", answerOk).entry("app");
+    entry["addr"] = connections.address();
+    store.put("servers", "i-1", entry);
+    callUntilStatus(200, "/app/x");
+    const auto slow = call("/app/slow");
+    REQUIRE(runUntil(io, [&connections] {
+        return connections.hasUnfinished();
+    }));
+    callAndWait("/app/state");
+    const int before = connections.accepted;
+    runFor(300ms);
+    CHECK(connections.open == 1);
+    CHECK_FALSE(slow->ended);
+    connections.finish();
+    REQUIRE(runUntil(io, [&slow] {
+        return slow->ended;
+    }));
+    CHECK(slow->complete);
+    CHECK(slow->body == "ab");
+    runFor(300ms);
+    CHECK(connections.open == 0);
+    CHECK(connections.accepted == before);
+}
+
 // The address was assigned to a replica of another service, which is leaving.
 TEST_CASE("what another replica at the address says is not held against a replica")
 {
@@ -318,27 +418,36 @@
     }
 }
 
-TEST_CASE_FIXTURE(StatementFixture, "an engine that wants no requests gets no order or report")
+TEST_CASE("an engine that wants no requests gets no order or report")
 {
-    StandinReplica &engine = addStatingEngine("i-1", {"m"});
-    callUntilStatus(200, "/llm/x", "m");
-    engine.statement = {retryAfter("1.5")};
-    engine.engineCallStatus = 503;
-    // The order to make room for the model is refused; the next one comes after that time.
-    const auto answer = call("/llm/x", "n");
-    REQUIRE(runUntil(io, [&engine] {
-        return engine.refusedCalls > 0;
-    }));
-    const SteadyTime refusedAt = clock.now();
-    engine.statement.clear();
-    engine.engineCallStatus = 0;
-    const int reports = engine.reports;
-    REQUIRE(runUntil(io, [&] {
-        return engine.reports > reports || !engine.orders.empty();
-    }));
-    CHECK(clock.now() - refusedAt >= 1450ms);
-    REQUIRE(runUntil(io, [&answer] {
-        return answer->ended;
-    }));
-    CHECK(answer->status == 200);
+    for (const bool isOrder : {false, true}) {
+        CAPTURE(isOrder);
+        StatementFixture f;
+        StandinReplica &engine = f.addStatingEngine("i-1", {"m"});
+        f.callUntilStatus(200, "/llm/x", "m");
+        if (isOrder) {
+            REQUIRE(runUntil(f.io, [&engine] {
+                return engine.reports > 0;
+            }));
+        }
+        engine.statement = {retryAfter("1.5")};
+        engine.engineCallStatus = 503;
+        // Needs an order, and before that a report.
+        const auto answer = f.call("/llm/x", "n");
+        REQUIRE(runUntil(f.io, [&engine] {
+            return engine.refusedCalls > 0;
+        }));
+        const SteadyTime refusedAt = f.clock.now();
+        engine.engineCallStatus = 0;
+        engine.statement.clear();
+        const int reports = engine.reports;
+        REQUIRE(runUntil(f.io, [&] {
+            return engine.reports > reports || !engine.orders.empty();
+        }));
+        CHECK(f.clock.now() - refusedAt >= 1450ms);
+        REQUIRE(runUntil(f.io, [&answer] {
+            return answer->ended;
+        }));
+        CHECK(answer->status == 200);
+    }
 }
