--- a/include/marigoldspool/Gateway/EndpointClient.h
+++ b/include/marigoldspool/Gateway/EndpointClient.h
@@ -81,6 +81,8 @@
     virtual void cancel(const RequestId &id) = 0;
     /// Cancels one of several calls with the same id.
     virtual void cancel(const RequestId &id, const EndpointCallHandler &handler) = 0;
+    /// Closes the kept connections to \p address that have no call; others stay open.
+    virtual void closeIdle(const std::string &address) = 0;
 };
 
 std::unique_ptr<EndpointClient> makeEndpointClient(boost::asio::io_context &io, const Clock &clock,
--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -338,14 +338,17 @@
 // Whether the limits let another attempt follow one that is sent now and may have run.
 bool Exchange::canFollowAttempt() const
 {
-    return isRepeatable() && m_possibleRuns + 1 < m_route->maxAttempts
-        && m_attemptCount + 1 < MaxTotalAttempts;
+    // Beside a silent attempt, both may have run.
+    const int openAttempts = m_attempt ? 2 : 1;
+    return isRepeatable() && m_possibleRuns + openAttempts < m_route->maxAttempts
+        && m_attemptCount + openAttempts < MaxTotalAttempts;
 }
 
 EndpointCall Exchange::makeCall(const EndpointId &endpoint) const
 {
     const TrackedEndpoint *state = m_runtime.directory.find(endpoint);
-    checkInvariant(m_runtime.directory.canUse(endpoint), "sent_to_usable_endpoint", endpoint.str());
+    checkInvariant(m_runtime.directory.canSend(endpoint), "sent_to_usable_endpoint",
+                   endpoint.str());
     const Duration left = timeLeft();
     SendContext context;
     context.workspace = m_workspace;
@@ -393,16 +396,18 @@
         m_firstSentAt = now;
     }
     m_triedEndpoints.push_back(endpoint);
-    beginAttempt(std::make_shared<Attempt>(shared_from_this()), endpoint, now);
+    const std::int64_t startedAtMs = m_runtime.directory.find(endpoint)->listed.startedAtMs;
+    beginAttempt(std::make_shared<Attempt>(shared_from_this()), {endpoint, startedAtMs}, now);
     m_runtime.directory.onSent(endpoint, m_request.promptTokens);
     m_runtime.endpoints->call(std::move(call), m_attempt);
 }
 
-void Exchange::beginAttempt(std::shared_ptr<Attempt> attempt, const EndpointId &endpoint,
+void Exchange::beginAttempt(std::shared_ptr<Attempt> attempt, const EndpointIncarnation &endpoint,
                             SteadyTime sentAt)
 {
     m_attempt = std::move(attempt);
-    m_endpoint = endpoint;
+    m_endpoint = endpoint.endpoint;
+    m_endpointStartedAtMs = endpoint.startedAtMs;
     ++m_attemptCount;
     m_sentAt = sentAt;
     m_firstByteSeen = false;
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -71,7 +71,7 @@
     EndpointCall makeCall(const EndpointId &endpoint) const;
     void send(const EndpointId &endpoint);
     /// Expects the answer to the request from \p attempt.
-    void beginAttempt(std::shared_ptr<Attempt> attempt, const EndpointId &endpoint,
+    void beginAttempt(std::shared_ptr<Attempt> attempt, const EndpointIncarnation &endpoint,
                       SteadyTime sentAt);
     /// Whether the configuration in force still lets the request be repeated after \p runs runs.
     bool keepsRoute(int runs) const;
@@ -100,6 +100,8 @@
     /// Why the whole answer that has come can't be passed on, as a cause for the log; empty if it
     /// can.
     std::string answerDefect() const;
+    /// How an answer that is no success counts for the endpoint's health.
+    static EndpointResult failureResult(const AnswerTraits &traits);
     /// Ends an attempt that brought no response that can be forwarded: retries or refuses.
     void onAttemptFailed(EndpointOutcome outcome, EndpointResult result);
     /// Closes the connection of an attempt whose endpoint gives no usable answer.
@@ -143,6 +145,8 @@
     int sessionTokens() const;
     Duration silenceLimit() const;
     EndpointQuery endpointQuery() const;
+    /// When the caller of a request that endpoints have refused should send it again.
+    Duration overloadRetryAfter();
 
     ServingFront &m_front;
     FleetRuntime &m_runtime;
@@ -172,11 +176,16 @@
     int m_possibleRuns = 0;
     std::shared_ptr<Attempt> m_attempt;
     EndpointId m_endpoint;
+    /// Start of the endpoint's process when the request was sent.
+    std::int64_t m_endpointStartedAtMs = 0;
     /// An attempt at another endpoint while the one under way is silent.
     std::shared_ptr<Attempt> m_trial;
     EndpointId m_trialEndpoint;
+    std::int64_t m_trialStartedAtMs = 0;
     SteadyTime m_trialSentAt;
     boost::asio::steady_timer m_trialTimer;
+    /// Trials that have ended without taking over.
+    int m_trialCount = 0;
     SteadyTime m_sentAt;
     SteadyTime m_firstSentAt;
     bool m_firstByteSeen = false;
--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -67,6 +67,7 @@
     m_status = status;
     m_lastProgressAt = m_runtime.observedTime.at(m_runtime.clock.now());
     m_traits = m_runtime.codec.decodeAnswer(status, headers);
+    m_runtime.noteAnswer({m_endpoint, m_endpointStartedAtMs}, m_traits, StatementSource::Answer);
     m_answerHeaders.assign(headers.begin(), headers.end());
     m_streaming = isStreamHead(status, m_traits);
     if (!m_firstByteSeen && !m_traits.notRun && !m_traits.misdirected) {
@@ -165,12 +166,18 @@
     if (!defect.empty()) {
         m_lastError = std::move(defect);
         onAttemptFailed(m_answerStarted ? EndpointOutcome::CutOff : EndpointOutcome::MaybeSent,
-                        EndpointResult::Failed);
+                        failureResult(m_traits));
         return;
     }
     onResponse();
 }
 
+// An endpoint that asks for a pause is overloaded, not faulty.
+EndpointResult Exchange::failureResult(const AnswerTraits &traits)
+{
+    return traits.statement.noRequestsFor ? EndpointResult::Abandoned : EndpointResult::Failed;
+}
+
 std::string Exchange::answerDefect() const
 {
     if (isSuccess(m_status) && !m_traits.sealed) {
@@ -198,7 +205,7 @@
         m_lastError = "status_" + std::to_string(m_status);
         logFailedAttempt(EndpointOutcome::Answered);
         m_runtime.metrics->countRetry(RetryReason::ConnectFailed);
-        endAttempt(EndpointResult::Failed);
+        endAttempt(failureResult(m_traits));
         dispatch();
         return;
     }
@@ -209,7 +216,7 @@
     if (isSuccess(m_status) && !m_answerStarted) {
         m_runtime.quarantine.onAnswerBegun(m_pool->name, m_request.prompt);
     }
-    endAttempt(isServerError ? EndpointResult::Failed : EndpointResult::Answered);
+    endAttempt(isServerError ? failureResult(m_traits) : EndpointResult::Answered);
     if (m_answerStarted) {
         m_sink->finish();
         finish("served", m_status);
@@ -292,10 +299,18 @@
                "the endpoint failed during the request: " + m_lastError);
         return;
     }
-    refuse(RefusalReason::NoCapacity, RanState::No, OverloadRetryAfter,
+    refuse(RefusalReason::NoCapacity, RanState::No, overloadRetryAfter(),
            "no endpoint accepted the request: " + m_lastError);
 }
 
+Duration Exchange::overloadRetryAfter()
+{
+    EndpointQuery query = endpointQuery();
+    query.excluded = {};
+    const EndpointChoice choice = m_runtime.directory.choose(query);
+    return choice.isPaused ? std::max(choice.retryIn, OverloadRetryAfter) : OverloadRetryAfter;
+}
+
 // Resumes the stream at another endpoint after the last complete event that the caller received.
 std::string_view Exchange::resume(bool isFree)
 {
--- a/lib/Fleet/ExchangeSuccessor.cpp
+++ b/lib/Fleet/ExchangeSuccessor.cpp
@@ -21,6 +21,8 @@
 // 400 ms; half of it is left for a late timer and for the cancellation to arrive. Endpoints refuse
 // within milliseconds.
 constexpr Duration MaxTrialTime = milliseconds(200);
+// Each trial counts against the retry limit, and the silent endpoint may go on by itself.
+constexpr int MaxTrials = 2;
 // Shorter than a trial, so that a successor that has not accepted the connection ends no attempt.
 constexpr Duration TrialConnectTimeout = milliseconds(150);
 
@@ -74,7 +76,7 @@
 // one, and the connection of the report is used for the request.
 void Exchange::checkSilence()
 {
-    if (m_isAskingSuccessor || m_trial) {
+    if (m_isAskingSuccessor || m_trial || m_trialCount >= MaxTrials) {
         return;
     }
     const std::optional<EndpointId> successor = findSuccessor();
@@ -86,13 +88,14 @@
         return;
     }
     m_isAskingSuccessor = true;
-    EndpointCall call =
-        m_runtime.codec.encodeReportCall(m_runtime.directory.find(*successor)->listed);
+    const TrackedEndpoint *state = m_runtime.directory.find(*successor);
+    EndpointCall call = m_runtime.codec.encodeReportCall(state->listed);
     prepareEngineCall(call, "successor-" + m_request.id.str());
     call.timeout = EngineConnectTimeout;
     call.connectTimeout = EngineConnectTimeout;
     m_runtime.endpoints->call(std::move(call),
                               std::make_shared<CollectingHandler>(
+                                  m_runtime, state->listed, StatementSource::Report,
                                   [weak = weak_from_this(), id = *successor](const auto &answer) {
                                       if (const auto self = weak.lock()) {
                                           self->onSuccessorAnswer(id,
@@ -109,7 +112,7 @@
         m_triedEndpoints.push_back(id);
         return;
     }
-    if (findSuccessor() && m_runtime.directory.canUse(id)) {
+    if (id != m_endpoint && findSuccessor() && m_runtime.directory.canSend(id)) {
         moveTo(id);
     }
 }
@@ -148,6 +151,7 @@
     EndpointCall call = makeCall(endpoint);
     call.connectTimeout = TrialConnectTimeout;
     m_trialEndpoint = endpoint;
+    m_trialStartedAtMs = m_runtime.directory.find(endpoint)->listed.startedAtMs;
     m_trialSentAt = m_runtime.clock.now();
     m_triedEndpoints.push_back(endpoint);
     m_trial = std::make_shared<Attempt>(shared_from_this(), Attempt::Role::Trial);
@@ -167,6 +171,7 @@
 bool Exchange::onTrialHead(int status, gsl::span<const HeaderField> headers)
 {
     const AnswerTraits traits = m_runtime.codec.decodeAnswer(status, headers);
+    m_runtime.noteAnswer({m_trialEndpoint, m_trialStartedAtMs}, traits, StatementSource::Answer);
     if (traits.misdirected || traits.notRun) {
         endTrial(traits.misdirected ? EndpointResult::RefusedNotLoaded
                                     : EndpointResult::RefusedBusy,
@@ -175,7 +180,7 @@
     }
     if (!isStreamHead(status, traits)) {
         m_runtime.endpoints->cancel(m_request.id, *m_trial);
-        endTrial(EndpointResult::Failed, RanState::Unknown, "status_" + std::to_string(status));
+        endTrial(failureResult(traits), RanState::Unknown, "status_" + std::to_string(status));
         return false;
     }
     giveUpSilentAttempt();
@@ -194,7 +199,7 @@
 {
     m_trialTimer.cancel();
     m_trial->acceptTrial();
-    beginAttempt(std::move(m_trial), m_trialEndpoint, m_trialSentAt);
+    beginAttempt(std::move(m_trial), {m_trialEndpoint, m_trialStartedAtMs}, m_trialSentAt);
 }
 
 void Exchange::cancelTrial()
@@ -210,8 +215,9 @@
     m_trialTimer.cancel();
     m_trial->detach();
     m_trial.reset();
-    ++m_attemptCount;
+    ++m_trialCount;
     if (ran == RanState::Unknown) {
+        ++m_attemptCount;
         ++m_possibleRuns;
     }
     m_runtime.directory.onNoFirstByte(m_trialEndpoint, m_request.promptTokens);
--- a/tests/Peer/MessagesTest.cpp
+++ b/tests/Peer/MessagesTest.cpp
@@ -52,7 +52,7 @@
 
 PeerMessage anyMessage()
 {
-    switch (*rc::gen::inRange(0, 12)) {
+    switch (*rc::gen::inRange(0, 13)) {
     case 0:
         return Heartbeat{anyId<ZoneName>(),    anyText(),  any<std::uint64_t>(), anyMilliseconds(),
                          any<std::uint64_t>(), any<bool>()};
@@ -89,6 +89,8 @@
             {{anyId<EndpointId>(), anyText(), {anyText(), anyText()}, anyText()}},
             {{anyText(), anyText()}},
             {{anyText(), anyText(), anyMilliseconds(), anyMilliseconds(), any<std::uint64_t>()}}};
+    case 11:
+        return LeavingEndpoints{{{anyId<EndpointId>(), any<std::int64_t>()}}};
     default:
         return ForwardCancel{anyId<RequestId>()};
     }
--- a/tests/PlatformAdapter/LostAnswerTest.cpp
+++ b/tests/PlatformAdapter/LostAnswerTest.cpp
@@ -587,8 +587,8 @@
             openSinks.push_back(sink);
         });
     callUntilStatus(200, "/app/x");
-    // The second call uses the connection of the first one. The kernel accepts at most 128 s, longer
-    // than the request may take.
+    // The second call uses the connection of the first one. The kernel accepts at most 128 s,
+    // longer than the request may take.
     const std::pair<std::string, int> rows[] = {{"/app/slow", 3}, {"/once/slow", 128}};
     for (const auto &row : rows) {
         CAPTURE(row.first);
--- a/tests/PlatformAdapter/RequestPathFixture.h
+++ b/tests/PlatformAdapter/RequestPathFixture.h
@@ -84,7 +84,16 @@
     explicit RequestPathFixture(FleetOptions options = FleetOptions())
         : store(io, metrics)
     {
-        options.instance = InstanceId("front-1");
+        daemon = addInstance("front-1", std::move(options));
+        client = makeEndpointClient(io, clock, metrics);
+        configure(1, {"k1"});
+    }
+
+    /// Starts an instance, to which the next requests of callers go.
+    std::unique_ptr<FleetDaemon> addInstance(const std::string &name,
+                                             FleetOptions options = FleetOptions())
+    {
+        options.instance = InstanceId(name);
         options.zone = ZoneName("z1");
         const auto port = [] {
             return "127.0.0.1:" + std::to_string(takeFreePort());
@@ -98,11 +107,10 @@
         REQUIRE(objectStore);
         auto ownMetrics = std::make_unique<Metrics>();
         daemonMetrics = ownMetrics.get();
-        daemon = std::make_unique<FleetDaemon>(io, options, codec, std::move(*objectStore),
-                                               std::move(ownMetrics));
-        REQUIRE(daemon->start());
-        client = makeEndpointClient(io, clock, metrics);
-        configure(1, {"k1"});
+        auto instance = std::make_unique<FleetDaemon>(io, options, codec, std::move(*objectStore),
+                                                      std::move(ownMetrics));
+        REQUIRE(instance->start());
+        return instance;
     }
 
     StandinReplica &startReplica(const std::string &id, StandinReplica::Handler handler)
