Test refused successors and the connection of an accepted one

Without the three changes the tests print `CHECK( keepAliveSeconds(next.address()) == 128 ) ... values: CHECK( 3 == 128 )` (an accepted successor whose path is lost for three seconds is cut) and `CHECK( answer->complete ) ... values: CHECK( false )` (five full engines used up the attempts of a stream that broke off later).

--- a/tests/PlatformAdapter/LostAnswerTest.cpp
+++ b/tests/PlatformAdapter/LostAnswerTest.cpp
@@ -331,6 +331,7 @@
     std::shared_ptr<ResponseSink> openSink;
     bool isAnswering = false;
     const auto answer = callPaused();
+    const StandinReplica &next = idleEngine();
     const auto accept = [&](const HttpRequest &, const std::shared_ptr<ResponseSink> &sink) {
         acceptedAt = clock.now();
         openSink = sink;
@@ -355,6 +356,8 @@
         return pausedGoneAt && acceptedAt;
     }));
     CHECK(*pausedGoneAt - *acceptedAt < 400ms);
+    // No other attempt can follow it.
+    CHECK(keepAliveSeconds(next.address()) == 128);
     if (!isAnswering) {
         begin();
     }
@@ -418,6 +421,51 @@
     CHECK(clock.now() - before < 1s);
 }
 
+// Five full engines refused a silent stream within half a second. When it broke off, no attempt was
+// left to resume it.
+TEST_CASE_FIXTURE(LostAnswerFixture,
+                  "refused successors do not use up the attempts of a stream that breaks off later")
+{
+    bool isBusy = true;
+    std::shared_ptr<ResponseSink> silentSink;
+    engineMemoryMb = 200;
+    configure(2, {"k1"});
+    const auto stream = [&](const HttpRequest &request, const std::shared_ptr<ResponseSink> &sink) {
+        const bool isResumed = findHeader(request.headers, "Last-Event-Id") != nullptr;
+        if (isResumed && isBusy) {
+            answerNotRun(request, sink, 503);
+            return;
+        }
+        sink->head(200, streamHeaders(request), true);
+        if (!isResumed) {
+            sink->data(FirstEvent);
+        }
+        if (request.target == "/llm/pause" && !isResumed) {
+            silentSink = sink;
+            return;
+        }
+        sink->data(SecondEvent);
+        sink->finish();
+    };
+    for (int i = 0; i < 6; ++i) {
+        addReplica("i-" + std::to_string(i), "llm", stream, {"m"});
+    }
+    callUntilStatus(200, "/llm/x", "m");
+    io.restart();
+    io.run_for(1s);
+    // The retry limit grows with the requests.
+    for (int i = 0; i < 60; ++i) {
+        callAndWait("/llm/x", "m");
+    }
+    const auto answer = call("/llm/pause", "m");
+    io.restart();
+    io.run_for(1900ms);
+    isBusy = false;
+    REQUIRE(silentSink);
+    silentSink->abort();
+    checkWhole(answer);
+}
+
 TEST_CASE_FIXTURE(LostAnswerFixture,
                   "a stream resumes at its own endpoint when only the connection was lost")
 {
