--- a/include/marigoldspool/Serving/EndpointDirectory.h
+++ b/include/marigoldspool/Serving/EndpointDirectory.h
@@ -119,9 +119,9 @@
     void onTick();
 
     EndpointChoice choose(const EndpointQuery &query);
-    /// What \p from has stated about itself in an answer.
+    /// What \p from has stated about itself in the answer to a call sent at \p askedAt.
     void onStatement(const EndpointIncarnation &from, const EndpointStatement &statement,
-                     StatementSource source);
+                     StatementSource source, SteadyTime askedAt);
     std::vector<StatementChange> takeChanges() { return m_statements.takeChanges(); }
     const EndpointStatements &statements() const { return m_statements; }
 
--- a/include/marigoldspool/Serving/EndpointStatements.h
+++ b/include/marigoldspool/Serving/EndpointStatements.h
@@ -17,7 +17,11 @@
 struct EndpointStatement {
     bool leaving = false;
     /// How long the endpoint wants no requests from this instance.
-    std::optional<Duration> noRequestsFor;
+    std::optional<Duration> noRequestsFor = std::nullopt;
+    /// Requests a second that the endpoint takes from all instances together.
+    std::optional<double> rateLimit = std::nullopt;
+    /// The endpoint limits its rate no longer.
+    bool hasNoRateLimit = false;
 };
 
 /// How a statement has reached this instance.
@@ -44,6 +48,9 @@
     LeavingEnded,
     NoRequests,
     NoRequestsEnded,
+    /// The endpoint has named a limit of its rate, or another one.
+    RateLimited,
+    RateLimitEnded,
 };
 
 /// A change of what is known from an endpoint's statements.
@@ -53,6 +60,8 @@
     StatementSource source = StatementSource::Answer;
     /// For NoRequests: the stated time.
     Duration remaining = Duration::zero();
+    /// For RateLimited and RateLimitEnded: the limit in requests a second.
+    double rateLimit = 0;
 };
 
 /// Records what endpoints have stated about themselves. A statement applies to the process that
@@ -68,11 +77,17 @@
     /// How long statements are kept after the endpoint was removed from the list, to which an older
     /// entry may return after an outage of the store. A leaving endpoint ends long before.
     static constexpr Duration UnlistedRetention = std::chrono::minutes(10);
+    /// Bounds the rate limits that endpoints may name, in requests a second.
+    static constexpr double MaxRateLimit = 1e6;
+    /// How long a rate limit is kept that no answer to any instance has confirmed. An endpoint that
+    /// gets requests confirms or ends its limit with each answer.
+    static constexpr Duration RateLimitLifetime = std::chrono::seconds(30);
 
     explicit EndpointStatements(const Clock &clock);
 
+    /// \p askedAt: when the call was sent that this is the answer to.
     void onStatement(const EndpointIncarnation &from, const EndpointStatement &statement,
-                     StatementSource source);
+                     StatementSource source, SteadyTime askedAt);
     /// The platform lists this process; it ends the statements of an earlier one.
     void onListed(const EndpointIncarnation &incarnation);
     void onTick(const std::function<bool(const EndpointId &)> &isListed);
@@ -83,6 +98,9 @@
     /// Fraction of the endpoint's limit of concurrent requests that may be used; below 1 for a
     /// short time after a pause.
     double usableFraction(const EndpointId &id) const;
+    /// Requests a second that the endpoint takes from all instances together; nullopt if it has
+    /// named no limit.
+    std::optional<double> rateLimit(const EndpointId &id) const;
 
     /// Returns the changes since the last call.
     std::vector<StatementChange> takeChanges();
@@ -90,6 +108,7 @@
     std::vector<EndpointIncarnation> heardLeaving() const;
     std::size_t leavingCount() const;
     std::size_t pausedCount() const;
+    std::size_t limitedCount() const;
 
 private:
     /// A statement of one process.
@@ -97,6 +116,12 @@
         std::int64_t startedAtMs = 0;
         StatementSource source = StatementSource::Answer;
     };
+    struct RateLimit {
+        Stated stated;
+        double perSecond = 0;
+        /// When the endpoint last named it in an answer to any instance.
+        SteadyTime confirmedAt;
+    };
     struct Record {
         std::optional<Stated> leaving;
         std::optional<Stated> pause;
@@ -104,6 +129,7 @@
         SteadyTime noRequestsUntil;
         /// The end of the pause has not been reported.
         bool isPaused = false;
+        std::optional<RateLimit> rateLimit;
         SteadyTime lastListedAt;
     };
 
@@ -111,6 +137,10 @@
     void addPause(Record &record, const EndpointIncarnation &from, Duration length,
                   StatementSource source);
     void endPause(const EndpointId &id, Record &record);
+    void addRateLimit(Record &record, const EndpointIncarnation &from, double perSecond,
+                      StatementSource source);
+    void onNoRateLimit(const EndpointIncarnation &from, StatementSource source, SteadyTime askedAt);
+    void endRateLimit(const EndpointId &id, Record &record, StatementSource source);
 
     const Clock &m_clock;
     std::map<EndpointId, Record> m_records;
--- a/lib/Fleet/CrashCheck.cpp
+++ b/lib/Fleet/CrashCheck.cpp
@@ -32,7 +32,7 @@
         if (const auto check = m_check.lock()) {
             m_traits = check->m_runtime.codec.decodeAnswer(status, headers);
             check->m_runtime.noteAnswer({m_engine.id, m_engine.startedAtMs}, m_traits,
-                                        StatementSource::Report);
+                                        StatementSource::Report, m_askedAt);
         }
     }
     void onData(std::string_view bytes) override { m_body.append(bytes); }
--- a/lib/Fleet/EngineCalls.h
+++ b/lib/Fleet/EngineCalls.h
@@ -44,13 +44,15 @@
         : m_runtime(runtime)
         , m_called{engine.id, engine.startedAtMs}
         , m_source(source)
+        , m_askedAt(runtime.clock.now())
         , m_done(std::move(done))
     { }
 
     void onHead(int status, gsl::span<const HeaderField> headers) override
     {
         m_status = status;
-        m_runtime.noteAnswer(m_called, m_runtime.codec.decodeAnswer(status, headers), m_source);
+        m_runtime.noteAnswer(m_called, m_runtime.codec.decodeAnswer(status, headers), m_source,
+                             m_askedAt);
     }
     void onData(std::string_view bytes) override { m_body.append(bytes); }
     void onComplete() override { m_done(std::make_pair(m_status, std::move(m_body))); }
@@ -63,6 +65,7 @@
     FleetRuntime &m_runtime;
     EndpointIncarnation m_called;
     StatementSource m_source;
+    SteadyTime m_askedAt;
     Done m_done;
     int m_status = 0;
     std::string m_body;
--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -67,7 +67,8 @@
     m_status = status;
     m_lastProgressAt = m_runtime.observedTime.at(m_runtime.clock.now());
     m_traits = m_runtime.codec.decodeAnswer(status, headers);
-    m_runtime.noteAnswer({m_endpoint, m_endpointStartedAtMs}, m_traits, StatementSource::Answer);
+    m_runtime.noteAnswer({m_endpoint, m_endpointStartedAtMs}, m_traits, StatementSource::Answer,
+                         m_sentAt);
     m_answerHeaders.assign(headers.begin(), headers.end());
     m_streaming = isStreamHead(status, m_traits);
     if (!m_firstByteSeen && !m_traits.notRun && !m_traits.misdirected) {
--- a/lib/Fleet/ExchangeSuccessor.cpp
+++ b/lib/Fleet/ExchangeSuccessor.cpp
@@ -171,7 +171,8 @@
 bool Exchange::onTrialHead(int status, gsl::span<const HeaderField> headers)
 {
     const AnswerTraits traits = m_runtime.codec.decodeAnswer(status, headers);
-    m_runtime.noteAnswer({m_trialEndpoint, m_trialStartedAtMs}, traits, StatementSource::Answer);
+    m_runtime.noteAnswer({m_trialEndpoint, m_trialStartedAtMs}, traits, StatementSource::Answer,
+                         m_trialSentAt);
     if (traits.misdirected || traits.notRun) {
         endTrial(traits.misdirected ? EndpointResult::RefusedNotLoaded
                                     : EndpointResult::RefusedBusy,
--- a/lib/Fleet/FleetRuntime.cpp
+++ b/lib/Fleet/FleetRuntime.cpp
@@ -46,10 +46,10 @@
 }
 
 void FleetRuntime::noteAnswer(const EndpointIncarnation &called, const AnswerTraits &traits,
-                              StatementSource source)
+                              StatementSource source, SteadyTime askedAt)
 {
     if (isAnswerOf(traits, called.endpoint, source != StatementSource::Answer)) {
-        directory.onStatement(called, traits.statement, source);
+        directory.onStatement(called, traits.statement, source, askedAt);
     }
 }
 
--- a/lib/Fleet/FleetRuntime.h
+++ b/lib/Fleet/FleetRuntime.h
@@ -24,9 +24,10 @@
                  const FleetCodec &fleetCodec, std::unique_ptr<ObjectStore> objectStore,
                  std::unique_ptr<Metrics> fleetMetrics);
 
-    /// Records what an endpoint states about itself in its answer to a call that named it.
+    /// Records what an endpoint states about itself in its answer to a call that named it and was
+    /// sent at \p askedAt.
     void noteAnswer(const EndpointIncarnation &called, const AnswerTraits &traits,
-                    StatementSource source);
+                    StatementSource source, SteadyTime askedAt);
 
     boost::asio::io_context &io;
     FleetOptions options;
--- a/lib/Fleet/StatementMonitor.cpp
+++ b/lib/Fleet/StatementMonitor.cpp
@@ -24,6 +24,10 @@
         return "endpoint_paused";
     case StatementChangeKind::NoRequestsEnded:
         return "endpoint_pause_ended";
+    case StatementChangeKind::RateLimited:
+        return "endpoint_limited";
+    case StatementChangeKind::RateLimitEnded:
+        return "endpoint_limit_ended";
     }
     return "endpoint_unknown";
 }
@@ -65,7 +69,8 @@
              {{"endpoint", change.incarnation.endpoint.str()},
               {"started_at_ms", std::to_string(change.incarnation.startedAtMs)},
               {"source", source},
-              {"for_ms", std::to_string(toMilliseconds(change.remaining))}});
+              {"for_ms", std::to_string(toMilliseconds(change.remaining))},
+              {"rate_limit", std::to_string(change.rateLimit)}});
     m_runtime.metrics->add("marigoldspool_endpoint_statements_total", 1,
                            {{"event", std::string(eventName(change.kind))}, {"source", source}});
     const EndpointStatements &statements = m_runtime.directory.statements();
@@ -73,6 +78,8 @@
                            static_cast<double>(statements.leavingCount()));
     m_runtime.metrics->set("marigoldspool_endpoints_paused",
                            static_cast<double>(statements.pausedCount()));
+    m_runtime.metrics->set("marigoldspool_endpoints_limited",
+                           static_cast<double>(statements.limitedCount()));
 }
 
 // Only while the endpoint has requests from this instance, since its address is assigned to another
@@ -111,8 +118,8 @@
 void StatementMonitor::onLeaving(const LeavingEndpoints &message)
 {
     for (const LeavingEndpoint &it : message.endpoints) {
-        m_runtime.directory.onStatement({it.endpoint, it.startedAtMs}, {true, std::nullopt},
-                                        StatementSource::Peer);
+        m_runtime.directory.onStatement({it.endpoint, it.startedAtMs}, {true},
+                                        StatementSource::Peer, m_runtime.clock.now());
     }
 }
 
--- a/lib/Serving/EndpointDirectory.cpp
+++ b/lib/Serving/EndpointDirectory.cpp
@@ -184,11 +184,12 @@
 
 // The entry of a later process may arrive before the last answers of an earlier one.
 void EndpointDirectory::onStatement(const EndpointIncarnation &from,
-                                    const EndpointStatement &statement, StatementSource source)
+                                    const EndpointStatement &statement, StatementSource source,
+                                    SteadyTime askedAt)
 {
     const TrackedEndpoint *state = find(from.endpoint);
     if (state == nullptr || from.startedAtMs >= state->listed.startedAtMs) {
-        m_statements.onStatement(from, statement, source);
+        m_statements.onStatement(from, statement, source, askedAt);
     }
 }
 
--- a/lib/Serving/EndpointStatements.cpp
+++ b/lib/Serving/EndpointStatements.cpp
@@ -25,10 +25,14 @@
 { }
 
 void EndpointStatements::onStatement(const EndpointIncarnation &from,
-                                     const EndpointStatement &statement, StatementSource source)
+                                     const EndpointStatement &statement, StatementSource source,
+                                     SteadyTime askedAt)
 {
     const bool hasPause = statement.noRequestsFor && *statement.noRequestsFor > Duration::zero();
-    if (!statement.leaving && !hasPause) {
+    if (statement.hasNoRateLimit) {
+        onNoRateLimit(from, source, askedAt);
+    }
+    if (!statement.leaving && !hasPause && !statement.rateLimit) {
         return;
     }
     onListed(from);
@@ -42,6 +46,9 @@
     if (hasPause) {
         addPause(it->second, from, std::min(*statement.noRequestsFor, MaxNoRequests), source);
     }
+    if (statement.rateLimit) {
+        addRateLimit(it->second, from, *statement.rateLimit, source);
+    }
 }
 
 void EndpointStatements::addLeaving(Record &record, const EndpointIncarnation &from,
@@ -74,6 +81,49 @@
     }
 }
 
+void EndpointStatements::addRateLimit(Record &record, const EndpointIncarnation &from,
+                                      double perSecond, StatementSource source)
+{
+    const SteadyTime now = m_clock.now();
+    const bool isChanged = !record.rateLimit || record.rateLimit->perSecond != perSecond;
+    if (!record.rateLimit) {
+        record.rateLimit.emplace();
+    }
+    RateLimit &limit = *record.rateLimit;
+    limit.stated = {std::max(limit.stated.startedAtMs, from.startedAtMs), source};
+    limit.perSecond = perSecond;
+    limit.confirmedAt = std::max(limit.confirmedAt, now);
+    if (isChanged) {
+        m_changes.push_back(
+            {StatementChangeKind::RateLimited, from, source, Duration::zero(), perSecond});
+    }
+}
+
+// Answers overtake each other. Only the answer to a request that was sent after the limit was last
+// named was certainly written after it.
+void EndpointStatements::onNoRateLimit(const EndpointIncarnation &from, StatementSource source,
+                                       SteadyTime askedAt)
+{
+    const auto it = m_records.find(from.endpoint);
+    if (it == m_records.end() || !it->second.rateLimit) {
+        return;
+    }
+    const RateLimit &limit = *it->second.rateLimit;
+    if (from.startedAtMs >= limit.stated.startedAtMs && askedAt > limit.confirmedAt) {
+        endRateLimit(it->first, it->second, source);
+    }
+}
+
+void EndpointStatements::endRateLimit(const EndpointId &id, Record &record, StatementSource source)
+{
+    m_changes.push_back({StatementChangeKind::RateLimitEnded,
+                         {id, record.rateLimit->stated.startedAtMs},
+                         source,
+                         Duration::zero(),
+                         record.rateLimit->perSecond});
+    record.rateLimit.reset();
+}
+
 void EndpointStatements::onListed(const EndpointIncarnation &incarnation)
 {
     const auto it = m_records.find(incarnation.endpoint);
@@ -91,6 +141,9 @@
         endPause(it->first, record);
         record.pause.reset();
     }
+    if (record.rateLimit && incarnation.startedAtMs > record.rateLimit->stated.startedAtMs) {
+        endRateLimit(it->first, record, record.rateLimit->stated.source);
+    }
 }
 
 void EndpointStatements::onTick(const std::function<bool(const EndpointId &)> &isListed)
@@ -104,10 +157,13 @@
                 record.pause.reset();
             }
         }
+        if (record.rateLimit && now - record.rateLimit->confirmedAt >= RateLimitLifetime) {
+            endRateLimit(it->first, record, record.rateLimit->stated.source);
+        }
         if (isListed(it->first)) {
             record.lastListedAt = now;
         }
-        const bool isObsolete = !record.leaving && !record.pause;
+        const bool isObsolete = !record.leaving && !record.pause && !record.rateLimit;
         const bool isForgotten = now - record.lastListedAt >= UnlistedRetention;
         it = isObsolete || isForgotten ? m_records.erase(it) : std::next(it);
     }
@@ -144,6 +200,14 @@
     return std::clamp(since / toSeconds(ReturnTime), 0.0, 1.0);
 }
 
+std::optional<double> EndpointStatements::rateLimit(const EndpointId &id) const
+{
+    const auto it = m_records.find(id);
+    return it != m_records.end() && it->second.rateLimit
+        ? std::make_optional(it->second.rateLimit->perSecond)
+        : std::nullopt;
+}
+
 std::vector<StatementChange> EndpointStatements::takeChanges()
 {
     return std::exchange(m_changes, {});
@@ -176,4 +240,12 @@
         }));
 }
 
+std::size_t EndpointStatements::limitedCount() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_records.begin(), m_records.end(), [](const auto &entry) {
+            return entry.second.rateLimit.has_value();
+        }));
+}
+
 } // namespace marigoldspool
--- a/tests/Serving/EndpointStatementsTest.cpp
+++ b/tests/Serving/EndpointStatementsTest.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr EndpointStatement LeavingStatement{true, std::nullopt};
+constexpr EndpointStatement LeavingStatement{true};
 
 EndpointStatement pauseOf(Duration length)
 {
@@ -60,7 +60,7 @@
 
     void state(const EndpointIncarnation &from, const EndpointStatement &statement)
     {
-        directory.onStatement(from, statement, StatementSource::Answer);
+        directory.onStatement(from, statement, StatementSource::Answer, clock.now());
     }
 
     void advance(Duration by)
@@ -204,7 +204,8 @@
     CHECK(directory.statements().heardLeaving().size() == 1);
     advance(1s);
     list({first.endpoint, 101});
-    directory.onStatement({first.endpoint, 101}, LeavingStatement, StatementSource::Peer);
+    directory.onStatement({first.endpoint, 101}, LeavingStatement, StatementSource::Peer,
+                          clock.now());
     std::vector<StatementChangeKind> kinds;
     for (const StatementChange &change : directory.takeChanges()) {
         kinds.push_back(change.kind);
