Divide the rates that endpoints name among the instances

Callers of a model on an endpoint in need waited behind requests that the endpoint had said it could not take: an engine that named 2.4 requests a second got 33 within 4 s from instances that it had told (19 allowed), another with 1 a second got 12 (11 allowed).

Cause: nothing read Server-Limit. Class: a statement of an endpoint that binds the fleet, not an instance.

RateDivider gives each instance a share of the rate, or none, from the list of instances alone, so that the sum holds under any partition. EndpointDirectory keeps a bucket for each limited endpoint, from which every request is taken, and prefers other endpoints; what can't be sent in time is refused at once with the time of its turn. The instances tell each other of limits and their ends. The planner loads a model elsewhere when requests wait for a limited engine or its limit is too low for the demand. The count of instances for cold endpoints comes from the same list now.

--- a/include/marigoldspool/Peer/Messages.h
+++ b/include/marigoldspool/Peer/Messages.h
@@ -295,11 +295,31 @@
     std::vector<LeavingEndpoint> endpoints;
 };
 
+/// The rate that an endpoint takes from all instances together.
+struct LimitedEndpoint {
+    EndpointId endpoint;
+    /// Start of the process that named it, in Unix milliseconds.
+    std::int64_t startedAtMs = 0;
+    /// Requests a second; without meaning if \c ended.
+    double perSecond = 0;
+    /// The endpoint names no limit any more.
+    bool ended = false;
+    /// Time since the endpoint last named the limit; with \c ended, since the request was sent
+    /// whose answer named none.
+    std::int64_t ageMs = 0;
+};
+
+/// Rate limits of endpoints that the sender knows. Passed on by the hub in a large fleet.
+struct LimitedEndpoints {
+    std::vector<LimitedEndpoint> endpoints;
+};
+
 using PeerMessage =
     std::variant<Heartbeat, ConfigRequest, ConfigTransfer, LoanRequest, LoanGrant, EpochAck,
                  ForwardRequest, ForwardHead, ForwardData, ForwardRefusal, ForwardCancel,
                  DemandReport, PlacementUpdate, ObjectsRequest, ObjectsTransfer, UsageReport,
-                 UsageTotals, LoadForecasts, RevisionBeacon, PromptEvidence, LeavingEndpoints>;
+                 UsageTotals, LoadForecasts, RevisionBeacon, PromptEvidence, LeavingEndpoints,
+                 LimitedEndpoints>;
 
 struct AddressedMessage {
     InstanceId to;
--- a/include/marigoldspool/Serving/EndpointDirectory.h
+++ b/include/marigoldspool/Serving/EndpointDirectory.h
@@ -3,6 +3,7 @@
 
 #include "marigoldspool/Limits/TokenBucket.h"
 #include "marigoldspool/Serving/EndpointStatements.h"
+#include "marigoldspool/Serving/RateDivider.h"
 #include "marigoldspool/Serving/ResponseTimeModel.h"
 #include "marigoldspool/Serving/ServingTypes.h"
 
@@ -45,6 +46,11 @@
     SteadyTime busyUntil;
     SteadyTime coldUntil;
     std::optional<TokenBucket> coldRateLimit;
+    /// This instance's share of the rate that the endpoint has named as its limit. Its capacity is
+    /// below one request if only other instances send to the endpoint.
+    std::optional<TokenBucket> rateShare;
+    /// The limit that it is a share of, in requests a second.
+    double sharedRateLimit = 0;
     /// Models and adapters that the endpoint recently refused as not loaded.
     std::map<std::pair<ModelName, std::string>, SteadyTime> notLoadedUntil;
     /// Exponentially weighted mean time by which first bytes came later than expected from an
@@ -61,8 +67,7 @@
     Send,
     /// No usable endpoint has the model or adapter loaded.
     NotLoaded,
-    /// All endpoints that have it loaded are full, rate limited while cold, or want no requests
-    /// now.
+    /// All endpoints that have it loaded are full, rate limited, or want no requests now.
     Busy,
     /// The pool has no usable endpoint.
     NoEndpoint,
@@ -70,11 +75,15 @@
 
 struct EndpointChoice {
     ChoiceKind kind = ChoiceKind::NoEndpoint;
+    /// For Busy with ratePerSecond: the endpoint that takes the next request.
     EndpointId endpoint;
     /// For Busy: when to call choose() again.
     Duration retryIn = std::chrono::milliseconds(50);
-    /// For Busy: all candidates want no requests until then.
+    /// For Busy: all candidates want no requests until then, because of a pause or of their rate
+    /// limits.
     bool isPaused = false;
+    /// With isPaused: requests a second that candidates with a rate limit take from this instance.
+    double ratePerSecond = 0;
     /// Endpoints that could take the request, including those that are full.
     int candidateCount = 0;
 };
@@ -99,13 +108,13 @@
 class EndpointDirectory
 {
 public:
-    EndpointDirectory(ZoneName ownZone, const Clock &clock);
+    EndpointDirectory(ZoneName ownZone, const Clock &clock, InstanceId self = InstanceId());
 
-    /// Number of instances that share the rate limit of a cold endpoint.
-    void setInstanceCount(std::size_t count) { m_instanceCount = count == 0 ? 1 : count; }
+    /// The instances that share the rate limits of endpoints; may lack this one.
+    void setMembers(gsl::span<const TopologyMember> members);
     /// A number in (0, 1] that differs between instances; staggers their first requests to an
-    /// endpoint that has become cold.
-    void setColdPhase(double phase) { m_coldPhase = phase; }
+    /// endpoint that has become cold or has named a rate limit.
+    void setStartPhase(double phase) { m_startPhase = phase; }
     void setConfiguration(ServingConfigurationPtr configuration);
     void apply(const ListedEndpoint &endpoint);
     /// The endpoint stays usable for \p grace, since its entry may have expired in a store outage.
@@ -122,6 +131,8 @@
     /// What \p from has stated about itself in the answer to a call sent at \p askedAt.
     void onStatement(const EndpointIncarnation &from, const EndpointStatement &statement,
                      StatementSource source, SteadyTime askedAt);
+    /// What another instance knows of the rate limit of an endpoint.
+    void onRateLimitNotice(const RateLimitNotice &notice);
     std::vector<StatementChange> takeChanges() { return m_statements.takeChanges(); }
     const EndpointStatements &statements() const { return m_statements; }
 
@@ -131,6 +142,8 @@
     bool acceptsCalls(const EndpointId &id) const;
     /// Whether requests and orders may be sent to \p id now.
     bool canSend(const EndpointId &id) const { return canUse(id) && acceptsCalls(id); }
+    /// Whether a request may be sent to \p id now, as far as the endpoint limits its rate.
+    bool hasRateFor(const EndpointId &id) const;
     const TrackedEndpoint *find(const EndpointId &id) const;
     const std::map<EndpointId, TrackedEndpoint> &endpoints() const { return m_endpoints; }
     const ResponseTimeModel &responseTimes() const { return m_responseTimes; }
@@ -151,13 +164,18 @@
     double score(const TrackedEndpoint &state, const EndpointQuery &query, SteadyTime now) const;
     int maxInFlight(const TrackedEndpoint &state) const;
     int currentMaxInFlight(const TrackedEndpoint &state) const;
+    /// Follows a change of the endpoint's rate limit.
+    void updateRateShare(TrackedEndpoint &state);
+    void divideRate(TrackedEndpoint &state);
+    /// Whether requests to the endpoint are left to other instances.
+    static bool isLeftToOthers(const TrackedEndpoint &state);
     void markCold(TrackedEndpoint &state, Duration left);
     double delaySeconds(const TrackedEndpoint &state, SteadyTime now) const;
 
     ZoneName m_ownZone;
     const Clock &m_clock;
-    std::size_t m_instanceCount = 1;
-    double m_coldPhase = 1;
+    RateDivider m_rateDivider;
+    double m_startPhase = 1;
     ServingConfigurationPtr m_configuration;
     std::map<EndpointId, TrackedEndpoint> m_endpoints;
     std::set<ZoneName> m_evacuated;
--- a/include/marigoldspool/Serving/EndpointStatements.h
+++ b/include/marigoldspool/Serving/EndpointStatements.h
@@ -64,6 +64,16 @@
     double rateLimit = 0;
 };
 
+/// A rate limit, or its end, as instances tell it to each other.
+struct RateLimitNotice {
+    EndpointIncarnation incarnation;
+    /// Requests a second; nullopt: the endpoint names no limit any more.
+    std::optional<double> perSecond;
+    /// When the endpoint last named the limit; for its end, when the request was sent whose answer
+    /// named none.
+    SteadyTime at;
+};
+
 /// Records what endpoints have stated about themselves. A statement applies to the process that
 /// made it, whatever the platform's list says of that process.
 class EndpointStatements
@@ -82,12 +92,17 @@
     /// How long a rate limit is kept that no answer to any instance has confirmed. An endpoint that
     /// gets requests confirms or ends its limit with each answer.
     static constexpr Duration RateLimitLifetime = std::chrono::seconds(30);
+    /// How long limits are told to other instances after an answer has named them, and the end of a
+    /// limit after this instance has learnt it.
+    static constexpr Duration RateLimitNoticeTime = std::chrono::seconds(3);
 
     explicit EndpointStatements(const Clock &clock);
 
     /// \p askedAt: when the call was sent that this is the answer to.
     void onStatement(const EndpointIncarnation &from, const EndpointStatement &statement,
                      StatementSource source, SteadyTime askedAt);
+    /// What another instance knows of an endpoint's rate limit.
+    void onRateLimitNotice(const RateLimitNotice &notice);
     /// The platform lists this process; it ends the statements of an earlier one.
     void onListed(const EndpointIncarnation &incarnation);
     void onTick(const std::function<bool(const EndpointId &)> &isListed);
@@ -96,7 +111,7 @@
     /// When the endpoint wants requests again; in the past if it has not asked for a pause.
     SteadyTime noRequestsUntil(const EndpointId &id) const;
     /// Fraction of the endpoint's limit of concurrent requests that may be used; below 1 for a
-    /// short time after a pause.
+    /// short time after a pause or the end of a rate limit.
     double usableFraction(const EndpointId &id) const;
     /// Requests a second that the endpoint takes from all instances together; nullopt if it has
     /// named no limit.
@@ -106,6 +121,9 @@
     std::vector<StatementChange> takeChanges();
     /// Leaving endpoints, without those that are known from other instances only.
     std::vector<EndpointIncarnation> heardLeaving() const;
+    /// The rate limits and ends of limits to tell other instances; with \p fromPeers also those
+    /// that are known from other instances only.
+    std::vector<RateLimitNotice> rateLimitNotices(bool fromPeers) const;
     std::size_t leavingCount() const;
     std::size_t pausedCount() const;
     std::size_t limitedCount() const;
@@ -119,8 +137,15 @@
     struct RateLimit {
         Stated stated;
         double perSecond = 0;
-        /// When the endpoint last named it in an answer to any instance.
+        /// When the endpoint last named it in an answer to any instance, and to this one.
         SteadyTime confirmedAt;
+        std::optional<SteadyTime> heardAt;
+    };
+    struct RateLimitEnd {
+        Stated stated;
+        /// When the request was sent whose answer named no limit.
+        SteadyTime askedAt;
+        SteadyTime learntAt;
     };
     struct Record {
         std::optional<Stated> leaving;
@@ -130,6 +155,7 @@
         /// The end of the pause has not been reported.
         bool isPaused = false;
         std::optional<RateLimit> rateLimit;
+        std::optional<RateLimitEnd> rateLimitEnd;
         SteadyTime lastListedAt;
     };
 
@@ -138,9 +164,10 @@
                   StatementSource source);
     void endPause(const EndpointId &id, Record &record);
     void addRateLimit(Record &record, const EndpointIncarnation &from, double perSecond,
-                      StatementSource source);
+                      StatementSource source, SteadyTime at);
     void onNoRateLimit(const EndpointIncarnation &from, StatementSource source, SteadyTime askedAt);
-    void endRateLimit(const EndpointId &id, Record &record, StatementSource source);
+    void endRateLimit(const EndpointId &id, Record &record, StatementSource source,
+                      SteadyTime askedAt);
 
     const Clock &m_clock;
     std::map<EndpointId, Record> m_records;
--- a/include/marigoldspool/Serving/PlacementPlanner.h
+++ b/include/marigoldspool/Serving/PlacementPlanner.h
@@ -47,6 +47,9 @@
     bool hasPredecessorOrder = false;
     int active = 0;
     int queued = 0;
+    /// Requests a second that the engine takes from all instances together, if it has named a
+    /// limit.
+    std::optional<double> rateLimit;
 };
 
 /// An order to one engine to load or unload a model or adapter.
@@ -105,6 +108,9 @@
     const HostedModel *hostedModel(const PoolName &pool, const ModelName &model) const;
     void beginPlan(const DemandAggregator &demand);
     int copyCount(const PoolName &pool, const ModelName &model) const;
+    /// Whether the engine is usable and serves the model as fast as it is asked for.
+    bool isServingCopy(const EngineState &engine, const ModelName &model) const;
+    void findShortCopies(const DemandAggregator &demand);
     int pendingCopyCount(const PoolName &pool, const ModelName &model) const;
     bool isLoadPending(const PoolName &pool, const ModelName &model) const;
     bool isLoadedOrCached(const PoolName &pool, const ModelName &model) const;
@@ -150,7 +156,7 @@
                    std::vector<PlacementOrder> &orders);
     void prefetch(const DemandAggregator &demand, std::vector<PlacementOrder> &orders);
     void countStoreLoad(LoadSource source);
-    void onCopyRemoved(const PoolName &pool, const ModelName &model);
+    void onCopyRemoved(const PoolName &pool, const ModelName &model, bool wasCounted);
     void addOrder(EngineState &engine, PlacementOrder order, std::vector<PlacementOrder> &orders);
 
     const Clock &m_clock;
@@ -164,6 +170,9 @@
     /// Fraction of each engine that the current demand is expected to use.
     std::map<EndpointId, double> m_utilization;
     std::map<PoolName, RequestCost> m_requestCosts;
+    /// Models on engines whose rate limits are too low for the demand. They don't count as copies,
+    /// so the models are loaded elsewhere.
+    std::set<std::pair<EndpointId, ModelName>> m_shortCopies;
 
     /// \name State of one plan; the forecasts that follow it use the deferred loads
     /// \{
--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -250,7 +250,8 @@
 
 std::optional<DemandKey> Exchange::unmetDemand() const
 {
-    if (!m_waiting || m_waitReason != ChoiceKind::NotLoaded || m_pool == nullptr) {
+    const bool isUnmet = m_waitReason == ChoiceKind::NotLoaded || !m_limitedEndpoint.empty();
+    if (!m_waiting || !isUnmet || m_pool == nullptr) {
         return std::nullopt;
     }
     return DemandKey{m_pool->name, m_request.model, m_request.adapter};
@@ -300,7 +301,8 @@
         query.overdue = std::max(now - *readyAt, Duration::zero());
     }
     query.ownerReachable = m_front.m_ownerReachable;
-    query.retryIn = choice.retryIn;
+    m_limitedEndpoint = choice.isPaused ? choice.endpoint : EndpointId();
+    query.retryIn = choice.retryIn + m_front.timeForEarlierRequests(*this, choice);
     const WaitDecision decision = decideWait(query);
     if (!decision.wait) {
         refuse(decision.reason, ranState(), decision.retryAfter,
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -37,8 +37,11 @@
     /// Moves a repeatable request to another available endpoint if the current one has sent nothing
     /// for too long.
     void checkSilence();
-    /// The model or adapter that this request waits for; empty if it doesn't wait for a load.
+    /// The model or adapter that this request waits for: not loaded, or only on endpoints that
+    /// limit their rate. Empty if it doesn't wait for a load.
     std::optional<DemandKey> unmetDemand() const;
+    /// The endpoint whose rate limit this request waits for; empty if it waits for anything else.
+    const EndpointId &limitedEndpoint() const { return m_limitedEndpoint; }
 
 private:
     class Attempt;
@@ -169,6 +172,7 @@
     bool m_finished = false;
     bool m_isAskingSuccessor = false;
     ChoiceKind m_waitReason = ChoiceKind::Send;
+    EndpointId m_limitedEndpoint;
 
     std::vector<EndpointId> m_triedEndpoints;
     int m_attemptCount = 0;
--- a/lib/Fleet/ExchangeSuccessor.cpp
+++ b/lib/Fleet/ExchangeSuccessor.cpp
@@ -112,7 +112,8 @@
         m_triedEndpoints.push_back(id);
         return;
     }
-    if (id != m_endpoint && findSuccessor() && m_runtime.directory.canSend(id)) {
+    if (id != m_endpoint && findSuccessor() && m_runtime.directory.canSend(id)
+        && m_runtime.directory.hasRateFor(id)) {
         moveTo(id);
     }
 }
--- a/lib/Fleet/FleetDaemon.cpp
+++ b/lib/Fleet/FleetDaemon.cpp
@@ -51,7 +51,7 @@
 
 } // namespace
 
-class FleetDaemon::Impl
+class FleetDaemon::Impl final : private StatementMonitor::FleetSender
 {
 public:
     Impl(boost::asio::io_context &io, FleetOptions options, const FleetCodec &codec,
@@ -61,7 +61,7 @@
         , m_link(m_runtime, m_state)
         , m_placement(m_runtime, m_link)
         , m_front(m_runtime)
-        , m_statements(m_runtime, m_link)
+        , m_statements(m_runtime, m_link, *this)
         , m_usageHub(m_runtime.options.instance, m_runtime.clock)
         , m_tickTimer(io)
         , m_stopTimer(io)
@@ -196,9 +196,11 @@
         } else if (const auto *usage = std::get_if<UsageReport>(&message)) {
             m_runtime.quota.onReport(from, incarnation, *usage);
         } else if (const auto *evidence = std::get_if<PromptEvidence>(&message)) {
-            m_runtime.quarantine.onEvidence(*evidence, isEvidenceHub());
+            m_runtime.quarantine.onEvidence(*evidence, isHub());
         } else if (const auto *leaving = std::get_if<LeavingEndpoints>(&message)) {
             m_statements.onLeaving(*leaving);
+        } else if (const auto *limited = std::get_if<LimitedEndpoints>(&message)) {
+            m_statements.onLimited(*limited);
         } else if (const auto *totals = std::get_if<UsageTotals>(&message)) {
             m_usageHub.setOwner(usageOwner());
             if (m_usageHub.acceptTotals(from, m_link.connectedPeers())) {
@@ -288,18 +290,19 @@
         return m_usageHub.currentHub(m_link.connectedPeers());
     }
 
-    /// In a large fleet, the instance that aggregates usage also passes on evidence.
-    bool isEvidenceHub() { return !isSmallFleet() && usageHub() == m_runtime.options.instance; }
+    /// In a large fleet, the instance that aggregates usage also passes on evidence and rate
+    /// limits.
+    bool isHub() override { return !isSmallFleet() && usageHub() == m_runtime.options.instance; }
 
-    void sendEvidence(const PromptEvidence &evidence)
+    void sendToFleet(const PeerMessage &message) override
     {
-        if (isSmallFleet() || isEvidenceHub()) {
+        if (isSmallFleet() || isHub()) {
             for (const InstanceId &peer : m_link.connectedPeers()) {
-                m_link.send(peer, evidence);
+                m_link.send(peer, message);
             }
             return;
         }
-        m_link.send(usageHub(), evidence);
+        m_link.send(usageHub(), message);
     }
 
     // Evidence is sent at once, since each request with a part that crashes engines costs one. All
@@ -309,13 +312,13 @@
         m_runtime.quarantine.onTick();
         const PromptEvidence evidence = m_runtime.quarantine.takeEvidence();
         if (!evidence.crashes.empty() || !evidence.begun.empty() || !evidence.quarantined.empty()) {
-            sendEvidence(evidence);
+            sendToFleet(evidence);
         }
         const SteadyTime now = m_runtime.clock.now();
         if (now >= m_nextQuarantineRepeat) {
             m_nextQuarantineRepeat = now + QuarantineRepeatInterval;
             if (m_runtime.quarantine.quarantinedCount() > 0) {
-                sendEvidence(m_runtime.quarantine.allQuarantined());
+                sendToFleet(m_runtime.quarantine.allQuarantined());
             }
         }
         bool hasNew = false;
--- a/lib/Fleet/FleetRuntime.cpp
+++ b/lib/Fleet/FleetRuntime.cpp
@@ -36,13 +36,13 @@
     , metrics(std::move(fleetMetrics))
     , store(std::move(objectStore))
     , endpoints(makeEndpointClient(io, clock, *metrics))
-    , directory(options.zone, clock)
+    , directory(options.zone, clock, options.instance)
     , quota(clock, options.quota)
     , retries(options.retries, clock)
     , quarantine(clock)
     , incarnation(static_cast<std::uint64_t>(toMilliseconds(clock.wallNow().time_since_epoch())))
 {
-    directory.setColdPhase(1 - random.uniform());
+    directory.setStartPhase(1 - random.uniform());
 }
 
 void FleetRuntime::noteAnswer(const EndpointIncarnation &called, const AnswerTraits &traits,
--- a/lib/Fleet/FleetState.cpp
+++ b/lib/Fleet/FleetState.cpp
@@ -513,7 +513,11 @@
     const std::size_t count = m_members.size() + (isListed ? 0 : 1);
     m_runtime.quota.setInstanceCount(count);
     m_runtime.retries.setInstanceCount(count);
-    m_runtime.directory.setInstanceCount(count);
+    std::vector<TopologyMember> members;
+    for (const auto &[memberId, member] : m_members) {
+        members.push_back({memberId, member.zone});
+    }
+    m_runtime.directory.setMembers(members);
     logEvent(LogLevel::Info, event.deleted ? "instance_left" : "instance_joined",
              {{"instance", id.str()}, {"instances", std::to_string(count)}});
     chooseWatchers();
--- a/lib/Fleet/PlacementDriver.cpp
+++ b/lib/Fleet/PlacementDriver.cpp
@@ -217,7 +217,9 @@
     const SteadyTime now = m_runtime.clock.now();
     for (auto &[id, engine] : m_planner.engines()) {
         EngineTracker &tracker = m_trackers[id];
-        if (!engine.isUsable || now < tracker.reportedAt + MinSuspectReportInterval) {
+        // Requests wait for an engine that limits its rate although it is in reach.
+        if (!engine.isUsable || engine.rateLimit
+            || now < tracker.reportedAt + MinSuspectReportInterval) {
             continue;
         }
         const EngineState &holder = engine;
@@ -292,6 +294,7 @@
     std::vector<EndpointId> blocked;
     for (auto &[id, engine] : m_planner.engines()) {
         const EngineTracker &tracker = m_trackers[id];
+        engine.rateLimit = m_runtime.directory.statements().rateLimit(id);
         if (!engine.hasPendingOrder
             && (tracker.isCallPending || now < tracker.noOrderBefore || !m_lease.canOrder(id)
                 || !m_runtime.directory.acceptsCalls(id))) {
--- a/lib/Fleet/ServingFront.cpp
+++ b/lib/Fleet/ServingFront.cpp
@@ -120,6 +120,25 @@
     }
 }
 
+Duration ServingFront::timeForEarlierRequests(const Exchange &exchange,
+                                              const EndpointChoice &choice) const
+{
+    if (!choice.isPaused || choice.ratePerSecond <= 0) {
+        return Duration::zero();
+    }
+    std::size_t earlierCount = 0;
+    for (const auto &it : m_waiting) {
+        // The queue is ordered by priority, and a new request comes behind those of its own.
+        if (it.get() == &exchange || it->priority() > exchange.priority()) {
+            break;
+        }
+        earlierCount += it->limitedEndpoint() == choice.endpoint ? 1 : 0;
+    }
+    constexpr double MaxSeconds = 3600;
+    return fromSeconds(
+        std::min(static_cast<double>(earlierCount) / choice.ratePerSecond, MaxSeconds));
+}
+
 std::optional<SteadyTime> ServingFront::forecast(const std::pair<ModelName, std::string> &key) const
 {
     auto it = m_forecasts.find(key);
--- a/lib/Fleet/ServingFront.h
+++ b/lib/Fleet/ServingFront.h
@@ -67,6 +67,9 @@
     std::vector<std::shared_ptr<Exchange>> openExchanges() const;
     void addWaiting(const std::shared_ptr<Exchange> &exchange);
     void removeWaiting(const Exchange &exchange);
+    /// How long the endpoints that \p choice has found limited take for the waiting requests that
+    /// are served before \p exchange.
+    Duration timeForEarlierRequests(const Exchange &exchange, const EndpointChoice &choice) const;
     /// When a model or adapter is loaded, according to the placement owner; may be in the past.
     std::optional<SteadyTime> forecast(const std::pair<ModelName, std::string> &key) const;
 
--- a/lib/Fleet/StatementMonitor.cpp
+++ b/lib/Fleet/StatementMonitor.cpp
@@ -3,6 +3,8 @@
 #include "Fleet/EngineCalls.h"
 #include "marigoldspool/Support/EventLog.h"
 
+#include <algorithm>
+
 namespace marigoldspool {
 
 namespace {
@@ -34,15 +36,17 @@
 
 } // namespace
 
-StatementMonitor::StatementMonitor(FleetRuntime &runtime, FleetLink &link)
+StatementMonitor::StatementMonitor(FleetRuntime &runtime, FleetLink &link, FleetSender &fleet)
     : m_runtime(runtime)
     , m_link(link)
+    , m_fleet(fleet)
 { }
 
 void StatementMonitor::onTick()
 {
     const std::vector<StatementChange> changes = m_runtime.directory.takeChanges();
     bool isNewLeaving = false;
+    bool isNewLimit = false;
     for (const StatementChange &change : changes) {
         record(change);
         const EndpointId &id = change.incarnation.endpoint;
@@ -51,12 +55,18 @@
             isNewLeaving = isNewLeaving || change.source != StatementSource::Peer;
         } else if (change.kind == StatementChangeKind::LeavingEnded) {
             m_closingUntil.erase(id);
+        } else if (change.kind == StatementChangeKind::RateLimited
+                   || change.kind == StatementChangeKind::RateLimitEnded) {
+            isNewLimit = isNewLimit || change.source != StatementSource::Peer || m_fleet.isHub();
         }
     }
     closeConnections();
     if (isNewLeaving || m_runtime.clock.now() >= m_nextRepeat) {
         tellOwner();
     }
+    if (isNewLimit || m_runtime.clock.now() >= m_nextLimitRepeat) {
+        tellFleet();
+    }
     if (!changes.empty() && m_onChange) {
         m_onChange();
     }
@@ -115,6 +125,38 @@
     }
 }
 
+// Repeated like leaving endpoints, and so that instances to which an endpoint gives no answers know
+// that its limit is still in force.
+void StatementMonitor::tellFleet()
+{
+    const SteadyTime now = m_runtime.clock.now();
+    m_nextLimitRepeat = now + RepeatInterval;
+    LimitedEndpoints message;
+    const EndpointStatements &statements = m_runtime.directory.statements();
+    for (const RateLimitNotice &it : statements.rateLimitNotices(m_fleet.isHub())) {
+        message.endpoints.push_back({it.incarnation.endpoint, it.incarnation.startedAtMs,
+                                     it.perSecond.value_or(0), !it.perSecond,
+                                     toMilliseconds(now - it.at)});
+    }
+    if (!message.endpoints.empty()) {
+        m_fleet.sendToFleet(message);
+    }
+}
+
+void StatementMonitor::onLimited(const LimitedEndpoints &message)
+{
+    const SteadyTime now = m_runtime.clock.now();
+    for (const LimitedEndpoint &it : message.endpoints) {
+        RateLimitNotice notice;
+        notice.incarnation = {it.endpoint, it.startedAtMs};
+        if (!it.ended) {
+            notice.perSecond = std::clamp(it.perSecond, 0.0, EndpointStatements::MaxRateLimit);
+        }
+        notice.at = now - std::chrono::milliseconds(std::max<std::int64_t>(it.ageMs, 0));
+        m_runtime.directory.onRateLimitNotice(notice);
+    }
+}
+
 void StatementMonitor::onLeaving(const LeavingEndpoints &message)
 {
     for (const LeavingEndpoint &it : message.endpoints) {
--- a/lib/Peer/MessageFields.h
+++ b/lib/Peer/MessageFields.h
@@ -290,6 +290,22 @@
     visit("endpoints", m.endpoints);
 }
 
+template <class V, class M>
+std::enable_if_t<IsMessage<M, LimitedEndpoint>> visitFields(V &visit, M &m)
+{
+    visit("e", m.endpoint);
+    visit("started_ms", m.startedAtMs);
+    visit("r", m.perSecond);
+    visit("end", m.ended);
+    visit("a", m.ageMs);
+}
+
+template <class V, class M>
+std::enable_if_t<IsMessage<M, LimitedEndpoints>> visitFields(V &visit, M &m)
+{
+    visit("endpoints", m.endpoints);
+}
+
 } // namespace marigoldspool
 
 #endif
--- a/lib/Serving/EndpointDirectory.cpp
+++ b/lib/Serving/EndpointDirectory.cpp
@@ -41,6 +41,8 @@
 constexpr double FailurePenalty = 4;
 constexpr double AvoidPenalty = 8;
 constexpr double ColdPenalty = 0.3;
+// An endpoint that limits its rate is in need, so it gets what no other one can serve.
+constexpr double RateLimitPenalty = 1;
 // Keeps the requests of a session together where nothing else matters; in addition, processing the
 // shared prefix again counts as a delay.
 constexpr double MinSessionPenalty = 0.03;
@@ -73,12 +75,23 @@
 
 } // namespace
 
-EndpointDirectory::EndpointDirectory(ZoneName ownZone, const Clock &clock)
+EndpointDirectory::EndpointDirectory(ZoneName ownZone, const Clock &clock, InstanceId self)
     : m_ownZone(std::move(ownZone))
     , m_clock(clock)
+    , m_rateDivider(std::move(self), m_ownZone)
     , m_statements(clock)
 { }
 
+void EndpointDirectory::setMembers(gsl::span<const TopologyMember> members)
+{
+    m_rateDivider.setMembers(members);
+    for (auto &[id, state] : m_endpoints) {
+        if (state.rateShare) {
+            divideRate(state);
+        }
+    }
+}
+
 void EndpointDirectory::setConfiguration(ServingConfigurationPtr configuration)
 {
     m_configuration = std::move(configuration);
@@ -100,6 +113,7 @@
     }
     state.listed = endpoint;
     state.removeAt.reset();
+    updateRateShare(state);
     if (endpoint.remainingColdTime > Duration::zero()) {
         markCold(state, endpoint.remainingColdTime);
     }
@@ -180,6 +194,11 @@
     m_statements.onTick([this](const EndpointId &id) {
         return m_endpoints.count(id) > 0;
     });
+    for (auto &[id, state] : m_endpoints) {
+        if (state.rateShare) {
+            updateRateShare(state);
+        }
+    }
 }
 
 // The entry of a later process may arrive before the last answers of an earlier one.
@@ -187,10 +206,59 @@
                                     const EndpointStatement &statement, StatementSource source,
                                     SteadyTime askedAt)
 {
-    const TrackedEndpoint *state = find(from.endpoint);
-    if (state == nullptr || from.startedAtMs >= state->listed.startedAtMs) {
+    const auto it = m_endpoints.find(from.endpoint);
+    if (it == m_endpoints.end() || from.startedAtMs >= it->second.listed.startedAtMs) {
         m_statements.onStatement(from, statement, source, askedAt);
     }
+    if (it != m_endpoints.end()) {
+        updateRateShare(it->second);
+    }
+}
+
+void EndpointDirectory::onRateLimitNotice(const RateLimitNotice &notice)
+{
+    const auto it = m_endpoints.find(notice.incarnation.endpoint);
+    if (it == m_endpoints.end()
+        || notice.incarnation.startedAtMs >= it->second.listed.startedAtMs) {
+        m_statements.onRateLimitNotice(notice);
+    }
+    if (it != m_endpoints.end()) {
+        updateRateShare(it->second);
+    }
+}
+
+void EndpointDirectory::updateRateShare(TrackedEndpoint &state)
+{
+    const std::optional<double> limit = m_statements.rateLimit(state.listed.id);
+    if (!limit) {
+        state.rateShare.reset();
+    } else if (!state.rateShare || state.sharedRateLimit != *limit) {
+        state.sharedRateLimit = *limit;
+        divideRate(state);
+    }
+}
+
+void EndpointDirectory::divideRate(TrackedEndpoint &state)
+{
+    const RateShare share =
+        m_rateDivider.share(state.listed.id, state.listed.zone, state.sharedRateLimit);
+    const SteadyTime now = m_clock.now();
+    if (state.rateShare) {
+        state.rateShare->reconfigure(share.perSecond, share.burst, now);
+    } else {
+        state.rateShare.emplace(share.perSecond, share.burst, m_startPhase, now);
+    }
+}
+
+bool EndpointDirectory::isLeftToOthers(const TrackedEndpoint &state)
+{
+    return state.rateShare && state.rateShare->capacity() < 1;
+}
+
+bool EndpointDirectory::hasRateFor(const EndpointId &id) const
+{
+    const TrackedEndpoint *state = find(id);
+    return state != nullptr && (!state->rateShare || state->rateShare->level(m_clock.now()) >= 1);
 }
 
 bool EndpointDirectory::isUsable(const TrackedEndpoint &state) const
@@ -237,7 +305,8 @@
     return state.listed.slots + MaxServiceQueue;
 }
 
-// After a pause that the endpoint has asked for, the limit grows from a single request.
+// After a pause or a rate limit that the endpoint has asked for, the limit grows from a single
+// request.
 int EndpointDirectory::currentMaxInFlight(const TrackedEndpoint &state) const
 {
     const double limit = maxInFlight(state) * m_statements.usableFraction(state.listed.id);
@@ -268,6 +337,9 @@
     if (now < state.coldUntil) {
         result += ColdPenalty;
     }
+    if (state.rateShare) {
+        result += RateLimitPenalty;
+    }
     const double objectiveSeconds = std::max(toSeconds(query.objective), MinObjectiveSeconds);
     result += std::min(MaxDelayPenalty, delaySeconds(state, now) / objectiveSeconds);
     if (!query.session.empty()) {
@@ -300,6 +372,11 @@
         if (std::find(query.excluded.begin(), query.excluded.end(), id) != query.excluded.end()) {
             continue;
         }
+        if (isLeftToOthers(state)) {
+            // The owner may load the model at another endpoint.
+            hasUsableEndpoint = hasUsableEndpoint || !query.model.empty();
+            continue;
+        }
         hasUsableEndpoint = true;
         const bool isUnreachable = now < state.unreachableUntil && !query.model.empty();
         if (isUnreachable || !hasModel(state, query.model, query.adapter)) {
@@ -321,6 +398,18 @@
             minPause = std::min(minPause, pausedUntil - now);
             continue;
         }
+        if (state.rateShare && state.rateShare->level(now) < 1) {
+            ++pausedCount;
+            choice.ratePerSecond += state.rateShare->rate();
+            // A limit of zero is forgotten some time after it was last named.
+            const Duration delay =
+                std::min(state.rateShare->timeUntil(1, now), EndpointStatements::RateLimitLifetime);
+            if (choice.endpoint.empty() || delay < minPause) {
+                minPause = std::min(minPause, delay);
+                choice.endpoint = id;
+            }
+            continue;
+        }
         if (now < state.busyUntil || state.inFlight >= currentMaxInFlight(state)) {
             continue;
         }
@@ -343,6 +432,9 @@
         : hasUsableEndpoint                 ? ChoiceKind::NotLoaded
                                             : ChoiceKind::NoEndpoint;
     choice.isPaused = pausedCount > 0 && pausedCount == choice.candidateCount;
+    if (!choice.isPaused) {
+        choice.ratePerSecond = 0;
+    }
     choice.retryIn = choice.isPaused
         ? minPause
         : std::min(std::max(minColdDelay, BusyPause), Duration(milliseconds(500)));
@@ -359,10 +451,10 @@
     if (pool == nullptr || pool->coldRequestsPerSecond <= 0) {
         return;
     }
-    const double rate =
-        pool->coldRequestsPerSecond * ColdRateFraction / static_cast<double>(m_instanceCount);
+    const double rate = pool->coldRequestsPerSecond * ColdRateFraction
+        / static_cast<double>(m_rateDivider.memberCount());
     if (!wasCold || !state.coldRateLimit) {
-        const double level = rate < MinUnstaggeredColdRate ? m_coldPhase : 1.0;
+        const double level = rate < MinUnstaggeredColdRate ? m_startPhase : 1.0;
         state.coldRateLimit.emplace(rate, std::max(1.0, rate / 4), level, now);
     }
 }
@@ -381,6 +473,9 @@
     if (now < state.coldUntil && state.coldRateLimit) {
         state.coldRateLimit->tryTake(1, now);
     }
+    if (state.rateShare) {
+        state.rateShare->tryTake(1, now);
+    }
 }
 
 void EndpointDirectory::onFirstByte(const EndpointId &id, int promptTokens, Duration after)
--- a/lib/Serving/EndpointStatements.cpp
+++ b/lib/Serving/EndpointStatements.cpp
@@ -47,7 +47,7 @@
         addPause(it->second, from, std::min(*statement.noRequestsFor, MaxNoRequests), source);
     }
     if (statement.rateLimit) {
-        addRateLimit(it->second, from, *statement.rateLimit, source);
+        addRateLimit(it->second, from, *statement.rateLimit, source, m_clock.now());
     }
 }
 
@@ -82,9 +82,8 @@
 }
 
 void EndpointStatements::addRateLimit(Record &record, const EndpointIncarnation &from,
-                                      double perSecond, StatementSource source)
+                                      double perSecond, StatementSource source, SteadyTime at)
 {
-    const SteadyTime now = m_clock.now();
     const bool isChanged = !record.rateLimit || record.rateLimit->perSecond != perSecond;
     if (!record.rateLimit) {
         record.rateLimit.emplace();
@@ -92,7 +91,10 @@
     RateLimit &limit = *record.rateLimit;
     limit.stated = {std::max(limit.stated.startedAtMs, from.startedAtMs), source};
     limit.perSecond = perSecond;
-    limit.confirmedAt = std::max(limit.confirmedAt, now);
+    limit.confirmedAt = std::max(limit.confirmedAt, at);
+    if (source != StatementSource::Peer) {
+        limit.heardAt = at;
+    }
     if (isChanged) {
         m_changes.push_back(
             {StatementChangeKind::RateLimited, from, source, Duration::zero(), perSecond});
@@ -110,17 +112,45 @@
     }
     const RateLimit &limit = *it->second.rateLimit;
     if (from.startedAtMs >= limit.stated.startedAtMs && askedAt > limit.confirmedAt) {
-        endRateLimit(it->first, it->second, source);
+        endRateLimit(it->first, it->second, source, askedAt);
     }
 }
 
-void EndpointStatements::endRateLimit(const EndpointId &id, Record &record, StatementSource source)
+// The times of a notice are later than the true ones by the time that the message took. A limit may
+// thus be kept too long, until the next answer; one that has come back after its end is named again
+// by the next answer.
+void EndpointStatements::onRateLimitNotice(const RateLimitNotice &notice)
+{
+    const EndpointIncarnation &from = notice.incarnation;
+    if (!notice.perSecond) {
+        onNoRateLimit(from, StatementSource::Peer, notice.at);
+        return;
+    }
+    onListed(from);
+    const auto [it, isNew] = m_records.try_emplace(from.endpoint);
+    Record &record = it->second;
+    if (isNew) {
+        record.lastListedAt = m_clock.now();
+    }
+    const bool isOlder = record.rateLimit
+        ? notice.at <= record.rateLimit->confirmedAt
+            || from.startedAtMs < record.rateLimit->stated.startedAtMs
+        : record.rateLimitEnd && notice.at <= record.rateLimitEnd->askedAt;
+    if (!isOlder) {
+        addRateLimit(record, from, *notice.perSecond, StatementSource::Peer, notice.at);
+    }
+}
+
+void EndpointStatements::endRateLimit(const EndpointId &id, Record &record, StatementSource source,
+                                      SteadyTime askedAt)
 {
     m_changes.push_back({StatementChangeKind::RateLimitEnded,
                          {id, record.rateLimit->stated.startedAtMs},
                          source,
                          Duration::zero(),
                          record.rateLimit->perSecond});
+    record.rateLimitEnd =
+        RateLimitEnd{{record.rateLimit->stated.startedAtMs, source}, askedAt, m_clock.now()};
     record.rateLimit.reset();
 }
 
@@ -142,7 +172,9 @@
         record.pause.reset();
     }
     if (record.rateLimit && incarnation.startedAtMs > record.rateLimit->stated.startedAtMs) {
-        endRateLimit(it->first, record, record.rateLimit->stated.source);
+        endRateLimit(it->first, record, record.rateLimit->stated.source,
+                     record.rateLimit->confirmedAt);
+        record.rateLimitEnd.reset();
     }
 }
 
@@ -158,12 +190,17 @@
             }
         }
         if (record.rateLimit && now - record.rateLimit->confirmedAt >= RateLimitLifetime) {
-            endRateLimit(it->first, record, record.rateLimit->stated.source);
+            // What other instances know may be newer, so they are not told of it.
+            endRateLimit(it->first, record, StatementSource::Peer, record.rateLimit->confirmedAt);
+        }
+        if (record.rateLimitEnd && now - record.rateLimitEnd->learntAt >= RateLimitNoticeTime) {
+            record.rateLimitEnd.reset();
         }
         if (isListed(it->first)) {
             record.lastListedAt = now;
         }
-        const bool isObsolete = !record.leaving && !record.pause && !record.rateLimit;
+        const bool isObsolete =
+            !record.leaving && !record.pause && !record.rateLimit && !record.rateLimitEnd;
         const bool isForgotten = now - record.lastListedAt >= UnlistedRetention;
         it = isObsolete || isForgotten ? m_records.erase(it) : std::next(it);
     }
@@ -193,11 +230,15 @@
 double EndpointStatements::usableFraction(const EndpointId &id) const
 {
     const auto it = m_records.find(id);
-    if (it == m_records.end() || !it->second.pause) {
+    if (it == m_records.end()) {
         return 1;
     }
-    const double since = toSeconds(m_clock.now() - it->second.noRequestsUntil);
-    return std::clamp(since / toSeconds(ReturnTime), 0.0, 1.0);
+    const Record &record = it->second;
+    const auto fractionSince = [this](SteadyTime end) {
+        return std::clamp(toSeconds(m_clock.now() - end) / toSeconds(ReturnTime), 0.0, 1.0);
+    };
+    return std::min(record.pause ? fractionSince(record.noRequestsUntil) : 1,
+                    record.rateLimitEnd ? fractionSince(record.rateLimitEnd->learntAt) : 1);
 }
 
 std::optional<double> EndpointStatements::rateLimit(const EndpointId &id) const
@@ -224,6 +265,26 @@
     return result;
 }
 
+std::vector<RateLimitNotice> EndpointStatements::rateLimitNotices(bool fromPeers) const
+{
+    const SteadyTime now = m_clock.now();
+    std::vector<RateLimitNotice> notices;
+    for (const auto &[id, record] : m_records) {
+        if (const auto &limit = record.rateLimit) {
+            const std::optional<SteadyTime> at =
+                fromPeers ? std::make_optional(limit->confirmedAt) : limit->heardAt;
+            if (at && now - *at < RateLimitNoticeTime) {
+                notices.push_back({{id, limit->stated.startedAtMs}, limit->perSecond, *at});
+            }
+        } else if (const auto &end = record.rateLimitEnd) {
+            if (fromPeers || end->stated.source != StatementSource::Peer) {
+                notices.push_back({{id, end->stated.startedAtMs}, std::nullopt, end->askedAt});
+            }
+        }
+    }
+    return notices;
+}
+
 std::size_t EndpointStatements::leavingCount() const
 {
     return static_cast<std::size_t>(
--- a/lib/Serving/PlacementCopies.cpp
+++ b/lib/Serving/PlacementCopies.cpp
@@ -25,6 +25,8 @@
 constexpr double MaxPrefetchCost = 7;
 // Prefetches leave half of the weight store's capacity to models with waiting requests.
 constexpr int PrefetchStoreDivisor = 2;
+// Above this fraction of an engine's rate limit, its requests queue.
+constexpr double MaxRateLimitUse = 0.7;
 
 } // namespace
 
@@ -58,6 +60,44 @@
             }
         }
     }
+    // An engine that limits its rate is in need and gets no further models.
+    for (const auto &[id, engine] : m_engines) {
+        if (engine.rateLimit) {
+            m_utilization[id] = std::max(m_utilization[id], 1.0);
+        }
+    }
+}
+
+// An engine that limits its rate is short of it for a model while requests for the model wait, or
+// while the demand for all of its models nears the limit. The demand for each model is assumed to
+// be spread evenly over its copies.
+void PlacementPlanner::findShortCopies(const DemandAggregator &demand)
+{
+    m_shortCopies.clear();
+    for (const auto &[id, engine] : m_engines) {
+        if (!engine.rateLimit || !engine.isUsable) {
+            continue;
+        }
+        double requestsPerSecond = 0;
+        for (const auto &[model, adapters] : engine.models) {
+            const auto copies = std::count_if(
+                m_engines.begin(), m_engines.end(), [&, &name = model](const auto &it) {
+                    return it.second.isUsable && it.second.pool == engine.pool
+                        && canServe(it.second, name);
+                });
+            const FleetDemand modelDemand = demand.demandFor({engine.pool, model, {}});
+            requestsPerSecond += modelDemand.expectedRequestsPerSecond
+                / static_cast<double>(std::max<std::ptrdiff_t>(copies, 1));
+            if (modelDemand.waiting > 0) {
+                m_shortCopies.emplace(id, model);
+            }
+        }
+        if (requestsPerSecond > MaxRateLimitUse * *engine.rateLimit) {
+            for (const auto &[model, adapters] : engine.models) {
+                m_shortCopies.emplace(id, model);
+            }
+        }
+    }
 }
 
 // Whether every engine that serves the model is overloaded by the requests for all of its models.
--- a/lib/Serving/PlacementPlanner.cpp
+++ b/lib/Serving/PlacementPlanner.cpp
@@ -136,10 +136,16 @@
     return static_cast<int>(
         std::count_if(m_engines.begin(), m_engines.end(), [&](const auto &entry) {
             const EngineState &engine = entry.second;
-            return engine.isUsable && engine.pool == pool && canServe(engine, model);
+            return engine.pool == pool && isServingCopy(engine, model);
         }));
 }
 
+bool PlacementPlanner::isServingCopy(const EngineState &engine, const ModelName &model) const
+{
+    return engine.isUsable && canServe(engine, model)
+        && m_shortCopies.count({engine.id, model}) == 0;
+}
+
 bool PlacementPlanner::canServe(const EngineState &engine, const ModelName &model)
 {
     return engine.models.count(model) > 0
@@ -191,9 +197,9 @@
 }
 
 // The other copies of the model cost more to unload from now on.
-void PlacementPlanner::onCopyRemoved(const PoolName &pool, const ModelName &model)
+void PlacementPlanner::onCopyRemoved(const PoolName &pool, const ModelName &model, bool wasCounted)
 {
-    if (m_copyCounts) {
+    if (m_copyCounts && wasCounted) {
         --(*m_copyCounts)[{pool, model}];
     }
     for (const auto &[id, engine] : m_engines) {
@@ -209,7 +215,7 @@
     engine.hasPendingOrder = true;
     if (!order.isLoad) {
         if (order.adapter.empty() && canServe(engine, order.model)) {
-            onCopyRemoved(engine.pool, order.model);
+            onCopyRemoved(engine.pool, order.model, isServingCopy(engine, order.model));
         }
         engine.unloading = std::make_pair(order.model, order.adapter);
     }
@@ -456,10 +462,11 @@
     m_evictionOrders.clear();
     m_storeLoads.reset();
     m_storeLoads = storeLoadCount();
+    findShortCopies(demand);
     m_copyCounts.emplace();
     for (const auto &[id, engine] : m_engines) {
         for (const auto &[model, adapters] : engine.models) {
-            if (engine.isUsable && canServe(engine, model)) {
+            if (isServingCopy(engine, model)) {
                 ++(*m_copyCounts)[{engine.pool, model}];
             }
         }
--- a/lib/Serving/WaitPolicy.cpp
+++ b/lib/Serving/WaitPolicy.cpp
@@ -50,6 +50,17 @@
                                 : refuse(RefusalReason::PeerUnavailable, OwnerRetryDelay);
 }
 
+// Another endpoint that is loading the model may be available before those that have it loaded.
+WaitDecision waitForCapacity(const WaitQuery &query)
+{
+    const bool isLoading = query.forecast && query.overdue == Duration::zero();
+    const Duration availableIn =
+        isLoading ? std::min(query.retryIn, *query.forecast + LoadToFirstByte) : query.retryIn;
+    return availableIn < query.callerTimeLeft
+        ? WaitDecision{true}
+        : refuse(RefusalReason::QueueFull, std::max(availableIn, MinRetryDelay));
+}
+
 } // namespace
 
 WaitDecision decideWait(const WaitQuery &query)
@@ -61,9 +72,7 @@
     case ChoiceKind::NotLoaded:
         return waitForModel(query);
     case ChoiceKind::Busy:
-        return query.retryIn < query.callerTimeLeft
-            ? WaitDecision{true}
-            : refuse(RefusalReason::QueueFull, std::max(query.retryIn, MinRetryDelay));
+        return waitForCapacity(query);
     case ChoiceKind::NoEndpoint:
     case ChoiceKind::Send:
         break;
--- a/tests/Peer/MessagesTest.cpp
+++ b/tests/Peer/MessagesTest.cpp
@@ -52,7 +52,7 @@
 
 PeerMessage anyMessage()
 {
-    switch (*rc::gen::inRange(0, 13)) {
+    switch (*rc::gen::inRange(0, 14)) {
     case 0:
         return Heartbeat{anyId<ZoneName>(),    anyText(),  any<std::uint64_t>(), anyMilliseconds(),
                          any<std::uint64_t>(), any<bool>()};
@@ -91,6 +91,9 @@
             {{anyText(), anyText(), anyMilliseconds(), anyMilliseconds(), any<std::uint64_t>()}}};
     case 11:
         return LeavingEndpoints{{{anyId<EndpointId>(), anyMilliseconds()}}};
+    case 12:
+        return LimitedEndpoints{{{anyId<EndpointId>(), anyMilliseconds(), any<double>(),
+                                  any<bool>(), anyMilliseconds()}}};
     default:
         return ForwardCancel{anyId<RequestId>()};
     }
--- a/tests/PlatformAdapter/PlatformCodecTest.cpp
+++ b/tests/PlatformAdapter/PlatformCodecTest.cpp
@@ -186,6 +186,25 @@
     CHECK(Codec.decodeAnswer(200, compressed).encoded);
 }
 
+TEST_CASE("rate limits in answers are decoded, and unreadable ones change nothing")
+{
+    const auto statement = [](const std::string &value) {
+        const HeaderField headers[] = {{"X-Marigoldspool-Replica-Seal", "s"},
+                                       {"Server-Limit", value}};
+        return Codec.decodeAnswer(200, headers).statement;
+    };
+    CHECK(statement("2.1").rateLimit == 2.1);
+    CHECK(statement("0").rateLimit == 0.0);
+    CHECK(statement(std::string(400, '9')).rateLimit == EndpointStatements::MaxRateLimit);
+    for (const char *value : {"-1", "", "1e3", "many", "1,5"}) {
+        CHECK_FALSE(statement(value).rateLimit);
+        CHECK_FALSE(statement(value).hasNoRateLimit);
+    }
+    const HeaderField sealed[] = {{"X-Marigoldspool-Replica-Seal", "s"}};
+    CHECK(Codec.decodeAnswer(200, sealed).statement.hasNoRateLimit);
+    CHECK_FALSE(Codec.decodeAnswer(503, {}).statement.hasNoRateLimit);
+}
+
 TEST_CASE(
     "an answer's statements about its endpoint are decoded, and values out of range are bounded")
 {
--- a/tests/PlatformAdapter/RateLimitTest.cpp
+++ b/tests/PlatformAdapter/RateLimitTest.cpp
@@ -82,3 +82,34 @@
     CHECK(mostWithinWindow(namedAt + 3s) <= 1.5 * 2 * 4 + 5);
     CHECK(arrivals.size() >= 8);
 }
+
+TEST_CASE_FIXTURE(RateLimitFixture, "a replica whose limit has ended gets all requests again")
+{
+    limit = "0.5";
+    sendFor(2s);
+    limit.clear();
+    // A request of either instance shows the end, of which it tells the other one.
+    sendFor(6s);
+    arrivals.clear();
+    sendFor(2s);
+    CHECK(arrivals.size() >= 35);
+}
+
+// What can't be served in time is refused at once, with the time until its turn.
+TEST_CASE_FIXTURE(RateLimitFixture, "requests behind a limited replica's queue are refused at once")
+{
+    limit = "0.5";
+    sendFor(1s);
+    answers.clear();
+    const SteadyTime start = clock.now();
+    for (int i = 0; i < 10; ++i) {
+        answers.push_back(call("/app/x"));
+    }
+    runFor(300ms);
+    const auto refused = std::count_if(answers.begin(), answers.end(), [](const auto &it) {
+        return it->status == 503 && !it->retryAfter.empty();
+    });
+    CHECK(refused >= 8);
+    CHECK(std::stod(answers.back()->retryAfter) > 3);
+    CHECK(clock.now() - start < 1s);
+}
--- a/tests/Serving/EndpointDirectoryTest.cpp
+++ b/tests/Serving/EndpointDirectoryTest.cpp
@@ -11,6 +11,16 @@
 
 namespace {
 
+// The other members of a fleet of this size.
+std::vector<TopologyMember> membersBeside(std::size_t instances)
+{
+    std::vector<TopologyMember> members;
+    for (std::size_t i = 1; i < instances; ++i) {
+        members.push_back({InstanceId("front-" + std::to_string(i)), ZoneName("z1")});
+    }
+    return members;
+}
+
 class DirectoryFixture
 {
 public:
@@ -141,7 +151,7 @@
                   "the rate limit of a cold endpoint is divided among the instances")
 {
     constexpr int Instances = 6;
-    directory.setInstanceCount(Instances);
+    directory.setMembers(membersBeside(Instances));
     ListedEndpoint cold = engine("e1");
     cold.remainingColdTime = 10s;
     cold.slots = 1000;
@@ -177,8 +187,8 @@
         for (std::size_t i = 0; i < Instances; ++i) {
             fleet.push_back(std::make_unique<EndpointDirectory>(ZoneName("z1"), clock));
             fleet.back()->setConfiguration(configuration);
-            fleet.back()->setInstanceCount(Instances);
-            fleet.back()->setColdPhase(1 - random.uniform());
+            fleet.back()->setMembers(membersBeside(Instances));
+            fleet.back()->setStartPhase(1 - random.uniform());
             fleet.back()->apply(cold);
         }
         std::vector<int> sentInStep;
@@ -205,7 +215,7 @@
 TEST_CASE_FIXTURE(DirectoryFixture,
                   "after an evacuation endpoints count as cold before their entries say so")
 {
-    directory.setInstanceCount(6);
+    directory.setMembers(membersBeside(6));
     directory.apply(engine("e1"));
     directory.setEvacuated(ZoneName("z1"), true);
     directory.setEvacuated(ZoneName("z1"), false);
--- a/tests/Serving/PlacementPlannerTest.cpp
+++ b/tests/Serving/PlacementPlannerTest.cpp
@@ -517,3 +517,25 @@
     REQUIRE_FALSE(orders.empty());
     CHECK(orders[0].model == ModelName("m7"));
 }
+
+// Requests for the model waited at the limited engine until their callers left.
+TEST_CASE_FIXTURE(
+    PlannerFixture,
+    "a model on an engine that limits its rate is loaded elsewhere if it is asked for")
+{
+    addEngine("limited", {0, 1}).rateLimit = 2;
+    addEngine("room", {2});
+    SUBCASE("little demand")
+    {
+        CHECK(planWaiting({makeDemand(0, 0.4, 0)}).empty());
+    }
+    SUBCASE("requests wait")
+    {
+        CHECK(planWaiting({makeDemand(0, 0.1, 1)}).at(0).model == ModelName("m0"));
+    }
+    SUBCASE("more demand for all models of the engine than its limit")
+    {
+        CHECK(planWaiting({makeDemand(0, 1, 0), makeDemand(1, 1, 0)}).at(0).endpoint
+              == EndpointId("room"));
+    }
+}
