Log the reason of failing watches again while they go on

The log of a drill named only the first failure of each prefix, a reset connection. That the reason changed when the store came back, and that nothing worked from then on, stood nowhere. Each prefix repeats the event every 2 s with the number of failures.

--- a/include/marigoldspool/Platform/Watcher.h
+++ b/include/marigoldspool/Platform/Watcher.h
@@ -75,6 +75,7 @@
     bool m_callPending = false;
     SteadyTime m_nextCallAt;
     unsigned m_failures = 0;
+    SteadyTime m_failureLoggedAt;
 };
 
 } // namespace marigoldspool
--- a/lib/Platform/Watcher.cpp
+++ b/lib/Platform/Watcher.cpp
@@ -7,6 +7,13 @@
 
 namespace marigoldspool {
 
+namespace {
+
+// The reason of a series of failures may change, for example when an outage ends.
+constexpr Duration FailureLogInterval = std::chrono::seconds(2);
+
+} // namespace
+
 WatchListener::~WatchListener() = default;
 
 Watcher::Watcher(ObjectStore &store, const Clock &clock, RandomSource &random,
@@ -188,10 +195,13 @@
 
 void Watcher::onFailure(std::string_view call, const Error &error)
 {
-    if (m_failures == 0) {
+    const SteadyTime now = m_clock.now();
+    if (m_failures == 0 || now - m_failureLoggedAt >= FailureLogInterval) {
+        m_failureLoggedAt = now;
         logEvent(LogLevel::Warning, "watch_failed",
                  {{"prefix", m_options.prefix},
                   {"call", std::string(call)},
+                  {"failures", std::to_string(m_failures + 1)},
                   {"error", describeError(error)}});
     }
     m_synchronized = false;
