--- a/tests/PlatformAdapter/StandinPlatform.h
+++ b/tests/PlatformAdapter/StandinPlatform.h
@@ -91,6 +91,17 @@
 public:
     using Json = nlohmann::json;
 
+    struct Object {
+        std::uint64_t revision = 0;
+        std::string spec;
+        std::string metadata;
+    };
+    /// What the store held at one time.
+    struct Copy {
+        std::map<std::string, std::map<std::string, Object>> objects;
+        std::uint64_t revision = 0;
+    };
+
     StandinStore(boost::asio::io_context &io, Metrics &metrics)
         : m_io(io)
     {
@@ -142,7 +153,26 @@
         m_historyStart = m_revision;
     }
 
+    /// Forgets what was written after \p copy was taken. Revisions go on from the copy's.
+    void restore(const Copy &copy)
+    {
+        m_objects = copy.objects;
+        m_revision = copy.revision;
+        dropHistory();
+        ++era;
+        for (const Watch &it : m_watches) {
+            it.timer->cancel();
+            it.sink->abort();
+        }
+        m_watches.clear();
+    }
+
+    Copy copy() const { return {m_objects, m_revision}; }
+    std::uint64_t revision() const { return m_revision; }
+
     std::size_t pageSize = 500;
+    /// Sent in all answers; 0: the store has no eras.
+    std::uint64_t era = 0;
     /// Number of writes to execute without sending the answer.
     int answersToLose = 0;
     /// Refuse all calls with 503.
@@ -152,11 +182,6 @@
     int calls = 0;
 
 private:
-    struct Object {
-        std::uint64_t revision = 0;
-        std::string spec;
-        std::string metadata;
-    };
     struct Change {
         std::uint64_t revision = 0;
         std::string kind;
@@ -179,6 +204,20 @@
             + R"(,"spec":)" + object.spec + R"(,"status":null})";
     }
 
+    void replyText(ResponseSink &sink, int status, const std::string &body) const
+    {
+        std::vector<HeaderField> headers;
+        if (era > 0) {
+            headers.push_back({"Store-Era", std::to_string(era)});
+        }
+        answerText(sink, status, body, std::move(headers));
+    }
+
+    void reply(ResponseSink &sink, int status, const Json &body) const
+    {
+        replyText(sink, status, body.dump());
+    }
+
     static void append(std::string &list, const std::string &item)
     {
         list += (list.empty() ? "" : ",") + item;
@@ -198,7 +237,7 @@
     {
         ++calls;
         if (refuseCalls) {
-            answerJson(*sink, 503, Json::object());
+            reply(*sink, 503, Json::object());
             return;
         }
         if (answersWithoutEnd) {
@@ -227,11 +266,11 @@
     void get(const std::string &kind, const std::string &name, ResponseSink &sink)
     {
         if (!has(kind, name)) {
-            answerJson(sink, 404, Json::object());
+            reply(sink, 404, Json::object());
             return;
         }
         const Object &object = m_objects[kind][name];
-        answerText(sink, 200, toText(name, object.revision, object));
+        replyText(sink, 200, toText(name, object.revision, object));
     }
 
     void list(const HttpRequest &request, const std::string &kind, ResponseSink &sink)
@@ -251,17 +290,17 @@
             append(items, toText(name, object.revision, object));
             ++count;
         }
-        answerText(sink, 200,
-                   R"({"items":[)" + items + R"(],"truncated":)" + (truncated ? "true" : "false")
-                       + R"(,"asOf":)" + std::to_string(m_revision) + '}');
+        replyText(sink, 200,
+                  R"({"items":[)" + items + R"(],"truncated":)" + (truncated ? "true" : "false")
+                      + R"(,"asOf":)" + std::to_string(m_revision) + '}');
     }
 
     void watch(const HttpRequest &request, const std::string &kind,
                const std::shared_ptr<ResponseSink> &sink)
     {
         const std::uint64_t from = std::stoull(parameter(request.target, "watch"));
-        if (from < m_historyStart) {
-            answerJson(*sink, 410, Json::object());
+        if (from < m_historyStart || from > m_revision) {
+            reply(*sink, 410, Json::object());
             return;
         }
         const auto wait =
@@ -273,7 +312,7 @@
                 m_watches.remove_if([&sink](const Watch &it) {
                     return it.sink == sink;
                 });
-                answerJson(*sink, 200, {{"events", Json::array()}, {"asOf", m_revision}});
+                reply(*sink, 200, {{"events", Json::array()}, {"asOf", m_revision}});
             }
         });
         answerWatches();
@@ -297,7 +336,7 @@
             ? exists
             : !exists || m_objects[kind][name].revision != expected;
         if (conflict) {
-            answerJson(sink, exists ? 409 : 404, Json::object());
+            reply(sink, exists ? 409 : 404, Json::object());
             return;
         }
         if (request.method == "DELETE") {
@@ -311,9 +350,9 @@
             sink.abort();
             return;
         }
-        answerText(sink, 200,
-                   request.method == "DELETE" ? "{}"
-                                              : toText(name, m_revision, m_objects[kind][name]));
+        replyText(sink, 200,
+                  request.method == "DELETE" ? "{}"
+                                             : toText(name, m_revision, m_objects[kind][name]));
     }
 
     void answerWatches()
@@ -336,9 +375,9 @@
                 continue;
             }
             it->timer->cancel();
-            answerText(*it->sink, 200,
-                       R"({"events":[)" + events + R"(],"asOf":)" + std::to_string(m_revision)
-                           + '}');
+            replyText(*it->sink, 200,
+                      R"({"events":[)" + events + R"(],"asOf":)" + std::to_string(m_revision)
+                          + '}');
             it = m_watches.erase(it);
         }
     }
