Let orders wait for the holder before when the answer that took the lease was lost

An instance that took over the placement lease and lost the answer read its own name back and ordered at once, within the 3 s in which the holder before may still have sent orders. Engines could get orders from two holders in turn.

Cause: the time to wait was worked out from the record that the successful write replaced. After a lost answer that record names the successor itself. It is remembered now when the record of another holder is replaced, by whatever answer, announcement or write. Found by a random run of leases with lost answers and a restored store; a fault of its own, since it needs no restore.

The new test failed before: the first order of the successor came less than 3 s after the last one of the holder before.

--- a/include/marigoldspool/Serving/OwnerLease.h
+++ b/include/marigoldspool/Serving/OwnerLease.h
@@ -90,6 +90,7 @@
 
 private:
     bool canAcquire(SteadyTime now) const;
+    void rememberHolder(const InstanceId &next);
 
     InstanceId m_self;
     const Clock &m_clock;
--- a/lib/Serving/OwnerLease.cpp
+++ b/lib/Serving/OwnerLease.cpp
@@ -85,12 +85,33 @@
     const SteadyTime now = m_clock.now();
     // Reads may be stale; ignore a record older than the one seen before.
     if (!m_current || record.version > m_current->version) {
+        rememberHolder(record.holder);
         m_current = record;
         m_firstSeenAt = now;
     }
     m_nextCallAt = canAcquire(now) ? now : now + m_times.readInterval;
 }
 
+// When the lease goes from another instance to \p next, orders have to wait for that instance's
+// last ones. The write that takes the lease may be known only from reading it back, as its answer
+// may be lost.
+void OwnerLease::rememberHolder(const InstanceId &next)
+{
+    if (!m_current || m_current->version == 0 || m_current->holder == m_self
+        || m_current->holder == next) {
+        return;
+    }
+    if (m_current->released) {
+        // After a planned release only the endpoints with recent orders have to wait.
+        m_delayedEndpoints = m_current->recentlyOrdered;
+        m_delayedUntil = m_firstSeenAt + m_times.handoverGap + m_times.safetyMargin;
+        return;
+    }
+    m_ordersAllowedFrom =
+        std::max(m_ordersAllowedFrom,
+                 m_firstSeenAt + m_times.validity + m_times.handoverGap + m_times.safetyMargin);
+}
+
 // A renewal is sent before it is announced, so measuring from now is as safe as after a read.
 void OwnerLease::onAnnounced(const LeaseRecord &record)
 {
@@ -99,6 +120,7 @@
         return;
     }
     const SteadyTime now = m_clock.now();
+    rememberHolder(record.holder);
     m_current = record;
     m_firstSeenAt = now;
     m_mustRead = false;
@@ -124,19 +146,9 @@
 {
     m_isCallPending = false;
     if (!m_isHeld) {
-        const bool wasHeldByOther = m_current->version != 0 && m_current->holder != m_self;
-        m_ordersAllowedFrom = m_sentAt;
+        rememberHolder(record.holder);
+        m_ordersAllowedFrom = std::max(m_ordersAllowedFrom, m_sentAt);
         m_lastOrderAt.clear();
-        m_delayedEndpoints.clear();
-        if (wasHeldByOther && m_current->released) {
-            // After a planned release only the endpoints with recent orders have to wait.
-            m_delayedEndpoints = m_current->recentlyOrdered;
-            m_delayedUntil = m_firstSeenAt + m_times.handoverGap + m_times.safetyMargin;
-        } else if (wasHeldByOther) {
-            m_ordersAllowedFrom = std::max(m_sentAt,
-                                           m_firstSeenAt + m_times.validity + m_times.handoverGap
-                                               + m_times.safetyMargin);
-        }
     }
     m_current = record;
     m_firstSeenAt = m_clock.now();
--- a/tests/Serving/OwnerLeaseTest.cpp
+++ b/tests/Serving/OwnerLeaseTest.cpp
@@ -1,5 +1,7 @@
 #include "marigoldspool/Serving/OwnerLease.h"
 
+#include <utility>
+
 #include <doctest/doctest.h>
 
 using namespace marigoldspool;
@@ -34,7 +36,11 @@
             }
             record.version = ++version;
             stored = record;
-            lease.onWritten(record);
+            if (std::exchange(losesAnswer, false)) {
+                lease.onFailure();
+            } else {
+                lease.onWritten(record);
+            }
             return;
         }
         }
@@ -64,6 +70,8 @@
     LeaseTimes times;
     LeaseRecord stored;
     std::uint64_t version = 0;
+    /// The next write takes effect, and its answer is lost.
+    bool losesAnswer = false;
     OwnerLease a;
     OwnerLease b;
     SteadyTime lastOrderOfA;
@@ -213,3 +221,18 @@
     b.onAnnounced(other);
     CHECK(b.holder() == InstanceId("a"));
 }
+
+// The successor read its own name back and ordered at once, within three seconds of the last order
+// of the holder before.
+TEST_CASE_FIXTURE(LeaseFixture,
+                  "orders wait for the last ones of the holder before if the answer is lost")
+{
+    run(2s, true, true);
+    REQUIRE(a.canOrder());
+    // A no longer reaches the store, but may send orders until its lease has ended.
+    run(times.validity + times.safetyMargin, false, true);
+    losesAnswer = true;
+    run(10s, false, true);
+    REQUIRE(firstOrderOfB);
+    CHECK(*firstOrderOfB - lastOrderOfA >= times.handoverGap);
+}
