Order the store's revisions by its era

Cause: revisions that were given out again looked like stale reads to the watcher, to the copies that instances send each other and to the lease. Class: a counter taken for an order that lasts for ever. Ruled out: connections that don't recover (calls were answered), a loop of 410 (no gap was logged).

What the copy lacks or has too much of endpoints, evacuations and instances takes effect only after these have had time to write again. The last holder of the lease keeps it; the others wait as long as it could still send orders, and terms of a later era are higher.

--- a/include/marigoldspool/Platform/ObjectStore.h
+++ b/include/marigoldspool/Platform/ObjectStore.h
@@ -62,6 +62,9 @@
 ///
 /// Every operation may fail with Unavailable (had no effect), RateLimited or Timeout; writes may
 /// fail with OutcomeUnknown, after which the caller reads back and compares the write id.
+///
+/// Versions and revisions are positions (StorePosition.h): they increase also when the store was
+/// restored from an older copy, which may lack what was written last.
 class ObjectStore
 {
 public:
@@ -79,6 +82,9 @@
     /// Returns the events after \p fromRevision, or an empty batch after \p wait.
     virtual void watch(std::string_view prefix, std::uint64_t fromRevision, Duration wait,
                        Callback<WatchBatch> done) = 0;
+    /// Positions below this one are from before the store was last restored, as far as its answers
+    /// have shown.
+    virtual std::uint64_t eraStart() const { return 0; }
     virtual void instances(Callback<std::vector<PlatformInstance>> done) = 0;
 };
 
--- a/include/marigoldspool/Platform/StoreConnectionPool.h
+++ b/include/marigoldspool/Platform/StoreConnectionPool.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,8 @@
 struct StoreAnswer {
     unsigned status = 0;
     std::string body;
+    /// The value of HttpCall::answerField, if the answer has that field.
+    std::optional<std::string> field;
 };
 
 /// Converts an HTTP status of 300 or more to an error; \p isWrite: the call modifies the store.
@@ -30,6 +33,8 @@
     std::string body;
     /// The call modifies the store; a failure after it was sent is OutcomeUnknown.
     bool isWrite = false;
+    /// Name of a header field of the answer to pass on.
+    std::string answerField;
     std::chrono::steady_clock::time_point deadline;
     std::function<void(Expected<StoreAnswer>)> done;
 };
--- a/include/marigoldspool/Serving/OwnerLease.h
+++ b/include/marigoldspool/Serving/OwnerLease.h
@@ -14,7 +14,8 @@
 /// The lease object in the store that names the placement owner.
 struct LeaseRecord {
     InstanceId holder;
-    /// Incremented for each new holder; the fencing token of its orders.
+    /// Higher for each new holder, also after the store was restored; the fencing token of its
+    /// orders.
     std::uint64_t term = 0;
     /// The holder has given up the lease and sends no more orders.
     bool released = false;
@@ -70,6 +71,9 @@
     void onWritten(const LeaseRecord &record);
     /// The write failed because the version had changed.
     void onConflict();
+    /// The store was restored from an older copy; its records have versions from \p eraStart on.
+    /// They name an earlier holder, and the last one may still send orders.
+    void onStoreRestored(std::uint64_t eraStart);
     /// Releases the lease with the next write and never acquires it again.
     void release();
 
@@ -90,12 +94,18 @@
 
 private:
     bool canAcquire(SteadyTime now) const;
+    void adopt(const LeaseRecord &record, SteadyTime now);
     void rememberHolder(const InstanceId &next);
 
     InstanceId m_self;
     const Clock &m_clock;
     LeaseTimes m_times;
     std::optional<LeaseRecord> m_current;
+    /// The highest term seen; a copy of the store may have a lower one.
+    std::uint64_t m_maxTerm = 0;
+    std::uint64_t m_eraStart = 0;
+    /// After a restore, when the lease of a holder that the copy does not show has ended.
+    SteadyTime m_unknownHolderUntil;
     /// When the current record was first seen.
     SteadyTime m_firstSeenAt;
     SteadyTime m_startedAt;
--- a/lib/Fleet/FleetState.cpp
+++ b/lib/Fleet/FleetState.cpp
@@ -2,6 +2,7 @@
 
 #include "Fleet/FleetLink.h"
 #include "marigoldspool/Peer/PeerTable.h"
+#include "marigoldspool/Platform/StorePosition.h"
 #include "marigoldspool/Support/EventLog.h"
 #include "marigoldspool/Support/IpAddress.h"
 #include "marigoldspool/Support/JsonText.h"
@@ -50,6 +51,11 @@
 // After an outage of the store, the platform lists its endpoints again within two seconds.
 constexpr Duration RelistGrace = std::chrono::milliseconds(2300);
 constexpr Duration MinOutage = std::chrono::milliseconds(700);
+// After the store was restored from a copy, the operator, endpoints and instances write again what
+// the copy lacks, and entries of endpoints that have gone since then expire after three of their
+// reporting intervals. Until then, what the copy lacks stays in force, and what it has too much is
+// not used.
+constexpr Duration RestoreGrace = std::chrono::milliseconds(5000);
 constexpr Duration RegisterInterval = std::chrono::seconds(1);
 
 std::string nameInKey(std::string_view key)
@@ -90,12 +96,14 @@
     void onObject(const WatchEvent &event) override
     {
         detectOutage();
+        detectRestore(event.version);
         mirror.apply(event);
     }
 
     void onConfirmed(std::uint64_t revision, SteadyTime /*asOf*/) override
     {
         detectOutage();
+        detectRestore(revision);
         mirror.confirm(revision);
         m_confirmedAt = m_runtime.clock.now();
     }
@@ -103,6 +111,7 @@
     bool onTransfer(const ObjectsTransfer &transfer)
     {
         detectOutage();
+        detectRestore(transfer.revision);
         if (!mirror.applyTransfer(transfer)) {
             return false;
         }
@@ -162,7 +171,25 @@
         return std::max(left, Duration::zero());
     }
 
+    bool isRestored() const { return m_runtime.clock.now() < m_restoreGraceUntil; }
+    SteadyTime restoreGraceUntil() const { return m_restoreGraceUntil; }
+
 private:
+    void detectRestore(std::uint64_t position)
+    {
+        if (mirror.hasSnapshot() && eraOf(position) > eraOf(mirror.revision())
+            && eraOf(position) > m_detectedEra) {
+            m_detectedEra = eraOf(position);
+            const SteadyTime now = m_runtime.clock.now();
+            m_restoreGraceUntil = now + RestoreGrace;
+            m_removalGraceUntil = now + RelistGrace;
+            logEvent(LogLevel::Info, "restored_objects",
+                     {{"prefix", mirror.prefix()},
+                      {"position", positionText(position)},
+                      {"known", positionText(mirror.lastChangeVersion())}});
+        }
+    }
+
     void detectOutage()
     {
         if (age() > m_timing.wait + m_timing.interval + MinOutage) {
@@ -183,6 +210,8 @@
     SteadyTime m_confirmedAt;
     RelayFreshness m_relayFreshness;
     SteadyTime m_removalGraceUntil;
+    SteadyTime m_restoreGraceUntil;
+    std::uint64_t m_detectedEra = 0;
     bool m_followsPeers = false;
     std::uint64_t m_requiredChange = 0;
 };
@@ -227,6 +256,7 @@
     for (const auto &prefix : m_prefixes) {
         prefix->onTick(m_isWatcher);
     }
+    applyHeldBack();
     registerSelf();
 }
 
@@ -271,7 +301,7 @@
         logEvent(LogLevel::Info, "objects_from_peer",
                  {{"prefix", transfer.prefix},
                   {"peer", from.str()},
-                  {"revision", std::to_string(transfer.revision)}});
+                  {"revision", positionText(transfer.revision)}});
     }
 }
 
@@ -426,23 +456,57 @@
     logEvent(LogLevel::Info, "configuration_in_force",
              {{"version", std::to_string(configuration->version)},
               {"before", std::to_string(current)},
-              {"store_version", std::to_string(event.version)},
+              {"store_version", positionText(event.version)},
               {"routes", std::to_string(configuration->routes.size())},
               {"workspaces", std::to_string(configuration->workspaces.size())},
               {"decode_ms", std::to_string(toMilliseconds(decodedAt - receivedAt))},
               {"adopt_ms", std::to_string(toMilliseconds(m_runtime.clock.now() - decodedAt))}});
 }
 
+bool FleetState::isHeldBack(const WatchEvent &event)
+{
+    const WatchedPrefix *prefix = find(event.key.substr(0, event.key.find('/') + 1));
+    if (prefix == nullptr || !prefix->isRestored()) {
+        return false;
+    }
+    m_heldBack[event.key] = {event, prefix->restoreGraceUntil()};
+    logEvent(LogLevel::Info, "restored_object_held_back",
+             {{"key", event.key}, {"removed", event.deleted ? "yes" : "no"}});
+    return true;
+}
+
+void FleetState::applyHeldBack()
+{
+    const SteadyTime now = m_runtime.clock.now();
+    for (auto it = m_heldBack.begin(); it != m_heldBack.end();) {
+        if (now < it->second.second) {
+            ++it;
+            continue;
+        }
+        const WatchEvent event = std::move(it->second.first);
+        it = m_heldBack.erase(it);
+        const WatchedPrefix *prefix = find(event.key.substr(0, event.key.find('/') + 1));
+        if (prefix->mirror.prefix() == m_runtime.codec.endpointPrefix()) {
+            onEndpoint(event);
+        } else if (prefix->mirror.prefix() == m_runtime.codec.evacuationPrefix()) {
+            onEvacuation(event);
+        } else {
+            onMember(event);
+        }
+    }
+}
+
 void FleetState::onEndpoint(const WatchEvent &event)
 {
     const std::string name = nameInKey(event.key);
     const EndpointId id(name);
+    m_heldBack.erase(event.key);
     if (event.deleted) {
         const Duration grace = find(m_runtime.codec.endpointPrefix())->removalGrace();
         m_runtime.directory.remove(id, grace);
         logEvent(LogLevel::Info, "endpoint_unlisted",
                  {{"endpoint", name},
-                  {"store_version", std::to_string(event.version)},
+                  {"store_version", positionText(event.version)},
                   {"grace_ms", std::to_string(toMilliseconds(grace))}});
     } else {
         const Expected<ListedEndpoint> endpoint = m_runtime.codec.decodeEndpoint(name, event.value);
@@ -453,6 +517,9 @@
                                    {{"kind", "endpoint"}});
             logEvent(LogLevel::Warning, "endpoint_unreadable",
                      {{"endpoint", name}, {"error", describeError(endpoint.error())}});
+        } else if (m_runtime.directory.wasRemoved({id, endpoint->startedAtMs})
+                   && isHeldBack(event)) {
+            return;
         } else {
             const TrackedEndpoint *known = m_runtime.directory.find(id);
             const bool isChanged = known == nullptr || known->listed.leaving != endpoint->leaving
@@ -466,7 +533,7 @@
                           {"leaving", endpoint->leaving ? "yes" : "no"},
                           {"cold_ms", std::to_string(toMilliseconds(endpoint->remainingColdTime))},
                           {"models", std::to_string(endpoint->models.size())},
-                          {"store_version", std::to_string(event.version)}});
+                          {"store_version", positionText(event.version)}});
             }
         }
     }
@@ -478,9 +545,13 @@
 void FleetState::onEvacuation(const WatchEvent &event)
 {
     const ZoneName zone(nameInKey(event.key));
+    if (event.deleted && isHeldBack(event)) {
+        return;
+    }
+    m_heldBack.erase(event.key);
     m_runtime.directory.setEvacuated(zone, !event.deleted);
     logEvent(LogLevel::Info, event.deleted ? "zone_taken_back" : "zone_evacuated",
-             {{"zone", zone.str()}, {"store_version", std::to_string(event.version)}});
+             {{"zone", zone.str()}, {"store_version", positionText(event.version)}});
     if (m_onEndpoints) {
         m_onEndpoints();
     }
@@ -489,12 +560,16 @@
 void FleetState::onMember(const WatchEvent &event)
 {
     const InstanceId id(nameInKey(event.key));
+    if (event.deleted && id == m_runtime.options.instance) {
+        m_registered = false;
+        m_ownVersion = 0;
+    }
+    if (event.deleted && isHeldBack(event)) {
+        return;
+    }
+    m_heldBack.erase(event.key);
     if (event.deleted) {
         m_members.erase(id);
-        if (id == m_runtime.options.instance) {
-            m_registered = false;
-            m_ownVersion = 0;
-        }
     } else {
         const std::optional<FleetMember> member = decodeMember(id, event.value);
         if (!member) {
--- a/lib/Fleet/FleetState.h
+++ b/lib/Fleet/FleetState.h
@@ -69,12 +69,18 @@
     void onEndpoint(const WatchEvent &event);
     void onEvacuation(const WatchEvent &event);
     void onMember(const WatchEvent &event);
+    /// Whether the store was restored lately, so that \p event may only show what its copy lacks or
+    /// has too much. The event then takes effect later, unless another one for the key follows.
+    bool isHeldBack(const WatchEvent &event);
+    void applyHeldBack();
     void registerSelf();
     void chooseWatchers();
 
     FleetRuntime &m_runtime;
     std::vector<std::unique_ptr<WatchedPrefix>> m_prefixes;
     std::map<InstanceId, FleetMember> m_members;
+    /// Events of the store's copy that do not take effect yet, by key, and when they do.
+    std::map<std::string, std::pair<WatchEvent, SteadyTime>> m_heldBack;
     std::function<void()> m_onMembers;
     std::function<void()> m_onConfiguration;
     std::function<void()> m_onEndpoints;
--- a/lib/Fleet/PlacementLease.cpp
+++ b/lib/Fleet/PlacementLease.cpp
@@ -57,6 +57,7 @@
 
 void PlacementDriver::advanceLease()
 {
+    m_lease.onStoreRestored(m_runtime.store->eraStart());
     switch (m_lease.nextStep()) {
     case LeaseStep::Nothing:
         return;
--- a/lib/Platform/StoreConnectionPool.cpp
+++ b/lib/Platform/StoreConnectionPool.cpp
@@ -157,7 +157,12 @@
         // Answers bear no id, so further bytes would be taken for the answer to the next call.
         const bool reusable = message.keep_alive() && m_buffer.size() == 0;
         m_reused = true;
-        finish(StoreAnswer{message.result_int(), std::move(message.body())}, reusable);
+        StoreAnswer answer{message.result_int(), std::move(message.body()), std::nullopt};
+        const auto field = message.find(m_call.answerField);
+        if (!m_call.answerField.empty() && field != message.end()) {
+            answer.field = std::string(field->value());
+        }
+        finish(std::move(answer), reusable);
     }
 
     // Called after sending began, so the request may have reached the store.
--- a/lib/Serving/EndpointDirectory.cpp
+++ b/lib/Serving/EndpointDirectory.cpp
@@ -62,6 +62,8 @@
 // Endpoints of a zone that returns from evacuation may be cold before their entries say so. Two
 // reporting intervals.
 constexpr Duration ReportLag = milliseconds(2500);
+// A copy from which the store is restored is some seconds old.
+constexpr Duration RemovedRetention = seconds(60);
 
 double decayedFailures(const TrackedEndpoint &state, SteadyTime now)
 {
@@ -112,6 +114,11 @@
         state.pendingPromptTokens = pendingPromptTokens;
     }
     state.listed = endpoint;
+    state.hasListedLeaving = state.hasListedLeaving || endpoint.leaving;
+    // A process that has no start can't be told from the one before.
+    if (state.hasListedLeaving && endpoint.startedAtMs > 0) {
+        state.listed.leaving = true;
+    }
     state.removeAt.reset();
     updateRateShare(state);
     if (endpoint.remainingColdTime > Duration::zero()) {
@@ -125,12 +132,22 @@
     if (it == m_endpoints.end()) {
         return;
     }
-    it->second.removeAt = m_clock.now() + grace;
+    const SteadyTime now = m_clock.now();
+    it->second.removeAt = now + grace;
+    if (grace <= Duration::zero()) {
+        m_removedProcesses[id] = {it->second.listed.startedAtMs, now};
+    }
     if (grace <= Duration::zero()) {
         it->second.listed.leaving = true;
     }
 }
 
+bool EndpointDirectory::wasRemoved(const EndpointIncarnation &incarnation) const
+{
+    const auto it = m_removedProcesses.find(incarnation.endpoint);
+    return it != m_removedProcesses.end() && incarnation.startedAtMs <= it->second.first;
+}
+
 void EndpointDirectory::setEvacuated(const ZoneName &zone, bool evacuated)
 {
     if (evacuated) {
@@ -191,6 +208,10 @@
         }
         it = isDue && state.inFlight == 0 ? m_endpoints.erase(it) : std::next(it);
     }
+    for (auto it = m_removedProcesses.begin(); it != m_removedProcesses.end();) {
+        const bool isObsolete = now - it->second.second >= RemovedRetention;
+        it = isObsolete ? m_removedProcesses.erase(it) : std::next(it);
+    }
     m_statements.onTick([this](const EndpointId &id) {
         return m_endpoints.count(id) > 0;
     });
--- a/lib/Serving/OwnerLease.cpp
+++ b/lib/Serving/OwnerLease.cpp
@@ -1,5 +1,7 @@
 #include "marigoldspool/Serving/OwnerLease.h"
 
+#include "marigoldspool/Platform/StorePosition.h"
+
 #include <algorithm>
 
 namespace marigoldspool {
@@ -7,6 +9,9 @@
 namespace {
 
 constexpr Duration FailureRetryDelay = std::chrono::milliseconds(200);
+// The terms of each era of the store start above those of the eras before, so that an instance that
+// knows only a copy does not use a term again.
+constexpr std::uint64_t TermsPerEra = 1'000'000;
 
 } // namespace
 
@@ -20,7 +25,7 @@
 
 bool OwnerLease::canAcquire(SteadyTime now) const
 {
-    if (!m_current || m_isReleasing) {
+    if (!m_current || m_isReleasing || now < m_unknownHolderUntil) {
         return false;
     }
     if (m_current->holder == m_self && m_current->version != 0 && !m_current->released) {
@@ -60,8 +65,9 @@
 LeaseRecord OwnerLease::nextRecord() const
 {
     LeaseRecord record = *m_current;
+    record.term = std::max(record.term, m_maxTerm);
     if (!m_isHeld) {
-        ++record.term;
+        record.term = std::max(record.term, eraOf(m_eraStart) * TermsPerEra) + 1;
     }
     record.holder = m_self;
     ++record.renewal;
@@ -83,13 +89,29 @@
     m_isCallPending = false;
     m_mustRead = false;
     const SteadyTime now = m_clock.now();
-    // Reads may be stale; ignore a record older than the one seen before.
-    if (!m_current || record.version > m_current->version) {
-        rememberHolder(record.holder);
-        m_current = record;
-        m_firstSeenAt = now;
+    // Reads may be stale; ignore a record older than the one seen before. Without an object the
+    // version is 0, which is news if the known version is from before a restore.
+    const bool isMissing = record.version == 0 && m_current && m_current->version < m_eraStart;
+    const bool isOfEra = record.version == 0 || record.version >= m_eraStart;
+    if (!m_current || isMissing || (isOfEra && record.version > m_current->version)) {
+        adopt(record, now);
     }
-    m_nextCallAt = canAcquire(now) ? now : now + m_times.readInterval;
+    m_nextCallAt = m_isHeld || canAcquire(now) ? now : now + m_times.readInterval;
+}
+
+void OwnerLease::adopt(const LeaseRecord &record, SteadyTime now)
+{
+    const bool isOlderCopy = m_isHeld && record.term <= m_maxTerm;
+    if (isOlderCopy) {
+        // This instance has held the lease since the copy was taken, and renews it.
+        m_current->version = record.version;
+        return;
+    }
+    m_isHeld = false;
+    rememberHolder(record.holder);
+    m_current = record;
+    m_maxTerm = std::max(m_maxTerm, record.term);
+    m_firstSeenAt = now;
 }
 
 // When the lease goes from another instance to \p next, orders have to wait for that instance's
@@ -112,9 +134,28 @@
                  m_firstSeenAt + m_times.validity + m_times.handoverGap + m_times.safetyMargin);
 }
 
+void OwnerLease::onStoreRestored(std::uint64_t eraStart)
+{
+    if (eraStart <= m_eraStart) {
+        return;
+    }
+    m_eraStart = eraStart;
+    if (!m_current) {
+        return;
+    }
+    m_mustRead = true;
+    m_nextCallAt = std::min(m_nextCallAt, m_clock.now());
+    m_unknownHolderUntil = m_clock.now() + m_times.validity + m_times.safetyMargin;
+}
+
 // A renewal is sent before it is announced, so measuring from now is as safe as after a read.
 void OwnerLease::onAnnounced(const LeaseRecord &record)
 {
+    if (record.version != 0 && record.version < m_eraStart) {
+        // The sender does not know yet that the store was restored, and may still send orders.
+        m_unknownHolderUntil = m_clock.now() + m_times.validity + m_times.safetyMargin;
+        return;
+    }
     const bool isNewer = !m_current || record.version > m_current->version;
     if (m_isCallPending || m_isHeld || m_isReleasing || record.version == 0 || !isNewer) {
         return;
@@ -122,6 +163,7 @@
     const SteadyTime now = m_clock.now();
     rememberHolder(record.holder);
     m_current = record;
+    m_maxTerm = std::max(m_maxTerm, record.term);
     m_firstSeenAt = now;
     m_mustRead = false;
     m_nextCallAt = canAcquire(now) ? now : now + m_times.announcementLifetime;
@@ -149,8 +191,13 @@
         rememberHolder(record.holder);
         m_ordersAllowedFrom = std::max(m_ordersAllowedFrom, m_sentAt);
         m_lastOrderAt.clear();
+        if (m_unknownHolderUntil != SteadyTime()) {
+            m_ordersAllowedFrom =
+                std::max(m_ordersAllowedFrom, m_unknownHolderUntil + m_times.handoverGap);
+        }
     }
     m_current = record;
+    m_maxTerm = std::max(m_maxTerm, record.term);
     m_firstSeenAt = m_clock.now();
     m_isHeld = !record.released;
     m_validUntil = m_sentAt + m_times.validity;
--- a/tests/PlatformAdapter/RestoredStoreTest.cpp
+++ b/tests/PlatformAdapter/RestoredStoreTest.cpp
@@ -33,6 +33,14 @@
         configure(version, {"k1"});
     }
 
+    void restore(const StandinStore::Copy &copy)
+    {
+        store.refuseCalls = true;
+        runFor(1s);
+        store.restore(copy);
+        store.refuseCalls = false;
+    }
+
     // The status at all instances, or 0 if they differ.
     int statusAtAll(const std::string &target)
     {
@@ -69,10 +77,7 @@
     runFor(500ms);
     for (int restores = 0; restores < 2; ++restores) {
         CAPTURE(restores);
-        store.refuseCalls = true;
-        runFor(2s);
-        store.restore(copy);
-        store.refuseCalls = false;
+        restore(copy);
         runFor(500ms);
         // What the operator had written before stays in force, and is written again.
         CHECK(statusAtAll("/added-" + std::to_string(version) + "/x") == 200);
@@ -84,3 +89,88 @@
         CHECK(statusAtAll("/added-" + std::to_string(version) + "/x") == 200);
     }
 }
+
+TEST_CASE_FIXTURE(
+    RestoredStoreFixture,
+    "an endpoint that the store's copy lacks is used until it has had time to register")
+{
+    const StandinStore::Copy copy = store.copy();
+    store.erase("servers", "i-1");
+    const StandinReplica &later = addReplica("i-2", "app", answerOk);
+    runFor(1s);
+    restore(copy);
+    for (int i = 0; i < 3; ++i) {
+        runFor(500ms);
+        CHECK(callAndWait("/app/x")->status == 200);
+    }
+    // The entry of i-1 is back, but i-1 has gone.
+    CHECK(replicas[0]->requests.size() <= 1);
+    store.put("servers", "i-2", later.entry("app"));
+    store.erase("servers", "i-1");
+    runFor(6s);
+    CHECK(callAndWait("/app/x")->status == 200);
+    CHECK(replicas[0]->requests.size() <= 1);
+}
+
+TEST_CASE_FIXTURE(RestoredStoreFixture,
+                  "an endpoint that has left stays unused when its old entry is back")
+{
+    addReplica("i-2", "app", answerOk);
+    runFor(1s);
+    const StandinStore::Copy copy = store.copy();
+    store.put("servers", "i-1", replicas[0]->entry("app", "draining"));
+    SUBCASE("draining") { }
+    SUBCASE("removed")
+    {
+        runFor(700ms);
+        store.erase("servers", "i-1");
+    }
+    runFor(1s);
+    const std::size_t before = replicas[0]->requests.size();
+    restore(copy);
+    for (int i = 0; i < 20; ++i) {
+        runFor(200ms);
+        CHECK(callAndWait("/app/x")->status == 200);
+    }
+    CHECK(replicas[0]->requests.size() == before);
+}
+
+TEST_CASE_FIXTURE(
+    RestoredStoreFixture,
+    "an evacuation that the store's copy lacks stays in force until it is written again")
+{
+    const StandinStore::Copy copy = store.copy();
+    store.put("evacuations", "z1", json::object());
+    callUntilStatus(503, "/app/x");
+    restore(copy);
+    runFor(2s);
+    CHECK(callAndWait("/app/x")->status == 503);
+    runFor(5s);
+    CHECK(callAndWait("/app/x")->status == 200);
+}
+
+TEST_CASE_FIXTURE(RestoredStoreFixture,
+                  "an instance registers again and models are loaded after the store was restored")
+{
+    store.erase("servers", "i-1");
+    replicas.clear();
+    addEngine();
+    callUntilStatus(200, "/llm/x", "m");
+    StandinStore::Copy copy = store.copy();
+    SUBCASE("the copy has the lease")
+    {
+        // Renewed many times since then.
+        runFor(3s);
+    }
+    SUBCASE("the copy has neither the lease nor the instance")
+    {
+        copy.objects.erase("leases");
+        copy.objects.erase("instances");
+        runFor(1s);
+    }
+    restore(copy);
+    runFor(2s);
+    CHECK(store.has("instances", "front-1"));
+    CHECK(store.has("leases", "placement"));
+    callUntilStatus(200, "/llm/x", "n");
+}
--- a/tests/Serving/OwnerLeaseTest.cpp
+++ b/tests/Serving/OwnerLeaseTest.cpp
@@ -1,6 +1,12 @@
 #include "marigoldspool/Serving/OwnerLease.h"
 
+#include "marigoldspool/Platform/StorePosition.h"
+#include "marigoldspool/Support/RandomSource.h"
+
+#include <algorithm>
+#include <memory>
 #include <utility>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -236,3 +242,135 @@
     REQUIRE(firstOrderOfB);
     CHECK(*firstOrderOfB - lastOrderOfA >= times.handoverGap);
 }
+
+namespace {
+
+/// Instances that compete for the lease in a store that is restored from older copies, cut off, and
+/// read with a delay.
+class RestoredLeases
+{
+public:
+    explicit RestoredLeases(std::uint64_t seed)
+        : m_random(seed)
+    {
+        for (int i = 0; i < 3; ++i) {
+            m_leases.push_back(std::make_unique<OwnerLease>(InstanceId("i" + std::to_string(i)),
+                                                            clock, LeaseTimes()));
+        }
+        m_isCut.resize(m_leases.size());
+        m_copies.push_back({});
+    }
+
+    void run(Duration time)
+    {
+        for (const SteadyTime end = clock.now() + time; clock.now() < end; clock.advance(50ms)) {
+            disturb();
+            for (std::size_t i = 0; i < m_leases.size(); ++i) {
+                if (!m_isCut[i]) {
+                    step(*m_leases[i]);
+                }
+                order(*m_leases[i]);
+            }
+        }
+    }
+
+    ManualClock clock;
+    int holderChanges = 0;
+    int overlaps = 0;
+    int termsGoneBack = 0;
+
+private:
+    // The store may be away for a moment and come back with a copy.
+    void disturb()
+    {
+        m_copies.push_back(m_stored);
+        if (m_random.below(200) == 0) {
+            m_stored = m_copies[m_copies.size() - 1
+                                - m_random.below(std::min<std::size_t>(m_copies.size(), 200))];
+            ++m_era;
+            m_revision = revisionOf(m_stored.version) + m_random.below(5);
+            if (m_stored.version != 0) {
+                m_stored.version = storePosition(m_era, revisionOf(m_stored.version));
+            }
+            m_copies.assign(1, m_stored);
+        }
+        if (m_random.below(100) == 0) {
+            const std::size_t i = m_random.below(m_isCut.size());
+            m_isCut[i] = !m_isCut[i];
+        }
+    }
+
+    void step(OwnerLease &lease)
+    {
+        lease.onStoreRestored(storePosition(m_era, 0));
+        switch (lease.nextStep()) {
+        case LeaseStep::Nothing:
+            return;
+        case LeaseStep::Read:
+            lease.onRead(m_stored);
+            return;
+        case LeaseStep::Write:
+            write(lease);
+            return;
+        }
+    }
+
+    void write(OwnerLease &lease)
+    {
+        LeaseRecord record = lease.nextRecord();
+        if (record.version != m_stored.version) {
+            lease.onConflict();
+            return;
+        }
+        record.version = storePosition(m_era, ++m_revision);
+        m_stored = record;
+        if (m_random.below(10) == 0) {
+            lease.onFailure();
+        } else {
+            lease.onWritten(record);
+        }
+    }
+
+    void order(OwnerLease &lease)
+    {
+        if (!lease.canOrder()) {
+            return;
+        }
+        if (m_lastHolder != &lease) {
+            ++holderChanges;
+            // The users' bound: holders must not take turns within this time.
+            overlaps += m_lastHolder != nullptr && clock.now() - m_lastOrderAt < 3s ? 1 : 0;
+            m_lastHolder = &lease;
+            termsGoneBack += lease.term() <= m_lastTerm ? 1 : 0;
+        }
+        termsGoneBack += lease.term() < m_lastTerm ? 1 : 0;
+        m_lastTerm = lease.term();
+        m_lastOrderAt = clock.now();
+    }
+
+    SeededRandomSource m_random;
+    std::vector<std::unique_ptr<OwnerLease>> m_leases;
+    std::vector<bool> m_isCut;
+    LeaseRecord m_stored;
+    std::vector<LeaseRecord> m_copies;
+    std::uint64_t m_era = 1;
+    std::uint64_t m_revision = 1;
+    OwnerLease *m_lastHolder = nullptr;
+    SteadyTime m_lastOrderAt;
+    std::uint64_t m_lastTerm = 0;
+};
+
+} // namespace
+
+// A copy of the store names an earlier holder or none, while the last one still sends orders.
+TEST_CASE("there are never two holders of orders when the store comes back from older copies")
+{
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        CAPTURE(seed);
+        RestoredLeases leases(seed);
+        leases.run(10min);
+        CHECK(leases.overlaps == 0);
+        CHECK(leases.termsGoneBack == 0);
+        CHECK(leases.holderChanges > 3);
+    }
+}
