--- a/include/marigoldspool/Serving/PlacementPlanner.h
+++ b/include/marigoldspool/Serving/PlacementPlanner.h
@@ -108,6 +108,8 @@
     const HostedModel *hostedModel(const PoolName &pool, const ModelName &model) const;
     void beginPlan(const DemandAggregator &demand);
     int copyCount(const PoolName &pool, const ModelName &model) const;
+    /// Usable engines with the model, whether or not they serve it as fast as it is asked for.
+    int loadedCount(const PoolName &pool, const ModelName &model) const;
     /// Whether the engine is usable and serves the model as fast as it is asked for.
     bool isServingCopy(const EngineState &engine, const ModelName &model) const;
     void findShortCopies(const DemandAggregator &demand);
--- a/lib/Serving/EndpointStatements.cpp
+++ b/lib/Serving/EndpointStatements.cpp
@@ -86,7 +86,7 @@
 {
     const bool isChanged = !record.rateLimit || record.rateLimit->perSecond != perSecond;
     if (!record.rateLimit) {
-        record.rateLimit.emplace();
+        record.rateLimit = RateLimit();
     }
     RateLimit &limit = *record.rateLimit;
     limit.stated = {std::max(limit.stated.startedAtMs, from.startedAtMs), source};
--- a/lib/Serving/PlacementCopies.cpp
+++ b/lib/Serving/PlacementCopies.cpp
@@ -80,14 +80,9 @@
         }
         double requestsPerSecond = 0;
         for (const auto &[model, adapters] : engine.models) {
-            const auto copies = std::count_if(
-                m_engines.begin(), m_engines.end(), [&, &name = model](const auto &it) {
-                    return it.second.isUsable && it.second.pool == engine.pool
-                        && canServe(it.second, name);
-                });
+            const auto copies = loadedCount(engine.pool, model);
             const FleetDemand modelDemand = demand.demandFor({engine.pool, model, {}});
-            requestsPerSecond += modelDemand.expectedRequestsPerSecond
-                / static_cast<double>(std::max<std::ptrdiff_t>(copies, 1));
+            requestsPerSecond += modelDemand.expectedRequestsPerSecond / std::max(copies, 1);
             if (modelDemand.waiting > 0) {
                 m_shortCopies.emplace(id, model);
             }
--- a/lib/Serving/PlacementPlanner.cpp
+++ b/lib/Serving/PlacementPlanner.cpp
@@ -140,6 +140,15 @@
         }));
 }
 
+int PlacementPlanner::loadedCount(const PoolName &pool, const ModelName &model) const
+{
+    return static_cast<int>(
+        std::count_if(m_engines.begin(), m_engines.end(), [&](const auto &entry) {
+            const EngineState &engine = entry.second;
+            return engine.isUsable && engine.pool == pool && canServe(engine, model);
+        }));
+}
+
 bool PlacementPlanner::isServingCopy(const EngineState &engine, const ModelName &model) const
 {
     return engine.isUsable && canServe(engine, model)
