Test heads of answers that are cut at each of their bytes

Other operators saw answers with an empty body, framed as whole, when a replica closed in the middle of a head. It does not happen here: four heads (with a length, without one, a stream's, behind an interim answer), cut at every byte, on fresh and kept connections, all end as failures that may have run.

--- a/tests/Gateway/EndpointClientTest.cpp
+++ b/tests/Gateway/EndpointClientTest.cpp
@@ -259,6 +259,43 @@
     }
 }
 
+// An endpoint that stops in the middle of a head must not look like one whose answer has no body.
+TEST_CASE("an answer that is cut at any byte of its head is a failure")
+{
+    const std::string heads[] = {
+        "HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX-Seal: s\r\nConnection: close\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Seal: s\r\n\r\n"};
+    for (const std::string &head : heads) {
+        for (const bool isKept : {false, true}) {
+            ClientFixture fixture;
+            for (std::size_t bytes = 0; bytes < head.size(); ++bytes) {
+                CAPTURE(head.substr(0, bytes));
+                CAPTURE(isKept);
+                const std::size_t index = fixture.listener.connections();
+                if (isKept) {
+                    const HandlerPtr first = fixture.start(fixture.makeCall("first"));
+                    fixture.waitForRequest(index, "first")
+                        .send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                    fixture.waitForEnd(first);
+                }
+                EndpointCall call = fixture.makeCall("r1");
+                call.mayEndWithConnection = true;
+                const HandlerPtr handler = fixture.start(std::move(call));
+                RawSocket &socket = fixture.waitForRequest(index, "r1");
+                socket.send(head.substr(0, bytes));
+                socket.close();
+                fixture.waitForEnd(handler);
+                REQUIRE(handler->failed == 1);
+                CHECK(handler->status == 0);
+                CHECK(handler->stage == SendStage::MaybeSent);
+            }
+        }
+    }
+}
+
 TEST_CASE("an answer without a known status, or with two lengths, is refused")
 {
     for (const char *text :
