Refuse requests that would outlast a planned stop before they are sent

Cause: the end of the grace bounded how long a request waits for an endpoint, not how long its answer takes. The expected time is twice the mean of the pool's answers or the route's objective, bounded by the request's own deadline. Attempts that follow one that may have run are still sent, since a refusal could not say "not run".

The new test failed before: `502 == 503`, the request reached the replica 0.8 s before the end for a run of 1.2 s.

--- a/include/marigoldspool/Serving/ResponseTimeModel.h
+++ b/include/marigoldspool/Serving/ResponseTimeModel.h
@@ -25,6 +25,8 @@
     void onResponse(const PoolName &pool, int promptTokens, Duration run);
     /// Time to the first byte at an endpoint without other load.
     Duration expectedFirstByte(const PoolName &pool, int promptTokens) const;
+    /// Mean time to the end of a complete response; zero before the first one.
+    Duration expectedRun(const PoolName &pool) const;
     /// Time in which an engine processes prompts of \p promptTokens in all.
     double promptSeconds(const PoolName &pool, int promptTokens) const;
     /// Mean cost of the requests for each pool that has answered some.
--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -20,6 +20,8 @@
 constexpr Duration RefusalMargin = milliseconds(40);
 
 constexpr Duration ServiceConnectTimeout = milliseconds(200);
+// Some requests take longer than the mean of their pool.
+constexpr int RunTimeMargin = 2;
 constexpr Duration MaxCallTime = std::chrono::hours(1);
 constexpr Duration NoConfigurationRetryAfter = milliseconds(500);
 constexpr Duration CallerGoneRetryAfter = milliseconds(500);
@@ -237,6 +239,19 @@
     return tokens;
 }
 
+// A request that is passed on and cut off at the end of a planned stop may have run, so its caller
+// can't safely send it again. Refused at once, it goes to another instance.
+Duration Exchange::timeToSendBeforeStop() const
+{
+    if (m_runtime.answersEndAt == SteadyTime::max()) {
+        return Duration::max();
+    }
+    const Duration untilEnd = m_runtime.answersEndAt - m_runtime.clock.now();
+    const Duration run = m_runtime.directory.responseTimes().expectedRun(m_pool->name);
+    // The request's own deadline may end it sooner.
+    return untilEnd - std::min(std::max(run * RunTimeMargin, m_route->objective), timeLeft());
+}
+
 Duration Exchange::timeLeft() const
 {
     return m_deadline - m_runtime.clock.now();
@@ -275,6 +290,10 @@
                "no endpoint became available while the caller waited");
         return;
     }
+    if (m_possibleRuns == 0 && timeToSendBeforeStop() < Duration::zero()) {
+        refuseStopping();
+        return;
+    }
     EndpointQuery query = endpointQuery();
     EndpointChoice choice = m_runtime.directory.choose(query);
     if (choice.kind != ChoiceKind::Send && !m_triedEndpoints.empty()) {
@@ -295,7 +314,8 @@
     WaitQuery query;
     query.kind = choice.kind;
     query.waited = now - m_arrival;
-    query.callerTimeLeft = callerTimeLeft();
+    const Duration toSend = timeToSendBeforeStop();
+    query.callerTimeLeft = std::min(callerTimeLeft(), toSend);
     if (const auto readyAt = m_front.forecast({m_request.model, m_request.adapter})) {
         query.forecast = std::max(*readyAt - now, Duration::zero());
         query.overdue = std::max(now - *readyAt, Duration::zero());
@@ -304,6 +324,10 @@
     m_limitedEndpoint = choice.isPaused ? choice.endpoint : EndpointId();
     query.retryIn = choice.retryIn + m_front.timeForEarlierRequests(*this, choice);
     const WaitDecision decision = decideWait(query);
+    if (!decision.wait && m_possibleRuns == 0 && toSend < callerTimeLeft()) {
+        refuseStopping();
+        return;
+    }
     if (!decision.wait) {
         refuse(decision.reason, ranState(), decision.retryAfter,
                choice.kind == ChoiceKind::NotLoaded
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -138,6 +138,10 @@
     /// shorter one would cut off. Without an answer, the timeout at the arrival holds.
     bool extendDeadline();
     Duration timeLeft() const;
+    /// By when the request must be sent so that a planned stop does not cut off its answer;
+    /// Duration::max() if none is in progress.
+    Duration timeToSendBeforeStop() const;
+    void refuseStopping();
     Duration callerTimeLeft() const;
     /// Whether an endpoint may have run the request.
     RanState ranState() const;
--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -364,6 +364,12 @@
                   "this instance stops before the request is answered");
 }
 
+void Exchange::refuseStopping()
+{
+    refuse(RefusalReason::Stopping, RanState::No, StoppingRetryAfter,
+           "this instance stops before the request could be answered");
+}
+
 void Exchange::cancelCall()
 {
     if (m_attempt) {
--- a/lib/Serving/ResponseTimeModel.cpp
+++ b/lib/Serving/ResponseTimeModel.cpp
@@ -67,6 +67,12 @@
                        + estimate.secondsPerKiloToken * kiloTokens(promptTokens));
 }
 
+Duration ResponseTimeModel::expectedRun(const PoolName &pool) const
+{
+    const auto it = m_pools.find(pool);
+    return it == m_pools.end() ? Duration::zero() : fromSeconds(it->second.meanRunSeconds);
+}
+
 double ResponseTimeModel::promptSeconds(const PoolName &pool, int promptTokens) const
 {
     const auto it = m_pools.find(pool);
--- a/tests/PlatformAdapter/LostAnswerTest.cpp
+++ b/tests/PlatformAdapter/LostAnswerTest.cpp
@@ -141,18 +141,18 @@
     { }
 };
 
-FleetOptions optionsWithShortGrace()
+FleetOptions optionsWithGrace(Duration grace)
 {
     FleetOptions options;
-    options.gracePeriod = 2s;
+    options.gracePeriod = grace;
     return options;
 }
 
 class ShortGraceFixture : public RequestPathFixture
 {
 public:
-    ShortGraceFixture()
-        : RequestPathFixture(optionsWithShortGrace())
+    explicit ShortGraceFixture(Duration grace = 2s)
+        : RequestPathFixture(optionsWithGrace(grace))
     { }
 
     // Stops the instance and ends it as the process does.
@@ -620,6 +620,32 @@
     CHECK(answer->status == 502);
 }
 
+// Its answer would be cut off, and a request that may run only once could not be sent again.
+TEST_CASE("a request that would outlast a planned stop is refused before it is sent")
+{
+    // Answers end half a second before the grace does.
+    ShortGraceFixture f(3500ms);
+    std::vector<std::shared_ptr<boost::asio::steady_timer>> timers;
+    const StandinReplica &replica =
+        f.addReplica("i-1", "app", [&f, &timers](const auto &request, const auto &sink) {
+            timers.push_back(std::make_shared<boost::asio::steady_timer>(f.io, 1200ms));
+            timers.back()->async_wait([request, sink](const boost::system::error_code &) {
+                answerOk(request, sink);
+            });
+        });
+    f.callUntilStatus(200, "/once/x");
+    f.stopDaemon();
+    f.io.restart();
+    f.io.run_for(2200ms);
+    const std::size_t before = replica.requests.size();
+    const SteadyTime sentAt = f.clock.now();
+    const auto answer = f.callAndWait("/once/x");
+    CHECK(answer->status == 503);
+    CHECK_FALSE(answer->retryAfter.empty());
+    CHECK(f.clock.now() - sentAt < 500ms);
+    CHECK(replica.requests.size() == before);
+}
+
 // The connection of each request failed after 3 s without a path to the endpoint. Requests that may
 // run only once were answered 502, and streams were cut off, although the path came back in time.
 TEST_CASE_FIXTURE(RequestPathFixture,
