--- a/lib/Fleet/FleetState.cpp
+++ b/lib/Fleet/FleetState.cpp
@@ -1,6 +1,7 @@
 #include "Fleet/FleetState.h"
 
 #include "Fleet/FleetLink.h"
+#include "Fleet/WatchedPrefix.h"
 #include "marigoldspool/Peer/PeerTable.h"
 #include "marigoldspool/Platform/StorePosition.h"
 #include "marigoldspool/Support/EventLog.h"
@@ -20,14 +21,6 @@
 
 const std::string MemberPrefix = "instances/";
 
-/// Timing of the watch of one prefix. A change ends the wait at once; the wait only bounds how long
-/// a lost answer goes unnoticed, since the store may stop answering watches while it serves other
-/// calls. Changes within the interval share one call, since the platform charges for calls.
-struct WatchTiming {
-    Duration wait;
-    Duration interval;
-};
-
 // Configurations and draining endpoints must take effect within two seconds, evacuations within
 // five. The list of instances only determines shares of limits.
 constexpr WatchTiming ConfigurationTiming{std::chrono::milliseconds(1000),
@@ -37,25 +30,8 @@
 constexpr WatchTiming EvacuationTiming{std::chrono::milliseconds(3000),
                                        std::chrono::milliseconds(200)};
 constexpr WatchTiming MemberTiming{std::chrono::milliseconds(5000), std::chrono::milliseconds(300)};
-constexpr Duration MinBackoff = std::chrono::milliseconds(200);
-constexpr Duration MaxBackoff = std::chrono::milliseconds(1200);
-// When the answer to a watch is this late, peers are asked.
-constexpr Duration OverdueAfter = std::chrono::milliseconds(900);
-// The platform charges for calls to the store, so a few instances watch it and relay to the others.
-// These use the relayed state while the store has confirmed it within this time, and watch the
-// store themselves otherwise. It must exceed the wait of a watch plus the beacon interval, so
-// maxRelayAge() extends it for longer waits.
-constexpr Duration MaxRelayAge = std::chrono::milliseconds(1500);
 constexpr std::size_t WatchersInSmallFleet = 2;
 constexpr std::size_t WatchersInZone = 2;
-// After an outage of the store, the platform lists its endpoints again within two seconds.
-constexpr Duration RelistGrace = std::chrono::milliseconds(2300);
-constexpr Duration MinOutage = std::chrono::milliseconds(700);
-// After the store was restored from a copy, the operator, endpoints and instances write again what
-// the copy lacks, and entries of endpoints that have gone since then expire after three of their
-// reporting intervals. Until then, what the copy lacks stays in force, and what it has too much is
-// not used.
-constexpr Duration RestoreGrace = std::chrono::milliseconds(5000);
 constexpr Duration RegisterInterval = std::chrono::seconds(1);
 
 std::string nameInKey(std::string_view key)
@@ -79,143 +55,6 @@
 
 } // namespace
 
-/// State of one watched prefix, merged from the store and from peers.
-class FleetState::WatchedPrefix final : public WatchListener
-{
-public:
-    WatchedPrefix(FleetRuntime &runtime, const std::string &prefix, WatchTiming timing,
-                  ObjectMirror::ChangeHandler onChange)
-        : m_runtime(runtime)
-        , mirror(prefix, std::move(onChange))
-        , watcher(*runtime.store, runtime.clock, runtime.random,
-                  {prefix, timing.wait, timing.interval, MinBackoff, MaxBackoff}, *this)
-        , m_timing(timing)
-        , m_confirmedAt(runtime.clock.now())
-    { }
-
-    void onObject(const WatchEvent &event) override
-    {
-        detectOutage();
-        detectRestore(event.version);
-        mirror.apply(event);
-    }
-
-    void onConfirmed(std::uint64_t revision, SteadyTime /*asOf*/) override
-    {
-        detectOutage();
-        detectRestore(revision);
-        mirror.confirm(revision);
-        m_confirmedAt = m_runtime.clock.now();
-    }
-
-    bool onTransfer(const ObjectsTransfer &transfer)
-    {
-        detectOutage();
-        detectRestore(transfer.revision);
-        if (!mirror.applyTransfer(transfer)) {
-            return false;
-        }
-        m_relayFreshness.onApplied(mirror.lastChangeVersion());
-        m_confirmedAt = std::max(m_confirmedAt, m_relayFreshness.confirmedAt());
-        return true;
-    }
-
-    void onTick(bool watchesForOthers)
-    {
-        const bool followsPeers = !watchesForOthers
-            && m_runtime.clock.now() - m_relayFreshness.confirmedAt() < maxRelayAge()
-            && mirror.lastChangeVersion() >= m_requiredChange;
-        if (followsPeers != m_followsPeers) {
-            m_followsPeers = followsPeers;
-            if (followsPeers) {
-                watcher.stop();
-            } else {
-                watcher.start();
-            }
-        }
-        watcher.onTick();
-    }
-
-    /// Handles the revision that a peer has; returns whether this instance has all of its changes.
-    bool onBeacon(const KnownRevision &known, SteadyTime at)
-    {
-        const bool isUpToDate = known.lastChangeVersion <= mirror.lastChangeVersion();
-        m_relayFreshness.onBeacon(known.lastChangeVersion, mirror.lastChangeVersion(), at);
-        if (isUpToDate) {
-            detectOutage();
-            mirror.confirm(known.revision);
-            m_confirmedAt = std::max(m_confirmedAt, at);
-        }
-        return isUpToDate;
-    }
-
-    /// Requires \p change, which a peer has announced, to be read from the store.
-    void requireChange(std::uint64_t change)
-    {
-        m_requiredChange = std::max(m_requiredChange, change);
-    }
-
-    bool isOutdated() const { return age() > m_timing.wait + m_timing.interval + OverdueAfter; }
-
-    Duration age() const { return m_runtime.clock.now() - m_confirmedAt; }
-
-    /// The last revision that was sent to peers.
-    std::uint64_t sentRevision = 0;
-    std::uint64_t sentChange = 0;
-
-    /// How long to keep using removed entries, since entries that expired during an outage of the
-    /// store are listed again after it.
-    Duration removalGrace() const
-    {
-        const Duration left = m_removalGraceUntil - m_runtime.clock.now();
-        return std::max(left, Duration::zero());
-    }
-
-    bool isRestored() const { return m_runtime.clock.now() < m_restoreGraceUntil; }
-    SteadyTime restoreGraceUntil() const { return m_restoreGraceUntil; }
-
-private:
-    void detectRestore(std::uint64_t position)
-    {
-        if (mirror.hasSnapshot() && eraOf(position) > eraOf(mirror.revision())
-            && eraOf(position) > m_detectedEra) {
-            m_detectedEra = eraOf(position);
-            const SteadyTime now = m_runtime.clock.now();
-            m_restoreGraceUntil = now + RestoreGrace;
-            m_removalGraceUntil = now + RelistGrace;
-            logEvent(LogLevel::Info, "restored_objects",
-                     {{"prefix", mirror.prefix()},
-                      {"position", positionText(position)},
-                      {"known", positionText(mirror.lastChangeVersion())}});
-        }
-    }
-
-    void detectOutage()
-    {
-        if (age() > m_timing.wait + m_timing.interval + MinOutage) {
-            m_removalGraceUntil = m_runtime.clock.now() + RelistGrace;
-        }
-    }
-
-    Duration maxRelayAge() const { return std::max(MaxRelayAge, m_timing.wait + MaxRelayAge / 2); }
-
-    FleetRuntime &m_runtime;
-
-public:
-    ObjectMirror mirror;
-    Watcher watcher;
-
-private:
-    WatchTiming m_timing;
-    SteadyTime m_confirmedAt;
-    RelayFreshness m_relayFreshness;
-    SteadyTime m_removalGraceUntil;
-    SteadyTime m_restoreGraceUntil;
-    std::uint64_t m_detectedEra = 0;
-    bool m_followsPeers = false;
-    std::uint64_t m_requiredChange = 0;
-};
-
 FleetState::FleetState(FleetRuntime &runtime)
     : m_runtime(runtime)
     , m_nextRegistration(runtime.clock.now())
@@ -260,7 +99,7 @@
     registerSelf();
 }
 
-FleetState::WatchedPrefix *FleetState::find(std::string_view prefix) const
+WatchedPrefix *FleetState::find(std::string_view prefix) const
 {
     for (const auto &it : m_prefixes) {
         if (it->mirror.prefix() == prefix) {
--- a/lib/Fleet/FleetState.h
+++ b/lib/Fleet/FleetState.h
@@ -11,6 +11,8 @@
 
 namespace marigoldspool {
 
+class WatchedPrefix;
+
 /// An instance of the fleet as registered in the store.
 struct FleetMember {
     InstanceId id;
@@ -61,8 +63,6 @@
     bool isLoaded() const;
 
 private:
-    class WatchedPrefix;
-
     WatchedPrefix *find(std::string_view prefix) const;
     void logChangedRates(const ServingConfiguration &configuration) const;
     void onConfiguration(const WatchEvent &event);
