--- a/lib/Fleet/FleetState.cpp
+++ b/lib/Fleet/FleetState.cpp
@@ -302,7 +302,7 @@
               {"adopt_ms", std::to_string(toMilliseconds(m_runtime.clock.now() - decodedAt))}});
 }
 
-bool FleetState::isHeldBack(const WatchEvent &event)
+bool FleetState::holdBack(const WatchEvent &event)
 {
     const WatchedPrefix *prefix = find(event.key.substr(0, event.key.find('/') + 1));
     if (prefix == nullptr || !prefix->isRestored()) {
@@ -356,8 +356,7 @@
                                    {{"kind", "endpoint"}});
             logEvent(LogLevel::Warning, "endpoint_unreadable",
                      {{"endpoint", name}, {"error", describeError(endpoint.error())}});
-        } else if (m_runtime.directory.wasRemoved({id, endpoint->startedAtMs})
-                   && isHeldBack(event)) {
+        } else if (m_runtime.directory.wasRemoved({id, endpoint->startedAtMs}) && holdBack(event)) {
             return;
         } else {
             const TrackedEndpoint *known = m_runtime.directory.find(id);
@@ -384,7 +383,7 @@
 void FleetState::onEvacuation(const WatchEvent &event)
 {
     const ZoneName zone(nameInKey(event.key));
-    if (event.deleted && isHeldBack(event)) {
+    if (event.deleted && holdBack(event)) {
         return;
     }
     m_heldBack.erase(event.key);
@@ -403,7 +402,7 @@
         m_registered = false;
         m_ownVersion = 0;
     }
-    if (event.deleted && isHeldBack(event)) {
+    if (event.deleted && holdBack(event)) {
         return;
     }
     m_heldBack.erase(event.key);
--- a/lib/Fleet/FleetState.h
+++ b/lib/Fleet/FleetState.h
@@ -69,9 +69,10 @@
     void onEndpoint(const WatchEvent &event);
     void onEvacuation(const WatchEvent &event);
     void onMember(const WatchEvent &event);
-    /// Whether the store was restored lately, so that \p event may only show what its copy lacks or
-    /// has too much. The event then takes effect later, unless another one for the key follows.
-    bool isHeldBack(const WatchEvent &event);
+    /// Lets \p event take effect later, unless another one for its key follows, if the store was
+    /// restored lately and the event may only show what its copy lacks or has too much. Returns
+    /// whether it did.
+    bool holdBack(const WatchEvent &event);
     void applyHeldBack();
     void registerSelf();
     void chooseWatchers();
