--- a/include/marigoldspool/Serving/EndpointDirectory.h
+++ b/include/marigoldspool/Serving/EndpointDirectory.h
@@ -61,7 +61,7 @@
     int pendingPromptTokens = 0;
     /// Set when the entry was removed; it may be listed again until then.
     std::optional<SteadyTime> removeAt;
-    /// An entry of this process has said that it leaves. A copy of the store may say otherwise.
+    /// The entry says that the endpoint leaves.
     bool hasListedLeaving = false;
 };
 
@@ -121,9 +121,9 @@
     void apply(const ListedEndpoint &endpoint);
     /// The endpoint stays usable for \p grace, since its entry may have expired in a store outage.
     void remove(const EndpointId &id, Duration grace);
-    /// Whether the entry of this process was removed for good within the last minute. It may come
-    /// back from an older copy of the store.
-    bool wasRemoved(const EndpointIncarnation &incarnation) const;
+    /// Whether the entry of this process says that it leaves, or was removed for good within the
+    /// last minute. An older copy of the store may say otherwise.
+    bool hasLeft(const EndpointIncarnation &incarnation) const;
     void setEvacuated(const ZoneName &zone, bool evacuated);
     bool isEvacuated(const ZoneName &zone) const { return m_evacuated.count(zone) > 0; }
     /// Sets the models that the placement owner publishes for \p id; nullopt falls back to the
--- a/lib/Fleet/FleetState.cpp
+++ b/lib/Fleet/FleetState.cpp
@@ -356,7 +356,8 @@
                                    {{"kind", "endpoint"}});
             logEvent(LogLevel::Warning, "endpoint_unreadable",
                      {{"endpoint", name}, {"error", describeError(endpoint.error())}});
-        } else if (m_runtime.directory.wasRemoved({id, endpoint->startedAtMs}) && holdBack(event)) {
+        } else if (!endpoint->leaving && m_runtime.directory.hasLeft({id, endpoint->startedAtMs})
+                   && holdBack(event)) {
             return;
         } else {
             const TrackedEndpoint *known = m_runtime.directory.find(id);
--- a/lib/Serving/EndpointDirectory.cpp
+++ b/lib/Serving/EndpointDirectory.cpp
@@ -114,11 +114,7 @@
         state.pendingPromptTokens = pendingPromptTokens;
     }
     state.listed = endpoint;
-    state.hasListedLeaving = state.hasListedLeaving || endpoint.leaving;
-    // A process that has no start can't be told from the one before.
-    if (state.hasListedLeaving && endpoint.startedAtMs > 0) {
-        state.listed.leaving = true;
-    }
+    state.hasListedLeaving = endpoint.leaving;
     state.removeAt.reset();
     updateRateShare(state);
     if (endpoint.remainingColdTime > Duration::zero()) {
@@ -142,8 +138,13 @@
     }
 }
 
-bool EndpointDirectory::wasRemoved(const EndpointIncarnation &incarnation) const
+bool EndpointDirectory::hasLeft(const EndpointIncarnation &incarnation) const
 {
+    const TrackedEndpoint *state = find(incarnation.endpoint);
+    if (state != nullptr && state->hasListedLeaving
+        && incarnation.startedAtMs <= state->listed.startedAtMs) {
+        return true;
+    }
     const auto it = m_removedProcesses.find(incarnation.endpoint);
     return it != m_removedProcesses.end() && incarnation.startedAtMs <= it->second.first;
 }
--- a/tests/PlatformAdapter/RestoredStoreTest.cpp
+++ b/tests/PlatformAdapter/RestoredStoreTest.cpp
@@ -169,8 +169,22 @@
         runFor(1s);
     }
     restore(copy);
-    runFor(2s);
-    CHECK(store.has("instances", "front-1"));
-    CHECK(store.has("leases", "placement"));
+    // At the latest when the lease of an unknown holder would have ended, and its orders.
+    const LeaseTimes times;
+    const SteadyTime latest =
+        clock.now() + times.validity + times.safetyMargin + times.handoverGap + 2s;
+    REQUIRE(runUntil(io, [this] {
+        return store.has("instances", "front-1") && store.has("leases", "placement");
+    }));
     callUntilStatus(200, "/llm/x", "n");
+    CHECK(clock.now() < latest);
+}
+
+TEST_CASE_FIXTURE(RestoredStoreFixture,
+                  "an endpoint that lists itself as draining and then as ready again is used")
+{
+    store.put("servers", "i-1", replicas[0]->entry("app", "draining"));
+    callUntilStatus(503, "/app/x");
+    store.put("servers", "i-1", replicas[0]->entry("app"));
+    callUntilStatus(200, "/app/x");
 }
