Review: a part that crashes engines after their first event is not put under quarantine

A scenario with stand-ins of the store, engines and clients (review/standins). The engine writes the head and the first event of an answer on the part and ends.

--- /dev/null
+++ b/review/1/scenario.cpp
@@ -0,0 +1,161 @@
+// A part of a prompt crashes each engine that begins to write an answer on it. The engine ends
+// after it has written the first event.
+#include "../standins/Fleet.h"
+#include "../standins/Replica.h"
+
+#include <algorithm>
+
+using namespace marigoldspool::review;
+
+namespace {
+
+constexpr Milliseconds ContactTime(3000);
+constexpr std::size_t CrashesOfRule = 5;
+constexpr int AllowedArrivals = 3;
+constexpr int ReplicaCount = 6;
+const std::string CrashingPart = "5c1e07a2";
+const std::string SoundPart = "91bd3f06";
+// All requests begin with it.
+const std::string CommonPart = "0f3e77c1";
+
+Json configuration()
+{
+    const Json route = {{"name", "r-draft"},   {"host", "basket.example"},
+                        {"prefix", "/draft/"}, {"kind", "stream"},
+                        {"timeoutMs", 25'000}, {"goalMs", 3000},
+                        {"priority", 0},       {"service", "assistant-llm"},
+                        {"attempts", 1},       {"public", false},
+                        {"sticky", true},      {"resumable", false},
+                        {"gapTargetMs", 250}};
+    const Json model = {{"name", "daka510000"}, {"weightsMb", 65'100.0}, {"loadS", 6.0},
+                        {"adapters", 0},        {"adapterMb", 12.0},     {"warmS", 0.57},
+                        {"diskS", 1.2}};
+    const Json service = {{"name", "assistant-llm"},
+                          {"healthPath", "/health"},
+                          {"maxConns", 290},
+                          {"protocol", "h1"},
+                          {"tls", false},
+                          {"coldStartS", 3.0},
+                          {"coldPerS", 18.0},
+                          {"engine",
+                           {{"slots", 48},
+                            {"kvTokens", 130'610},
+                            {"models", {model}},
+                            {"weightsMb", 230'000.0},
+                            {"adapterSlots", 8},
+                            {"loadsPerS", 4.8}}}};
+    const Json tenant = {{"name", "press"},  {"apiKeys", {"key-of-press"}}, {"priority", 1},
+                         {"unit", "tokens"}, {"plainTokens", 200},          {"ratePerS", 65'841},
+                         {"burst", 65'841}};
+    return {{"version", 7},
+            {"routes", {route}},
+            {"services", {service}},
+            {"limits",
+             {{"headerBytes", 16'384},
+              {"bodyBytes", 4'194'304},
+              {"headerTimeoutMs", 3000},
+              {"idleTimeoutMs", 15'000}}},
+            {"tenants", {tenant}}};
+}
+
+Request draft(const std::string &kind, const std::string &part, int number)
+{
+    Request request;
+    request.host = "basket.example";
+    request.path = "/draft/pickup";
+    request.key = "key-of-press";
+    request.model = "daka510000";
+    request.prefix =
+        CommonPart + ":100," + part + ":98," + std::to_string(700'000 + number) + ":628";
+    request.tokens = "826,60";
+    request.body = std::string(1700, 'b');
+    request.kind = kind;
+    request.deadline = Milliseconds(25'000);
+    return request;
+}
+
+Verdict play()
+{
+    const char *recordPath = std::getenv("RECORD");
+    Record record(recordPath == nullptr ? "record.txt" : recordPath);
+    const TemporaryFolder folder;
+    Fleet fleet(record, folder.path());
+    Store store({Fleet::outsideIp(0), fleet.ports().store});
+    store.put("config", "main", configuration());
+    const std::vector<std::string> zones{"hobart-a", "hobart-b", "kingston"};
+    for (const std::string &zone : zones) {
+        fleet.add("front-" + zone + "-1", zone);
+        fleet.add("front-" + zone + "-2", zone);
+    }
+    std::vector<std::unique_ptr<Replica>> replicas;
+    for (int n = 0; n < ReplicaCount; ++n) {
+        ReplicaOptions options;
+        options.service = "assistant-llm";
+        options.zone = zones[static_cast<std::size_t>(n) % zones.size()];
+        options.address = {Fleet::outsideIp(1 + n), fleet.ports().replicas};
+        options.slots = 48;
+        options.models = {"daka510000"};
+        options.crashingPart = isTroubled() ? CrashingPart : "";
+        // For comparison: with 0, the engine ends after the head of its answer.
+        if (const char *events = std::getenv("EVENTS_BEFORE_CRASH")) {
+            options.eventsBeforeCrash = std::atoi(events);
+        }
+        replicas.push_back(std::make_unique<Replica>(store, record, options));
+    }
+    fleet.startAll();
+    if (!fleet.waitReady(Steady::now() + std::chrono::seconds(20))) {
+        throw std::runtime_error("the fleet is not ready");
+    }
+    std::this_thread::sleep_for(std::chrono::seconds(4));
+    Clients clients(record, fleet);
+    const std::vector<std::string> names = fleet.names();
+    constexpr int Seconds = 40;
+    constexpr int PerSecond = 5;
+    for (int n = 0; n < Seconds * PerSecond; ++n) {
+        const std::string &name = names[static_cast<std::size_t>(n) % names.size()];
+        // One request in five has the part that crashes engines.
+        if (n % PerSecond == 0) {
+            clients.send(name, draft("poison", CrashingPart, n));
+        } else {
+            clients.send(name, draft("sound", SoundPart, n));
+        }
+        std::this_thread::sleep_for(Milliseconds(1000 / PerSecond));
+    }
+    clients.finish();
+
+    std::vector<TimePoint> crashes;
+    for (const auto &replica : replicas) {
+        const std::vector<TimePoint> own = replica->crashes();
+        crashes.insert(crashes.end(), own.begin(), own.end());
+    }
+    std::sort(crashes.begin(), crashes.end());
+    const auto sent = record.sent();
+    int lateCount = 0;
+    int lostCount = 0;
+    for (const Arrival &arrival : record.arrivals()) {
+        const Sent &request = sent.at(arrival.id);
+        const bool isLate = crashes.size() >= CrashesOfRule
+            && arrival.at > crashes[CrashesOfRule - 1] + ContactTime;
+        lateCount += request.kind == "poison" && isLate ? 1 : 0;
+    }
+    int soundCount = 0;
+    for (const auto &[id, request] : sent) {
+        if (request.kind == "sound") {
+            ++soundCount;
+            lostCount += request.status == 200 && !request.isWhole ? 1 : 0;
+        }
+    }
+    record.note(std::to_string(crashes.size()) + " crashes; " + std::to_string(lateCount)
+                + " requests with the part reached replicas later than "
+                + std::to_string(ContactTime.count()) + " ms after the fifth crash ("
+                + std::to_string(AllowedArrivals) + " allowed); " + std::to_string(lostCount)
+                + " of " + std::to_string(soundCount) + " sound streams were broken off midway");
+    return lateCount > AllowedArrivals ? Verdict::Broken : Verdict::Held;
+}
+
+} // namespace
+
+int main()
+{
+    return runScenario(play);
+}
