--- a/review/1/scenario.cpp
+++ b/review/1/scenario.cpp
@@ -12,6 +12,7 @@
 constexpr Milliseconds ContactTime(3000);
 constexpr std::size_t CrashesOfRule = 5;
 constexpr int AllowedArrivals = 3;
+constexpr int MinCount = 20;
 constexpr int ReplicaCount = 6;
 const std::string CrashingPart = "5c1e07a2";
 const std::string SoundPart = "91bd3f06";
@@ -74,6 +75,20 @@
     return request;
 }
 
+// How many sound requests have begun at their first attempt.
+struct Begun {
+    int count = 0;
+    int begun = 0;
+
+    void add(bool hasBegun)
+    {
+        ++count;
+        begun += hasBegun ? 1 : 0;
+    }
+    double fraction() const { return static_cast<double>(begun) / std::max(count, 1); }
+    std::string text() const { return std::to_string(begun) + " of " + std::to_string(count); }
+};
+
 Verdict play()
 {
     const char *recordPath = std::getenv("RECORD");
@@ -109,12 +124,15 @@
     std::this_thread::sleep_for(std::chrono::seconds(4));
     Clients clients(record, fleet);
     const std::vector<std::string> names = fleet.names();
+    constexpr int CalmSeconds = 8;
     constexpr int Seconds = 40;
     constexpr int PerSecond = 5;
-    for (int n = 0; n < Seconds * PerSecond; ++n) {
+    TimePoint firstPoison = TimePoint::max();
+    for (int n = 0; n < (CalmSeconds + Seconds) * PerSecond; ++n) {
         const std::string &name = names[static_cast<std::size_t>(n) % names.size()];
-        // One request in five has the part that crashes engines.
-        if (n % PerSecond == 0) {
+        // After a while, one request in five has the part that crashes engines.
+        if (n >= CalmSeconds * PerSecond && n % PerSecond == 0) {
+            firstPoison = std::min(firstPoison, Steady::now());
             clients.send(name, draft("poison", CrashingPart, n));
         } else {
             clients.send(name, draft("sound", SoundPart, n));
@@ -130,27 +148,41 @@
     }
     std::sort(crashes.begin(), crashes.end());
     const auto sent = record.sent();
+    const TimePoint fifthCrash =
+        crashes.size() >= CrashesOfRule ? crashes[CrashesOfRule - 1] : TimePoint::max();
+    const auto isAfter = [fifthCrash](TimePoint at, Milliseconds time) {
+        return fifthCrash != TimePoint::max() && at > fifthCrash + time;
+    };
     int lateCount = 0;
-    int lostCount = 0;
     for (const Arrival &arrival : record.arrivals()) {
-        const Sent &request = sent.at(arrival.id);
-        const bool isLate = crashes.size() >= CrashesOfRule
-            && arrival.at > crashes[CrashesOfRule - 1] + ContactTime;
-        lateCount += request.kind == "poison" && isLate ? 1 : 0;
+        const bool isPoison = sent.at(arrival.id).kind == "poison";
+        lateCount += isPoison && isAfter(arrival.at, ContactTime) ? 1 : 0;
     }
-    int soundCount = 0;
+    Begun before;
+    Begun after;
+    int brokenOff = 0;
     for (const auto &[id, request] : sent) {
-        if (request.kind == "sound") {
-            ++soundCount;
-            lostCount += request.status == 200 && !request.isWhole ? 1 : 0;
+        if (request.kind != "sound") {
+            continue;
+        }
+        const bool hasBegun = request.status == 200;
+        brokenOff += hasBegun && !request.isWhole ? 1 : 0;
+        if (request.at < firstPoison - ContactTime) {
+            before.add(hasBegun);
+        } else if (isAfter(request.at, 2 * ContactTime)) {
+            after.add(hasBegun);
         }
     }
     record.note(std::to_string(crashes.size()) + " crashes; " + std::to_string(lateCount)
                 + " requests with the part reached replicas later than "
                 + std::to_string(ContactTime.count()) + " ms after the fifth crash ("
-                + std::to_string(AllowedArrivals) + " allowed); " + std::to_string(lostCount)
-                + " of " + std::to_string(soundCount) + " sound streams were broken off midway");
-    return lateCount > AllowedArrivals ? Verdict::Broken : Verdict::Held;
+                + std::to_string(AllowedArrivals) + " allowed); sound requests begun before: "
+                + before.text() + ", from " + std::to_string(2 * ContactTime.count())
+                + " ms after the fifth crash: " + after.text() + "; " + std::to_string(brokenOff)
+                + " sound streams were broken off midway");
+    const bool isLost = before.count >= MinCount && after.count >= MinCount
+        && after.fraction() < before.fraction() / 2;
+    return lateCount > AllowedArrivals || isLost ? Verdict::Broken : Verdict::Held;
 }
 
 } // namespace
