Review: after two planned hand-overs an order of the first holder arrives behind the third's

The holder of the placement lease is stopped while one order of it is delayed by 1.45 s, and the next holder a second later.

--- a/review/standins/Fleet.cpp
+++ b/review/standins/Fleet.cpp
@@ -87,7 +87,7 @@
 void Fleet::add(const std::string &name, const std::string &zone)
 {
     const std::string ip = machineIp(m_nodes.size());
-    m_nodes[name] = {zone, ip, -1, TimePoint()};
+    m_nodes[name] = {zone, ip, -1, TimePoint(), std::nullopt};
 }
 
 // The settings of the pages, with the figures of the sheet of Derwent Press.
@@ -168,6 +168,7 @@
         }
     }
     std::vector<char *> environment;
+    environment.reserve(variables.size() + 1);
     for (std::string &variable : variables) {
         environment.push_back(variable.data());
     }
@@ -210,6 +211,37 @@
     }
 }
 
+void Fleet::stop(const std::string &name)
+{
+    constexpr std::chrono::seconds GracePeriod(8);
+    Node &node = m_nodes.at(name);
+    if (node.process > 0) {
+        m_record.note("SIGTERM " + name);
+        ::kill(node.process, SIGTERM);
+        node.killAt = Steady::now() + GracePeriod;
+    }
+}
+
+void Fleet::restartStopped()
+{
+    for (auto &[name, node] : m_nodes) {
+        if (!node.killAt) {
+            continue;
+        }
+        int status = 0;
+        const bool hasEnded = ::waitpid(node.process, &status, WNOHANG) == node.process;
+        if (!hasEnded && Steady::now() < *node.killAt) {
+            continue;
+        }
+        if (hasEnded) {
+            node.process = -1;
+        }
+        kill(name);
+        node.killAt.reset();
+        start(name);
+    }
+}
+
 bool Fleet::isReady(const std::string &name) const
 {
     const TimePoint until = Steady::now() + Milliseconds(500);
@@ -259,7 +291,7 @@
 
 std::string Clients::send(const std::string &node, const Request &request)
 {
-    const std::string id = request.kind + '-' + std::to_string(++m_count);
+    std::string id = request.kind + '-' + std::to_string(++m_count);
     const Address address = m_fleet.callers(node);
     m_record.addSent(id, node, request.kind);
     m_threads.emplace_back([this, id, address, request] {
--- a/review/standins/Fleet.h
+++ b/review/standins/Fleet.h
@@ -4,6 +4,8 @@
 #include "Record.h"
 #include "Store.h"
 
+#include <optional>
+
 #include <sys/types.h>
 
 namespace marigoldspool::review {
@@ -37,6 +39,10 @@
     void start(const std::string &name);
     void startAll();
     void kill(const std::string &name);
+    /// Sends SIGTERM; the process is killed after the grace period of the settings.
+    void stop(const std::string &name);
+    /// Starts the processes again that have ended after stop().
+    void restartStopped();
     bool isReady(const std::string &name) const;
     /// Returns false if not all machines are ready by then.
     bool waitReady(TimePoint until) const;
@@ -51,6 +57,8 @@
         std::string ip;
         pid_t process = -1;
         TimePoint startedAt;
+        /// When the platform kills the process; only after stop().
+        std::optional<TimePoint> killAt;
     };
 
     void writeSettings(const std::string &name, bool isFirst) const;
--- a/review/standins/Net.cpp
+++ b/review/standins/Net.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cctype>
 #include <stdexcept>
+#include <utility>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -138,6 +139,21 @@
     return n > 0;
 }
 
+std::string Connection::readSome(TimePoint until)
+{
+    if (m_input.empty()) {
+        readMore(until);
+    }
+    return std::exchange(m_input, {});
+}
+
+bool Connection::hasEnded() const
+{
+    char byte = 0;
+    const ssize_t n = ::recv(m_socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 bool Connection::readLine(std::string &line, TimePoint until)
 {
     std::size_t end = m_input.find("\r\n");
--- a/review/standins/Net.h
+++ b/review/standins/Net.h
@@ -56,6 +56,10 @@
     /// Return false if the connection ends or the time is up before the whole part has come.
     bool readHead(Head &head, TimePoint until);
     bool readBody(const Head &head, std::string &body, TimePoint until);
+    /// Returns the bytes that have come, at least one; empty if the connection has ended.
+    std::string readSome(TimePoint until);
+    /// Whether the peer has closed or reset the connection.
+    bool hasEnded() const;
     /// Ends all calls on the connection; the peer sees a reset.
     void reset() const;
 
--- a/review/standins/Replica.cpp
+++ b/review/standins/Replica.cpp
@@ -85,7 +85,9 @@
             + std::to_string(m_startCount);
         m_models.clear();
         if (isFirst) {
-            m_models.insert(m_options.models.begin(), m_options.models.end());
+            for (const std::string &model : m_options.models) {
+                m_models[model];
+            }
         }
         m_loading.clear();
         m_orderCount = 0;
@@ -95,9 +97,10 @@
         // Those that start before the traffic does are not cold.
         m_coldUntil = isFirst ? TimePoint() : Steady::now() + m_options.coldTime;
     }
-    m_server = std::make_unique<Server>(m_options.address, [this](Connection &connection) {
-        serve(connection);
-    });
+    m_server = std::make_unique<Server>(m_options.listenAddress.value_or(m_options.address),
+                                        [this](Connection &connection) {
+                                            serve(connection);
+                                        });
     m_record.note("replica " + id() + " of " + m_options.service + " in " + m_options.zone
                   + " starts");
     writeEntry();
@@ -210,12 +213,35 @@
 Json Replica::models() const
 {
     Json list = Json::array();
-    for (const std::string &model : m_models) {
-        list.push_back({{"name", model}, {"version", 1}, {"adapters", Json::array()}});
+    for (const auto &[model, adapters] : m_models) {
+        list.push_back({{"name", model}, {"version", 1}, {"adapters", adapters}});
     }
     return list;
 }
 
+void Replica::finishLoad()
+{
+    if (!m_loading.empty() && Steady::now() >= m_loadedAt) {
+        m_models[m_loading];
+        m_loading.clear();
+    }
+}
+
+// \p model may name an adapter after a slash.
+bool Replica::isLoaded(const std::string &model) const
+{
+    const std::size_t slash = std::min(model.find('/'), model.size());
+    const auto it = m_models.find(model.substr(0, slash));
+    return it != m_models.end()
+        && (slash == model.size() || it->second.count(model.substr(slash + 1)) > 0);
+}
+
+std::vector<OrderArrival> Replica::orders() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_orders;
+}
+
 void Replica::writeEntry()
 {
     Json spec;
@@ -231,10 +257,7 @@
                 {"slots", m_options.slots},         {"state", "ready"},
                 {"coldLeftMs", coldLeft().count()}, {"seq", ++m_beatCount}};
         if (!m_options.models.empty()) {
-            if (!m_loading.empty() && Steady::now() >= m_loadedAt) {
-                m_models.insert(m_loading);
-                m_loading.clear();
-            }
+            finishLoad();
             spec["stage"] = "mixed";
             spec["models"] = models();
             spec["atHand"] = {{"inMemory", Json::array()}, {"onDisk", m_options.models}};
@@ -282,10 +305,7 @@
     bool isFull = false;
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
-        if (!m_loading.empty() && Steady::now() >= m_loadedAt) {
-            m_models.insert(m_loading);
-            m_loading.clear();
-        }
+        finishLoad();
         isPresent =
             m_options.models.empty() || m_models.count(head.field("X-Marigoldspool-Model")) > 0;
         isFull = m_activeCount >= m_options.slots;
@@ -401,31 +421,49 @@
 
 int Replica::order(const Json &order)
 {
-    int status = 202;
+    int status = 0;
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
-        const std::string model = order.value("model", "");
-        if (!m_loading.empty() && Steady::now() >= m_loadedAt) {
-            m_models.insert(m_loading);
-            m_loading.clear();
-        }
-        if (!m_loading.empty() || order.value("precondition", m_orderCount) != m_orderCount) {
-            status = 409;
-        } else if (order.value("op", "") == "load") {
-            if (m_models.count(model) > 0) {
-                status = 200;
-            } else {
-                ++m_orderCount;
-                m_loading = model;
-                m_loadedAt = Steady::now() + LoadTime;
-            }
-        } else {
-            ++m_orderCount;
-            m_models.erase(model);
-        }
+        m_orders.push_back(
+            {Steady::now(), order.value("holder", ""), order.value("fence", std::uint64_t(0))});
+        finishLoad();
+        status = carryOut(order);
     }
     m_record.note("order " + order.dump() + " to " + id() + ": " + std::to_string(status));
     return status;
 }
 
+int Replica::carryOut(const Json &order)
+{
+    const std::string model = order.value("model", "");
+    const std::string adapter = order.value("adapter", "");
+    const bool isLoad = order.value("op", "") == "load";
+    if (!m_loading.empty() || order.value("precondition", m_orderCount) != m_orderCount) {
+        return 409;
+    }
+    if (isLoaded(adapter.empty() ? model : model + '/' + adapter) == isLoad) {
+        return 200;
+    }
+    if (!adapter.empty() && m_models.count(model) == 0) {
+        return 400;
+    }
+    ++m_orderCount;
+    if (!adapter.empty()) {
+        std::set<std::string> &adapters = m_models[model];
+        if (isLoad) {
+            adapters.insert(adapter);
+        } else {
+            adapters.erase(adapter);
+        }
+        return isLoad ? 202 : 200;
+    }
+    if (isLoad) {
+        m_loading = model;
+        m_loadedAt = Steady::now() + LoadTime;
+    } else {
+        m_models.erase(model);
+    }
+    return 202;
+}
+
 } // namespace marigoldspool::review
--- a/review/standins/Replica.h
+++ b/review/standins/Replica.h
@@ -12,12 +12,16 @@
 struct ReplicaOptions {
     std::string service;
     std::string zone;
+    /// As its entry says.
     Address address;
+    /// Where it listens, if a proxy has the other address.
+    std::optional<Address> listenAddress;
     int slots = 6;
     /// How long a request of a plain service takes.
     Milliseconds work{15};
     /// Models that an engine has loaded at its first start; empty for a plain service.
     std::vector<std::string> models;
+    int adapterSlots = 8;
     int events = 10;
     Milliseconds eventGap{40};
     /// A part of a prompt that crashes an engine when it begins to write an answer on it.
@@ -30,6 +34,13 @@
     Milliseconds coldTime{3000};
 };
 
+/// An order as it has arrived at a replica.
+struct OrderArrival {
+    TimePoint at;
+    std::string holder;
+    std::uint64_t fence = 0;
+};
+
 /// A replica of a service: a model engine or a plain service.
 class Replica
 {
@@ -46,6 +57,7 @@
     void end();
     void becomeCold();
     std::vector<TimePoint> crashes() const;
+    std::vector<OrderArrival> orders() const;
 
 private:
     void start(bool isFirst);
@@ -61,6 +73,9 @@
     bool stream(Connection &connection, const std::string &requestId, bool crashes);
     Json report() const;
     int order(const Json &order);
+    int carryOut(const Json &order);
+    bool isLoaded(const std::string &model) const;
+    void finishLoad();
     bool isOverColdLimit();
     bool pause(Milliseconds time);
 
@@ -70,7 +85,8 @@
     mutable std::mutex m_mutex;
     std::condition_variable m_woken;
     std::string m_id;
-    std::set<std::string> m_models;
+    std::map<std::string, std::set<std::string>> m_models;
+    std::vector<OrderArrival> m_orders;
     std::string m_loading;
     TimePoint m_loadedAt;
     std::uint64_t m_orderCount = 0;
--- a/review/standins/Store.cpp
+++ b/review/standins/Store.cpp
@@ -229,17 +229,15 @@
     change("servers", name, spec);
 }
 
-std::set<std::string> Store::names(const std::string &kind) const
+Json Store::spec(const std::string &kind, const std::string &name) const
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    std::set<std::string> result;
     const auto objects = m_objects.find(kind);
-    if (objects != m_objects.end()) {
-        for (const auto &[name, object] : objects->second) {
-            result.insert(name);
-        }
+    if (objects == m_objects.end()) {
+        return nullptr;
     }
-    return result;
+    const auto object = objects->second.find(name);
+    return object == objects->second.end() ? Json() : object->second["spec"];
 }
 
 } // namespace marigoldspool::review
--- a/review/standins/Store.h
+++ b/review/standins/Store.h
@@ -31,7 +31,8 @@
     TimePoint remove(const std::string &kind, const std::string &name);
     /// The heartbeat of a replica. The object changes only if more than its `seq` does.
     void beat(const std::string &name, const Json &spec);
-    std::set<std::string> names(const std::string &kind) const;
+    /// The `spec` of an object; null if there is none.
+    Json spec(const std::string &kind, const std::string &name) const;
 
 private:
     struct Event {
