Review: an instance that restarts on a restored store acts as a second holder

The holder of the placement lease is stopped, and its process starts again as the store comes back from a copy that still names it.

--- a/review/2/scenario.cpp
+++ b/review/2/scenario.cpp
@@ -1,6 +1,5 @@
-// The holder of the placement lease is stopped while an order of it is delayed on the way, and the
-// next holder is stopped right after it.
-#include "../standins/DelayProxy.h"
+// The holder of the placement lease is stopped and starts again as the store comes back from a copy
+// that still names it as the holder.
 #include "../standins/Fleet.h"
 #include "../standins/Replica.h"
 
@@ -11,15 +10,11 @@
 
 namespace {
 
-constexpr int Rounds = 5;
+constexpr int Rounds = 6;
 constexpr int AdapterCount = 98;
 constexpr Milliseconds LeaseTime(3000);
-// The opening packet of a connection, or a lost packet, "is sent again after seconds".
-constexpr Milliseconds OrderDelay(1450);
-// Machines are stopped one at a time, each gap_s.
-constexpr Milliseconds StopGap(1000);
-// The packet that is lost is sent within this time before the first stop.
-constexpr Milliseconds LossBeforeStop(60);
+// After the end of the process; the store comes back then.
+constexpr Milliseconds RestartDelay(500);
 
 Json configuration()
 {
@@ -113,7 +108,6 @@
     Store store({Fleet::outsideIp(0), fleet.ports().store});
     store.put("config", "main", configuration());
     const std::vector<std::string> zones{"hobart-a", "hobart-b", "kingston"};
-    std::unique_ptr<DelayProxy> link;
     std::vector<std::unique_ptr<Replica>> replicas;
     for (const std::string &zone : zones) {
         fleet.add("front-" + zone + "-1", zone);
@@ -126,11 +120,6 @@
         options.slots = 48;
         options.events = 4;
         options.models = {"daka510000"};
-        if (!link) {
-            // The other port is one of those between the instances, which are free here.
-            options.listenAddress = Address{options.address.ip, fleet.ports().range};
-            link = std::make_unique<DelayProxy>(options.address, *options.listenAddress);
-        }
         replicas.push_back(std::make_unique<Replica>(store, record, options));
     }
     fleet.startAll();
@@ -146,7 +135,6 @@
         while (Steady::now() < end) {
             clients.send(names[random() % names.size()],
                          reply(1 + static_cast<int>(random() % AdapterCount), ++number));
-            fleet.restartStopped();
             std::this_thread::sleep_for(Milliseconds(25));
         }
     };
@@ -158,20 +146,24 @@
     load(Milliseconds(6000));
     for (int round = 0; round < Rounds; ++round) {
         const std::string first = holder();
+        const TimePoint copyAt = Steady::now();
         if (isTroubled()) {
-            link->delay(first, OrderDelay);
+            fleet.stop(first);
+        }
+        while (isTroubled() && !fleet.hasEnded(first)) {
+            load(Milliseconds(20));
         }
-        load(LossBeforeStop);
         if (isTroubled()) {
-            fleet.stop(first);
+            store.goAway();
+            record.note("the store goes away; holder " + holder());
         }
-        load(StopGap);
+        load(RestartDelay);
         if (isTroubled()) {
-            fleet.stop(holder());
+            fleet.restartStopped();
+            store.comeBack(copyAt);
+            record.note("the store is back from its copy; holder " + holder());
         }
-        load(OrderDelay);
-        link->delay("", Milliseconds(0));
-        load(Milliseconds(6000));
+        load(Milliseconds(6500));
     }
     clients.finish();
 
--- a/review/4/scenario.cpp
+++ b/review/4/scenario.cpp
@@ -1,61 +1,39 @@
-// All instances restart while an engine is cold: its zone was evacuated and has just been taken
-// back.
+// A replica's entry is removed while the two instances that watch the store for the others are
+// down.
 #include "../standins/Fleet.h"
 #include "../standins/Replica.h"
 
 #include <algorithm>
+#include <random>
 
 using namespace marigoldspool::review;
 
 namespace {
 
-// coldPerS x coldTolerance + coldSlack of the sheet: 18 x 1.5 + 5.
-constexpr int ColdBound = 32;
-constexpr int CrashRate = 45;
+constexpr Milliseconds DrainBound(2000);
+constexpr int Rounds = 2;
+// Processes that end are started again "after a short delay".
 constexpr Milliseconds RestartDelay(500);
-const std::string Model = "daka510000";
-// The engines of the other zones are full with these, which are asked for all the time.
-const std::vector<std::string> OtherModels{"rada7437b5", "ravo486f6a", "nymi57a71f",
-                                           "gopu49ded4", "base151689", "xada684e3e"};
-constexpr std::size_t ModelsOfEngine = 3;
-const std::string Zone = "hobart-a";
-
-Json engineModel(const std::string &name)
-{
-    return {{"name", name},      {"weightsMb", 72'700.0}, {"loadS", 6.0}, {"adapters", 0},
-            {"adapterMb", 12.0}, {"warmS", 0.6},          {"diskS", 1.3}};
-}
+// After the first kill.
+constexpr Milliseconds SecondKill(350);
+constexpr Milliseconds Removal(420);
+// The replica serves on for drainMs and "a little longer (at times many seconds)".
+constexpr Milliseconds ServesOnFor(8000);
 
 Json configuration()
 {
-    Json models = Json::array({engineModel(Model)});
-    for (const std::string &model : OtherModels) {
-        models.push_back(engineModel(model));
-    }
-    const Json route = {{"name", "r-reply"},   {"host", "basket.example"},
-                        {"prefix", "/reply/"}, {"kind", "stream"},
-                        {"timeoutMs", 12'000}, {"goalMs", 500},
-                        {"priority", 0},       {"service", "assistant-llm"},
-                        {"attempts", 2},       {"public", false},
-                        {"sticky", true},      {"resumable", false},
-                        {"gapTargetMs", 250}};
-    const Json service = {{"name", "assistant-llm"},
-                          {"healthPath", "/health"},
-                          {"maxConns", 290},
-                          {"protocol", "h1"},
-                          {"tls", false},
-                          {"coldStartS", 3.0},
-                          {"coldPerS", 18.0},
-                          {"engine",
-                           {{"slots", 48},
-                            {"kvTokens", 130'610},
-                            {"models", models},
-                            {"weightsMb", 230'000.0},
-                            {"adapterSlots", 8},
-                            {"loadsPerS", 4.8}}}};
+    const Json route = {{"name", "r-confirm"},   {"host", "basket.example"},
+                        {"prefix", "/confirm/"}, {"kind", "non_idempotent"},
+                        {"timeoutMs", 600},      {"goalMs", 100},
+                        {"priority", 2},         {"service", "basket-app"},
+                        {"attempts", 1},         {"public", false},
+                        {"sticky", false},       {"resumable", false}};
+    const Json service = {
+        {"name", "basket-app"}, {"healthPath", "/health"}, {"maxConns", 96}, {"protocol", "h1"},
+        {"tls", false},         {"coldStartS", 0.0},       {"coldPerS", 0.0}};
     const Json tenant = {{"name", "press"},  {"apiKeys", {"key-of-press"}}, {"priority", 1},
-                         {"unit", "tokens"}, {"plainTokens", 200},          {"ratePerS", 400'000},
-                         {"burst", 400'000}};
+                         {"unit", "tokens"}, {"plainTokens", 200},          {"ratePerS", 65'841},
+                         {"burst", 65'841}};
     return {{"version", 7},
             {"routes", {route}},
             {"services", {service}},
@@ -67,46 +45,17 @@
             {"tenants", {tenant}}};
 }
 
-Request reply(const std::string &model, int number)
+Request confirmation()
 {
     Request request;
     request.host = "basket.example";
-    request.path = "/reply/customer";
+    request.path = "/confirm/collected";
     request.key = "key-of-press";
-    request.model = model;
-    request.prefix =
-        std::to_string(500'000 + number % 97) + ":198," + std::to_string(700'000 + number) + ":628";
-    request.tokens = "826,60";
-    request.body = std::string(1700, 'b');
-    request.kind = model == Model ? "reply" : "other";
-    request.deadline = Milliseconds(6'000);
+    request.body = std::string(600, 'b');
+    request.kind = "confirm";
     return request;
 }
 
-// The most arrivals at the replica within one second that were also sent within it.
-int mostInOneSecond(const Record &record, const std::string &replica)
-{
-    const auto sent = record.sent();
-    std::vector<Arrival> arrivals;
-    for (const Arrival &arrival : record.arrivals()) {
-        if (arrival.replica == replica && arrival.hasRun) {
-            arrivals.push_back(arrival);
-        }
-    }
-    std::size_t most = 0;
-    for (const Arrival &first : arrivals) {
-        const TimePoint end = first.at;
-        const TimePoint begin = end - std::chrono::seconds(1);
-        const auto isInside = [&](const Arrival &arrival) {
-            return arrival.at > begin && arrival.at <= end && sent.at(arrival.id).at > begin;
-        };
-        most = std::max(
-            most,
-            static_cast<std::size_t>(std::count_if(arrivals.begin(), arrivals.end(), isInside)));
-    }
-    return static_cast<int>(most);
-}
-
 Verdict play()
 {
     const char *recordPath = std::getenv("RECORD");
@@ -115,85 +64,107 @@
     Fleet fleet(record, folder.path());
     Store store({Fleet::outsideIp(0), fleet.ports().store});
     store.put("config", "main", configuration());
-    const std::vector<std::string> zones{Zone, "hobart-b", "kingston"};
+    for (const char *name : {"front-hobart-a-1", "front-hobart-a-2", "front-hobart-a-3"}) {
+        fleet.add(name, "hobart-a");
+    }
+    fleet.add("front-hobart-b-1", "hobart-b");
+    fleet.add("front-kingston-1", "kingston");
+    fleet.add("front-kingston-2", "kingston");
     std::vector<std::unique_ptr<Replica>> replicas;
-    for (const std::string &zone : zones) {
-        fleet.add("front-" + zone + "-1", zone);
-        fleet.add("front-" + zone + "-2", zone);
+    const auto addReplica = [&](const std::string &zone) {
         ReplicaOptions options;
-        options.service = "assistant-llm";
+        options.service = "basket-app";
         options.zone = zone;
+        options.work = Milliseconds(60);
         options.address = {Fleet::outsideIp(1 + static_cast<int>(replicas.size())),
                            fleet.ports().replicas};
-        options.slots = 48;
-        options.events = 6;
-        if (zone == Zone) {
-            options.models = {Model};
-        } else {
-            const auto begin = OtherModels.begin()
-                + static_cast<std::ptrdiff_t>((replicas.size() - 1) * ModelsOfEngine);
-            options.models.assign(begin, begin + ModelsOfEngine);
-        }
-        // It crashes "at a rate well above" coldPerS.
-        options.coldLimit = CrashRate;
         replicas.push_back(std::make_unique<Replica>(store, record, options));
+    };
+    addReplica("hobart-b");
+    addReplica("kingston");
+    for (const std::string &name : fleet.names()) {
+        fleet.start(name);
+        // All machines start within 0.3 s.
+        std::this_thread::sleep_for(Milliseconds(50));
     }
-    Replica &cold = *replicas.front();
-    const std::string coldId = cold.id();
-    fleet.startAll();
     if (!fleet.waitReady(Steady::now() + std::chrono::seconds(20))) {
         throw std::runtime_error("the fleet is not ready");
     }
     Clients clients(record, fleet);
-    int number = 0;
-    const auto load = [&](Milliseconds time, int perSecond, const std::string &asked = {}) {
-        const std::vector<std::string> names = fleet.names();
+    std::set<std::string> down;
+    std::minstd_rand random(static_cast<unsigned>(Steady::now().time_since_epoch().count()));
+    const auto load = [&](Milliseconds time) {
         const TimePoint end = Steady::now() + time;
-        for (TimePoint next = Steady::now(); next < end;
-             next += std::chrono::microseconds(1'000'000 / perSecond)) {
-            std::this_thread::sleep_until(next);
-            const std::string &name = names[static_cast<std::size_t>(number) % names.size()];
-            const std::string &model = asked.empty()
-                ? OtherModels[static_cast<std::size_t>(number) % OtherModels.size()]
-                : asked;
-            clients.send(name, reply(model, number));
-            ++number;
+        const std::vector<std::string> names = fleet.names();
+        while (Steady::now() < end) {
+            const std::string &name = names[random() % names.size()];
+            if (down.count(name) == 0) {
+                clients.send(name, confirmation());
+            }
+            std::this_thread::sleep_for(std::min<Steady::duration>(
+                Milliseconds(25), std::max<Steady::duration>(end - Steady::now(), {})));
         }
     };
-    constexpr int Usual = 20;
-    // Users ask for the model of the zone as soon as it is back.
-    constexpr int Rush = 80;
-    load(Milliseconds(4000), Usual);
-    store.put("evacuations", Zone, Json::object());
-    record.note("evacuation of " + Zone);
-    load(Milliseconds(4000), Usual);
-    cold.becomeCold();
-    load(Milliseconds(800), Usual);
-    if (isTroubled()) {
-        for (const std::string &name : fleet.names()) {
+    const auto kill = [&](const std::string &name) {
+        if (isTroubled()) {
             fleet.kill(name);
+            down.insert(name);
         }
+    };
+    const auto restart = [&](const std::string &name) {
+        if (isTroubled()) {
+            fleet.start(name);
+            down.erase(name);
+        }
+    };
+    // The instances that watch the store for the others in a fleet of these six names.
+    const std::string first = "front-hobart-b-1";
+    const std::string second = "front-kingston-2";
+    std::map<std::string, TimePoint> removedAt;
+    for (int round = 0; round < Rounds; ++round) {
+        load(Milliseconds(4000));
+        addReplica("hobart-a");
+        load(Milliseconds(4000));
+        Replica &leaving = *replicas.back();
+        kill(first);
+        load(SecondKill);
+        kill(second);
+        load(Removal - SecondKill);
+        removedAt[leaving.id()] = leaving.unlist();
+        load(RestartDelay - Removal);
+        restart(first);
+        load(SecondKill);
+        restart(second);
+        std::thread exit([&leaving] {
+            std::this_thread::sleep_for(ServesOnFor);
+            leaving.end();
+        });
+        load(ServesOnFor + Milliseconds(1000));
+        exit.join();
     }
-    load(RestartDelay - Milliseconds(100), Usual);
-    store.remove("evacuations", Zone);
-    record.note(Zone + " is taken back");
-    load(Milliseconds(100), Usual);
-    if (isTroubled()) {
-        fleet.startAll();
-    }
-    load(Milliseconds(1600), Rush, Model);
     clients.finish();
 
-    const int most = mostInOneSecond(record, coldId);
-    int brokenOff = 0;
-    for (const auto &[id, request] : record.sent()) {
-        brokenOff += request.status == 200 && !request.isWhole ? 1 : 0;
+    const auto sent = record.sent();
+    int lateCount = 0;
+    int lostCount = 0;
+    for (const Arrival &arrival : record.arrivals()) {
+        const Sent &request = sent.at(arrival.id);
+        const auto removed = removedAt.find(arrival.replica);
+        // The two that are killed don't count at all, whether in touch or not.
+        const bool wasKilled = request.node == first || request.node == second;
+        if (removed == removedAt.end() || !arrival.hasRun || wasKilled
+            || arrival.at <= removed->second + DrainBound) {
+            continue;
+        }
+        ++lateCount;
+        lostCount += request.status == 200 && request.isWhole ? 0 : 1;
     }
-    record.note(std::to_string(most) + " requests ran at the cold replica " + coldId
-                + " within one second (" + std::to_string(ColdBound) + " allowed); it crashed "
-                + std::to_string(cold.crashes().size()) + " times; " + std::to_string(brokenOff)
-                + " streams were broken off midway");
-    return most > ColdBound ? Verdict::Broken : Verdict::Held;
+    record.note(
+        std::to_string(lateCount) + " requests ran at a replica later than "
+        + std::to_string(DrainBound.count())
+        + " ms after the store had acknowledged that it is gone, sent by machines in touch; "
+        + std::to_string(lostCount) + " of them were not answered with success");
+    return lateCount > 0 ? Verdict::Broken : Verdict::Held;
 }
 
 } // namespace
--- a/review/build.sh
+++ b/review/build.sh
@@ -10,8 +10,13 @@
     objects+=("$object")
 done
 wait
-for source in review/[1-5]/scenario.cpp; do
-    number="$(basename "$(dirname "$source")")"
-    g++ -std=c++17 -O1 -Wall -Wextra -Werror -pthread "$source" "${objects[@]}" -o "review/build/case-$number" &
+for source in review/[1-5]/scenario.cpp review/other/*/scenario.cpp; do
+    folder="$(dirname "$source")"
+    name="$(basename "$folder")"
+    case "$folder" in
+    review/other/*) program="review/build/other-$name" ;;
+    *) program="review/build/case-$name" ;;
+    esac
+    g++ -std=c++17 -O1 -Wall -Wextra -Werror -pthread "$source" "${objects[@]}" -o "$program" &
 done
 wait
--- a/review/standins/Fleet.cpp
+++ b/review/standins/Fleet.cpp
@@ -222,23 +222,26 @@
     }
 }
 
+bool Fleet::hasEnded(const std::string &name)
+{
+    Node &node = m_nodes.at(name);
+    int status = 0;
+    if (node.process > 0 && ::waitpid(node.process, &status, WNOHANG) == node.process) {
+        node.process = -1;
+    }
+    if (node.killAt && Steady::now() >= *node.killAt) {
+        kill(name);
+    }
+    return node.process < 0;
+}
+
 void Fleet::restartStopped()
 {
     for (auto &[name, node] : m_nodes) {
-        if (!node.killAt) {
-            continue;
-        }
-        int status = 0;
-        const bool hasEnded = ::waitpid(node.process, &status, WNOHANG) == node.process;
-        if (!hasEnded && Steady::now() < *node.killAt) {
-            continue;
+        if (node.killAt && hasEnded(name)) {
+            node.killAt.reset();
+            start(name);
         }
-        if (hasEnded) {
-            node.process = -1;
-        }
-        kill(name);
-        node.killAt.reset();
-        start(name);
     }
 }
 
--- a/review/standins/Fleet.h
+++ b/review/standins/Fleet.h
@@ -41,6 +41,8 @@
     void kill(const std::string &name);
     /// Sends SIGTERM; the process is killed after the grace period of the settings.
     void stop(const std::string &name);
+    /// Whether the process has ended after stop().
+    bool hasEnded(const std::string &name);
     /// Starts the processes again that have ended after stop().
     void restartStopped();
     bool isReady(const std::string &name) const;
--- a/review/standins/Store.cpp
+++ b/review/standins/Store.cpp
@@ -51,15 +51,32 @@
 {
     Head head;
     std::string body;
+    bool isSilent = false;
+    std::uint64_t before = 0;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        isSilent = m_isAway;
+        before = m_era;
+    }
     while (connection.readHead(head, Steady::now() + SessionLimit)
            && connection.readBody(head, body, Steady::now() + SessionLimit)) {
         const Answer answer = handle(head, body);
         std::this_thread::sleep_for(AnswerTime);
+        std::uint64_t era = 0;
+        {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            isSilent = isSilent || m_isAway || before != m_era;
+            era = m_era;
+        }
+        if (isSilent) {
+            continue;
+        }
         const std::string text = answer.body.dump();
-        const bool isSent = connection.write(
-            "HTTP/1.1 " + std::to_string(answer.status) + ' ' + reason(answer.status)
-            + "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(text.size())
-            + "\r\n\r\n" + text);
+        const bool isSent =
+            connection.write("HTTP/1.1 " + std::to_string(answer.status) + ' '
+                             + reason(answer.status) + "\r\nStore-Era: " + std::to_string(era)
+                             + "\r\nContent-Type: application/json\r\nContent-Length: "
+                             + std::to_string(text.size()) + "\r\n\r\n" + text);
         if (!isSent) {
             return;
         }
@@ -68,6 +85,12 @@
 
 Store::Answer Store::handle(const Head &head, const std::string &body)
 {
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        if (m_isAway) {
+            return {};
+        }
+    }
     const std::string method = head.word(0);
     const std::string target = head.word(1);
     const std::size_t mark = std::min(target.find('?'), target.size());
@@ -125,6 +148,9 @@
 Store::Answer Store::watch(const std::string &kind, std::uint64_t from, Milliseconds wait)
 {
     std::unique_lock<std::mutex> lock(m_mutex);
+    if (from < m_firstRevision || from > m_revision) {
+        return {410, Json::object()};
+    }
     Json events = Json::array();
     m_changed.wait_for(lock, wait, [&] {
         for (const Event &event : m_events) {
@@ -132,7 +158,7 @@
                 events.push_back({{"object", event.object}, {"removed", event.isRemoved}});
             }
         }
-        return m_isStopped || !events.empty();
+        return m_isStopped || m_isAway || !events.empty();
     });
     return {200, {{"events", events}, {"asOf", m_revision}}};
 }
@@ -183,8 +209,7 @@
                 {"deleting", false}}},
               {"spec", spec},
               {"status", nullptr}};
-    m_events.push_back({m_revision, kind, object, false});
-    m_changed.notify_all();
+    onChange(kind, object, false);
 }
 
 void Store::erase(const std::string &kind, const std::string &name)
@@ -195,11 +220,43 @@
         return;
     }
     ++m_revision;
-    m_events.push_back({m_revision, kind, it->second, true});
+    const Json object = it->second;
     objects.erase(it);
+    onChange(kind, object, true);
+}
+
+void Store::onChange(const std::string &kind, const Json &object, bool isRemoved)
+{
+    constexpr std::chrono::seconds HistoryTime(20);
+    m_events.push_back({m_revision, kind, object, isRemoved});
+    m_history.push_back({Steady::now(), m_revision, m_objects});
+    while (m_history.front().at < Steady::now() - HistoryTime) {
+        m_history.pop_front();
+    }
+    m_changed.notify_all();
+}
+
+void Store::goAway()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_isAway = true;
     m_changed.notify_all();
 }
 
+void Store::comeBack(TimePoint copyAt)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    while (m_history.size() > 1 && m_history.back().at > copyAt) {
+        m_history.pop_back();
+    }
+    m_objects = m_history.back().objects;
+    m_revision = m_history.back().revision;
+    m_firstRevision = m_revision;
+    m_events.clear();
+    ++m_era;
+    m_isAway = false;
+}
+
 TimePoint Store::put(const std::string &kind, const std::string &name, const Json &spec)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
--- a/review/standins/Store.h
+++ b/review/standins/Store.h
@@ -31,6 +31,10 @@
     TimePoint remove(const std::string &kind, const std::string &name);
     /// The heartbeat of a replica. The object changes only if more than its `seq` does.
     void beat(const std::string &name, const Json &spec);
+    /// From now on no call is answered, also not later on the same connection.
+    void goAway();
+    /// Answers again, from the state at \p copyAt.
+    void comeBack(TimePoint copyAt);
     /// The `spec` of an object; null if there is none.
     Json spec(const std::string &kind, const std::string &name) const;
 
@@ -46,6 +50,12 @@
         Json body;
     };
     using Objects = std::map<std::string, Json>;
+    /// The state after a change.
+    struct State {
+        TimePoint at;
+        std::uint64_t revision = 0;
+        std::map<std::string, Objects> objects;
+    };
 
     void serve(Connection &connection);
     Answer handle(const Head &head, const std::string &body);
@@ -57,6 +67,7 @@
                  const std::string &expected, const Json &body);
     void change(const std::string &kind, const std::string &name, const Json &spec);
     void erase(const std::string &kind, const std::string &name);
+    void onChange(const std::string &kind, const Json &object, bool isRemoved);
 
     Address m_address;
     mutable std::mutex m_mutex;
@@ -64,6 +75,11 @@
     std::uint64_t m_revision = 100;
     std::map<std::string, Objects> m_objects;
     std::deque<Event> m_events;
+    std::deque<State> m_history;
+    /// A watch from before has no history.
+    std::uint64_t m_firstRevision = 0;
+    std::uint64_t m_era = 1;
+    bool m_isAway = false;
     bool m_isStopped = false;
     std::unique_ptr<Server> m_server;
 };
