--- a/include/marigoldspool/Gateway/EndpointClient.h
+++ b/include/marigoldspool/Gateway/EndpointClient.h
@@ -66,6 +66,9 @@
     virtual void onData(std::string_view bytes) = 0;
     /// The whole answer has come, as its length or its last chunk says.
     virtual void onComplete() = 0;
+    /// Without a length or chunks, the answer has ended with its connection, which an endpoint that
+    /// crashes closes, too.
+    virtual void onCompleteAtClose() { onComplete(); }
     virtual void onFailure(SendStage stage, Error error) = 0;
 };
 
--- a/include/marigoldspool/Peer/Messages.h
+++ b/include/marigoldspool/Peer/Messages.h
@@ -288,8 +288,8 @@
 /// What the sender knows of prompt parts that may crash engines.
 struct PromptEvidence {
     std::vector<EngineCrash> crashes;
-    /// Suspected parts with which an answer has begun.
-    std::vector<PromptPartRef> begun;
+    /// Suspected parts that an engine has survived.
+    std::vector<PromptPartRef> served;
     std::vector<QuarantinedPart> quarantined;
 };
 
--- a/include/marigoldspool/Serving/PromptQuarantine.h
+++ b/include/marigoldspool/Serving/PromptQuarantine.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -25,24 +26,36 @@
     Duration remaining = Duration::zero();
 };
 
-/// Finds the prompt parts that crash every engine that begins to answer them, so that requests with
-/// such a part can be refused before they reach another engine.
+/// What is known of the parts of the requests that were in work at the crash of an engine.
+struct CrashSuspects {
+    std::set<std::string> suspected;
+    /// Parts that other engines have survived lately.
+    std::set<std::string> served;
+    /// The time since the oldest of these answers.
+    Duration maxServedAge = Duration::zero();
+
+    void merge(const CrashSuspects &other);
+};
+
+/// Finds the prompt parts that crash every engine that answers them, so that requests with such a
+/// part can be refused before they reach another engine.
 ///
-/// A part is suspected when it was in a request whose answer had not begun at the crash of an
-/// engine. The instances tell each other of crashes, and each of them withdraws the suspicion of a
-/// part whose answers it has seen begin. What remains suspected after several crashes that no other
-/// part explains is put under quarantine for a time that doubles with each repetition. The last
-/// part of a prompt belongs to one request or session and is never considered.
+/// A part is suspected when it was in a request that was in work at the crash of an engine, whether
+/// its answer had begun or not. The instances tell each other of crashes, and each of them
+/// withdraws the suspicion of a part that an engine has survived: its answer has ended whole or
+/// gone on for long. What remains suspected after several crashes that no other part explains is
+/// put under quarantine for a time that doubles with each repetition. The last part of a prompt
+/// belongs to one request or session and is never considered.
 class PromptQuarantine
 {
 public:
     explicit PromptQuarantine(const Clock &clock);
 
-    /// The first event of an answer to \p prompt has arrived.
-    void onAnswerBegun(const PoolName &pool, gsl::span<const PromptPart> prompt);
-    /// \p endpoint has crashed before the answer to \p prompt began.
-    void onCrash(const EndpointId &endpoint, const PoolName &pool,
-                 gsl::span<const PromptPart> prompt);
+    /// An engine has survived the answer to \p prompt.
+    void onAnswerServed(const PoolName &pool, gsl::span<const PromptPart> prompt);
+    /// \p endpoint has crashed while a request with \p prompt was in work.
+    CrashSuspects onCrash(const EndpointId &endpoint, const PoolName &pool,
+                          gsl::span<const PromptPart> prompt);
     /// The first part of \p prompt that is under quarantine, if any.
     std::optional<std::string> findQuarantined(const PoolName &pool,
                                                gsl::span<const PromptPart> prompt) const;
@@ -58,7 +71,7 @@
     PromptEvidence allQuarantined() const;
     /// Returns the changes since the last call.
     std::vector<QuarantineChange> takeChanges();
-    /// Discards outdated entries.
+    /// Decides on crashes whose reports have arrived, and discards outdated entries.
     void onTick();
 
 private:
@@ -80,34 +93,42 @@
         std::vector<Crash> crashes;
     };
 
-    bool hasBegunLately(const Key &key) const;
+    bool isServedLately(const Key &key) const;
     /// Whether peers may suspect the part, too.
     bool isSuspected(const Key &key) const;
     /// Notes the crash; returns whether it was not reported before.
     bool isNewCrash(const EngineCrash &crash);
-    /// Counts the crash for its parts and puts the one that stands out under quarantine.
+    /// Counts the crash for its parts; decide() follows.
     void addCrash(const EngineCrash &crash);
+    /// Puts the parts that stand out under quarantine.
+    void decide();
+    /// The suspected part with the most crashes among those to put under quarantine.
+    std::optional<Key> findCause() const;
+    bool isCause(const Key &key) const;
     void addSuspicion(const EngineCrash &crash, const Key &key);
     void recordCrash(std::vector<Crash> &crashes, const EngineCrash &crash) const;
     bool isQuarantined(const Key &key);
     /// The crashes of a suspected part, without those that a part under quarantine has caused.
     std::vector<Crash> unexplainedCrashes(const Key &key) const;
+    std::size_t unexplainedCount(const Key &key) const;
     static bool hasSeveralRequests(const std::vector<Crash> &crashes);
     /// Whether another suspected part was in a request at each of these crashes.
     bool hasRival(const Key &key, const std::vector<Crash> &crashes) const;
+    /// Whether \p crashes contain all of \p others.
+    static bool hasAll(const std::vector<Crash> &crashes, const std::vector<Crash> &others);
     static bool hasCrash(const std::vector<Crash> &crashes, const EndpointId &endpoint,
                          SteadyTime at);
-    void markBegun(const Key &key, SteadyTime at);
-    void reportBegun(const Key &key);
+    void markServed(const Key &key, SteadyTime at);
+    void reportServed(const Key &key);
     void release(const Key &key);
     void impose(const Key &key, std::size_t crashes);
     /// Ends a quarantine whose time has passed; returns the next one.
     std::map<Key, Quarantine>::iterator end(std::map<Key, Quarantine>::iterator it);
 
     const Clock &m_clock;
-    /// When an answer with the part last began.
-    std::map<Key, SteadyTime> m_begun;
-    /// Distinct crashes at which the part's answer had not begun.
+    /// When an engine last survived an answer with the part.
+    std::map<Key, SteadyTime> m_served;
+    /// Distinct crashes at which a request with the part was in work, since it was served last.
     std::map<Key, std::vector<Crash>> m_suspects;
     std::map<Key, Quarantine> m_quarantined;
     /// Quarantines that have ended by time; the next crash repeats them.
@@ -118,6 +139,8 @@
     std::map<std::pair<EndpointId, std::string>, SteadyTime> m_knownCrashes;
     PromptEvidence m_unsent;
     std::vector<QuarantineChange> m_changes;
+    /// When to decide on the crashes that were reported last.
+    std::optional<SteadyTime> m_decideAt;
     SteadyTime m_nextCleanUp;
 };
 
--- a/lib/Fleet/CrashCheck.cpp
+++ b/lib/Fleet/CrashCheck.cpp
@@ -3,6 +3,8 @@
 #include "Fleet/EngineCalls.h"
 #include "marigoldspool/Support/EventLog.h"
 
+#include <set>
+
 namespace marigoldspool {
 
 namespace {
@@ -11,8 +13,25 @@
 // off, which says nothing about its requests.
 constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
 
-// Requests of one engine that are kept while it is being asked.
-constexpr std::size_t MaxLostPrompts = 64;
+// Requests of one engine that are kept while it is being asked. All of one instance's requests at
+// an engine are lost with it; the one that crashed it may be any of them.
+constexpr std::size_t MaxLostRequests = 256;
+
+// Bounds the length of a log line.
+constexpr std::size_t MaxLoggedParts = 12;
+
+std::string joined(const std::set<std::string> &parts)
+{
+    std::string text;
+    std::size_t count = 0;
+    for (const std::string &part : parts) {
+        if (++count > MaxLoggedParts) {
+            return text + "+" + std::to_string(parts.size() - MaxLoggedParts);
+        }
+        text.append(part).append(" ");
+    }
+    return text.empty() ? "none" : text.substr(0, text.size() - 1);
+}
 
 } // namespace
 
@@ -43,13 +62,14 @@
             return;
         }
         if (m_traits.misdirected) {
-            check->finish(m_engine.id, true, "replaced");
+            check->finish(m_engine.id, Finding::Crashed, "replaced");
             return;
         }
         const Expected<EngineReport> report = check->m_runtime.codec.decodeReport(m_body);
         const bool hasRestarted =
             m_status == 200 && report && report->startedAtMs > m_engine.startedAtMs;
-        check->finish(m_engine.id, hasRestarted, hasRestarted ? "restarted" : "answers");
+        check->finish(m_engine.id, hasRestarted ? Finding::Crashed : Finding::Alive,
+                      hasRestarted ? "restarted" : "answers");
     }
     void onFailure(SendStage stage, Error /*error*/) override
     {
@@ -59,7 +79,8 @@
         }
         const bool isRefused = stage == SendStage::NotSent
             && check->m_runtime.clock.now() - m_askedAt < ConnectTimeout;
-        check->finish(m_engine.id, isRefused, isRefused ? "refuses_connections" : "unknown");
+        check->finish(m_engine.id, isRefused ? Finding::Crashed : Finding::Unknown,
+                      isRefused ? "refuses_connections" : "unknown");
     }
 
 private:
@@ -75,7 +96,8 @@
     : m_runtime(runtime)
 { }
 
-void CrashCheck::onConnectionLost(const EndpointId &engine, const std::vector<PromptPart> &prompt)
+void CrashCheck::onConnectionLost(const EndpointId &engine, const std::vector<PromptPart> &prompt,
+                                  LostAnswer kind)
 {
     const TrackedEndpoint *state = m_runtime.directory.find(engine);
     // An engine that leaves ends its connections without a crash, and one that wants no requests is
@@ -83,9 +105,9 @@
     if (state == nullptr || prompt.empty() || !m_runtime.directory.acceptsCalls(engine)) {
         return;
     }
-    const auto [it, isFirst] = m_lostPrompts.try_emplace(engine);
-    if (it->second.size() < MaxLostPrompts) {
-        it->second.push_back(prompt);
+    const auto [it, isFirst] = m_lost.try_emplace(engine);
+    if (it->second.size() < MaxLostRequests) {
+        it->second.push_back({prompt, kind});
     }
     if (isFirst) {
         askEngine(state->listed);
@@ -101,23 +123,44 @@
                               std::make_shared<ReportHandler>(shared_from_this(), engine));
 }
 
-void CrashCheck::finish(const EndpointId &id, bool hasCrashed, std::string_view evidence)
+void CrashCheck::finish(const EndpointId &id, Finding finding, std::string_view evidence)
 {
-    const auto it = m_lostPrompts.find(id);
-    const std::vector<std::vector<PromptPart>> prompts = std::move(it->second);
-    m_lostPrompts.erase(it);
-    logEvent(hasCrashed ? LogLevel::Warning : LogLevel::Info,
-             hasCrashed ? "engine_crashed" : "connection_lost",
-             {{"endpoint", id.str()},
-              {"evidence", std::string(evidence)},
-              {"requests", std::to_string(prompts.size())}});
+    const auto it = m_lost.find(id);
+    const std::vector<LostRequest> lost = std::move(it->second);
+    m_lost.erase(it);
     const TrackedEndpoint *state = m_runtime.directory.find(id);
-    if (!hasCrashed || state == nullptr) {
+    if (state == nullptr || finding != Finding::Crashed) {
+        logEvent(LogLevel::Info, "connection_lost",
+                 {{"endpoint", id.str()},
+                  {"evidence", std::string(evidence)},
+                  {"requests", std::to_string(lost.size())}});
+    }
+    if (state == nullptr) {
         return;
     }
-    for (const std::vector<PromptPart> &prompt : prompts) {
-        m_runtime.quarantine.onCrash(id, state->listed.pool, prompt);
+    CrashSuspects suspects;
+    for (const LostRequest &request : lost) {
+        if (finding == Finding::Crashed) {
+            suspects.merge(m_runtime.quarantine.onCrash(id, state->listed.pool, request.prompt));
+        } else if (finding == Finding::Alive && request.kind == LostAnswer::MayBeWhole) {
+            m_runtime.quarantine.onAnswerServed(state->listed.pool, request.prompt);
+        }
+    }
+    if (finding == Finding::Crashed) {
+        logCrash(id, evidence, lost.size(), suspects);
     }
 }
 
+void CrashCheck::logCrash(const EndpointId &id, std::string_view evidence, std::size_t requests,
+                          const CrashSuspects &suspects) const
+{
+    logEvent(LogLevel::Warning, "engine_crashed",
+             {{"endpoint", id.str()},
+              {"evidence", std::string(evidence)},
+              {"requests", std::to_string(requests)},
+              {"suspected", joined(suspects.suspected)},
+              {"served_lately", joined(suspects.served)},
+              {"max_served_age_ms", std::to_string(toMilliseconds(suspects.maxServedAge))}});
+}
+
 } // namespace marigoldspool
--- a/lib/Fleet/CrashCheck.h
+++ b/lib/Fleet/CrashCheck.h
@@ -10,24 +10,42 @@
 namespace marigoldspool {
 
 /// Finds out whether an engine that has lost a request's connection has crashed, and tells the
-/// prompt quarantine which requests it had not begun to answer.
+/// prompt quarantine which requests were in work there.
 class CrashCheck : public std::enable_shared_from_this<CrashCheck>
 {
 public:
+    enum class LostAnswer {
+        BrokenOff,
+        /// The answer has ended with its connection, as one without a length does.
+        MayBeWhole,
+    };
+
     explicit CrashCheck(FleetRuntime &runtime);
 
-    /// The connection to \p engine was lost before the answer to \p prompt began.
-    void onConnectionLost(const EndpointId &engine, const std::vector<PromptPart> &prompt);
+    /// The connection to \p engine was lost while the request with \p prompt was in work.
+    void onConnectionLost(const EndpointId &engine, const std::vector<PromptPart> &prompt,
+                          LostAnswer kind);
 
 private:
     class ReportHandler;
+    enum class Finding {
+        Crashed,
+        Alive,
+        Unknown,
+    };
+    struct LostRequest {
+        std::vector<PromptPart> prompt;
+        LostAnswer kind;
+    };
 
     void askEngine(const ListedEndpoint &engine);
-    void finish(const EndpointId &id, bool hasCrashed, std::string_view evidence);
+    void finish(const EndpointId &id, Finding finding, std::string_view evidence);
+    void logCrash(const EndpointId &id, std::string_view evidence, std::size_t requests,
+                  const CrashSuspects &suspects) const;
 
     FleetRuntime &m_runtime;
-    /// Prompts of lost requests, for each engine that is being asked.
-    std::map<EndpointId, std::vector<std::vector<PromptPart>>> m_lostPrompts;
+    /// Lost requests for each engine that is being asked.
+    std::map<EndpointId, std::vector<LostRequest>> m_lost;
     std::uint64_t m_callCounter = 0;
 };
 
--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -437,6 +437,9 @@
     ++m_attemptCount;
     m_sentAt = sentAt;
     m_firstByteSeen = false;
+    m_attemptBegunAt.reset();
+    m_isServedNoted = false;
+    m_hasUnstatedEnd = false;
     m_lastProgressAt = m_runtime.observedTime.at(m_runtime.clock.now());
     m_status = 0;
     m_answerHeaders.clear();
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -1,6 +1,7 @@
 #ifndef MARIGOLDSPOOL_LIB_FLEET_EXCHANGE_H
 #define MARIGOLDSPOOL_LIB_FLEET_EXCHANGE_H
 
+#include "Fleet/CrashCheck.h"
 #include "Fleet/ServingFront.h"
 #include "marigoldspool/Routing/RetryPolicy.h"
 #include "marigoldspool/Serving/EventStream.h"
@@ -98,6 +99,7 @@
     bool isStreamHead(int status, const AnswerTraits &traits) const;
     void onData(std::string_view bytes);
     void onComplete();
+    void onCompleteAtClose();
     void onFailure(SendStage stage, const Error &error);
     void onResponse();
     /// Why the whole answer that has come can't be passed on, as a cause for the log; empty if it
@@ -107,6 +109,10 @@
     static EndpointResult failureResult(const AnswerTraits &traits);
     /// Ends an attempt that brought no response that can be forwarded: retries or refuses.
     void onAttemptFailed(EndpointOutcome outcome, EndpointResult result);
+    /// Reports that the engine has lost the request, unless the answer has proved it harmless.
+    void reportLost(CrashCheck::LostAnswer kind);
+    /// Records that the engine has survived the answer to the request.
+    void noteServed();
     /// Closes the connection of an attempt whose endpoint gives no usable answer.
     void abandonAttempt(std::string cause);
     /// Resumes the stream at another endpoint; returns why not, or an empty text. With \p isFree,
@@ -197,6 +203,11 @@
     SteadyTime m_sentAt;
     SteadyTime m_firstSentAt;
     bool m_firstByteSeen = false;
+    /// When the first bytes of the attempt's answer were passed on.
+    std::optional<SteadyTime> m_attemptBegunAt;
+    bool m_isServedNoted = false;
+    /// The attempt's answer has ended with its connection.
+    bool m_hasUnstatedEnd = false;
     /// When the attempt last came closer to a whole answer or event, in observed time.
     SteadyTime m_lastProgressAt;
     int m_status = 0;
--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -23,6 +23,9 @@
 // Other instances can take the request at once.
 constexpr Duration StoppingRetryAfter = milliseconds(100);
 constexpr int StatusOk = 200;
+// A part of a prompt may crash its engine after any number of events. One whose answer has gone on
+// for this long has not.
+constexpr Duration SurvivedTime = std::chrono::seconds(10);
 
 bool isSuccess(int status)
 {
@@ -130,11 +133,16 @@
 
 void Exchange::forward(std::string_view bytes)
 {
+    const SteadyTime now = m_runtime.clock.now();
+    if (!m_attemptBegunAt) {
+        m_attemptBegunAt = now;
+    } else if (!m_isServedNoted && now - *m_attemptBegunAt >= SurvivedTime) {
+        noteServed();
+    }
     if (!m_answerStarted) {
-        m_runtime.quarantine.onAnswerBegun(m_pool->name, m_request.prompt);
         m_answerStarted = true;
         m_callerStatus = m_status;
-        m_firstEventAt = m_runtime.clock.now();
+        m_firstEventAt = now;
         m_sink->head(m_status, m_answerHeaders, true);
     }
     m_sink->data(bytes);
@@ -165,6 +173,9 @@
     }
     std::string defect = answerDefect();
     if (!defect.empty()) {
+        if (m_hasUnstatedEnd) {
+            reportLost(CrashCheck::LostAnswer::BrokenOff);
+        }
         m_lastError = std::move(defect);
         onAttemptFailed(m_answerStarted ? EndpointOutcome::CutOff : EndpointOutcome::MaybeSent,
                         failureResult(m_traits));
@@ -214,8 +225,12 @@
         m_runtime.directory.onResponse(m_endpoint, m_request.promptTokens,
                                        m_runtime.clock.now() - m_sentAt);
     }
-    if (isSuccess(m_status) && !m_answerStarted) {
-        m_runtime.quarantine.onAnswerBegun(m_pool->name, m_request.prompt);
+    if (isSuccess(m_status)) {
+        if (m_hasUnstatedEnd) {
+            reportLost(CrashCheck::LostAnswer::MayBeWhole);
+        } else {
+            noteServed();
+        }
     }
     endAttempt(isServerError ? failureResult(m_traits) : EndpointResult::Answered);
     if (m_answerStarted) {
@@ -236,13 +251,30 @@
         onAttemptFailed(EndpointOutcome::NotSent, EndpointResult::Unreachable);
         return;
     }
-    if (!m_answerStarted && isEngineRequest()) {
-        m_front.m_crashCheck->onConnectionLost(m_endpoint, m_request.prompt);
-    }
+    reportLost(CrashCheck::LostAnswer::BrokenOff);
     onAttemptFailed(m_answerStarted ? EndpointOutcome::CutOff : EndpointOutcome::MaybeSent,
                     EndpointResult::Failed);
 }
 
+void Exchange::onCompleteAtClose()
+{
+    m_hasUnstatedEnd = true;
+    onComplete();
+}
+
+void Exchange::noteServed()
+{
+    m_isServedNoted = true;
+    m_runtime.quarantine.onAnswerServed(m_pool->name, m_request.prompt);
+}
+
+void Exchange::reportLost(CrashCheck::LostAnswer kind)
+{
+    if (isEngineRequest() && !m_isServedNoted) {
+        m_front.m_crashCheck->onConnectionLost(m_endpoint, m_request.prompt, kind);
+    }
+}
+
 // The request's own line has the cause of the last attempt only.
 void Exchange::logFailedAttempt(EndpointOutcome outcome) const
 {
@@ -327,6 +359,9 @@
     if (!keepsRoute(m_possibleRuns)) {
         return "route_changed";
     }
+    if (m_runtime.quarantine.findQuarantined(m_pool->name, m_request.prompt)) {
+        return "quarantined";
+    }
     // The stream must not pause for long, so the request does not wait for an endpoint.
     EndpointQuery query = endpointQuery();
     EndpointChoice choice = m_runtime.directory.choose(query);
--- a/lib/Fleet/ExchangeAttempt.h
+++ b/lib/Fleet/ExchangeAttempt.h
@@ -42,6 +42,12 @@
             exchange->onComplete();
         }
     }
+    void onCompleteAtClose() override
+    {
+        if (const auto exchange = m_exchange) {
+            exchange->onCompleteAtClose();
+        }
+    }
     void onFailure(SendStage stage, Error error) override
     {
         const auto exchange = m_exchange;
--- a/lib/Fleet/ExchangeSuccessor.cpp
+++ b/lib/Fleet/ExchangeSuccessor.cpp
@@ -59,7 +59,8 @@
     if (!canRepeat || m_attemptCount >= MaxTotalAttempts
         || m_runtime.observedTime.at(now) - m_lastProgressAt < silenceLimit()
         || timeLeft() <= MinResumeTime || m_runtime.answersEndAt - now <= MinResumeTime
-        || !keepsRoute(m_possibleRuns + 1)) {
+        || !keepsRoute(m_possibleRuns + 1)
+        || m_runtime.quarantine.findQuarantined(m_pool->name, m_request.prompt)) {
         return std::nullopt;
     }
     EndpointQuery query = endpointQuery();
@@ -138,6 +139,8 @@
 {
     m_lastError = "silent";
     cancelCall();
+    // The engine may have crashed without closing its connections.
+    reportLost(CrashCheck::LostAnswer::BrokenOff);
     recordFailedAttempt(m_answerStarted ? EndpointOutcome::CutOff : EndpointOutcome::MaybeSent,
                         EndpointResult::Failed);
 }
@@ -193,6 +196,10 @@
 void Exchange::onTrialFailure(SendStage stage, const Error &error)
 {
     const bool isSent = stage != SendStage::NotSent;
+    if (isSent) {
+        m_front.m_crashCheck->onConnectionLost(m_trialEndpoint, m_request.prompt,
+                                               CrashCheck::LostAnswer::BrokenOff);
+    }
     endTrial(isSent ? EndpointResult::Failed : EndpointResult::Unreachable,
              isSent ? RanState::Unknown : RanState::No, error.message);
 }
--- a/lib/Fleet/FleetDaemon.cpp
+++ b/lib/Fleet/FleetDaemon.cpp
@@ -311,7 +311,8 @@
     {
         m_runtime.quarantine.onTick();
         const PromptEvidence evidence = m_runtime.quarantine.takeEvidence();
-        if (!evidence.crashes.empty() || !evidence.begun.empty() || !evidence.quarantined.empty()) {
+        if (!evidence.crashes.empty() || !evidence.served.empty()
+            || !evidence.quarantined.empty()) {
             sendToFleet(evidence);
         }
         const SteadyTime now = m_runtime.clock.now();
--- a/lib/Gateway/EndpointConnection.cpp
+++ b/lib/Gateway/EndpointConnection.cpp
@@ -368,12 +368,19 @@
     handler->onComplete();
 }
 
+void EndpointConnection::completeAtClose()
+{
+    const std::shared_ptr<EndpointCallHandler> handler = endCall();
+    close();
+    handler->onCompleteAtClose();
+}
+
 void EndpointConnection::onEndOfStream(const boost::system::error_code &ec)
 {
     if (m_mayEndWithConnection && !m_skippingAnswer && ec == asio::error::eof
         && m_parser->finishAtEnd()) {
         if (deliverAnswer()) {
-            complete(false);
+            completeAtClose();
         }
         return;
     }
--- a/lib/Gateway/EndpointConnection.h
+++ b/lib/Gateway/EndpointConnection.h
@@ -75,6 +75,7 @@
     bool deliverAnswer();
     bool isAnswerToThisRequest(const std::vector<HeaderField> &headers) const;
     void complete(bool reusable);
+    void completeAtClose();
     void onEndOfStream(const boost::system::error_code &ec);
     /// Closes the connection and posts the failure to the handler.
     void fail(ErrorKind kind, std::string message, std::string remedy);
--- a/lib/Peer/MessageFields.h
+++ b/lib/Peer/MessageFields.h
@@ -282,7 +282,8 @@
 std::enable_if_t<IsMessage<M, PromptEvidence>> visitFields(V &visit, M &m)
 {
     visit("crashes", m.crashes);
-    visit("begun", m.begun);
+    // The name that instances of older versions expect.
+    visit("begun", m.served);
     visit("quarantined", m.quarantined);
 }
 
--- a/lib/Serving/PromptQuarantine.cpp
+++ b/lib/Serving/PromptQuarantine.cpp
@@ -17,14 +17,19 @@
 // apart after this many crashes are all put under quarantine, since by then a part that crashes
 // engines must be refused.
 constexpr std::size_t CrashesToQuarantineAll = 5;
-// A part that crashes engines never begins, so a part that has begun this recently is not the cause
-// of a crash. Parts that are asked for less often are cleared when they begin.
+// A part that crashes engines is never served whole, so a part that was served this recently is not
+// the cause of a crash. Parts that are asked for less often are cleared when they are served. A
+// longer time would delay the recognition of a part that begins to crash engines.
 constexpr Duration ClearanceTime = seconds(30);
 // Instances notice one crash at different times, and an engine takes seconds to start again.
 constexpr Duration SameCrashTime = seconds(1);
 // Engines that crash together have a common cause outside of the requests, unless one request was
 // sent to them in turn.
 constexpr Duration SimultaneousTime = milliseconds(100);
+// Reports of one crash, and what other instances know of the parts in it, have arrived after this
+// time, also in a fleet that exchanges them through a hub. All requests of an engine are lost with
+// it, and the report with the cause may be the last.
+constexpr Duration SettleTime = milliseconds(300);
 constexpr Duration EvidenceLifetime = minutes(2);
 // A part that is under quarantine by mistake is served again after this time. The time doubles with
 // each repetition, so that a part that does crash engines crashes few of them.
@@ -36,13 +41,13 @@
 constexpr Duration RepetitionMemory = minutes(60);
 constexpr Duration CleanUpInterval = seconds(1);
 // Bounds on memory and messages. A part costs some 200 bytes.
-constexpr std::size_t MaxBegunParts = 16'384;
+constexpr std::size_t MaxServedParts = 16'384;
 constexpr std::ptrdiff_t MaxPartsOfPrompt = 32;
 constexpr std::size_t MaxSuspects = 512;
 constexpr std::size_t MaxKnownCrashes = 4096;
 constexpr std::size_t MaxQuarantinedParts = 256;
 constexpr std::size_t MaxUnsentCrashes = 64;
-constexpr std::size_t MaxUnsentBegun = 256;
+constexpr std::size_t MaxUnsentServed = 256;
 constexpr std::size_t MaxCrashesOfPart = 64;
 constexpr std::size_t MaxEndedQuarantines = 1024;
 
@@ -90,10 +95,10 @@
     : m_clock(clock)
 { }
 
-bool PromptQuarantine::hasBegunLately(const Key &key) const
+bool PromptQuarantine::isServedLately(const Key &key) const
 {
-    const auto it = m_begun.find(key);
-    return it != m_begun.end() && m_clock.now() - it->second < ClearanceTime;
+    const auto it = m_served.find(key);
+    return it != m_served.end() && m_clock.now() - it->second < ClearanceTime;
 }
 
 bool PromptQuarantine::isSuspected(const Key &key) const
@@ -112,36 +117,36 @@
         .second;
 }
 
-void PromptQuarantine::onAnswerBegun(const PoolName &pool, gsl::span<const PromptPart> prompt)
+void PromptQuarantine::onAnswerServed(const PoolName &pool, gsl::span<const PromptPart> prompt)
 {
     const SteadyTime now = m_clock.now();
     for (const PromptPart &part : sharedParts(prompt)) {
         const Key key{pool, part.id};
         if (isSuspected(key)) {
-            reportBegun(key);
+            reportServed(key);
         }
-        markBegun(key, now);
+        markServed(key, now);
     }
 }
 
-void PromptQuarantine::markBegun(const Key &key, SteadyTime at)
+void PromptQuarantine::markServed(const Key &key, SteadyTime at)
 {
-    if (m_begun.size() < MaxBegunParts || m_begun.count(key) > 0) {
-        m_begun[key] = at;
+    if (m_served.size() < MaxServedParts || m_served.count(key) > 0) {
+        m_served[key] = at;
     }
     m_suspects.erase(key);
     m_ended.erase(key);
     release(key);
 }
 
-void PromptQuarantine::reportBegun(const Key &key)
+void PromptQuarantine::reportServed(const Key &key)
 {
     const bool isReported =
-        std::any_of(m_unsent.begun.begin(), m_unsent.begun.end(), [&](const PromptPartRef &it) {
+        std::any_of(m_unsent.served.begin(), m_unsent.served.end(), [&](const PromptPartRef &it) {
             return it.pool == key.first.str() && it.part == key.second;
         });
-    if (!isReported && m_unsent.begun.size() < MaxUnsentBegun) {
-        m_unsent.begun.push_back({key.first.str(), key.second});
+    if (!isReported && m_unsent.served.size() < MaxUnsentServed) {
+        m_unsent.served.push_back({key.first.str(), key.second});
     }
 }
 
@@ -156,22 +161,37 @@
     }
 }
 
-void PromptQuarantine::onCrash(const EndpointId &endpoint, const PoolName &pool,
-                               gsl::span<const PromptPart> prompt)
+void CrashSuspects::merge(const CrashSuspects &other)
 {
+    suspected.insert(other.suspected.begin(), other.suspected.end());
+    served.insert(other.served.begin(), other.served.end());
+    maxServedAge = std::max(maxServedAge, other.maxServedAge);
+}
+
+CrashSuspects PromptQuarantine::onCrash(const EndpointId &endpoint, const PoolName &pool,
+                                        gsl::span<const PromptPart> prompt)
+{
+    CrashSuspects suspects;
     EngineCrash crash{endpoint, pool.str(), {}, prompt.empty() ? "" : prompt[prompt.size() - 1].id};
     for (const PromptPart &part : sharedParts(prompt)) {
-        if (!hasBegunLately({pool, part.id})) {
+        const Key key{pool, part.id};
+        if (isServedLately(key)) {
+            suspects.served.insert(part.id);
+            suspects.maxServedAge =
+                std::max(suspects.maxServedAge, m_clock.now() - m_served.at(key));
+        } else {
+            suspects.suspected.insert(part.id);
             crash.parts.push_back(part.id);
         }
     }
     if (!isNewCrash(crash)) {
-        return;
+        return suspects;
     }
     addCrash(crash);
     if (!crash.parts.empty() && m_unsent.crashes.size() < MaxUnsentCrashes) {
         m_unsent.crashes.push_back(std::move(crash));
     }
+    return suspects;
 }
 
 void PromptQuarantine::addCrash(const EngineCrash &crash)
@@ -188,24 +208,67 @@
     }
     for (const Key &key : suspects) {
         addSuspicion(crash, key);
+        if (m_ended.count(key) > 0) {
+            impose(key, unexplainedCount(key));
+        }
     }
-    std::vector<std::pair<Key, std::size_t>> causes;
-    for (const Key &key : suspects) {
-        const std::vector<Crash> crashes = unexplainedCrashes(key);
-        const std::size_t count =
-            std::count_if(crashes.begin(), crashes.end(), [](const Crash &it) {
-                return it.isSeparate;
-            });
-        const bool isEnough = count >= CrashesToQuarantineAll
-            || (count >= CrashesToQuarantine && hasSeveralRequests(crashes)
-                && !hasRival(key, crashes));
-        if (isEnough || m_ended.count(key) > 0) {
-            causes.emplace_back(key, count);
+    if (!suspects.empty() && !m_decideAt) {
+        m_decideAt = m_clock.now() + SettleTime;
+    }
+}
+
+// The part with the most crashes explains those of the parts that were in work beside it, so it
+// comes first. Parts with the same crashes cannot be told apart.
+void PromptQuarantine::decide()
+{
+    m_decideAt.reset();
+    while (const std::optional<Key> cause = findCause()) {
+        const std::vector<Crash> crashes = unexplainedCrashes(*cause);
+        std::vector<Key> causes;
+        for (const auto &[key, own] : m_suspects) {
+            if (key.first == cause->first && own.size() == m_suspects.at(*cause).size()
+                && hasAll(own, crashes) && isCause(key)) {
+                causes.push_back(key);
+            }
+        }
+        for (const Key &key : causes) {
+            impose(key, unexplainedCount(key));
+        }
+        if (m_quarantined.size() >= MaxQuarantinedParts) {
+            return;
         }
     }
-    for (const auto &[key, count] : causes) {
-        impose(key, count);
+}
+
+std::optional<PromptQuarantine::Key> PromptQuarantine::findCause() const
+{
+    std::optional<Key> cause;
+    std::size_t most = 0;
+    for (const auto &[key, crashes] : m_suspects) {
+        if (crashes.size() > most && isCause(key)) {
+            cause = key;
+            most = crashes.size();
+        }
+    }
+    return cause;
+}
+
+bool PromptQuarantine::isCause(const Key &key) const
+{
+    const std::size_t count = unexplainedCount(key);
+    if (count >= CrashesToQuarantineAll) {
+        return true;
     }
+    const std::vector<Crash> crashes = unexplainedCrashes(key);
+    return count >= CrashesToQuarantine && hasSeveralRequests(crashes) && !hasRival(key, crashes);
+}
+
+std::size_t PromptQuarantine::unexplainedCount(const Key &key) const
+{
+    const std::vector<Crash> crashes = unexplainedCrashes(key);
+    return std::count_if(crashes.begin(), crashes.end(), [](const Crash &it) {
+        return it.isSeparate;
+    });
 }
 
 bool PromptQuarantine::isQuarantined(const Key &key)
@@ -258,9 +321,14 @@
 {
     return std::any_of(m_suspects.begin(), m_suspects.end(), [&](const auto &other) {
         return other.first != key && other.first.first == key.first
-            && std::all_of(crashes.begin(), crashes.end(), [&](const Crash &crash) {
-                   return hasCrash(other.second, crash.endpoint, crash.at);
-               });
+            && hasAll(other.second, crashes);
+    });
+}
+
+bool PromptQuarantine::hasAll(const std::vector<Crash> &crashes, const std::vector<Crash> &others)
+{
+    return std::all_of(others.begin(), others.end(), [&crashes](const Crash &it) {
+        return hasCrash(crashes, it.endpoint, it.at);
     });
 }
 
@@ -353,8 +421,8 @@
         }
         EngineCrash unexplained{crash.endpoint, crash.pool, {}, crash.ownPart};
         for (const std::string &part : crash.parts) {
-            if (hasBegunLately({PoolName(crash.pool), part})) {
-                reportBegun({PoolName(crash.pool), part});
+            if (isServedLately({PoolName(crash.pool), part})) {
+                reportServed({PoolName(crash.pool), part});
             } else {
                 unexplained.parts.push_back(part);
             }
@@ -364,20 +432,20 @@
             m_unsent.crashes.push_back(crash);
         }
     }
-    for (const PromptPartRef &it : evidence.begun) {
+    for (const PromptPartRef &it : evidence.served) {
         const Key key{PoolName(it.pool), it.part};
         const bool isNew = isSuspected(key);
-        markBegun(key, now);
+        markServed(key, now);
         if (relay && isNew) {
-            reportBegun(key);
+            reportServed(key);
         }
     }
     for (const QuarantinedPart &it : evidence.quarantined) {
         const Key key{PoolName(it.pool), it.part};
         const SteadyTime since = now - reportedTime(it.sinceMs);
         const auto released = m_released.find(key);
-        if (hasBegunLately(key) || (released != m_released.end() && released->second > since)) {
-            reportBegun(key);
+        if (isServedLately(key) || (released != m_released.end() && released->second > since)) {
+            reportServed(key);
             continue;
         }
         const Duration left = reportedTime(it.remainingMs);
@@ -423,11 +491,14 @@
 void PromptQuarantine::onTick()
 {
     const SteadyTime now = m_clock.now();
+    if (m_decideAt && now >= *m_decideAt) {
+        decide();
+    }
     if (now < m_nextCleanUp) {
         return;
     }
     m_nextCleanUp = now + CleanUpInterval;
-    eraseUntil(m_begun, now - ClearanceTime);
+    eraseUntil(m_served, now - ClearanceTime);
     eraseUntil(m_knownCrashes, now - EvidenceLifetime);
     for (auto it = m_suspects.begin(); it != m_suspects.end();) {
         std::vector<Crash> &crashes = it->second;
--- a/tests/PlatformAdapter/CrashingPromptTest.cpp
+++ b/tests/PlatformAdapter/CrashingPromptTest.cpp
@@ -1,7 +1,7 @@
 // Requests whose prompts have a part that crashes each engine that begins to answer them.
 #include "RequestPathFixture.h"
 
-#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 using namespace marigoldspool;
 using namespace std::chrono_literals;
@@ -26,8 +26,17 @@
                 ++crashes;
                 const std::string id =
                     *findHeader(request.headers, "X-Marigoldspool-Expect-Replica");
-                // Not from within the engine's own handler.
-                boost::asio::post(io, [this, id, sink] {
+                if (eventsBeforeCrash > 0) {
+                    sink->head(200, streamHeaders(request), true);
+                }
+                const std::string *last = findHeader(request.headers, "Last-Event-Id");
+                const int first = last == nullptr ? 1 : std::stoi(*last) + 1;
+                for (int i = first; i < first + eventsBeforeCrash; ++i) {
+                    sink->data("id: " + std::to_string(i) + "\ndata: x\n\n");
+                }
+                // Not from within the engine's own handler, and after the events have been sent.
+                const auto timer = std::make_shared<boost::asio::steady_timer>(io, 10ms);
+                timer->async_wait([this, id, sink, timer](const boost::system::error_code &) {
                     engine(id).crash();
                 });
                 return;
@@ -64,6 +73,7 @@
 
     int crashes = 0;
     int prompts = 0;
+    int eventsBeforeCrash = 0;
 
 private:
     StandinReplica &engine(const std::string &id)
@@ -86,6 +96,16 @@
 {
     // The users allow five crashes before a part must be kept from engines.
     constexpr int MaxCrashes = 5;
+    SUBCASE("before the first event") { }
+    // The first event cleared the part, so the quarantine never came.
+    SUBCASE("after the first event")
+    {
+        eventsBeforeCrash = 1;
+    }
+    SUBCASE("after ten events")
+    {
+        eventsBeforeCrash = 10;
+    }
     addEngines();
     for (int i = 0; i < 3; ++i) {
         CHECK(ask({"session" + std::to_string(i)})->status == 200);
--- a/tests/Serving/PromptQuarantineReplayTest.cpp
+++ b/tests/Serving/PromptQuarantineReplayTest.cpp
@@ -25,6 +25,8 @@
     bool hasHub = false;
     double crashingShare = 0.05;
     Duration crashingFrom = 12s;
+    // Engines crash up to this long after an answer with the part has begun.
+    Duration maxCrashDelay = 0s;
     unsigned seed = 1;
 };
 
@@ -59,12 +61,14 @@
     {
         Engine &engine = m_engines[engineIndex];
         engine.upFrom = m_clock.now() + 3s;
-        for (const RequestPtr &request : std::exchange(engine.waiting, {})) {
+        for (const RequestPtr &request : std::exchange(engine.inWork, {})) {
             after(between(1, 20), [this, engineIndex, request] {
                 m_instances[request->instance]->onCrash(engineNamed(engineIndex), Pool,
                                                         request->prompt);
                 exchangeNews(request->instance);
-                send(request);
+                if (!request->hasBegun) {
+                    send(request);
+                }
             });
         }
     }
@@ -104,13 +108,14 @@
         Prompt prompt;
         std::size_t instance = 0;
         bool isCrashing = false;
+        bool hasBegun = false;
         int attempts = 0;
     };
     using RequestPtr = std::shared_ptr<Request>;
     struct Engine {
         SteadyTime upFrom;
-        /// Requests whose answers have not begun.
-        std::vector<RequestPtr> waiting;
+        /// Requests whose answers have not ended.
+        std::vector<RequestPtr> inWork;
     };
 
     Duration between(int minMs, int maxMs)
@@ -118,6 +123,7 @@
         return std::chrono::microseconds(
             std::uniform_int_distribution<int>(minMs * 1000, maxMs * 1000)(m_random));
     }
+    double fraction() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
     std::string partOf(const char *kind, int count)
     {
         return kind + std::to_string(std::uniform_int_distribution<int>(1, count)(m_random));
@@ -186,7 +192,7 @@
             crashingSentLate += isLate ? 1 : 0;
         }
         const std::size_t engineIndex = ready[m_random() % ready.size()];
-        m_engines[engineIndex].waiting.push_back(request);
+        m_engines[engineIndex].inWork.push_back(request);
         after(between(20, 500), [this, request, engineIndex, attempt = request->attempts] {
             begin(request, engineIndex, attempt);
         });
@@ -194,19 +200,42 @@
 
     void begin(const RequestPtr &request, std::size_t engineIndex, int attempt)
     {
-        std::vector<RequestPtr> &waiting = m_engines[engineIndex].waiting;
-        const auto it = std::find(waiting.begin(), waiting.end(), request);
-        if (it == waiting.end() || request->attempts != attempt) {
+        if (!isInWork(request, engineIndex) || request->attempts != attempt) {
             return;
         }
-        if (request->isCrashing) {
-            crashingCrashes.push_back(m_clock.now());
-            crash(engineIndex);
+        if (!request->isCrashing) {
+            request->hasBegun = true;
+            ++soundBegun;
+            after(between(300, 3000), [this, request, engineIndex] {
+                end(request, engineIndex);
+            });
+            return;
+        }
+        request->hasBegun = m_options.maxCrashDelay > 0s;
+        after(std::chrono::duration_cast<Duration>(m_options.maxCrashDelay * fraction()),
+              [this, request, engineIndex] {
+                  if (isInWork(request, engineIndex)) {
+                      crashingCrashes.push_back(m_clock.now());
+                      crash(engineIndex);
+                  }
+              });
+    }
+
+    bool isInWork(const RequestPtr &request, std::size_t engineIndex) const
+    {
+        const std::vector<RequestPtr> &inWork = m_engines[engineIndex].inWork;
+        return std::find(inWork.begin(), inWork.end(), request) != inWork.end();
+    }
+
+    void end(const RequestPtr &request, std::size_t engineIndex)
+    {
+        std::vector<RequestPtr> &inWork = m_engines[engineIndex].inWork;
+        const auto it = std::find(inWork.begin(), inWork.end(), request);
+        if (it == inWork.end()) {
             return;
         }
-        waiting.erase(it);
-        ++soundBegun;
-        m_instances[request->instance]->onAnswerBegun(Pool, request->prompt);
+        inWork.erase(it);
+        m_instances[request->instance]->onAnswerServed(Pool, request->prompt);
         exchangeNews(request->instance);
     }
 
@@ -223,7 +252,7 @@
             }
         }
         const auto news = std::make_shared<PromptEvidence>(m_instances[from]->takeEvidence());
-        if (news->crashes.empty() && news->begun.empty() && news->quarantined.empty()) {
+        if (news->crashes.empty() && news->served.empty() && news->quarantined.empty()) {
             return;
         }
         for (std::size_t to = 0; to < m_instances.size(); ++to) {
@@ -280,8 +309,11 @@
             ReplayOptions options = fleet(seed);
             // Some fleets know no part before the first crash.
             options.crashingFrom = seed % 4 == 0 ? 0s : 12s;
+            // A part that crashed engines after their first event was never put under quarantine.
+            options.maxCrashDelay = seed % 2 == 0 ? 0ms : 700ms;
             CAPTURE(options.instances);
             CAPTURE(seed);
+            CAPTURE(toMilliseconds(options.maxCrashDelay));
             QuarantineReplay replay(options);
             replay.run(60s);
             CHECK(replay.crashingSentLate == 0);
--- a/tests/Serving/PromptQuarantineTest.cpp
+++ b/tests/Serving/PromptQuarantineTest.cpp
@@ -14,6 +14,13 @@
 // Crashes with this pause between them are separate, whatever their engines are.
 constexpr Duration CrashPause = 1100ms;
 
+// Lets the reports of the last crash arrive.
+void settle(PromptQuarantine &quarantine, ManualClock &clock)
+{
+    clock.advance(300ms);
+    quarantine.onTick();
+}
+
 // Crashes of different engines, each on another prompt with the part.
 void crashEngines(PromptQuarantine &quarantine, ManualClock &clock, const std::string &part,
                   std::size_t count)
@@ -22,6 +29,7 @@
         clock.advance(CrashPause);
         quarantine.onCrash(engineNamed(i), Pool, promptWith({part}));
     }
+    settle(quarantine, clock);
 }
 
 bool isQuarantined(const PromptQuarantine &quarantine, const std::string &part)
@@ -58,6 +66,7 @@
     CHECK(quarantine.takeChanges().empty());
     clock.advance(CrashPause);
     quarantine.onCrash(engineNamed(2), Pool, promptWith({"sound", Crashing}));
+    settle(quarantine, clock);
     CHECK(isQuarantined(quarantine, Crashing));
     CHECK(!isQuarantined(quarantine, "sound"));
     CHECK(!quarantine.findQuarantined(PoolName("other"), promptWith({Crashing})));
@@ -78,6 +87,7 @@
     for (int i = 0; i < 3; ++i) {
         quarantine.onCrash(engineNamed(1), Pool, promptWith({Crashing}));
         clock.advance(3s);
+        quarantine.onTick();
     }
     CHECK(isQuarantined(quarantine, Crashing));
 }
@@ -91,6 +101,7 @@
         quarantine.onCrash(engineNamed(i), Pool, Prompt{{"last", 10}});
         quarantine.onCrash(engineNamed(i), Pool, Prompt{});
         clock.advance(CrashPause);
+        quarantine.onTick();
     }
     CHECK(quarantine.quarantinedCount() == 0);
     CHECK(quarantine.takeEvidence().crashes.empty());
@@ -108,12 +119,15 @@
         quarantine.onCrash(engineNamed(i), Pool, promptWith({Crashing}));
         clock.advance(11ms);
     }
+    settle(quarantine, clock);
     CHECK(!isQuarantined(quarantine, Crashing));
     clock.advance(CrashPause);
     quarantine.onCrash(engineNamed(20), Pool, promptWith({Crashing}));
+    settle(quarantine, clock);
     CHECK(!isQuarantined(quarantine, Crashing));
     clock.advance(CrashPause);
     quarantine.onCrash(engineNamed(21), Pool, promptWith({Crashing}));
+    settle(quarantine, clock);
     CHECK(isQuarantined(quarantine, Crashing));
 }
 
@@ -129,6 +143,7 @@
     }
     clock.advance(CrashPause);
     quarantine.onCrash(engineNamed(2), Pool, promptWith({"session-2", Crashing}));
+    settle(quarantine, clock);
     CHECK(isQuarantined(quarantine, Crashing));
     CHECK(!isQuarantined(quarantine, "session-1"));
 }
@@ -142,6 +157,7 @@
     for (std::size_t i = 0; i < 4; ++i) {
         quarantine.onCrash(engineNamed(i), Pool, prompt);
         clock.advance(CrashPause);
+        quarantine.onTick();
     }
     CHECK(!isQuarantined(quarantine, "session"));
 }
@@ -156,6 +172,7 @@
     std::size_t reports = 0;
     for (Duration time = 0ms; time < 10s; time += 200ms) {
         for (std::size_t from = 0; from < hubs.size(); ++from) {
+            hubs[from].onTick();
             const PromptEvidence evidence = hubs[from].takeEvidence();
             reports += evidence.crashes.size();
             for (std::size_t to = 0; to < hubs.size(); ++to) {
@@ -182,31 +199,36 @@
         clock.advance(150ms);
         quarantine.onEvidence(crashReport(1, {Crashing}), false);
     }
+    settle(quarantine, clock);
     CHECK(!isQuarantined(quarantine, Crashing));
     CHECK(quarantine.takeChanges().empty());
 }
 
 // Guards against refusing sound requests, which share most parts with those that crash engines.
-TEST_CASE("a part whose answers have begun lately is not put under quarantine")
+TEST_CASE("a part that was served lately is not put under quarantine")
 {
     ManualClock clock;
     PromptQuarantine here(clock);
     PromptQuarantine peer(clock);
-    here.onAnswerBegun(Pool, promptWith({"known-here"}));
-    peer.onAnswerBegun(Pool, promptWith({"known-at-peer"}));
+    here.onAnswerServed(Pool, promptWith({"known-here"}));
+    peer.onAnswerServed(Pool, promptWith({"known-at-peer"}));
     for (std::size_t i = 0; i < 5; ++i) {
         clock.advance(CrashPause);
         here.onCrash(engineNamed(i), Pool, promptWith({"known-here"}));
         here.onCrash(engineNamed(i), Pool, promptWith({"known-at-peer"}));
         peer.onEvidence(here.takeEvidence(), false);
         here.onEvidence(peer.takeEvidence(), false);
+        here.onTick();
+        peer.onTick();
     }
+    settle(here, clock);
+    peer.onTick();
     CHECK(here.quarantinedCount() == 0);
     CHECK(peer.quarantinedCount() == 0);
 }
 
 // Guards against a wrong quarantine that outlasts the proof of its error anywhere.
-TEST_CASE("a wrong quarantine ends everywhere when an answer with the part begins")
+TEST_CASE("a wrong quarantine ends everywhere when an answer with the part ends")
 {
     ManualClock clock;
     PromptQuarantine hub(clock);
@@ -222,7 +244,7 @@
     right.takeChanges();
     clock.advance(CrashPause);
     // Was sent before the quarantine.
-    left.onAnswerBegun(Pool, promptWith({"sound"}));
+    left.onAnswerServed(Pool, promptWith({"sound"}));
     hub.onEvidence(left.takeEvidence(), true);
     right.onEvidence(hub.takeEvidence(), false);
     for (const PromptQuarantine *instance : {&hub, &left, &right}) {
@@ -255,26 +277,42 @@
     for (std::size_t i = 0; i < 3; ++i) {
         clock.advance(CrashPause);
         quarantine.onCrash(engineNamed(i), Pool, repeated);
+        settle(quarantine, clock);
     }
     clock.advance(CrashPause);
     quarantine.onCrash(engineNamed(3), Pool, promptWith({"session-2", Crashing}));
+    settle(quarantine, clock);
     CHECK(isQuarantined(quarantine, Crashing));
     CHECK(!isQuarantined(quarantine, "session-1"));
     CHECK(!isQuarantined(quarantine, "session-2"));
 }
 
-// Guards against refusing the requests that were at an engine when another request crashed it.
+// Guards against refusing the requests that were at an engine when another request crashed it, in
+// whatever order the reports of a crash arrive.
 TEST_CASE("a part that was only hit by the crashes of another is not put under quarantine")
 {
-    ManualClock clock;
-    PromptQuarantine quarantine(clock);
-    for (std::size_t i = 0; i < 5; ++i) {
-        clock.advance(CrashPause);
-        quarantine.onCrash(engineNamed(i), Pool, promptWith({Crashing}));
-        quarantine.onCrash(engineNamed(i), Pool, promptWith({"sound"}));
+    constexpr std::size_t Crashes = 5;
+    for (const bool isCauseFirst : {true, false}) {
+        for (std::size_t without = 0; without < Crashes; ++without) {
+            CAPTURE(isCauseFirst);
+            CAPTURE(without);
+            ManualClock clock;
+            PromptQuarantine quarantine(clock);
+            for (std::size_t i = 0; i < Crashes; ++i) {
+                clock.advance(CrashPause);
+                std::vector<std::string> parts{Crashing};
+                if (i != without) {
+                    parts.insert(isCauseFirst ? parts.end() : parts.begin(), "sound");
+                }
+                for (const std::string &part : parts) {
+                    quarantine.onCrash(engineNamed(i), Pool, promptWith({part}));
+                }
+                settle(quarantine, clock);
+            }
+            CHECK(isQuarantined(quarantine, Crashing));
+            CHECK(!isQuarantined(quarantine, "sound"));
+        }
     }
-    CHECK(isQuarantined(quarantine, Crashing));
-    CHECK(!isQuarantined(quarantine, "sound"));
 }
 
 // Guards against engines that crash without end because the wrong part is taken for the cause: the
@@ -289,9 +327,32 @@
         if (i < 4) {
             quarantine.onEvidence(crashReport(i, {"sound"}), false);
         }
+        settle(quarantine, clock);
+        quarantine.onEvidence(crashReport(i, {Crashing}), false);
+        settle(quarantine, clock);
+    }
+    CHECK(isQuarantined(quarantine, Crashing));
+}
+
+// All requests of an engine are lost with it, and the report with the cause may be the last. A part
+// that was in work at three crashes was taken for their cause before it came.
+TEST_CASE("a part beside the cause is not put under quarantine when the cause is reported last")
+{
+    ManualClock clock;
+    PromptQuarantine quarantine(clock);
+    for (std::size_t i = 0; i < 4; ++i) {
+        clock.advance(CrashPause);
+        quarantine.onEvidence(crashReport(i, {"beside"}), false);
+        clock.advance(200ms);
+        quarantine.onTick();
         quarantine.onEvidence(crashReport(i, {Crashing}), false);
+        settle(quarantine, clock);
+        // Also in a crash without the other part.
+        quarantine.onEvidence(crashReport(10 + i, {Crashing}), false);
+        settle(quarantine, clock);
     }
     CHECK(isQuarantined(quarantine, Crashing));
+    CHECK(!isQuarantined(quarantine, "beside"));
 }
 
 // Guards against engines that crash without end because two parts always come together.
@@ -302,6 +363,7 @@
     for (std::size_t i = 0; i < 5; ++i) {
         clock.advance(CrashPause);
         quarantine.onCrash(engineNamed(i), Pool, promptWith({"before", Crashing}));
+        settle(quarantine, clock);
     }
     CHECK(isQuarantined(quarantine, Crashing));
 }
@@ -376,7 +438,7 @@
 }
 
 // Guards against a wrong quarantine that a peer, cut off when it was ended, brings back.
-TEST_CASE("a quarantine from before a begun answer does not come back")
+TEST_CASE("a quarantine from before an answer does not come back")
 {
     for (const Duration cutOff : {1s, 8s, 11s, 50s}) {
         CAPTURE(toSeconds(cutOff));
@@ -386,7 +448,7 @@
         crashEngines(here, clock, "sound", 3);
         peer.onEvidence(here.allQuarantined(), false);
         clock.advance(1s);
-        here.onAnswerBegun(Pool, promptWith({"sound"}));
+        here.onAnswerServed(Pool, promptWith({"sound"}));
         here.takeEvidence();
         for (Duration passed = 0s; passed < cutOff; passed += 1s) {
             clock.advance(1s);
@@ -405,11 +467,11 @@
     ManualClock clock;
     PromptQuarantine quarantine(clock);
     for (int i = 0; i < 20'000; ++i) {
-        quarantine.onAnswerBegun(Pool, promptWith({"begun-" + std::to_string(i)}));
+        quarantine.onAnswerServed(Pool, promptWith({"served-" + std::to_string(i)}));
     }
     for (int i = 0; i < 3'000; ++i) {
         const std::string part = std::to_string(i);
-        quarantine.onEvidence(crashReport(1, {"begun-" + part}), true);
+        quarantine.onEvidence(crashReport(1, {"served-" + part}), true);
         quarantine.onCrash(engineNamed(i), Pool, promptWith({"crash-" + part}));
         quarantine.onEvidence(quarantineReport("reported-" + part, 0, 60'000), true);
     }
@@ -417,7 +479,7 @@
     CHECK(quarantine.allQuarantined().quarantined.size() == 256);
     const PromptEvidence evidence = quarantine.takeEvidence();
     CHECK(evidence.crashes.size() <= 64);
-    CHECK(evidence.begun.size() <= 256);
+    CHECK(evidence.served.size() <= 256);
     CHECK(evidence.quarantined.size() <= 256);
     clock.advance(60s);
     quarantine.onTick();
@@ -447,7 +509,7 @@
         const std::string part = "part-" + std::to_string(i);
         quarantine.onCrash(engineNamed(i), Pool, promptWith({part}));
         remembered += isQuarantined(quarantine, part) ? 1 : 0;
-        quarantine.onAnswerBegun(Pool, promptWith({part}));
+        quarantine.onAnswerServed(Pool, promptWith({part}));
     }
     CHECK(remembered <= 1024);
 }
