Copies of the store: a list shows what was removed before it

Cause: a removal leaves no version at an instance that lists afterwards. Its beacon named the newest of the objects that were left, and confirmed copies that still had the removed one. An instance that listed for itself compared with what its own watcher had delivered, not with what came from peers.

Fix: a list is applied to the copy as a whole at its revision, and that revision stands for the removals before it. The same holds for an answer with a removal, whose event has only the version of the removed object. Transfers carry the position of the last change. Evacuations and instances take the same path.

Cost: one transfer per peer and prefix at each start of a watching instance.

--- a/include/marigoldspool/Peer/Messages.h
+++ b/include/marigoldspool/Peer/Messages.h
@@ -225,6 +225,8 @@
     std::uint64_t revision = 0;
     std::vector<std::string> keys;
     std::vector<RelayedObject> objects;
+    /// A position that no change in the copy follows; 0 from instances of older versions.
+    std::uint64_t lastChange = 0;
 };
 
 /// Revision of the sender's copy of a prefix, and how long ago the store confirmed it.
--- a/include/marigoldspool/Platform/Watcher.h
+++ b/include/marigoldspool/Platform/Watcher.h
@@ -6,7 +6,9 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <string_view>
 
 namespace marigoldspool {
 
@@ -17,6 +19,9 @@
     virtual ~WatchListener();
     /// Versions of one key only increase. A removal found by listing has the list's revision.
     virtual void onObject(const WatchEvent &event) = 0;
+    /// Before the objects of a list: \p keys are all that existed at \p revision. For listeners
+    /// that know objects from other sources, too.
+    virtual void onListed(const std::set<std::string_view> &keys, std::uint64_t revision);
     /// Everything written before \p asOf has been delivered.
     virtual void onConfirmed(std::uint64_t revision, SteadyTime asOf) = 0;
 };
--- a/include/marigoldspool/Serving/ObjectMirror.h
+++ b/include/marigoldspool/Serving/ObjectMirror.h
@@ -5,9 +5,12 @@
 #include "marigoldspool/Platform/ObjectStore.h"
 #include "marigoldspool/Support/Clock.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
+#include <string_view>
 
 namespace marigoldspool {
 
@@ -22,6 +25,8 @@
     ObjectMirror(std::string prefix, ChangeHandler onChange);
 
     void apply(const WatchEvent &event);
+    /// Removes the objects that did not exist at \p revision, when \p keys were all.
+    void applyList(const std::set<std::string_view> &keys, std::uint64_t revision);
     /// Records that all changes up to \p revision have been applied.
     void confirm(std::uint64_t revision);
     /// The changes that a peer at \p revision is missing.
@@ -32,8 +37,14 @@
 
     const std::string &prefix() const { return m_prefix; }
     std::uint64_t revision() const { return m_revision; }
-    /// Version of the newest applied change.
+    /// A position that no applied change follows. A copy that is confirmed up to it has all of
+    /// them.
     std::uint64_t lastChangeVersion() const { return m_lastChangeVersion; }
+    /// Whether this copy has all changes up to \p version.
+    bool hasChange(std::uint64_t version) const
+    {
+        return version <= std::max(m_revision, m_lastChangeVersion);
+    }
     bool hasSnapshot() const { return m_revision > 0; }
 
 private:
@@ -45,9 +56,13 @@
 
     std::string m_prefix;
     ChangeHandler m_onChange;
+    void removeAbsent(const std::set<std::string_view> &keys, std::uint64_t revision);
+
     std::map<std::string, Entry> m_objects;
     std::uint64_t m_revision = 0;
     std::uint64_t m_lastChangeVersion = 0;
+    /// An object was removed after \c m_revision.
+    bool m_hasNewRemoval = false;
 };
 
 /// Tracks how fresh a mirror is that is updated through peers: the last time at which a peer's
--- a/lib/Fleet/FleetState.cpp
+++ b/lib/Fleet/FleetState.cpp
@@ -61,8 +61,10 @@
 {
     const auto addPrefix = [this](const std::string &prefix, WatchTiming timing,
                                   void (FleetState::*handler)(const WatchEvent &)) {
+        // A configuration stays in force when its object is removed.
+        const bool tracksRemovals = prefix != m_runtime.codec.configurationPrefix();
         m_prefixes.push_back(std::make_unique<WatchedPrefix>(
-            m_runtime, prefix, timing, [this, handler](const WatchEvent &event) {
+            m_runtime, prefix, timing, tracksRemovals, [this, handler](const WatchEvent &event) {
                 (this->*handler)(event);
             }));
     };
--- a/lib/Fleet/WatchedPrefix.h
+++ b/lib/Fleet/WatchedPrefix.h
@@ -8,7 +8,9 @@
 #include "marigoldspool/Support/EventLog.h"
 
 #include <algorithm>
+#include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace marigoldspool {
@@ -26,12 +28,13 @@
 {
 public:
     WatchedPrefix(FleetRuntime &runtime, const std::string &prefix, WatchTiming timing,
-                  ObjectMirror::ChangeHandler onChange)
+                  bool tracksRemovals, ObjectMirror::ChangeHandler onChange)
         : m_runtime(runtime)
         , mirror(prefix, std::move(onChange))
         , watcher(*runtime.store, runtime.clock, runtime.random,
                   {prefix, timing.wait, timing.interval, MinBackoff, MaxBackoff}, *this)
         , m_timing(timing)
+        , m_tracksRemovals(tracksRemovals)
         , m_confirmedAt(runtime.clock.now())
     { }
 
@@ -42,6 +45,15 @@
         mirror.apply(event);
     }
 
+    void onListed(const std::set<std::string_view> &keys, std::uint64_t revision) override
+    {
+        detectOutage();
+        detectRestore(revision);
+        if (m_tracksRemovals) {
+            mirror.applyList(keys, revision);
+        }
+    }
+
     void onConfirmed(std::uint64_t revision, SteadyTime /*asOf*/) override
     {
         detectOutage();
@@ -57,7 +69,7 @@
         if (!mirror.applyTransfer(transfer)) {
             return false;
         }
-        m_relayFreshness.onApplied(mirror.lastChangeVersion());
+        m_relayFreshness.onApplied(std::max(mirror.revision(), mirror.lastChangeVersion()));
         m_confirmedAt = std::max(m_confirmedAt, m_relayFreshness.confirmedAt());
         return true;
     }
@@ -66,7 +78,7 @@
     {
         const bool followsPeers = !watchesForOthers
             && m_runtime.clock.now() - m_relayFreshness.confirmedAt() < maxRelayAge()
-            && mirror.lastChangeVersion() >= m_requiredChange;
+            && mirror.hasChange(m_requiredChange);
         if (followsPeers != m_followsPeers) {
             m_followsPeers = followsPeers;
             if (followsPeers) {
@@ -81,8 +93,9 @@
     /// Handles the revision that a peer has; returns whether this instance has all of its changes.
     bool onBeacon(const KnownRevision &known, SteadyTime at)
     {
-        const bool isUpToDate = known.lastChangeVersion <= mirror.lastChangeVersion();
-        m_relayFreshness.onBeacon(known.lastChangeVersion, mirror.lastChangeVersion(), at);
+        const bool isUpToDate = mirror.hasChange(known.lastChangeVersion);
+        m_relayFreshness.onBeacon(known.lastChangeVersion,
+                                  std::max(mirror.revision(), mirror.lastChangeVersion()), at);
         if (isUpToDate) {
             detectOutage();
             mirror.confirm(known.revision);
@@ -167,6 +180,8 @@
 
 private:
     WatchTiming m_timing;
+    /// Whether a removal under the prefix has an effect.
+    bool m_tracksRemovals;
     SteadyTime m_confirmedAt;
     RelayFreshness m_relayFreshness;
     SteadyTime m_removalGraceUntil;
--- a/lib/Peer/MessageFields.h
+++ b/lib/Peer/MessageFields.h
@@ -227,6 +227,7 @@
     visit("prefix", m.prefix);
     visit("base", m.baseRevision);
     visit("revision", m.revision);
+    visit.optional("c", m.lastChange);
     visit("keys", m.keys);
     visit("objects", m.objects);
 }
--- a/lib/Platform/Watcher.cpp
+++ b/lib/Platform/Watcher.cpp
@@ -16,6 +16,10 @@
 
 WatchListener::~WatchListener() = default;
 
+void WatchListener::onListed(const std::set<std::string_view> & /*keys*/,
+                             std::uint64_t /*revision*/)
+{ }
+
 Watcher::Watcher(ObjectStore &store, const Clock &clock, RandomSource &random,
                  WatcherOptions options, WatchListener &listener)
     : m_store(store)
@@ -113,6 +117,11 @@
     for (const StoredObject &object : result.objects) {
         listed.insert(object.key);
     }
+    const std::weak_ptr<int> run = m_run;
+    m_listener.onListed(listed, result.revision);
+    if (run.expired()) {
+        return;
+    }
     std::vector<std::string> removed;
     for (const auto &[key, version] : m_versions) {
         if (listed.count(key) == 0) {
--- a/lib/Serving/ObjectMirror.cpp
+++ b/lib/Serving/ObjectMirror.cpp
@@ -1,7 +1,8 @@
 #include "marigoldspool/Serving/ObjectMirror.h"
 
 #include <algorithm>
-#include <set>
+#include <utility>
+#include <vector>
 
 namespace marigoldspool {
 
@@ -20,13 +21,44 @@
     m_lastChangeVersion = std::max(m_lastChangeVersion, event.version);
     // A deleted object is kept as a tombstone, so that an older version cannot reappear.
     m_objects[event.key] = {event.version, event.value, event.deleted};
+    m_hasNewRemoval = m_hasNewRemoval || event.deleted;
     if (!event.deleted || existed) {
         m_onChange(event);
     }
 }
 
+void ObjectMirror::removeAbsent(const std::set<std::string_view> &keys, std::uint64_t revision)
+{
+    std::vector<std::string> removed;
+    for (const auto &[key, entry] : m_objects) {
+        if (!entry.deleted && keys.count(key) == 0) {
+            removed.push_back(key);
+        }
+    }
+    for (const std::string &key : removed) {
+        apply({key, revision, true, {}});
+    }
+}
+
+// A list does not show what was removed before it, so until this copy has been confirmed up to the
+// list's revision, that revision stands for the removals. An instance that listed after a removal
+// once took the newest of the objects that were left for the last change, and its beacon confirmed
+// copies that still had the removed object.
+void ObjectMirror::applyList(const std::set<std::string_view> &keys, std::uint64_t revision)
+{
+    removeAbsent(keys, revision);
+    if (revision > m_revision) {
+        m_lastChangeVersion = std::max(m_lastChangeVersion, revision);
+    }
+}
+
+// The version of a removal is only a lower bound of its revision, because the store's event has
+// the version of the removed object.
 void ObjectMirror::confirm(std::uint64_t revision)
 {
+    if (std::exchange(m_hasNewRemoval, false)) {
+        m_lastChangeVersion = std::max(m_lastChangeVersion, revision);
+    }
     m_revision = std::max(m_revision, revision);
 }
 
@@ -36,6 +68,7 @@
     transfer.prefix = m_prefix;
     transfer.baseRevision = revision;
     transfer.revision = m_revision;
+    transfer.lastChange = m_lastChangeVersion;
     for (const auto &[key, entry] : m_objects) {
         if (entry.deleted) {
             continue;
@@ -53,19 +86,13 @@
     if (transfer.revision <= m_revision || transfer.baseRevision > m_revision) {
         return false;
     }
-    const std::set<std::string> keys(transfer.keys.begin(), transfer.keys.end());
-    std::vector<std::string> removed;
-    for (const auto &[key, entry] : m_objects) {
-        if (!entry.deleted && keys.count(key) == 0) {
-            removed.push_back(key);
-        }
-    }
-    for (const std::string &key : removed) {
-        apply({key, transfer.revision, true, {}});
-    }
+    removeAbsent({transfer.keys.begin(), transfer.keys.end()}, transfer.revision);
     for (const RelayedObject &object : transfer.objects) {
         apply({object.key, object.version, false, object.value});
     }
+    const bool isLastChangeKnown = transfer.lastChange != 0;
+    m_lastChangeVersion =
+        std::max(m_lastChangeVersion, isLastChangeKnown ? transfer.lastChange : transfer.revision);
     confirm(transfer.revision);
     return true;
 }
--- a/tests/Serving/SmallDecisionsTest.cpp
+++ b/tests/Serving/SmallDecisionsTest.cpp
@@ -333,6 +333,67 @@
     CHECK(mirror.transferSince(4).objects.empty());
 }
 
+// An entry was removed while both instances that watched the store were down. After their restart
+// they took the newest of the other entries for the last change, and their beacons confirmed copies
+// that still had the removed one.
+TEST_CASE("a removal before the first list reaches copies that have the removed object")
+{
+    const auto ignore = [](const WatchEvent &) {};
+    int removals = 0;
+    ObjectMirror peer("servers/", [&removals](const WatchEvent &event) {
+        removals += event.deleted ? 1 : 0;
+    });
+    peer.apply({"servers/a", 3, false, "{}"});
+    peer.apply({"servers/b", 4, false, "{}"});
+    peer.confirm(10);
+    ObjectMirror restarted("servers/", ignore);
+    restarted.applyList({"servers/b"}, 20);
+    restarted.apply({"servers/b", 4, false, "{}"});
+    restarted.confirm(20);
+    SUBCASE("from the instance that listed") { }
+    SUBCASE("from an instance that got the list from it")
+    {
+        ObjectMirror other("servers/", ignore);
+        REQUIRE(other.applyTransfer(restarted.transferSince(0)));
+        restarted = std::move(other);
+    }
+    CHECK_FALSE(peer.hasChange(restarted.lastChangeVersion()));
+    CHECK(peer.applyTransfer(restarted.transferSince(peer.revision())));
+    CHECK(removals == 1);
+    // The next beacon causes no transfer.
+    CHECK(peer.hasChange(restarted.lastChangeVersion()));
+}
+
+// The watcher compared a list with the objects that it had delivered itself, not with those from
+// peers.
+TEST_CASE("a list removes objects that came from peers, unless they are newer than the list")
+{
+    ObjectMirror mirror("servers/", [](const WatchEvent &) {});
+    REQUIRE(mirror.applyTransfer({"servers/",
+                                  0,
+                                  9,
+                                  {"servers/a", "servers/b"},
+                                  {{"servers/a", 3, ""}, {"servers/b", 9, ""}}}));
+    mirror.applyList({"servers/c"}, 8);
+    CHECK(mirror.transferSince(0).keys == std::vector<std::string>{"servers/b"});
+}
+
+// The event of a removal has the version of the removed object, so a copy that another watcher had
+// confirmed past that version took itself for up to date.
+TEST_CASE("a removal counts as a change at the revision at which it was found")
+{
+    const auto ignore = [](const WatchEvent &) {};
+    ObjectMirror watching("servers/", ignore);
+    watching.apply({"servers/a", 3, false, "{}"});
+    watching.confirm(10);
+    ObjectMirror peer("servers/", ignore);
+    REQUIRE(peer.applyTransfer(watching.transferSince(0)));
+    peer.confirm(15);
+    watching.apply({"servers/a", 11, true, {}});
+    watching.confirm(20);
+    CHECK_FALSE(peer.hasChange(watching.lastChangeVersion()));
+}
+
 TEST_CASE("a transfer whose base is newer than the local revision is not applied")
 {
     int changes = 0;
