Cold endpoints: derive the share of their rate from what is known

Cause: the limit follows from the entry, the configuration and the list of instances, and was computed when the entry came. Without a configuration there was none, and without the list each instance took itself for the only one. setEvacuated() did nothing without a configuration, for the same reason.

Fix: the limit is computed anew when any of the three changes; while the list of instances is unknown a cold endpoint gets nothing. The list is applied as a whole, and an instance takes requests only when it has configuration, endpoints, evacuations and instances.

--- a/include/marigoldspool/Serving/EndpointDirectory.h
+++ b/include/marigoldspool/Serving/EndpointDirectory.h
@@ -45,6 +45,8 @@
     /// No request is sent before this time, since the endpoint reported overload.
     SteadyTime busyUntil;
     SteadyTime coldUntil;
+    /// This instance's share of the rate that the pool allows a cold endpoint. Unset while the
+    /// share is unknown.
     std::optional<TokenBucket> coldRateLimit;
     /// This instance's share of the rate that the endpoint has named as its limit. Its capacity is
     /// below one request if only other instances send to the endpoint.
@@ -112,7 +114,8 @@
 public:
     EndpointDirectory(ZoneName ownZone, const Clock &clock, InstanceId self = InstanceId());
 
-    /// The instances that share the rate limits of endpoints; may lack this one.
+    /// The instances that share the rate limits of endpoints; may lack this one. Cold endpoints get
+    /// no request before the first call.
     void setMembers(gsl::span<const TopologyMember> members);
     /// A number in (0, 1] that differs between instances; staggers their first requests to an
     /// endpoint that has become cold or has named a rate limit.
@@ -175,6 +178,12 @@
     /// Whether requests to the endpoint are left to other instances.
     static bool isLeftToOthers(const TrackedEndpoint &state);
     void markCold(TrackedEndpoint &state, Duration left);
+    /// Marks the endpoint as cold if its zone has returned from evacuation lately.
+    void markReturned(TrackedEndpoint &state);
+    /// Follows a change of the configuration or of the list of instances.
+    void updateColdLimits();
+    void updateColdLimit(TrackedEndpoint &state, SteadyTime now);
+    const EndpointPool *poolOf(const TrackedEndpoint &state) const;
     double delaySeconds(const TrackedEndpoint &state, SteadyTime now) const;
 
     ZoneName m_ownZone;
@@ -186,6 +195,9 @@
     /// Processes whose entries were removed, and when.
     std::map<EndpointId, std::pair<std::int64_t, SteadyTime>> m_removedProcesses;
     std::set<ZoneName> m_evacuated;
+    /// When zones have returned from evacuation.
+    std::map<ZoneName, SteadyTime> m_returnedAt;
+    bool m_areMembersKnown = false;
     EndpointStatements m_statements;
     ResponseTimeModel m_responseTimes;
 };
--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -101,9 +101,9 @@
         return resolved;
     };
     resolved.routes = m_runtime.routes;
-    if (resolved.routes == nullptr) {
+    if (resolved.routes == nullptr || !m_runtime.isLoaded) {
         return refusal(RefusalReason::StoreUnavailable, NoConfigurationRetryAfter,
-                       "this instance has not received a configuration yet");
+                       "this instance has not received the state of the fleet yet");
     }
     const RouteTable &routes = *resolved.routes;
     resolved.route = routes.find(m_request.host, m_request.target);
--- a/lib/Fleet/FleetDaemon.cpp
+++ b/lib/Fleet/FleetDaemon.cpp
@@ -181,7 +181,7 @@
                   {"answering", std::to_string(counts.answering)}});
     }
 
-    bool isReady() const { return !m_runtime.stopping && m_state.isLoaded(); }
+    bool isReady() const { return !m_runtime.stopping && m_runtime.isLoaded; }
 
     void onMessage(const InstanceId &from, std::uint64_t incarnation, const PeerMessage &message)
     {
--- a/lib/Fleet/FleetRuntime.h
+++ b/lib/Fleet/FleetRuntime.h
@@ -46,6 +46,9 @@
     RetryBudget retries;
     PromptQuarantine quarantine;
     std::uint64_t incarnation;
+    /// Whether the configuration, endpoints, evacuations and instances have been received. Before,
+    /// an instance might use an evacuated zone, or more than its share of a limit.
+    bool isLoaded = false;
     /// Whether a planned stop is in progress.
     bool stopping = false;
     /// When a planned stop closes the callers' connections.
--- a/lib/Fleet/FleetState.cpp
+++ b/lib/Fleet/FleetState.cpp
@@ -99,6 +99,11 @@
     }
     applyHeldBack();
     registerSelf();
+    if (!m_areMembersKnown && find(MemberPrefix)->mirror.hasSnapshot()) {
+        m_areMembersKnown = true;
+        applyMembers();
+    }
+    m_runtime.isLoaded = m_runtime.isLoaded || hasAll();
 }
 
 WatchedPrefix *FleetState::find(std::string_view prefix) const
@@ -111,10 +116,12 @@
     return nullptr;
 }
 
-bool FleetState::isLoaded() const
+bool FleetState::hasAll() const
 {
     return m_runtime.routes != nullptr
-        && find(m_runtime.codec.endpointPrefix())->mirror.hasSnapshot();
+        && std::all_of(m_prefixes.begin(), m_prefixes.end(), [](const auto &prefix) {
+               return prefix->mirror.hasSnapshot();
+           });
 }
 
 std::vector<ObjectsRequest> FleetState::outdatedPrefixes() const
@@ -424,9 +431,23 @@
         }
         m_members[id] = *member;
     }
+    logEvent(LogLevel::Info, event.deleted ? "instance_left" : "instance_joined",
+             {{"instance", id.str()}, {"instances", std::to_string(memberCount())}});
+    if (m_areMembersKnown) {
+        applyMembers();
+    }
+}
+
+std::size_t FleetState::memberCount() const
+{
     // This instance uses its own share from its start, even before it is listed.
     const bool isListed = m_members.count(m_runtime.options.instance) > 0;
-    const std::size_t count = m_members.size() + (isListed ? 0 : 1);
+    return m_members.size() + (isListed ? 0 : 1);
+}
+
+void FleetState::applyMembers()
+{
+    const std::size_t count = memberCount();
     m_runtime.quota.setInstanceCount(count);
     m_runtime.retries.setInstanceCount(count);
     std::vector<TopologyMember> members;
@@ -434,8 +455,6 @@
         members.push_back({memberId, member.zone});
     }
     m_runtime.directory.setMembers(members);
-    logEvent(LogLevel::Info, event.deleted ? "instance_left" : "instance_joined",
-             {{"instance", id.str()}, {"instances", std::to_string(count)}});
     chooseWatchers();
     if (m_onMembers) {
         m_onMembers();
--- a/lib/Fleet/FleetState.h
+++ b/lib/Fleet/FleetState.h
@@ -59,16 +59,19 @@
     std::vector<ObjectsRequest> onBeacon(const RevisionBeacon &beacon);
     /// Returns the changes since the last call, which a watcher sends to its peers.
     std::vector<ObjectsTransfer> takeChanges();
-    /// Whether the configuration and the endpoints have been received.
-    bool isLoaded() const;
 
 private:
+    /// Whether the configuration, endpoints, evacuations and instances have all been received.
+    bool hasAll() const;
     WatchedPrefix *find(std::string_view prefix) const;
     void logChangedRates(const ServingConfiguration &configuration) const;
     void onConfiguration(const WatchEvent &event);
     void onEndpoint(const WatchEvent &event);
     void onEvacuation(const WatchEvent &event);
     void onMember(const WatchEvent &event);
+    /// Number of instances, including this one.
+    std::size_t memberCount() const;
+    void applyMembers();
     /// Lets \p event take effect later, unless another one for its key follows, if the store was
     /// restored lately and the event may only show what its copy lacks or has too much. Returns
     /// whether it did.
@@ -86,6 +89,8 @@
     std::function<void()> m_onConfiguration;
     std::function<void()> m_onEndpoints;
     SteadyTime m_nextRegistration;
+    /// Whether the list of instances is complete; shares of limits follow from it.
+    bool m_areMembersKnown = false;
     bool m_isWatcher = true;
     bool m_isFirstWatcher = true;
     bool m_registered = false;
--- a/lib/Serving/EndpointDirectory.cpp
+++ b/lib/Serving/EndpointDirectory.cpp
@@ -87,6 +87,8 @@
 void EndpointDirectory::setMembers(gsl::span<const TopologyMember> members)
 {
     m_rateDivider.setMembers(members);
+    m_areMembersKnown = true;
+    updateColdLimits();
     for (auto &[id, state] : m_endpoints) {
         if (state.rateShare) {
             divideRate(state);
@@ -97,6 +99,10 @@
 void EndpointDirectory::setConfiguration(ServingConfigurationPtr configuration)
 {
     m_configuration = std::move(configuration);
+    for (auto &[id, state] : m_endpoints) {
+        markReturned(state);
+    }
+    updateColdLimits();
 }
 
 void EndpointDirectory::apply(const ListedEndpoint &endpoint)
@@ -120,6 +126,7 @@
     if (endpoint.remainingColdTime > Duration::zero()) {
         markCold(state, endpoint.remainingColdTime);
     }
+    markReturned(state);
 }
 
 void EndpointDirectory::remove(const EndpointId &id, Duration grace)
@@ -155,14 +162,32 @@
         m_evacuated.insert(zone);
         return;
     }
-    if (m_evacuated.erase(zone) == 0 || m_configuration == nullptr) {
+    if (m_evacuated.erase(zone) == 0) {
         return;
     }
+    m_returnedAt[zone] = m_clock.now();
     for (auto &[id, state] : m_endpoints) {
-        const EndpointPool *pool = m_configuration->pool(state.listed.pool);
-        if (state.listed.zone == zone && pool != nullptr && pool->coldRequestsPerSecond > 0) {
-            markCold(state, std::max(pool->coldDuration, ReportLag));
-        }
+        markReturned(state);
+    }
+}
+
+const EndpointPool *EndpointDirectory::poolOf(const TrackedEndpoint &state) const
+{
+    return m_configuration == nullptr ? nullptr : m_configuration->pool(state.listed.pool);
+}
+
+// The configuration or the entry may arrive after the zone's return.
+void EndpointDirectory::markReturned(TrackedEndpoint &state)
+{
+    const auto returned = m_returnedAt.find(state.listed.zone);
+    const EndpointPool *pool = poolOf(state);
+    if (returned == m_returnedAt.end() || pool == nullptr || pool->coldRequestsPerSecond <= 0) {
+        return;
+    }
+    const Duration left =
+        returned->second + std::max(pool->coldDuration, ReportLag) - m_clock.now();
+    if (left > Duration::zero()) {
+        markCold(state, left);
     }
 }
 
@@ -319,8 +344,7 @@
 
 int EndpointDirectory::maxInFlight(const TrackedEndpoint &state) const
 {
-    const EndpointPool *pool =
-        m_configuration == nullptr ? nullptr : m_configuration->pool(state.listed.pool);
+    const EndpointPool *pool = poolOf(state);
     if (pool != nullptr && pool->engine) {
         return std::max(2, static_cast<int>(state.listed.slots * OwnSlotFraction));
     }
@@ -435,8 +459,11 @@
         if (now < state.busyUntil || state.inFlight >= currentMaxInFlight(state)) {
             continue;
         }
-        if (now < state.coldUntil && state.coldRateLimit && state.coldRateLimit->level(now) < 1) {
-            minColdDelay = std::min(minColdDelay, state.coldRateLimit->timeUntil(1, now));
+        if (now < state.coldUntil && query.pool->coldRequestsPerSecond > 0
+            && (!state.coldRateLimit || state.coldRateLimit->level(now) < 1)) {
+            if (state.coldRateLimit) {
+                minColdDelay = std::min(minColdDelay, state.coldRateLimit->timeUntil(1, now));
+            }
             continue;
         }
         const double value = score(state, query, now);
@@ -465,20 +492,43 @@
 
 void EndpointDirectory::markCold(TrackedEndpoint &state, Duration left)
 {
-    const EndpointPool *pool =
-        m_configuration == nullptr ? nullptr : m_configuration->pool(state.listed.pool);
     const SteadyTime now = m_clock.now();
-    const bool wasCold = now < state.coldUntil;
+    if (now >= state.coldUntil) {
+        state.coldRateLimit.reset();
+    }
     state.coldUntil = std::max(state.coldUntil, now + left);
-    if (pool == nullptr || pool->coldRequestsPerSecond <= 0) {
+    updateColdLimit(state, now);
+}
+
+void EndpointDirectory::updateColdLimits()
+{
+    const SteadyTime now = m_clock.now();
+    for (auto &[id, state] : m_endpoints) {
+        if (now < state.coldUntil) {
+            updateColdLimit(state, now);
+        }
+    }
+}
+
+// The share depends on the entry, the configuration and the list of instances, which arrive in any
+// order after a start. An instance that took itself for the only one, or knew no limit yet, sent a
+// cold endpoint the requests of the whole fleet.
+void EndpointDirectory::updateColdLimit(TrackedEndpoint &state, SteadyTime now)
+{
+    const EndpointPool *pool = poolOf(state);
+    if (pool == nullptr || pool->coldRequestsPerSecond <= 0 || !m_areMembersKnown) {
+        state.coldRateLimit.reset();
         return;
     }
     const double rate = pool->coldRequestsPerSecond * ColdRateFraction
         / static_cast<double>(m_rateDivider.memberCount());
-    if (!wasCold || !state.coldRateLimit) {
-        const double level = rate < MinUnstaggeredColdRate ? m_startPhase : 1.0;
-        state.coldRateLimit.emplace(rate, std::max(1.0, rate / 4), level, now);
+    const double burst = std::max(1.0, rate / 4);
+    if (state.coldRateLimit) {
+        state.coldRateLimit->reconfigure(rate, burst, now);
+        return;
     }
+    const double level = rate < MinUnstaggeredColdRate ? m_startPhase : 1.0;
+    state.coldRateLimit.emplace(rate, burst, level, now);
 }
 
 void EndpointDirectory::onSent(const EndpointId &id, int promptTokens)
--- a/tests/Serving/EndpointDirectoryTest.cpp
+++ b/tests/Serving/EndpointDirectoryTest.cpp
@@ -1,6 +1,7 @@
 #include "marigoldspool/Serving/EndpointDirectory.h"
 #include "marigoldspool/Support/RandomSource.h"
 
+#include <algorithm>
 #include <memory>
 #include <numeric>
 
@@ -168,6 +169,69 @@
     CHECK(sent * Instances <= 18 * 1.5 + 5);
 }
 
+// Instances that started sent a cold engine 46 requests in one second, where 32 are allowed: the
+// entry came before the configuration, or before the list of instances.
+TEST_CASE_FIXTURE(
+    DirectoryFixture,
+    "a starting instance keeps its share of a cold endpoint's rate, in whatever order "
+    "it learns of it")
+{
+    constexpr int Instances = 6;
+    std::vector<int> order{0, 1, 2};
+    do {
+        CAPTURE(order[0]);
+        CAPTURE(order[1]);
+        EndpointDirectory starting(ZoneName("z1"), clock);
+        ListedEndpoint cold = engine("e1");
+        cold.remainingColdTime = 10s;
+        cold.slots = 1000;
+        int sent = 0;
+        const auto sendAll = [&](int steps) {
+            for (int i = 0; i < steps; ++i) {
+                if (starting.choose(query("m")).kind == ChoiceKind::Send) {
+                    starting.onSent(EndpointId("e1"));
+                    ++sent;
+                }
+                clock.advance(1ms);
+            }
+        };
+        for (const int step : order) {
+            CHECK(sent == 0);
+            switch (step) {
+            case 0:
+                starting.setConfiguration(configuration);
+                break;
+            case 1:
+                starting.setMembers(membersBeside(Instances));
+                break;
+            default:
+                starting.apply(cold);
+            }
+            if (&step != &order.back()) {
+                sendAll(100);
+            }
+        }
+        sendAll(1000);
+        CHECK(sent >= 2);
+        CHECK(sent * Instances <= 18 * 1.5 + 5);
+    } while (std::next_permutation(order.begin(), order.end()));
+}
+
+// The return of a zone had no effect on endpoints whose limit was not known yet.
+TEST_CASE_FIXTURE(DirectoryFixture,
+                  "a zone's return counts for a configuration that arrives after it")
+{
+    EndpointDirectory starting(ZoneName("z1"), clock);
+    starting.setMembers(membersBeside(6));
+    starting.setEvacuated(ZoneName("z1"), true);
+    starting.setEvacuated(ZoneName("z1"), false);
+    starting.apply(engine("e1"));
+    starting.setConfiguration(configuration);
+    CHECK(starting.choose(query("m")).kind == ChoiceKind::Send);
+    starting.onSent(EndpointId("e1"));
+    CHECK(starting.choose(query("m")).kind == ChoiceKind::Busy);
+}
+
 // Guards against a request of every instance at the same moment: 72 instances whose requests had
 // waited for an engine sent it 42 in one second where 36 were allowed (sanduhr-eg-grown,
 // all-copies-lost, seed 880493933911).
