Bound the memory for answers that callers do not take and for bodies

What callers saw: an instance that has used up its memory ends, and the requests of all its callers with it.

Cause: each part was bounded, but not the sum, and an endpoint was read on while the caller did not take its bytes.

Fix: an endpoint is read on only while its caller takes the answer: at most 256 KiB for a caller and a sixth of the memory of the settings for all. A slow caller was cut off after 4 MiB; it gets its answer whole now. Bodies of requests reserve room, an eighth of the memory together; one that finds none is refused as not run before its body is read, with Retry-After.

--- a/include/marigoldspool/Fleet/FleetOptions.h
+++ b/include/marigoldspool/Fleet/FleetOptions.h
@@ -6,6 +6,7 @@
 #include "marigoldspool/Serving/WorkspaceQuota.h"
 #include "marigoldspool/Support/Identifiers.h"
 
+#include <cstddef>
 #include <string>
 
 namespace marigoldspool {
@@ -24,6 +25,8 @@
     LeaseTimes lease;
     RetryBound retries;
     QuotaBound quota;
+    /// Memory that this process may use, in bytes.
+    std::size_t memoryBytes = 256'000'000;
     /// Time from SIGTERM to the end of the process.
     Duration gracePeriod = std::chrono::seconds(8);
     /// Concurrent loads that the weight store serves at full speed.
--- a/include/marigoldspool/Gateway/EndpointClient.h
+++ b/include/marigoldspool/Gateway/EndpointClient.h
@@ -64,6 +64,9 @@
     virtual ~EndpointCallHandler();
     virtual void onHead(int status, gsl::span<const HeaderField> headers) = 0;
     virtual void onData(std::string_view bytes) = 0;
+    /// While false, no more of the answer is read, so that an endpoint that sends faster than its
+    /// bytes are taken does not fill this process's memory.
+    virtual bool takesData() const { return true; }
     /// The whole answer has come, as its length or its last chunk says.
     virtual void onComplete() = 0;
     /// Without a length or chunks, the answer has ended with its connection, which an endpoint that
--- a/include/marigoldspool/Gateway/HttpServer.h
+++ b/include/marigoldspool/Gateway/HttpServer.h
@@ -49,6 +49,9 @@
     std::string address = "127.0.0.1:0";
     std::size_t maxHeaderBytes = 16'384;
     std::size_t maxBodyBytes = 1'048'576;
+    /// For the bodies of all requests together, until each is answered. A request that finds no
+    /// room is answered with 503 before its body is read. Zero: unlimited.
+    std::size_t maxTotalBodyBytes = 0;
     /// For the head and the body of one request together.
     Duration readTimeout = std::chrono::seconds(10);
     /// How long a connection may stay open between requests.
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -98,6 +98,8 @@
     /// Whether the events behind this head can be passed on.
     bool isStreamHead(int status, const AnswerTraits &traits) const;
     void onData(std::string_view bytes);
+    /// Whether the caller keeps up with the answer.
+    bool takesData() const;
     void onComplete();
     void onCompleteAtClose();
     void onFailure(SendStage stage, const Error &error);
--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -15,8 +15,10 @@
 
 using std::chrono::milliseconds;
 
-// A stream is aborted when more than this is buffered for a caller that reads too slowly.
-constexpr std::size_t MaxPendingBytes = 4U << 20U;
+// The part of the memory for bytes of answers that callers have not taken yet. More are read from
+// an endpoint only while its caller's part is below an even share.
+constexpr std::size_t UntakenMemoryDivisor = 6;
+constexpr std::size_t MaxUntakenBytesOfCaller = 256U << 10U;
 // Body bytes kept until an answer is complete.
 constexpr std::size_t MaxBufferedBytes = 512U << 10U;
 constexpr Duration OverloadRetryAfter = milliseconds(300);
@@ -146,11 +148,13 @@
         m_sink->head(m_status, m_answerHeaders, true);
     }
     m_sink->data(bytes);
-    if (m_sink->pendingBytes() > MaxPendingBytes) {
-        cancelCall();
-        endAttempt(EndpointResult::Abandoned);
-        cutOff("caller_too_slow", "caller_too_slow");
-    }
+}
+
+bool Exchange::takesData() const
+{
+    const std::size_t share = m_runtime.options.memoryBytes / UntakenMemoryDivisor
+        / std::max<std::size_t>(m_front.openRequests(), 1);
+    return m_sink->pendingBytes() <= std::min(MaxUntakenBytesOfCaller, share);
 }
 
 void Exchange::abandonAttempt(std::string cause)
--- a/lib/Fleet/ExchangeAttempt.h
+++ b/lib/Fleet/ExchangeAttempt.h
@@ -36,6 +36,7 @@
             exchange->onData(bytes);
         }
     }
+    bool takesData() const override { return !m_exchange || m_exchange->takesData(); }
     void onComplete() override
     {
         if (const auto exchange = m_exchange) {
--- a/lib/Fleet/ExchangeSuccessor.cpp
+++ b/lib/Fleet/ExchangeSuccessor.cpp
@@ -77,6 +77,11 @@
 // one, and the connection of the report is used for the request.
 void Exchange::checkSilence()
 {
+    if (!takesData()) {
+        // The endpoint is silent because its answer is not read.
+        m_lastProgressAt = m_runtime.observedTime.at(m_runtime.clock.now());
+        return;
+    }
     if (m_isAskingSuccessor || m_trial || m_trialCount >= MaxTrials) {
         return;
     }
--- a/lib/Fleet/ServingFront.cpp
+++ b/lib/Fleet/ServingFront.cpp
@@ -16,6 +16,9 @@
 // they can change while connections are open.
 constexpr std::size_t MaxHeaderBytes = 65'536;
 constexpr std::size_t MaxBodyBytes = 8U << 20U;
+// Bodies are kept until the request is answered, and copied while they are sent, so they take up to
+// a quarter of the memory.
+constexpr std::size_t BodyMemoryDivisor = 8;
 // Must be longer than any idle time that callers may rely on.
 constexpr Duration IdleTimeout = std::chrono::seconds(120);
 
@@ -44,6 +47,7 @@
     options.address = m_runtime.options.callerAddress;
     options.maxHeaderBytes = MaxHeaderBytes;
     options.maxBodyBytes = MaxBodyBytes;
+    options.maxTotalBodyBytes = m_runtime.options.memoryBytes / BodyMemoryDivisor;
     options.idleTimeout = IdleTimeout;
     auto server = makeHttpServer(
         m_runtime.io, options,
--- a/lib/Gateway/EndpointConnection.cpp
+++ b/lib/Gateway/EndpointConnection.cpp
@@ -28,6 +28,9 @@
 
 constexpr std::size_t ReceiveBufferBytes = 65'536;
 
+// How long reading stays paused after the handler takes data again, at most.
+constexpr std::chrono::milliseconds PausePollInterval(10);
+
 // Answers to other requests, and the body of each, which are read to find the start of the awaited
 // one.
 constexpr int MaxSkippedAnswers = 8;
@@ -89,6 +92,7 @@
     , m_address(std::move(address))
     , m_socket(m_context->io)
     , m_timer(m_context->io)
+    , m_pauseTimer(m_context->io)
 { }
 
 void EndpointConnection::beginCall(EndpointCall call, std::shared_ptr<EndpointCallHandler> handler)
@@ -242,8 +246,25 @@
     m_lastActivity = m_context->clock.now();
     onBytes({m_context->receiveBuffer.data(), n});
     if (m_state != State::Closed) {
+        readWhenTaken();
+    }
+}
+
+// Polling needs no call back from whoever takes the bytes, and few connections pause at a time.
+void EndpointConnection::readWhenTaken()
+{
+    if (m_handler == nullptr || m_handler->takesData()) {
         armRead();
+        return;
     }
+    // The endpoint cannot send meanwhile.
+    m_lastActivity = m_context->clock.now();
+    m_pauseTimer.expires_after(PausePollInterval);
+    m_pauseTimer.async_wait([self = shared_from_this()](const boost::system::error_code &ec) {
+        if (!ec && self->m_state != State::Closed) {
+            self->readWhenTaken();
+        }
+    });
 }
 
 void EndpointConnection::onBytes(std::string_view bytes)
@@ -431,6 +452,7 @@
     }
     m_socket.close(ec);
     m_timer.cancel();
+    m_pauseTimer.cancel();
     m_context->onClosed(shared_from_this());
 }
 
--- a/lib/Gateway/EndpointConnection.h
+++ b/lib/Gateway/EndpointConnection.h
@@ -70,6 +70,8 @@
     void onConnected(const boost::system::error_code &ec);
     void flush();
     void armRead();
+    /// Reads on as soon as the handler takes data.
+    void readWhenTaken();
     void onReadable();
     void onBytes(std::string_view bytes);
     bool deliverAnswer();
@@ -89,6 +91,7 @@
     std::string m_address;
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_pauseTimer;
     State m_state = State::Connecting;
     RequestId m_id;
     std::shared_ptr<EndpointCallHandler> m_handler;
--- a/lib/Gateway/HttpConnection.cpp
+++ b/lib/Gateway/HttpConnection.cpp
@@ -3,6 +3,7 @@
 #include "ResponseWriter.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
@@ -22,6 +23,8 @@
 
 constexpr std::size_t MaxRetainedBytes = 65'536;
 
+constexpr std::chrono::seconds NoMemoryRetryAfter(1);
+
 void releaseLargeBuffer(std::string &buffer)
 {
     if (buffer.capacity() > MaxRetainedBytes) {
@@ -74,6 +77,7 @@
         --m_context->openRequests;
     }
     m_phase = Phase::Closed;
+    releaseBody();
     boost::system::error_code ec;
     if (m_resetOnClose) {
         m_socket.set_option(asio::socket_base::linger(true, 0), ec);
@@ -151,6 +155,10 @@
         const RequestParser::Result result = m_parser->feed(m_input);
         if (result == RequestParser::Result::Failed) {
             reject(m_parser->fault());
+        } else if (!reserveBody()) {
+            reject({RefusalReason::NoCapacity, 503,
+                    "this instance has no memory for the body of the request", "send it again",
+                    NoMemoryRetryAfter});
         } else if (result == RequestParser::Result::Complete) {
             dispatch();
         } else {
@@ -173,6 +181,26 @@
     setDeadline(m_context->options.readTimeout);
 }
 
+// Each body is bounded, but not their sum: 40 requests with bodies of 4 MiB took 305 MB of a
+// process that may use 260 MB.
+bool HttpConnection::reserveBody()
+{
+    const std::size_t limit = m_context->options.maxTotalBodyBytes;
+    const std::size_t needed = std::max(m_parser->bodyBytes(), m_reservedBodyBytes);
+    const std::size_t added = needed - m_reservedBodyBytes;
+    if (limit > 0 && added > 0 && m_context->bodyBytes + added > limit) {
+        return false;
+    }
+    m_context->bodyBytes += added;
+    m_reservedBodyBytes = needed;
+    return true;
+}
+
+void HttpConnection::releaseBody()
+{
+    m_context->bodyBytes -= std::exchange(m_reservedBodyBytes, 0);
+}
+
 void HttpConnection::dispatch()
 {
     m_phase = Phase::Serving;
@@ -194,6 +222,7 @@
     m_context->metrics.add("marigoldspool_http_rejected_total", 1,
                            {{"status", std::to_string(fault.status)}});
     m_phase = Phase::Finishing;
+    releaseBody();
     m_keepAlive = false;
     m_input.clear();
     m_output.append(formatFault(fault));
@@ -296,6 +325,7 @@
 void HttpConnection::finishRequest()
 {
     --m_context->openRequests;
+    releaseBody();
     if (m_resetOnClose) {
         m_phase = Phase::Draining;
         close();
--- a/lib/Gateway/HttpConnection.h
+++ b/lib/Gateway/HttpConnection.h
@@ -29,6 +29,8 @@
     Metrics &metrics;
     bool stopping = false;
     std::size_t openRequests = 0;
+    /// Bytes reserved for the bodies of all requests.
+    std::size_t bodyBytes = 0;
     /// Receive buffer shared by all connections, which run on one thread.
     std::vector<char> receiveBuffer;
     std::function<void(const std::shared_ptr<HttpConnection> &)> onClosed;
@@ -80,6 +82,9 @@
     void process();
     void beginRequest();
     void dispatch();
+    /// Reserves memory for the request's body; returns whether there is room.
+    bool reserveBody();
+    void releaseBody();
     void reject(const RequestFault &fault);
     void flush();
     void compactOutput();
@@ -98,6 +103,7 @@
     std::string m_input;
     std::string m_output;
     std::size_t m_outputOffset = 0;
+    std::size_t m_reservedBodyBytes = 0;
     std::optional<RequestParser> m_parser;
     ResponseWriter *m_writer = nullptr;
     bool m_reading = false;
--- a/lib/Gateway/RequestParser.cpp
+++ b/lib/Gateway/RequestParser.cpp
@@ -106,6 +106,12 @@
     return m_impl->request.method == "HEAD";
 }
 
+std::size_t RequestParser::bodyBytes() const
+{
+    const auto announced = m_headDone ? m_impl->content_length() : boost::none;
+    return std::max<std::size_t>(announced.value_or(0), m_impl->request.body.size());
+}
+
 HttpRequest RequestParser::takeRequest()
 {
     HttpRequest request = std::move(m_impl->request);
--- a/lib/Gateway/RequestParser.h
+++ b/lib/Gateway/RequestParser.h
@@ -4,6 +4,7 @@
 #include "marigoldspool/Gateway/HttpServer.h"
 #include "marigoldspool/Support/Refusal.h"
 
+#include <chrono>
 #include <memory>
 #include <string>
 
@@ -15,6 +16,8 @@
     int status = 400;
     std::string message;
     std::string remedy;
+    /// Sent to the caller; zero: waiting does not help.
+    std::chrono::seconds retryAfter{0};
 };
 
 /// Reads one request from the bytes of a connection.
@@ -43,6 +46,8 @@
     bool keepAlive() const;
     bool isHttp11() const { return m_http11; }
     bool isHead() const;
+    /// Bytes of the body as the head states them, or as received so far.
+    std::size_t bodyBytes() const;
     /// Without hop-by-hop fields and without those that describe the transfer of the body.
     HttpRequest takeRequest();
     const RequestFault &fault() const { return m_fault; }
--- a/lib/Gateway/ResponseWriter.cpp
+++ b/lib/Gateway/ResponseWriter.cpp
@@ -36,6 +36,9 @@
     appendStatusLine(out, fault.status);
     appendField(out, "Content-Type", "application/json");
     appendField(out, "Content-Length", std::to_string(body.size()));
+    if (fault.retryAfter.count() > 0) {
+        appendField(out, "Retry-After", std::to_string(fault.retryAfter.count()));
+    }
     appendField(out, "Connection", "close");
     return out.append("\r\n").append(body);
 }
--- a/tests/Gateway/HttpServerTest.cpp
+++ b/tests/Gateway/HttpServerTest.cpp
@@ -459,3 +459,48 @@
     CHECK(second.error().kind == ErrorKind::Unavailable);
     CHECK(!second.error().remedy.empty());
 }
+
+// Each body was bounded, but not their sum.
+TEST_CASE("a request whose body finds no room is refused before its body is read")
+{
+    HttpServerOptions options;
+    options.maxTotalBodyBytes = 100'000;
+    ServerFixture fixture(options);
+    const auto post = [](std::size_t bytes) {
+        return "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(bytes)
+            + "\r\n\r\n";
+    };
+    RawSocket first = fixture.connect();
+    first.send(post(80'000) + std::string(80'000, 'x'));
+    REQUIRE(fixture.waitForRequests(1));
+    RawSocket second = fixture.connect();
+    second.send(post(30'000));
+    CHECK(fixture.waitForText(second, "503 Service Unavailable"));
+    CHECK(second.hasReceived("Retry-After: 1"));
+    CHECK(second.hasReceived("\"ran\":\"no\""));
+    RawSocket chunked = fixture.connect();
+    chunked.send("POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n7530\r\n"
+                 + std::string(30'000, 'x'));
+    CHECK(fixture.waitForText(chunked, "503 Service Unavailable"));
+    // Small requests go on, and the room is free again after the answer.
+    RawSocket small = fixture.connect();
+    small.send(post(10) + "0123456789");
+    REQUIRE(fixture.waitForRequests(2));
+    fixture.answer(0, "done");
+    CHECK(fixture.waitForText(first, "done"));
+    RawSocket third = fixture.connect();
+    third.send(post(80'000) + std::string(80'000, 'x'));
+    CHECK(fixture.waitForRequests(3));
+    // A caller that leaves frees its room.
+    bool gone = false;
+    fixture.requests[2].sink->onCallerGone([&gone] {
+        gone = true;
+    });
+    third.close();
+    REQUIRE(fixture.loop.runUntil([&gone] {
+        return gone;
+    }));
+    RawSocket fourth = fixture.connect();
+    fourth.send(post(80'000) + std::string(80'000, 'x'));
+    CHECK(fixture.waitForRequests(4));
+}
--- a/tests/PlatformAdapter/EndlessReplicaTest.cpp
+++ b/tests/PlatformAdapter/EndlessReplicaTest.cpp
@@ -3,6 +3,8 @@
 // again only if that is safe.
 #include "RequestPathFixture.h"
 
+#include <array>
+#include <cstdio>
 #include <fstream>
 #include <unistd.h>
 
@@ -28,6 +30,9 @@
 {
     const std::string field = "X-Marigoldspool-Request-Id: ";
     const std::size_t begin = requestHead.find(field);
+    if (begin == std::string::npos) {
+        return "HTTP/1.1 200 OK\r\n";
+    }
     const std::size_t end = requestHead.find("\r\n", begin);
     return "HTTP/1.1 200 OK\r\n" + requestHead.substr(begin, end - begin)
         + "\r\nX-Marigoldspool-Replica-Seal: seal\r\n";
@@ -161,6 +166,63 @@
     }
 }
 
+// 120 such answers took 640 to 682 MB of a process that may use 260 MB: each was bounded, but not
+// their sum, and the replica was read on while the caller's output grew.
+TEST_CASE_FIXTURE(EndlessReplicaFixture,
+                  "answers that callers do not read take a bounded part of the memory")
+{
+    constexpr std::size_t Requests = 120;
+    std::string filler = Filler;
+    std::string head = "Content-Length: 1000000000000\r\n\r\n";
+    std::string target = "/once/x";
+    SUBCASE("bodies of a stated length") { }
+    SUBCASE("events")
+    {
+        head = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+        target = "/llm/x";
+        filler.clear();
+        // More than any caller reads.
+        for (int i = 1; i <= 20'000; ++i) {
+            const std::string event =
+                "id: " + std::to_string(i) + "\ndata: " + std::string(1024, 'x') + "\n\n";
+            std::array<char, 16> size{};
+            std::snprintf(size.data(), size.size(), "%zx\r\n", event.size());
+            filler.append(size.data()).append(event).append("\r\n");
+        }
+    }
+    EndlessServer endless(
+        io,
+        [&head](const std::string &requestHead) {
+            return echoedHead(requestHead) + head;
+        },
+        filler);
+    const json models = {{{"name", "m"}, {"version", 1}, {"adapters", json::array()}}};
+    addServer("i-1", target == "/llm/x" ? "llm" : "app", endless, models);
+    addReplica("i-2", target == "/llm/x" ? "app" : "llm", answerOk, {"m"});
+    settle();
+    const std::size_t before = residentBytes();
+    std::vector<std::shared_ptr<CallerAnswer>> answers;
+    for (std::size_t i = 0; i < Requests; ++i) {
+        answers.push_back(call(target, "m"));
+        answers.back()->takesData = false;
+    }
+    std::size_t peak = 0;
+    const SteadyTime until = clock.now() + 1s;
+    while (clock.now() < until) {
+        io.restart();
+        io.run_for(50ms);
+        peak = std::max(peak, residentBytes());
+    }
+    CHECK(endless.connections >= Requests / 2);
+    CHECK(peak - std::min(peak, before) < FleetOptions().memoryBytes / 2);
+    // A caller that reads on gets more of its answer.
+    const std::size_t received = answers[0]->body.size();
+    answers[0]->takesData = true;
+    CHECK(runUntil(io, [&] {
+        return answers[0]->body.size() > received + 5'000'000;
+    }));
+}
+
 // A large answer with a stated length has an end, so it is delivered.
 TEST_CASE_FIXTURE(EndlessReplicaFixture, "a long answer of a known length is delivered whole")
 {
--- a/tests/PlatformAdapter/RequestPathFixture.h
+++ b/tests/PlatformAdapter/RequestPathFixture.h
@@ -52,6 +52,8 @@
     std::string retryAfter;
     bool complete = false;
     bool ended = false;
+    /// Whether the caller reads on.
+    bool takesData = true;
 };
 
 /// Records the answer that a caller gets.
@@ -70,6 +72,7 @@
         }
     }
     void onData(std::string_view bytes) override { m_answer->body.append(bytes); }
+    bool takesData() const override { return m_answer->takesData; }
     void onComplete() override { m_answer->complete = m_answer->ended = true; }
     void onFailure(SendStage /*stage*/, Error /*error*/) override { m_answer->ended = true; }
 
