Lease: write a release right after a renewal that is under way

What callers saw: a model that is not loaded waits up to 0.9 s longer for a placement owner when a planned stop meets a renewal of the lease.

Cause: onWritten() scheduled the next call for the next renewal, also when a release was due. "a release during a renewal is written right after it" fails before and passes now.

--- a/lib/Serving/OwnerLease.cpp
+++ b/lib/Serving/OwnerLease.cpp
@@ -266,8 +266,8 @@
     m_firstSeenAt = now;
     m_isHeld = !record.released;
     m_validUntil = m_sentAt + m_times.validity;
-    // Another answer may have shown a later era meanwhile.
-    m_nextCallAt = m_mustRead ? now : now + m_times.renewInterval;
+    // Meanwhile another answer may have shown a later era, or a planned stop may have begun.
+    m_nextCallAt = m_mustRead || m_isReleasing ? now : now + m_times.renewInterval;
 }
 
 void OwnerLease::release()
--- a/tests/Serving/OwnerLeaseTest.cpp
+++ b/tests/Serving/OwnerLeaseTest.cpp
@@ -174,6 +174,22 @@
     CHECK_FALSE(delayed.canOrder());
 }
 
+// A planned stop during a renewal left the lease held for another 900 ms, in which nobody ordered.
+TEST_CASE_FIXTURE(LeaseFixture, "a release during a renewal is written right after it")
+{
+    run(2s, true, false);
+    while (a.nextStep() != LeaseStep::Write) {
+        clock.advance(50ms);
+    }
+    a.release();
+    LeaseRecord renewal = a.nextRecord();
+    renewal.released = false;
+    renewal.version = ++version;
+    a.onWritten(renewal);
+    CHECK(a.nextStep() == LeaseStep::Write);
+    CHECK(a.nextRecord().released);
+}
+
 // Guards against load on the store: sixty instances that read the lease once a second made three
 // quarters of all calls to the store.
 TEST_CASE_FIXTURE(LeaseFixture,
