Count the crashes of parts before the first of them is put under quarantine

prompt_quarantined would have named 0 crashes for the second of several parts that cannot be told apart, because the first one explains its crashes by then. Found by reading; which parts are put under quarantine is unchanged. "parts that cannot be told apart ..." checks the counts now.

isCause() computes the unexplained crashes once, the position that a copy has all changes up to is computed in one place (knownVersion()), and a private function stands with the functions of ObjectMirror.

--- a/include/marigoldspool/Serving/ObjectMirror.h
+++ b/include/marigoldspool/Serving/ObjectMirror.h
@@ -41,10 +41,9 @@
     /// them.
     std::uint64_t lastChangeVersion() const { return m_lastChangeVersion; }
     /// Whether this copy has all changes up to \p version.
-    bool hasChange(std::uint64_t version) const
-    {
-        return version <= std::max(m_revision, m_lastChangeVersion);
-    }
+    bool hasChange(std::uint64_t version) const { return version <= knownVersion(); }
+    /// This copy has all changes up to this position.
+    std::uint64_t knownVersion() const { return std::max(m_revision, m_lastChangeVersion); }
     bool hasSnapshot() const { return m_revision > 0; }
 
 private:
@@ -54,10 +53,10 @@
         bool deleted = false;
     };
 
-    std::string m_prefix;
-    ChangeHandler m_onChange;
     void removeAbsent(const std::set<std::string_view> &keys, std::uint64_t revision);
 
+    std::string m_prefix;
+    ChangeHandler m_onChange;
     std::map<std::string, Entry> m_objects;
     std::uint64_t m_revision = 0;
     std::uint64_t m_lastChangeVersion = 0;
--- a/include/marigoldspool/Serving/PromptQuarantine.h
+++ b/include/marigoldspool/Serving/PromptQuarantine.h
@@ -110,7 +110,8 @@
     bool isQuarantined(const Key &key);
     /// The crashes of a suspected part, without those that a part under quarantine has caused.
     std::vector<Crash> unexplainedCrashes(const Key &key) const;
-    std::size_t unexplainedCount(const Key &key) const;
+    /// Number of crashes, those at the same moment counted once.
+    static std::size_t separateCount(const std::vector<Crash> &crashes);
     static bool hasSeveralRequests(const std::vector<Crash> &crashes);
     /// Whether another suspected part was in a request at each of these crashes.
     bool hasRival(const Key &key, const std::vector<Crash> &crashes) const;
--- a/lib/Fleet/WatchedPrefix.h
+++ b/lib/Fleet/WatchedPrefix.h
@@ -69,7 +69,7 @@
         if (!mirror.applyTransfer(transfer)) {
             return false;
         }
-        m_relayFreshness.onApplied(std::max(mirror.revision(), mirror.lastChangeVersion()));
+        m_relayFreshness.onApplied(mirror.knownVersion());
         m_confirmedAt = std::max(m_confirmedAt, m_relayFreshness.confirmedAt());
         return true;
     }
@@ -94,8 +94,7 @@
     bool onBeacon(const KnownRevision &known, SteadyTime at)
     {
         const bool isUpToDate = mirror.hasChange(known.lastChangeVersion);
-        m_relayFreshness.onBeacon(known.lastChangeVersion,
-                                  std::max(mirror.revision(), mirror.lastChangeVersion()), at);
+        m_relayFreshness.onBeacon(known.lastChangeVersion, mirror.knownVersion(), at);
         if (isUpToDate) {
             detectOutage();
             mirror.confirm(known.revision);
--- a/lib/Serving/PromptQuarantine.cpp
+++ b/lib/Serving/PromptQuarantine.cpp
@@ -209,7 +209,7 @@
     for (const Key &key : suspects) {
         addSuspicion(crash, key);
         if (m_ended.count(key) > 0) {
-            impose(key, unexplainedCount(key));
+            impose(key, separateCount(unexplainedCrashes(key)));
         }
     }
     if (!suspects.empty() && !m_decideAt) {
@@ -224,15 +224,16 @@
     m_decideAt.reset();
     while (const std::optional<Key> cause = findCause()) {
         const std::vector<Crash> crashes = unexplainedCrashes(*cause);
-        std::vector<Key> causes;
+        // Counted first, because the first part under quarantine explains the others' crashes.
+        std::vector<std::pair<Key, std::size_t>> causes;
         for (const auto &[key, own] : m_suspects) {
             if (key.first == cause->first && own.size() == m_suspects.at(*cause).size()
                 && hasAll(own, crashes) && isCause(key)) {
-                causes.push_back(key);
+                causes.emplace_back(key, separateCount(unexplainedCrashes(key)));
             }
         }
-        for (const Key &key : causes) {
-            impose(key, unexplainedCount(key));
+        for (const auto &[key, count] : causes) {
+            impose(key, count);
         }
         if (m_quarantined.size() >= MaxQuarantinedParts) {
             return;
@@ -255,17 +256,16 @@
 
 bool PromptQuarantine::isCause(const Key &key) const
 {
-    const std::size_t count = unexplainedCount(key);
+    const std::vector<Crash> crashes = unexplainedCrashes(key);
+    const std::size_t count = separateCount(crashes);
     if (count >= CrashesToQuarantineAll) {
         return true;
     }
-    const std::vector<Crash> crashes = unexplainedCrashes(key);
     return count >= CrashesToQuarantine && hasSeveralRequests(crashes) && !hasRival(key, crashes);
 }
 
-std::size_t PromptQuarantine::unexplainedCount(const Key &key) const
+std::size_t PromptQuarantine::separateCount(const std::vector<Crash> &crashes)
 {
-    const std::vector<Crash> crashes = unexplainedCrashes(key);
     return std::count_if(crashes.begin(), crashes.end(), [](const Crash &it) {
         return it.isSeparate;
     });
--- a/tests/Serving/PromptQuarantineTest.cpp
+++ b/tests/Serving/PromptQuarantineTest.cpp
@@ -366,6 +366,11 @@
         settle(quarantine, clock);
     }
     CHECK(isQuarantined(quarantine, Crashing));
+    const std::vector<QuarantineChange> changes = quarantine.takeChanges();
+    REQUIRE(changes.size() == 2);
+    for (const QuarantineChange &change : changes) {
+        CHECK(change.crashes == 5);
+    }
 }
 
 // Guards against refusing a part for ever, and against three crashes at each end of a quarantine.
