--- a/include/marigoldspool/Fleet/FleetOptions.h
+++ b/include/marigoldspool/Fleet/FleetOptions.h
@@ -7,10 +7,26 @@
 #include "marigoldspool/Support/Identifiers.h"
 
 #include <cstddef>
+#include <optional>
 #include <string>
 
 namespace marigoldspool {
 
+/// Calls to the platform's control API that one instance at a time makes.
+struct DutyOptions {
+    /// `IP:PORT` of the control API.
+    std::string address;
+    bool reportsUsage = false;
+    bool ordersReplicas = false;
+    /// Calls that the API accepts from all instances together; zero: unlimited.
+    double callsPerSecond = 0;
+    /// Length of the windows in which usage is counted; they begin at multiples of it since the
+    /// start of 1970.
+    Duration usageWindow = std::chrono::seconds(5);
+    /// How long after the end of a window its report is due.
+    Duration usageDue = std::chrono::seconds(10);
+};
+
 /// Settings of one instance.
 struct FleetOptions {
     InstanceId instance;
@@ -31,6 +47,8 @@
     Duration gracePeriod = std::chrono::seconds(8);
     /// Concurrent loads that the weight store serves at full speed.
     int storeLoadsAtOnce = 4;
+    /// Unset if the deployment has no control API.
+    std::optional<DutyOptions> duties;
 };
 
 } // namespace marigoldspool
--- a/include/marigoldspool/Serving/ServingTypes.h
+++ b/include/marigoldspool/Serving/ServingTypes.h
@@ -75,6 +75,14 @@
     std::map<ModelName, HostedModel> models;
 };
 
+/// Bounds on the number of endpoints of a pool in each availability zone, which instances order.
+struct ReplicaBounds {
+    int min = 0;
+    int max = 0;
+    /// From the order of an endpoint until it serves requests.
+    Duration bootTime = Duration::zero();
+};
+
 /// A set of endpoints that serve the same requests.
 struct EndpointPool {
     PoolName name;
@@ -84,6 +92,8 @@
     Duration coldDuration = Duration::zero();
     int maxConnections = 0;
     std::optional<EngineProfile> engine;
+    /// Unset for a pool whose number of endpoints is not for the instances to order.
+    std::optional<ReplicaBounds> replicas;
 };
 
 struct ServedWorkspace {
@@ -138,6 +148,9 @@
     bool leaving = false;
     /// Remaining time as a cold endpoint when the entry was written.
     Duration remainingColdTime = Duration::zero();
+    /// With \c leaving: the time after which the process ends whatever it runs, from when the entry
+    /// was written. Unset if the process ends after its requests.
+    std::optional<Duration> remainingLifetime;
     /// Start of the process in Unix milliseconds; distinguishes processes that reuse an id.
     std::int64_t startedAtMs = 0;
     LoadedModels models;
