Placement: a load that many callers wait for is not slowed down by others

Change: in contended pools, beyond the number of loads that have been seen to run at full speed together, the weight store begins no load for a model that is asked for less than half as often while such a load runs.

--- a/include/marigoldspool/Serving/PlacementPlanner.h
+++ b/include/marigoldspool/Serving/PlacementPlanner.h
@@ -85,6 +85,9 @@
     std::map<EndpointId, EngineState> &engines() { return m_engines; }
     const std::map<EndpointId, EngineState> &engines() const { return m_engines; }
 
+    /// Pools in which a load from the weight store that many callers wait for is not slowed down by
+    /// others.
+    void setContendedPools(std::set<PoolName> pools) { m_contendedPools = std::move(pools); }
     /// Returns the orders to send now, at most one for each engine, and marks these engines.
     std::vector<PlacementOrder> plan(const DemandAggregator &demand);
     /// A load from the weight store has ended; \p concurrentLoads is the mean number of loads
@@ -165,6 +168,11 @@
                    std::vector<PlacementOrder> &orders);
     void prefetch(const DemandAggregator &demand, std::vector<PlacementOrder> &orders);
     void countStoreLoad(LoadSource source);
+    /// Whether the weight store is to begin a load of \p model now.
+    bool canLoadFromStore(const PoolName &pool, const ModelName &model,
+                          const DemandAggregator &demand) const;
+    /// The model that the engine loads from the weight store, or is planned to.
+    static const ModelName *storeLoadOf(const EngineState &engine);
     void onCopyRemoved(const PoolName &pool, const ModelName &model, bool wasCounted);
     void addOrder(EngineState &engine, PlacementOrder order, std::vector<PlacementOrder> &orders);
 
@@ -172,6 +180,9 @@
     /// Estimate of the loads that the weight store serves concurrently at full speed.
     int m_storeConcurrency;
     double m_smoothedStoreConcurrency;
+    /// The most loads at a time that have all run at full speed.
+    int m_provenStoreConcurrency = 1;
+    std::set<PoolName> m_contendedPools;
     ServingConfigurationPtr m_configuration;
     /// Memory that is kept free for adapters on each engine of a pool.
     std::map<PoolName, double> m_adapterReserveMb;
--- a/lib/Fleet/FleetDaemon.cpp
+++ b/lib/Fleet/FleetDaemon.cpp
@@ -76,6 +76,7 @@
         m_state.setMembersHandler([this] {
             m_link.updatePeers();
             m_usageHub.setZoneMembers(zoneMembers());
+            m_placement.onMembers();
         });
         m_state.setConfigurationHandler([this] {
             m_placement.onConfiguration();
--- a/lib/Fleet/PlacementDriver.cpp
+++ b/lib/Fleet/PlacementDriver.cpp
@@ -134,9 +134,24 @@
     if (m_runtime.routes != nullptr) {
         m_planner.setConfiguration(m_runtime.routes->configuration());
         m_isPlanDue = true;
+        onMembers();
     }
 }
 
+void PlacementDriver::onMembers()
+{
+    if (m_runtime.routes == nullptr) {
+        return;
+    }
+    std::set<PoolName> contended;
+    for (const auto &[name, pool] : m_runtime.routes->configuration()->pools) {
+        if (m_runtime.directory.isContended(pool)) {
+            contended.insert(name);
+        }
+    }
+    m_planner.setContendedPools(std::move(contended));
+}
+
 void PlacementDriver::onEndpoints()
 {
     if (!m_active || m_runtime.routes == nullptr) {
--- a/lib/Fleet/PlacementDriver.h
+++ b/lib/Fleet/PlacementDriver.h
@@ -23,6 +23,8 @@
     void onDemand(const InstanceId &from, const DemandReport &report);
     void onEndpoints();
     void onConfiguration();
+    /// The number of instances has changed.
+    void onMembers();
     /// Called with each update that is published to the other instances.
     void setUpdateHandler(std::function<void(const PlacementUpdate &)> handler)
     {
--- a/lib/Serving/PlacementPlanner.cpp
+++ b/lib/Serving/PlacementPlanner.cpp
@@ -98,6 +98,9 @@
     const double measuredConcurrency =
         concurrentLoads * toSeconds(it->storeLoadTime) / toSeconds(took);
     const bool wasSlowed = took > it->storeLoadTime + it->storeLoadTime / 8;
+    m_provenStoreConcurrency = wasSlowed ? std::min(m_provenStoreConcurrency, concurrentLoads - 1)
+                                         : std::max(m_provenStoreConcurrency, concurrentLoads);
+    m_provenStoreConcurrency = std::max(m_provenStoreConcurrency, 1);
     if (wasSlowed) {
         m_smoothedStoreConcurrency +=
             ConcurrencyWeight * (measuredConcurrency - m_smoothedStoreConcurrency);
@@ -238,6 +241,42 @@
     }
 }
 
+const ModelName *PlacementPlanner::storeLoadOf(const EngineState &engine)
+{
+    if (engine.loading) {
+        return engine.source == LoadSource::Store ? &*engine.loading : nullptr;
+    }
+    const bool isPlanned =
+        engine.plannedLoad && sourceOf(engine, *engine.plannedLoad) == LoadSource::Store;
+    return isPlanned ? &*engine.plannedLoad : nullptr;
+}
+
+// Beyond what the weight store serves at full speed, each further load slows all others down. A
+// model that many callers wait for, and that no engine serves, must not wait for loads that few
+// callers gain from, nor for its own second copy.
+bool PlacementPlanner::canLoadFromStore(const PoolName &pool, const ModelName &model,
+                                        const DemandAggregator &demand) const
+{
+    constexpr double MuchMore = 2;
+    const int loads = storeLoadCount();
+    if (loads >= m_storeConcurrency) {
+        return false;
+    }
+    if (loads < m_provenStoreConcurrency || m_contendedPools.count(pool) == 0) {
+        return true;
+    }
+    const double rate = demand.demandFor({pool, model, {}}).expectedRequestsPerSecond;
+    return std::none_of(m_engines.begin(), m_engines.end(), [&](const auto &entry) {
+        const EngineState &engine = entry.second;
+        const ModelName *other = storeLoadOf(engine);
+        if (other == nullptr || engine.pool != pool || copyCount(pool, *other) > 0) {
+            return false;
+        }
+        return *other == model
+            || demand.demandFor({pool, *other, {}}).expectedRequestsPerSecond > MuchMore * rate;
+    });
+}
+
 bool PlacementPlanner::orderLoad(const PoolName &pool, const ModelName &model,
                                  const DemandAggregator &demand, const LoadLimits &limits,
                                  std::string_view cause, std::vector<PlacementOrder> &orders)
@@ -252,7 +291,7 @@
             zonesWithCopy.insert(engine.zone);
         }
     }
-    const bool isStoreFree = storeLoadCount() < m_storeConcurrency;
+    const bool isStoreFree = canLoadFromStore(pool, model, demand);
     EngineState *best = nullptr;
     Victims bestVictims;
     double bestCost = limits.total;
