--- a/include/marigoldspool/Serving/EndpointDirectory.h
+++ b/include/marigoldspool/Serving/EndpointDirectory.h
@@ -111,6 +111,8 @@
     Duration objective = std::chrono::seconds(1);
     /// Skip endpoints with recent failures.
     bool onlyHealthy = false;
+    /// The request cannot wait at the instance, so an engine without a free slot will do.
+    bool isUrgent = false;
     /// A random number in [0, 1) for the choice between endpoints of about the same load.
     double draw = 0;
 };
--- a/include/marigoldspool/Serving/EngineSelection.h
+++ b/include/marigoldspool/Serving/EngineSelection.h
@@ -25,8 +25,9 @@
 struct EngineSelection {
     /// Index of the engine to send to; unset if the request should wait.
     std::optional<std::size_t> index;
-    /// Without an index: after which time an engine is expected to take the request.
+    /// Without an index: after which time an engine is expected to take the request, and which one.
     Duration freeIn = Duration::zero();
+    std::size_t firstFree = 0;
 };
 
 /// Selects an engine by the load that all instances together have put on it.
--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -301,6 +301,9 @@
         query.excluded = {};
         choice = m_runtime.directory.choose(query);
     }
+    if (choice.kind == ChoiceKind::Send || !m_waiting) {
+        countChoice(choice);
+    }
     if (choice.kind == ChoiceKind::Send) {
         send(choice.endpoint);
     } else {
@@ -308,6 +311,16 @@
     }
 }
 
+void Exchange::countChoice(const EndpointChoice &choice) const
+{
+    if (!m_runtime.directory.isContended(*m_pool)) {
+        return;
+    }
+    const bool isKnown = m_runtime.directory.loads().isFresh();
+    const std::string kind = !isKnown ? "fallback" : choice.isForecast ? "all_full" : "room";
+    m_runtime.metrics->add("marigoldspool_endpoint_choices_total", 1, {{"kind", kind}});
+}
+
 void Exchange::waitOrRefuse(const EndpointChoice &choice)
 {
     const SteadyTime now = m_runtime.clock.now();
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -72,6 +72,8 @@
     bool refuseQuarantined();
     void reportDemand();
     void waitOrRefuse(const EndpointChoice &choice);
+    /// Counts by what an endpoint of a contended pool was chosen.
+    void countChoice(const EndpointChoice &choice) const;
     EndpointCall makeCall(const EndpointId &endpoint) const;
     void send(const EndpointId &endpoint);
     /// Expects the answer to the request from \p attempt.
--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -368,6 +368,7 @@
     }
     // The stream must not pause for long, so the request does not wait for an endpoint.
     EndpointQuery query = endpointQuery();
+    query.isUrgent = true;
     EndpointChoice choice = m_runtime.directory.choose(query);
     if (choice.kind != ChoiceKind::Send) {
         // An endpoint that has lost only this connection can go on.
--- a/lib/Fleet/ExchangeSuccessor.cpp
+++ b/lib/Fleet/ExchangeSuccessor.cpp
@@ -65,6 +65,7 @@
     }
     EndpointQuery query = endpointQuery();
     query.onlyHealthy = true;
+    query.isUrgent = true;
     const EndpointChoice choice = m_runtime.directory.choose(query);
     if (choice.kind != ChoiceKind::Send) {
         return std::nullopt;
--- a/lib/Serving/EndpointDirectory.cpp
+++ b/lib/Serving/EndpointDirectory.cpp
@@ -403,8 +403,8 @@
                                penalty(*it, query, now), meanRun});
         }
         const EngineSelection selection = selectEngine(engines, query.draw);
-        if (selection.index) {
-            choice.endpoint = candidates[*selection.index]->listed.id;
+        if (selection.index || query.isUrgent) {
+            choice.endpoint = candidates[selection.index.value_or(selection.firstFree)]->listed.id;
             return;
         }
         choice.kind = ChoiceKind::Busy;
--- a/lib/Serving/EngineSelection.cpp
+++ b/lib/Serving/EngineSelection.cpp
@@ -113,11 +113,12 @@
         selection.index = drawIndex(weights, draw);
         return selection;
     }
-    Duration shortest = Duration::max();
-    for (const EngineCandidate &it : candidates) {
-        shortest = std::min(shortest, waitAt(it));
+    for (std::size_t i = 1; i < candidates.size(); ++i) {
+        if (waitAt(candidates[i]) < waitAt(candidates[selection.firstFree])) {
+            selection.firstFree = i;
+        }
     }
-    selection.freeIn = shortest - MaxQueueTime;
+    selection.freeIn = waitAt(candidates[selection.firstFree]) - MaxQueueTime;
     return selection;
 }
 
--- a/tests/Serving/EngineLoadTest.cpp
+++ b/tests/Serving/EngineLoadTest.cpp
@@ -242,6 +242,23 @@
     CHECK(sums.reporterCount() == 1);
 }
 
+// Guards against streams that are cut off because all engines that could go on with them are full.
+TEST_CASE("a stream under way goes on at a full engine")
+{
+    Fleet fleet(Slots * 4, 2);
+    EndpointDirectory &directory = *fleet.instances.front();
+    directory.loads().onTotals(
+        {1, 1, true, {{EndpointId("e0"), 1, 60, 0}, {EndpointId("e1"), 1, 50, 0}}});
+    EndpointQuery query;
+    query.pool = fleet.pools->pool(PoolName("p"));
+    query.model = Model;
+    const EndpointChoice waiting = directory.choose(query);
+    CHECK(waiting.kind == ChoiceKind::Busy);
+    CHECK(waiting.isForecast);
+    query.isUrgent = true;
+    CHECK(directory.choose(query).endpoint == EndpointId("e1"));
+}
+
 // Guards against an engine that is avoided being drawn because it is empty.
 TEST_CASE("a penalty outweighs free slots")
 {
