Placement: copies by need instead of by name in contended pools

Cause: copies were ordered by the names of the models.

Change: in contended pools, models without a copy come first, then those with the most requests for each copy; spare copies use the weight store only while it is idle.

--- a/include/marigoldspool/Serving/PlacementPlanner.h
+++ b/include/marigoldspool/Serving/PlacementPlanner.h
@@ -154,6 +154,8 @@
         double total;
         /// For the models that are unloaded for it.
         double victims;
+        /// The other copies have room for the requests.
+        bool isSpare = false;
     };
     /// Orders a load of \p model, or the first unload that it needs, on the cheapest engine. An
     /// engine that finishes another load first may be the cheapest; then nothing is ordered yet.
@@ -169,8 +171,11 @@
     void prefetch(const DemandAggregator &demand, std::vector<PlacementOrder> &orders);
     void countStoreLoad(LoadSource source);
     /// Whether the weight store is to begin a load of \p model now.
-    bool canLoadFromStore(const PoolName &pool, const ModelName &model,
+    bool canLoadFromStore(const PoolName &pool, const ModelName &model, bool isSpare,
                           const DemandAggregator &demand) const;
+    /// The models in demand, in the order in which they get copies.
+    std::vector<std::pair<const DemandKey *, const FleetDemand *>>
+    copyOrder(const DemandAggregator &demand) const;
     /// The model that the engine loads from the weight store, or is planned to.
     static const ModelName *storeLoadOf(const EngineState &engine);
     void onCopyRemoved(const PoolName &pool, const ModelName &model, bool wasCounted);
--- a/lib/Serving/PlacementCopies.cpp
+++ b/lib/Serving/PlacementCopies.cpp
@@ -25,6 +25,8 @@
 constexpr double MaxPrefetchCost = 7;
 // Prefetches leave half of the weight store's capacity to models with waiting requests.
 constexpr int PrefetchStoreDivisor = 2;
+// Above the requests per second and copy of any model.
+constexpr double UnservedUrgency = 1e6;
 // Above this fraction of an engine's rate limit, its requests queue.
 constexpr double MaxRateLimitUse = 0.7;
 
@@ -137,10 +139,33 @@
     });
 }
 
+// The weight store and the engines' memory are short in a contended pool, so models without a copy
+// come first, then those with the most requests for each copy.
+std::vector<std::pair<const DemandKey *, const FleetDemand *>>
+PlacementPlanner::copyOrder(const DemandAggregator &demand) const
+{
+    std::vector<std::pair<const DemandKey *, const FleetDemand *>> order;
+    std::map<const DemandKey *, double> urgency;
+    for (const auto &[key, modelDemand] : demand.totalDemand()) {
+        order.emplace_back(&key, &modelDemand);
+        if (m_contendedPools.count(key.pool) > 0) {
+            const int copies = copyCount(key.pool, key.model);
+            const double rate = modelDemand.expectedRequestsPerSecond;
+            urgency[&key] = copies == 0 ? UnservedUrgency + rate : rate / copies;
+        }
+    }
+    std::stable_sort(order.begin(), order.end(), [&urgency](const auto &a, const auto &b) {
+        return urgency[a.first] > urgency[b.first];
+    });
+    return order;
+}
+
 void PlacementPlanner::addCopies(const DemandAggregator &demand, bool onlyUrgent,
                                  std::vector<PlacementOrder> &orders)
 {
-    for (const auto &[key, modelDemand] : demand.totalDemand()) {
+    for (const auto &[keyInOrder, demandInOrder] : copyOrder(demand)) {
+        const DemandKey &key = *keyInOrder;
+        const FleetDemand &modelDemand = *demandInOrder;
         const EngineProfile *profile = engineProfile(key.pool);
         if (profile == nullptr || !key.adapter.empty()
             || modelDemand.requestsPerSecond < BusyRequestsPerSecond) {
@@ -160,12 +185,13 @@
         }
         const int targetCopies = onlyUrgent ? neededCopies : std::max(MinBusyCopies, neededCopies);
         while (existingCopies < targetCopies) {
-            const double maxVictimCost = existingCopies < neededCopies
+            const bool isSpare = existingCopies >= neededCopies;
+            const double maxVictimCost = !isSpare
                 ? std::max(MaxSpareCopyVictimCost,
                            CopyVictimCostPerRequestRate * modelDemand.expectedRequestsPerSecond)
                 : MaxSpareCopyVictimCost;
             const bool isPlaced = orderLoad(key.pool, key.model, demand,
-                                            {MaxCopyCost, maxVictimCost}, "copy", orders);
+                                            {MaxCopyCost, maxVictimCost, isSpare}, "copy", orders);
             if (!isPlaced || m_deferredLoads.count({key.pool, key.model}) > 0) {
                 break;
             }
--- a/lib/Serving/PlacementPlanner.cpp
+++ b/lib/Serving/PlacementPlanner.cpp
@@ -253,8 +253,8 @@
 
 // Beyond what the weight store serves at full speed, each further load slows all others down. A
 // model that many callers wait for, and that no engine serves, must not wait for loads that few
-// callers gain from, nor for its own second copy.
-bool PlacementPlanner::canLoadFromStore(const PoolName &pool, const ModelName &model,
+// callers gain from, nor for its own second copy. Spare copies leave the store to others.
+bool PlacementPlanner::canLoadFromStore(const PoolName &pool, const ModelName &model, bool isSpare,
                                         const DemandAggregator &demand) const
 {
     constexpr double MuchMore = 2;
@@ -262,7 +262,13 @@
     if (loads >= m_storeConcurrency) {
         return false;
     }
-    if (loads < m_provenStoreConcurrency || m_contendedPools.count(pool) == 0) {
+    if (m_contendedPools.count(pool) == 0) {
+        return true;
+    }
+    if (isSpare) {
+        return loads == 0;
+    }
+    if (loads < m_provenStoreConcurrency) {
         return true;
     }
     const double rate = demand.demandFor({pool, model, {}}).expectedRequestsPerSecond;
@@ -291,7 +297,7 @@
             zonesWithCopy.insert(engine.zone);
         }
     }
-    const bool isStoreFree = canLoadFromStore(pool, model, demand);
+    const bool isStoreFree = canLoadFromStore(pool, model, limits.isSpare, demand);
     EngineState *best = nullptr;
     Victims bestVictims;
     double bestCost = limits.total;
