Endpoints with an announced end: move their streams and replace their models

An entry with state draining may say after which time the process ends, whatever it runs. Streams broke off then, and models that only such an endpoint had were loaded when a request waited for them.

EndpointDirectory keeps the earliest end that the entries of a process give. A resumable stream that is not expected to finish in time is moved by the trial that exists for silent endpoints, 1,300 to 300 ms before the end; events that come during the trial are held back, since the successor was asked for them too. The placement owner loads the requested models that only leaving engines have before other work, with or without a known end. A connection lost at the end starts no crash check, which would count the end as a crash of all prompts of the engine.

--- a/include/marigoldspool/Serving/EndpointDirectory.h
+++ b/include/marigoldspool/Serving/EndpointDirectory.h
@@ -6,6 +6,7 @@
 #include "marigoldspool/Serving/RateDivider.h"
 #include "marigoldspool/Serving/ResponseTimeModel.h"
 #include "marigoldspool/Serving/ServingTypes.h"
+#include "marigoldspool/Serving/StreamMove.h"
 
 #include <map>
 #include <optional>
@@ -65,6 +66,8 @@
     std::optional<SteadyTime> removeAt;
     /// The entry says that the endpoint leaves.
     bool hasListedLeaving = false;
+    /// The end of the process that its entries have announced; kept when later entries lack it.
+    std::optional<EndpointEnd> end;
 };
 
 enum class ChoiceKind {
@@ -127,6 +130,14 @@
     /// Whether the entry of this process says that it leaves, or was removed for good within the
     /// last minute. An older copy of the store may say otherwise.
     bool hasLeft(const EndpointIncarnation &incarnation) const;
+    /// Whether the entry of \p id or an answer of it says that it leaves.
+    bool isLeaving(const EndpointId &id) const;
+    /// The announced end of this process; nullopt if none is known, or if the process is not
+    /// leaving.
+    std::optional<EndpointEnd> endOf(const EndpointIncarnation &incarnation) const;
+    /// Whether the process of \p id has reached its announced end, or is so close to it that lost
+    /// connections are due to the end.
+    bool isAtEnd(const EndpointId &id) const;
     void setEvacuated(const ZoneName &zone, bool evacuated);
     bool isEvacuated(const ZoneName &zone) const { return m_evacuated.count(zone) > 0; }
     /// Sets the models that the placement owner publishes for \p id; nullopt falls back to the
@@ -175,6 +186,8 @@
     /// Follows a change of the endpoint's rate limit.
     void updateRateShare(TrackedEndpoint &state);
     void divideRate(TrackedEndpoint &state);
+    /// Follows the lifetime in the latest entry.
+    void updateEnd(TrackedEndpoint &state);
     /// Whether requests to the endpoint are left to other instances.
     static bool isLeftToOthers(const TrackedEndpoint &state);
     void markCold(TrackedEndpoint &state, Duration left);
--- a/include/marigoldspool/Serving/PlacementPlanner.h
+++ b/include/marigoldspool/Serving/PlacementPlanner.h
@@ -24,6 +24,8 @@
     ZoneName zone;
     /// Responds, and is neither leaving nor in an evacuated zone.
     bool isUsable = true;
+    /// The process has announced that it leaves; not usable then.
+    bool isLeaving = false;
     /// The current process of the engine has sent a report.
     bool hasReported = false;
     LoadedModels models;
@@ -154,6 +156,11 @@
     void continuePlannedLoads(const DemandAggregator &demand, std::vector<PlacementOrder> &orders);
     void loadRequestedModels(const DemandAggregator &demand, std::vector<PlacementOrder> &orders);
     void loadRequestedAdapters(const DemandAggregator &demand, std::vector<PlacementOrder> &orders);
+    /// Loads the requested models whose last usable copies are lost with leaving engines.
+    void replaceLeavingCopies(const DemandAggregator &demand, std::vector<PlacementOrder> &orders);
+    /// Expected delay, in seconds, caused by having no copy of the model.
+    double lossCost(const PoolName &pool, const ModelName &model,
+                    const FleetDemand &modelDemand) const;
     void addCopies(const DemandAggregator &demand, bool onlyUrgent,
                    std::vector<PlacementOrder> &orders);
     void prefetch(const DemandAggregator &demand, std::vector<PlacementOrder> &orders);
@@ -175,6 +182,8 @@
     /// Models on engines whose rate limits are too low for the demand. They don't count as copies,
     /// so the models are loaded elsewhere.
     std::set<std::pair<EndpointId, ModelName>> m_shortCopies;
+    /// Models that leaving engines have, or had when they ended, and no usable engine.
+    std::set<std::pair<PoolName, ModelName>> m_leavingModels;
 
     /// \name State of one plan; the forecasts that follow it use the deferred loads
     /// \{
--- a/lib/Fleet/CrashCheck.cpp
+++ b/lib/Fleet/CrashCheck.cpp
@@ -101,8 +101,9 @@
 {
     const TrackedEndpoint *state = m_runtime.directory.find(engine);
     // An engine that leaves ends its connections without a crash, and one that wants no requests is
-    // not asked either.
-    if (state == nullptr || prompt.empty() || !m_runtime.directory.acceptsCalls(engine)) {
+    // not asked either. One at its announced end refuses connections, as after a crash.
+    if (state == nullptr || prompt.empty() || !m_runtime.directory.acceptsCalls(engine)
+        || m_runtime.directory.isAtEnd(engine)) {
         return;
     }
     const auto [it, isFirst] = m_lost.try_emplace(engine);
--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -446,6 +446,9 @@
     m_answerBody.clear();
     m_streaming = false;
     m_passingOn = false;
+    m_isEndMove = false;
+    m_heldData.clear();
+    m_notMovedFor = {};
     m_events.beginResumed();
 }
 
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -36,7 +36,7 @@
     /// quarantine.
     void checkQuarantine();
     /// Moves a repeatable request to another available endpoint if the current one has sent nothing
-    /// for too long.
+    /// for too long, or a resumable stream if the process of the current one is about to end.
     void checkSilence();
     /// The model or adapter that this request waits for: not loaded, or only on endpoints that
     /// limit their rate. Empty if it doesn't wait for a load.
@@ -79,10 +79,18 @@
                       SteadyTime sentAt);
     /// Whether the configuration in force still lets the request be repeated after \p runs runs.
     bool keepsRoute(int runs) const;
-    /// An endpoint that can take over from a silent one at once.
+    /// An endpoint that can take over at once from one that is silent or about to end.
     std::optional<EndpointId> findSuccessor();
+    /// Whether the endpoint is about to end and the stream has to go on elsewhere.
+    bool isEndMoveDue() const;
+    /// Counts why a stream stays at an endpoint that is about to end, once for each attempt.
+    void noteNotMoved(std::string_view outcome);
+    /// Records that the stream leaves an endpoint that is about to end for \p endpoint.
+    void recordMove(const EndpointId &endpoint);
+    /// Passes on what the endpoint has sent while a trial was open, unless it is obsolete.
+    void releaseHeldData();
     void onSuccessorAnswer(const EndpointId &id, bool isUsable);
-    /// Gives up the silent attempt for one at \p endpoint if the retry limit allows it.
+    /// Gives up the attempt for one at \p endpoint if the retry limit allows it.
     void moveTo(const EndpointId &endpoint);
     void giveUpSilentAttempt();
     /// Sends the request to \p endpoint as well, to see whether it takes over.
@@ -202,6 +210,13 @@
     boost::asio::steady_timer m_trialTimer;
     /// Trials that have ended without taking over.
     int m_trialCount = 0;
+    /// The attempt is being given up because its endpoint is about to end, not for its silence.
+    bool m_isEndMove = false;
+    /// What the endpoint that is about to end has sent while the trial was open. The successor was
+    /// asked for these events as well.
+    std::string m_heldData;
+    /// The last reason counted by noteNotMoved() for the attempt.
+    std::string_view m_notMovedFor;
     SteadyTime m_sentAt;
     SteadyTime m_firstSentAt;
     bool m_firstByteSeen = false;
--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t MaxUntakenBytesOfCaller = 256U << 10U;
 // Body bytes kept until an answer is complete.
 constexpr std::size_t MaxBufferedBytes = 512U << 10U;
+// Bytes of an answer that are kept while a successor is tried; a trial takes up to 200 ms.
+constexpr std::size_t MaxHeldBytes = 64U << 10U;
 constexpr Duration OverloadRetryAfter = milliseconds(300);
 // Other instances can take the request at once.
 constexpr Duration StoppingRetryAfter = milliseconds(100);
@@ -97,6 +99,14 @@
         onBufferedData(bytes);
         return;
     }
+    if (m_trial && m_isEndMove) {
+        m_lastProgressAt = m_runtime.observedTime.at(m_runtime.clock.now());
+        m_heldData.append(bytes);
+        if (m_heldData.size() > MaxHeldBytes) {
+            cancelTrial();
+        }
+        return;
+    }
     const std::string events = m_events.feed(bytes);
     if (!events.empty()) {
         cancelTrial();
@@ -167,6 +177,14 @@
 
 void Exchange::onComplete()
 {
+    if (m_trial && m_isEndMove) {
+        // The stream has finished before the endpoint's end, unless the held events are faulty.
+        const std::shared_ptr<Attempt> attempt = m_attempt;
+        cancelTrial();
+        if (m_attempt != attempt) {
+            return;
+        }
+    }
     if (m_traits.misdirected || m_traits.notRun) {
         const bool isMisdirected = m_traits.misdirected;
         m_lastError = isMisdirected ? "absent" : "busy";
@@ -263,6 +281,12 @@
 void Exchange::onCompleteAtClose()
 {
     m_hasUnstatedEnd = true;
+    if (m_trial && m_isEndMove) {
+        // The process has probably ended; the successor knows whether more events follow.
+        m_lastError = "endpoint_ends";
+        onAttemptFailed(EndpointOutcome::CutOff, EndpointResult::Abandoned);
+        return;
+    }
     onComplete();
 }
 
--- a/lib/Fleet/ExchangeSuccessor.cpp
+++ b/lib/Fleet/ExchangeSuccessor.cpp
@@ -1,10 +1,12 @@
-// The part of Exchange that moves requests away from endpoints that have fallen silent.
+// The part of Exchange that moves requests away from endpoints that have fallen silent, or whose
+// process is about to end.
 #include "Fleet/EngineCalls.h"
 #include "Fleet/ExchangeAttempt.h"
 
 #include "marigoldspool/Support/EventLog.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace marigoldspool {
 
@@ -56,17 +58,25 @@
     const SteadyTime now = m_runtime.clock.now();
     const bool canRepeat =
         m_answerStarted ? m_route->resumable && m_events.canResume() : isRepeatable();
-    if (!canRepeat || m_attemptCount >= MaxTotalAttempts
-        || m_runtime.observedTime.at(now) - m_lastProgressAt < silenceLimit()
-        || timeLeft() <= MinResumeTime || m_runtime.answersEndAt - now <= MinResumeTime
-        || !keepsRoute(m_possibleRuns + 1)
+    const bool isEnding = isEndMoveDue();
+    if (!isEnding && m_runtime.observedTime.at(now) - m_lastProgressAt < silenceLimit()) {
+        return std::nullopt;
+    }
+    if (!canRepeat || m_attemptCount >= MaxTotalAttempts || timeLeft() <= MinResumeTime
+        || m_runtime.answersEndAt - now <= MinResumeTime || !keepsRoute(m_possibleRuns + 1)
         || m_runtime.quarantine.findQuarantined(m_pool->name, m_request.prompt)) {
+        if (isEnding) {
+            noteNotMoved("not_allowed");
+        }
         return std::nullopt;
     }
     EndpointQuery query = endpointQuery();
     query.onlyHealthy = true;
     const EndpointChoice choice = m_runtime.directory.choose(query);
     if (choice.kind != ChoiceKind::Send) {
+        if (isEnding) {
+            noteNotMoved("no_successor");
+        }
         return std::nullopt;
     }
     return choice.endpoint;
@@ -77,7 +87,7 @@
 // one, and the connection of the report is used for the request.
 void Exchange::checkSilence()
 {
-    if (!takesData()) {
+    if (!takesData() && !isEndMoveDue()) {
         // The endpoint is silent because its answer is not read.
         m_lastProgressAt = m_runtime.observedTime.at(m_runtime.clock.now());
         return;
@@ -126,7 +136,12 @@
 
 void Exchange::moveTo(const EndpointId &endpoint)
 {
+    m_isEndMove = isEndMoveDue();
     if (!m_runtime.retries.tryRetry(m_pool->name)) {
+        if (m_isEndMove) {
+            noteNotMoved("retry_limit");
+        }
+        m_isEndMove = false;
         return;
     }
     m_runtime.metrics->countRetry(RetryReason::ConnectFailed);
@@ -134,6 +149,9 @@
         startTrial(endpoint);
         return;
     }
+    if (m_isEndMove) {
+        recordMove(endpoint);
+    }
     giveUpSilentAttempt();
     if (resolveRoute()) {
         send(endpoint);
@@ -142,12 +160,55 @@
 
 void Exchange::giveUpSilentAttempt()
 {
-    m_lastError = "silent";
+    m_lastError = m_isEndMove ? "endpoint_ends" : "silent";
     cancelCall();
-    // The engine may have crashed without closing its connections.
-    reportLost(CrashCheck::LostAnswer::BrokenOff);
+    if (!m_isEndMove) {
+        // The engine may have crashed without closing its connections.
+        reportLost(CrashCheck::LostAnswer::BrokenOff);
+    }
     recordFailedAttempt(m_answerStarted ? EndpointOutcome::CutOff : EndpointOutcome::MaybeSent,
-                        EndpointResult::Failed);
+                        m_isEndMove ? EndpointResult::Abandoned : EndpointResult::Failed);
+}
+
+bool Exchange::isEndMoveDue() const
+{
+    if (!m_attempt || m_route->kind != RequestKind::Stream || !m_route->resumable) {
+        return false;
+    }
+    const auto end = m_runtime.directory.endOf({m_endpoint, m_endpointStartedAtMs});
+    return end
+        && isMoveDue({*end, m_request.id, m_sentAt,
+                      m_runtime.directory.responseTimes().expectedRun(m_pool->name)},
+                     m_runtime.clock.now());
+}
+
+void Exchange::noteNotMoved(std::string_view outcome)
+{
+    if (m_notMovedFor != outcome) {
+        m_notMovedFor = outcome;
+        m_runtime.metrics->add("marigoldspool_streams_moved_total", 1,
+                               {{"outcome", std::string(outcome)}});
+    }
+}
+
+void Exchange::recordMove(const EndpointId &endpoint)
+{
+    const auto end = m_runtime.directory.endOf({m_endpoint, m_endpointStartedAtMs});
+    const Duration left = end ? end->at - m_runtime.clock.now() : Duration::zero();
+    logEvent(LogLevel::Info, "stream_moved",
+             {{"id", m_request.id.str()},
+              {"from", m_endpoint.str()},
+              {"to", endpoint.str()},
+              {"left_ms", std::to_string(toMilliseconds(left))}});
+    m_runtime.metrics->add("marigoldspool_streams_moved_total", 1, {{"outcome", "moved"}});
+}
+
+void Exchange::releaseHeldData()
+{
+    const std::string data = std::exchange(m_heldData, {});
+    if (!data.empty() && m_attempt && !m_finished) {
+        onData(data);
+    }
 }
 
 // An answer that has begun must not end because its successor refuses, so the silent attempt is
@@ -155,6 +216,7 @@
 void Exchange::startTrial(const EndpointId &endpoint)
 {
     if (!resolveRoute()) {
+        m_isEndMove = false;
         return;
     }
     EndpointCall call = makeCall(endpoint);
@@ -212,6 +274,9 @@
 void Exchange::acceptTrial()
 {
     m_trialTimer.cancel();
+    if (m_isEndMove) {
+        recordMove(m_trialEndpoint);
+    }
     m_trial->acceptTrial();
     beginAttempt(std::move(m_trial), {m_trialEndpoint, m_trialStartedAtMs}, m_trialSentAt);
 }
@@ -243,7 +308,13 @@
               {"after_ms", std::to_string(toMilliseconds(m_runtime.clock.now() - m_trialSentAt))},
               {"possible_runs", std::to_string(m_possibleRuns)},
               {"cause", std::string(cause)}});
+    if (m_isEndMove && result != EndpointResult::Abandoned) {
+        m_runtime.metrics->add("marigoldspool_streams_moved_total", 1,
+                               {{"outcome", "trial_failed"}});
+    }
+    m_isEndMove = false;
     m_front.scheduleDispatch();
+    releaseHeldData();
 }
 
 } // namespace marigoldspool
--- a/lib/Fleet/FleetState.cpp
+++ b/lib/Fleet/FleetState.cpp
@@ -371,7 +371,8 @@
         } else {
             const TrackedEndpoint *known = m_runtime.directory.find(id);
             const bool isChanged = known == nullptr || known->listed.leaving != endpoint->leaving
-                || known->listed.startedAtMs != endpoint->startedAtMs;
+                || known->listed.startedAtMs != endpoint->startedAtMs
+                || (!known->end && endpoint->remainingLifetime);
             m_runtime.directory.apply(*endpoint);
             if (isChanged) {
                 logEvent(LogLevel::Info, "endpoint_listed",
@@ -380,6 +381,10 @@
                           {"zone", endpoint->zone.str()},
                           {"leaving", endpoint->leaving ? "yes" : "no"},
                           {"cold_ms", std::to_string(toMilliseconds(endpoint->remainingColdTime))},
+                          {"lifetime_ms",
+                           endpoint->remainingLifetime
+                               ? std::to_string(toMilliseconds(*endpoint->remainingLifetime))
+                               : "none"},
                           {"models", std::to_string(endpoint->models.size())},
                           {"store_version", positionText(event.version)}});
             }
--- a/lib/Fleet/PlacementDriver.cpp
+++ b/lib/Fleet/PlacementDriver.cpp
@@ -182,6 +182,7 @@
 {
     const bool usable =
         m_runtime.directory.canUse(engine.id) && tracker.failures < MaxReportFailures;
+    engine.isLeaving = m_runtime.directory.isLeaving(engine.id);
     if (engine.isUsable != usable) {
         engine.isUsable = usable;
         m_isPlanDue = true;
--- a/lib/Serving/EndpointDirectory.cpp
+++ b/lib/Serving/EndpointDirectory.cpp
@@ -113,6 +113,7 @@
     state.listed = endpoint;
     state.hasListedLeaving = endpoint.leaving;
     state.removeAt.reset();
+    updateEnd(state);
     updateRateShare(state);
     if (endpoint.remainingColdTime > Duration::zero()) {
         markCold(state, endpoint.remainingColdTime);
--- a/lib/Serving/PlacementCosts.cpp
+++ b/lib/Serving/PlacementCosts.cpp
@@ -15,6 +15,8 @@
 constexpr double RecentUseCost = 1;
 // Unloading a model with waiting requests only moves the delay to those requests.
 constexpr double WaitingRequestsCost = 30;
+// For each second of the reload of a model that is not requested now.
+constexpr double LastCopyCost = 0.1;
 constexpr double SpareCopyCost = 0.05;
 // One copy less of a busy model whose other copies have room for its requests.
 constexpr double SpareBusyCopyCost = 0.5;
@@ -87,7 +89,7 @@
         modelDemand.expectedRequestsPerSecond * reloadSeconds * reloadSeconds;
     const int remainingCopies = copyCount(engine.pool, model) - 1;
     if (isLastCopy) {
-        cost += delayedSeconds + 0.1 * reloadSeconds;
+        cost += delayedSeconds + LastCopyCost * reloadSeconds;
     } else if (modelDemand.requestsPerSecond < BusyRequestsPerSecond) {
         cost += SpareCopyCost;
     } else if (occupiedEngines(engine.pool, modelDemand.expectedRequestsPerSecond)
@@ -100,6 +102,23 @@
     return cost + remainingRunSeconds(engine, model, modelDemand);
 }
 
+// As evictionCost() of a last copy, but its own requests run on.
+double PlacementPlanner::lossCost(const PoolName &pool, const ModelName &model,
+                                  const FleetDemand &modelDemand) const
+{
+    const LoadSource source = isLoadedOrCached(pool, model) ? LoadSource::Disk : LoadSource::Store;
+    const double reloadSeconds = toSeconds(loadTime(pool, model, source)) + UnloadCostSeconds;
+    double cost =
+        (modelDemand.expectedRequestsPerSecond * reloadSeconds + LastCopyCost) * reloadSeconds;
+    if (modelDemand.waiting > 0) {
+        cost += WaitingRequestsCost;
+    }
+    if (m_clock.now() - modelDemand.lastArrival < RecentUseWindow) {
+        cost += RecentUseCost;
+    }
+    return cost;
+}
+
 const std::vector<std::pair<double, ModelName>> &
 PlacementPlanner::evictionOrder(const EngineState &engine, const DemandAggregator &demand)
 {
--- a/lib/Serving/PlacementPlanner.cpp
+++ b/lib/Serving/PlacementPlanner.cpp
@@ -454,6 +454,7 @@
     }
     beginPlan(demand);
     continuePlannedLoads(demand, orders);
+    replaceLeavingCopies(demand, orders);
     addCopies(demand, true, orders);
     loadRequestedModels(demand, orders);
     loadRequestedAdapters(demand, orders);
