Silent endpoints known to all instances of a contended pool

Cause: with 67 instances before 90 engines, each instance finds out for itself that an engine has stopped answering, with requests that may not be repeated.

Change: an instance whose request has had no byte for 700 ms, or for 700 ms beyond the expected first byte, tells all instances of it through the hub. The notice of one instance is a penalty, notices from two zones or of three instances leave the engine out while another one has the model. A byte from the engine ends it. The placement owner asks the engine for its report at once. Instances that hear nothing from other engines of the zone tell nothing, and the hub passes on the notices of three instances for an engine. Pools that are not contended and fleets of up to 12 instances are unchanged.

--- a/include/marigoldspool/Peer/Messages.h
+++ b/include/marigoldspool/Peer/Messages.h
@@ -362,12 +362,30 @@
     std::vector<EndpointTotal> endpoints;
 };
 
+/// An endpoint that has sent an instance nothing for longer than is usual.
+struct SilentEndpoint {
+    EndpointId endpoint;
+    /// Start of the process that is silent, in Unix milliseconds.
+    std::int64_t startedAtMs = 0;
+    std::int64_t silentMs = 0;
+    /// The endpoint has sent something since the author's last notice.
+    bool ended = false;
+    /// The instance that has noticed it. Counts only in messages of the hub; others tell of
+    /// themselves.
+    InstanceId by;
+};
+
+/// Silent endpoints of contended pools. Passed on by the hub.
+struct SilentEndpoints {
+    std::vector<SilentEndpoint> endpoints;
+};
+
 using PeerMessage =
     std::variant<Heartbeat, ConfigRequest, ConfigTransfer, LoanRequest, LoanGrant, EpochAck,
                  ForwardRequest, ForwardHead, ForwardData, ForwardRefusal, ForwardCancel,
                  DemandReport, PlacementUpdate, ObjectsRequest, ObjectsTransfer, UsageReport,
                  UsageTotals, LoadForecasts, RevisionBeacon, PromptEvidence, LeavingEndpoints,
-                 LimitedEndpoints, EndpointLoads, FleetLoads>;
+                 LimitedEndpoints, EndpointLoads, FleetLoads, SilentEndpoints>;
 
 struct AddressedMessage {
     InstanceId to;
--- a/include/marigoldspool/Serving/EndpointDirectory.h
+++ b/include/marigoldspool/Serving/EndpointDirectory.h
@@ -4,6 +4,7 @@
 #include "marigoldspool/Limits/TokenBucket.h"
 #include "marigoldspool/Serving/EndpointLoads.h"
 #include "marigoldspool/Serving/EndpointStatements.h"
+#include "marigoldspool/Serving/EndpointSuspicions.h"
 #include "marigoldspool/Serving/RateDivider.h"
 #include "marigoldspool/Serving/ResponseTimeModel.h"
 #include "marigoldspool/Serving/ServingTypes.h"
@@ -150,6 +151,12 @@
     EndpointLoads ownLoads() const;
     EndpointLoadView &loads() { return m_loads; }
     const EndpointLoadView &loads() const { return m_loads; }
+    EndpointSuspicions &suspicions() { return m_suspicions; }
+    /// Whether instances tell each other of silences of \p id: in contended pools of large fleets.
+    bool sharesSuspicions(const EndpointId &id) const;
+    /// How long after it is sent the first byte of an answer from \p id is expected: as long as it
+    /// takes an engine without load, and the expected wait for a slot.
+    Duration expectedFirstByte(const EndpointId &id, int promptTokens) const;
     /// What \p from has stated about itself in the answer to a call sent at \p askedAt.
     void onStatement(const EndpointIncarnation &from, const EndpointStatement &statement,
                      StatementSource source, SteadyTime askedAt);
@@ -184,6 +191,7 @@
 
 private:
     bool isUsable(const TrackedEndpoint &state) const;
+    SuspicionLevel suspicionOf(const TrackedEndpoint &state) const;
     /// What counts against an endpoint besides its load.
     double penalty(const TrackedEndpoint &state, const EndpointQuery &query, SteadyTime now) const;
     /// Selects among \p candidates, which all can take the request now.
@@ -219,6 +227,7 @@
     bool m_areMembersKnown = false;
     std::size_t m_memberCount = 0;
     EndpointLoadView m_loads;
+    EndpointSuspicions m_suspicions;
     EndpointStatements m_statements;
     ResponseTimeModel m_responseTimes;
 };
--- a/lib/Fleet/EngineCalls.h
+++ b/lib/Fleet/EngineCalls.h
@@ -19,6 +19,9 @@
 constexpr int ConflictsBeforeReport = 3;
 // After this many consecutive failed reports, an engine gets no orders.
 constexpr int MaxReportFailures = 2;
+// The report of an engine is not repeated within this time because requests wait for it or because
+// it has been silent.
+constexpr Duration MinSuspectReportInterval = std::chrono::milliseconds(500);
 constexpr Duration CallTimeout = std::chrono::milliseconds(1500);
 // Answers to reports and orders are lists of a few hundred names at most.
 constexpr std::size_t MaxCallAnswerBytes = 256U << 10U;
--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -442,6 +442,7 @@
     m_isServedNoted = false;
     m_hasUnstatedEnd = false;
     m_lastProgressAt = m_runtime.observedTime.at(m_runtime.clock.now());
+    m_expectedFirstByte = m_runtime.directory.expectedFirstByte(m_endpoint, m_request.promptTokens);
     m_status = 0;
     m_answerHeaders.clear();
     m_answerBody.clear();
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -159,6 +159,10 @@
     std::string session() const;
     int sessionTokens() const;
     Duration silenceLimit() const;
+    /// Records that \p endpoint has sent something.
+    void noteByte(const EndpointIncarnation &endpoint);
+    /// Records that the endpoint has sent nothing for longer than is usual, if so.
+    void noteSilence();
     EndpointQuery endpointQuery() const;
     /// When the caller of a request that endpoints have refused should send it again.
     Duration overloadRetryAfter();
@@ -210,6 +214,8 @@
     bool m_isServedNoted = false;
     /// The attempt's answer has ended with its connection.
     bool m_hasUnstatedEnd = false;
+    /// Time from the sending to the first byte that was expected when the attempt began.
+    Duration m_expectedFirstByte = Duration::zero();
     /// When the attempt last came closer to a whole answer or event, in observed time.
     SteadyTime m_lastProgressAt;
     int m_status = 0;
--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -74,6 +74,9 @@
     m_traits = m_runtime.codec.decodeAnswer(status, headers);
     m_runtime.noteAnswer({m_endpoint, m_endpointStartedAtMs}, m_traits, StatementSource::Answer,
                          m_sentAt);
+    if (!m_traits.misdirected) {
+        noteByte({m_endpoint, m_endpointStartedAtMs});
+    }
     m_answerHeaders.assign(headers.begin(), headers.end());
     m_streaming = isStreamHead(status, m_traits);
     if (!m_firstByteSeen && !m_traits.notRun && !m_traits.misdirected) {
@@ -93,6 +96,9 @@
 
 void Exchange::onData(std::string_view bytes)
 {
+    if (!m_traits.misdirected) {
+        noteByte({m_endpoint, m_endpointStartedAtMs});
+    }
     if (!m_streaming) {
         onBufferedData(bytes);
         return;
--- a/lib/Fleet/ExchangeSuccessor.cpp
+++ b/lib/Fleet/ExchangeSuccessor.cpp
@@ -25,6 +25,9 @@
 constexpr int MaxTrials = 2;
 // Shorter than a trial, so that a successor that has not accepted the connection ends no attempt.
 constexpr Duration TrialConnectTimeout = milliseconds(150);
+// A stream is suspected after a multiple of the pause that its route allows, if that is longer than
+// the minimum for all.
+constexpr int SilencePerEventGap = 2;
 
 } // namespace
 
@@ -48,6 +51,37 @@
         && runs < next.route->maxAttempts;
 }
 
+void Exchange::noteByte(const EndpointIncarnation &endpoint)
+{
+    EndpointDirectory &directory = m_runtime.directory;
+    if (directory.sharesSuspicions(endpoint.endpoint)) {
+        directory.suspicions().onByte(endpoint, directory.find(endpoint.endpoint)->listed.zone,
+                                      m_runtime.observedTime.at(m_runtime.clock.now()));
+    }
+}
+
+// After the head of an answer that is no stream, how long the endpoint takes for the rest is not
+// known.
+void Exchange::noteSilence()
+{
+    EndpointDirectory &directory = m_runtime.directory;
+    const bool hasHead = m_status != 0;
+    if (!m_attempt || (hasHead && !m_streaming) || !directory.sharesSuspicions(m_endpoint)) {
+        return;
+    }
+    const TrackedEndpoint *state = directory.find(m_endpoint);
+    const SteadyTime observedNow = m_runtime.observedTime.at(m_runtime.clock.now());
+    const Duration sinceProgress = observedNow - m_lastProgressAt;
+    const Duration silence = hasHead ? sinceProgress : sinceProgress - m_expectedFirstByte;
+    const Duration limit =
+        std::max(EndpointSuspicions::MinSilence,
+                 hasHead ? m_route->maxEventGap * SilencePerEventGap : Duration::zero());
+    if (silence >= limit && state->listed.startedAtMs == m_endpointStartedAtMs) {
+        directory.suspicions().onSilentRequest({m_endpoint, m_endpointStartedAtMs},
+                                               state->listed.zone, silence, observedNow);
+    }
+}
+
 std::optional<EndpointId> Exchange::findSuccessor()
 {
     if (!m_attempt) {
@@ -82,6 +116,7 @@
         m_lastProgressAt = m_runtime.observedTime.at(m_runtime.clock.now());
         return;
     }
+    noteSilence();
     if (m_isAskingSuccessor || m_trial || m_trialCount >= MaxTrials) {
         return;
     }
@@ -182,6 +217,9 @@
     const AnswerTraits traits = m_runtime.codec.decodeAnswer(status, headers);
     m_runtime.noteAnswer({m_trialEndpoint, m_trialStartedAtMs}, traits, StatementSource::Answer,
                          m_trialSentAt);
+    if (!traits.misdirected) {
+        noteByte({m_trialEndpoint, m_trialStartedAtMs});
+    }
     if (traits.misdirected || traits.notRun) {
         endTrial(traits.misdirected ? EndpointResult::RefusedNotLoaded
                                     : EndpointResult::RefusedBusy,
--- a/lib/Fleet/FleetDaemon.cpp
+++ b/lib/Fleet/FleetDaemon.cpp
@@ -7,6 +7,7 @@
 #include "Fleet/PlacementDriver.h"
 #include "Fleet/ServingFront.h"
 #include "Fleet/StatementMonitor.h"
+#include "Fleet/SuspicionExchange.h"
 #include "marigoldspool/Serving/UsageHubSelector.h"
 #include "marigoldspool/Support/EventLog.h"
 #include "marigoldspool/Support/Invariant.h"
@@ -64,6 +65,7 @@
         , m_loads(m_runtime, m_link, m_placement)
         , m_front(m_runtime)
         , m_statements(m_runtime, m_link, *this)
+        , m_suspicions(m_runtime, m_placement, *this)
         , m_usageHub(m_runtime.options.instance, m_runtime.clock)
         , m_tickTimer(io)
         , m_stopTimer(io)
@@ -207,6 +209,8 @@
             m_loads.onLoads(from, *loads);
         } else if (const auto *fleetLoads = std::get_if<FleetLoads>(&message)) {
             m_loads.onTotals(from, *fleetLoads);
+        } else if (const auto *silent = std::get_if<SilentEndpoints>(&message)) {
+            m_suspicions.onMessage(from, from == usageHub() || from == usageOwner(), *silent);
         } else if (const auto *totals = std::get_if<UsageTotals>(&message)) {
             m_usageHub.setOwner(usageOwner());
             if (m_usageHub.acceptTotals(from, m_link.connectedPeers())) {
@@ -411,6 +415,7 @@
             m_nextSilenceCheck = now + SilenceCheckInterval;
             m_front.checkSilence();
         }
+        m_suspicions.onTick();
         const bool ready = isReady();
         if (ready != m_wasReady) {
             m_wasReady = ready;
@@ -461,6 +466,7 @@
     LoadExchange m_loads;
     ServingFront m_front;
     StatementMonitor m_statements;
+    SuspicionExchange m_suspicions;
     UsageHubSelector m_usageHub;
     std::unique_ptr<HttpServer> m_readinessServer;
     std::unique_ptr<HttpServer> m_metricsServer;
--- a/lib/Fleet/PlacementDriver.cpp
+++ b/lib/Fleet/PlacementDriver.cpp
@@ -26,8 +26,6 @@
 constexpr int PlanPauseFactor = 4;
 constexpr Duration MinPlanPause = milliseconds(10);
 constexpr Duration MaxPlanPause = milliseconds(400);
-// The report of an engine is not repeated within this time because of waiting requests.
-constexpr Duration MinSuspectReportInterval = milliseconds(500);
 // The users' engines load an adapter in 5 to 14 ms while they fetch few at once.
 constexpr Duration AdapterLoadTime = milliseconds(30);
 // Margin added to the forecast end of a load. Reports confirm a load much later: for nine in ten of
--- a/lib/Fleet/PlacementDriver.h
+++ b/lib/Fleet/PlacementDriver.h
@@ -38,6 +38,8 @@
     std::uint64_t term() const { return m_lease.term(); }
     /// Tells the planner how many requests the instances have at engines.
     void setEngineLoads(const EndpointLoadSums &sums);
+    /// Asks an engine that instances have found silent for its report.
+    void onSuspected(const EndpointId &endpoint);
     /// Also true while this instance may not send orders yet because of its predecessor's orders.
     bool isLeaseHolder() const { return m_lease.isHolder(); }
     /// Handles an update from another instance that acts as the owner.
--- a/lib/Fleet/PlacementReports.cpp
+++ b/lib/Fleet/PlacementReports.cpp
@@ -55,6 +55,18 @@
     }
 }
 
+// While requests that may not be repeated are sent to an engine that has stopped answering, they
+// are lost; its failed reports take it out of the placement.
+void PlacementDriver::onSuspected(const EndpointId &endpoint)
+{
+    const auto it = m_trackers.find(endpoint);
+    const SteadyTime now = m_runtime.clock.now();
+    if (m_active && it != m_trackers.end()
+        && now >= it->second.reportedAt + MinSuspectReportInterval) {
+        it->second.nextReport = std::min(it->second.nextReport, now);
+    }
+}
+
 // Reports lag, but the duration of loads of adapters and of loads from memory or disk is known, so
 // once it has passed, requests and the next order are sent to the engine. An engine that is late
 // refuses both without processing them.
--- a/lib/Peer/MessageFields.h
+++ b/lib/Peer/MessageFields.h
@@ -357,6 +357,22 @@
     visit("endpoints", m.endpoints);
 }
 
+template <class V, class M>
+std::enable_if_t<IsMessage<M, SilentEndpoint>> visitFields(V &visit, M &m)
+{
+    visit("e", m.endpoint);
+    visit("started_ms", m.startedAtMs);
+    visit("s", m.silentMs);
+    visit("end", m.ended);
+    visit("by", m.by);
+}
+
+template <class V, class M>
+std::enable_if_t<IsMessage<M, SilentEndpoints>> visitFields(V &visit, M &m)
+{
+    visit("endpoints", m.endpoints);
+}
+
 } // namespace marigoldspool
 
 #endif
--- a/lib/Peer/Messages.cpp
+++ b/lib/Peer/Messages.cpp
@@ -24,7 +24,8 @@
     "forward_data",      "forward_refusal",   "forward_cancel",  "demand_report",
     "placement",         "objects_request",   "objects",         "usage_report",
     "usage_totals",      "load_forecasts",    "revision_beacon", "prompt_evidence",
-    "leaving_endpoints", "limited_endpoints", "endpoint_loads",  "fleet_loads"};
+    "leaving_endpoints", "limited_endpoints", "endpoint_loads",  "fleet_loads",
+    "silent_endpoints"};
 
 class Encoder
 {
--- a/lib/Serving/EndpointDirectory.cpp
+++ b/lib/Serving/EndpointDirectory.cpp
@@ -44,6 +44,7 @@
 constexpr double ColdPenalty = 0.3;
 // An endpoint that limits its rate is in need, so it gets what no other one can serve.
 constexpr double RateLimitPenalty = 1;
+constexpr double SuspicionPenalty = 0.5;
 // Keeps the requests of a session together where nothing else matters; in addition, processing the
 // shared prefix again counts as a delay.
 constexpr double MinSessionPenalty = 0.03;
@@ -93,14 +94,16 @@
 EndpointDirectory::EndpointDirectory(ZoneName ownZone, const Clock &clock, InstanceId self)
     : m_ownZone(std::move(ownZone))
     , m_clock(clock)
-    , m_rateDivider(std::move(self), m_ownZone)
+    , m_rateDivider(self, m_ownZone)
     , m_loads(clock)
+    , m_suspicions(std::move(self), m_ownZone, clock)
     , m_statements(clock)
 { }
 
 void EndpointDirectory::setMembers(gsl::span<const TopologyMember> members)
 {
     m_rateDivider.setMembers(members);
+    m_suspicions.setMembers(members);
     m_areMembersKnown = true;
     m_memberCount = members.size();
     updateColdLimits();
@@ -225,6 +228,7 @@
 
 void EndpointDirectory::onTick()
 {
+    m_suspicions.onTick();
     const SteadyTime now = m_clock.now();
     for (auto it = m_endpoints.begin(); it != m_endpoints.end();) {
         TrackedEndpoint &state = it->second;
@@ -350,6 +354,9 @@
     if (state.rateShare) {
         result += RateLimitPenalty;
     }
+    if (suspicionOf(state) != SuspicionLevel::None) {
+        result += SuspicionPenalty;
+    }
     const double objectiveSeconds = std::max(toSeconds(query.objective), MinObjectiveSeconds);
     result += std::min(MaxDelayPenalty, delaySeconds(state, now) / objectiveSeconds);
     if (!query.session.empty()) {
@@ -428,6 +435,9 @@
     const SteadyTime now = m_clock.now();
     EndpointChoice choice;
     std::vector<const TrackedEndpoint *> candidates;
+    // Used only if no other endpoint can take the request, now or when a slot becomes free: with
+    // all others full, a silent endpoint would otherwise get the requests that none of them takes.
+    std::vector<const TrackedEndpoint *> suspects;
     bool hasUsableEndpoint = false;
     Duration minColdDelay = Duration::max();
     Duration minPause = Duration::max();
@@ -453,8 +463,9 @@
         if (notLoaded != state.notLoadedUntil.end() && now < notLoaded->second) {
             continue;
         }
-        const bool isHealthy =
-            now >= state.avoidUntil && decayedFailures(state, now) < MaxHealthyFailureFraction;
+        const bool isSuspect = suspicionOf(state) == SuspicionLevel::Confirmed;
+        const bool isHealthy = !isSuspect && now >= state.avoidUntil
+            && decayedFailures(state, now) < MaxHealthyFailureFraction;
         if (query.onlyHealthy && !isHealthy) {
             continue;
         }
@@ -487,7 +498,10 @@
             }
             continue;
         }
-        candidates.push_back(&state);
+        (isSuspect ? suspects : candidates).push_back(&state);
+    }
+    if (choice.candidateCount == pausedCount + static_cast<int>(suspects.size())) {
+        candidates = std::move(suspects);
     }
     if (!candidates.empty()) {
         selectCandidate(candidates, query, now, choice);
--- a/tests/Peer/MessagesTest.cpp
+++ b/tests/Peer/MessagesTest.cpp
@@ -52,7 +52,7 @@
 
 PeerMessage anyMessage()
 {
-    switch (*rc::gen::inRange(0, 16)) {
+    switch (*rc::gen::inRange(0, 17)) {
     case 0:
         return Heartbeat{anyId<ZoneName>(),    anyText(),  any<std::uint64_t>(), anyMilliseconds(),
                          any<std::uint64_t>(), any<bool>()};
@@ -104,6 +104,9 @@
             any<std::uint64_t>(),
             any<bool>(),
             {{anyId<EndpointId>(), anyMilliseconds(), anyMilliseconds(), anyMilliseconds()}}};
+    case 15:
+        return SilentEndpoints{{{anyId<EndpointId>(), anyMilliseconds(), anyMilliseconds(),
+                                 any<bool>(), anyId<InstanceId>()}}};
     default:
         return ForwardCancel{anyId<RequestId>()};
     }
