--- a/lib/Serving/EngineSelection.cpp
+++ b/lib/Serving/EngineSelection.cpp
@@ -9,9 +9,13 @@
 
 namespace {
 
-// An engine that is worse by more than this is not drawn: its penalty has a reason that free slots
-// do not outweigh.
-constexpr double MaxDrawnDifference = 0.6;
+// An engine gets fewer requests the worse it is than the best one. From this difference of their
+// penalties on it gets only what the others have no room for.
+constexpr double MaxPenaltyDifference = 0.6;
+constexpr double LastChoiceWeight = 0.02;
+// From this difference on the engine fails or cannot be reached, so a request waits for another
+// one.
+constexpr double MaxUsableDifference = 2.5;
 // Requests that fill the slots which become free until the load is known again. Without them these
 // slots would stay empty for that time; more of them would wait at this engine while another one
 // becomes free.
@@ -19,11 +23,6 @@
 // Run time that is assumed before an answer has been measured.
 constexpr Duration DefaultRun = std::chrono::milliseconds(1000);
 
-double loadOf(const EngineCandidate &candidate)
-{
-    return static_cast<double>(candidate.requests) / std::max(1, candidate.slots);
-}
-
 Duration runOf(const EngineCandidate &candidate)
 {
     return candidate.meanRun > Duration::zero() ? candidate.meanRun : DefaultRun;
@@ -59,38 +58,43 @@
     return last;
 }
 
-// In proportion to the free slots, what all instances send until they know the new loads fills the
-// engines evenly. A preference for the emptier ones fills these beyond their slots.
-std::vector<double> weightsByRoom(gsl::span<const EngineCandidate> candidates, bool withQueue)
+// The part of its room that each engine gets for its penalty.
+std::vector<double> preferences(gsl::span<const EngineCandidate> candidates)
 {
-    const auto roomOf = [withQueue](const EngineCandidate &it) {
-        return it.slots + (withQueue ? queueOf(it) : 0) - it.requests;
-    };
-    double best = std::numeric_limits<double>::infinity();
+    double leastPenalty = std::numeric_limits<double>::infinity();
     for (const EngineCandidate &it : candidates) {
-        if (roomOf(it) > 0) {
-            best = std::min(best, loadOf(it) + it.penalty);
-        }
+        leastPenalty = std::min(leastPenalty, it.penalty);
     }
-    std::vector<double> weights;
+    std::vector<double> result;
     for (const EngineCandidate &it : candidates) {
-        const bool isNearBest = loadOf(it) + it.penalty <= best + MaxDrawnDifference;
-        weights.push_back(isNearBest ? std::max(0, roomOf(it)) : 0);
+        const double difference = it.penalty - leastPenalty;
+        const double lastChoice = difference < MaxUsableDifference ? LastChoiceWeight : 0;
+        result.push_back(std::max(lastChoice, 1 - difference / MaxPenaltyDifference));
     }
-    return weights;
+    return result;
 }
 
-// The free slots of a single engine would draw the requests of all instances, so queues are used
-// before the last slots are.
-bool hasFewSlots(gsl::span<const EngineCandidate> candidates)
+// In proportion to the free slots, what all instances send until they know the new loads fills the
+// engines evenly. A preference for the emptier ones fills these beyond their slots. The free slots
+// of a single engine would draw the requests of all instances, so queues are used before the last
+// slots are.
+std::vector<double> weightsByRoom(gsl::span<const EngineCandidate> candidates,
+                                  const std::vector<double> &preferred)
 {
-    int free = 0;
-    int slots = 0;
-    for (const EngineCandidate &it : candidates) {
-        free += std::max(0, it.slots - it.requests);
-        slots = std::max(slots, it.slots);
+    int freeSlots = 0;
+    int maxSlots = 0;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const EngineCandidate &it = candidates[i];
+        freeSlots += preferred[i] > 0 ? std::max(0, it.slots - it.requests) : 0;
+        maxSlots = std::max(maxSlots, it.slots);
     }
-    return free < slots;
+    std::vector<double> weights;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const EngineCandidate &it = candidates[i];
+        const int queue = freeSlots < maxSlots ? queueOf(it) : 0;
+        weights.push_back(preferred[i] * std::max(0, it.slots + queue - it.requests));
+    }
+    return weights;
 }
 
 bool hasWeight(const std::vector<double> &weights)
@@ -108,17 +112,20 @@
     if (candidates.empty()) {
         return selection;
     }
-    const std::vector<double> weights = weightsByRoom(candidates, hasFewSlots(candidates));
+    const std::vector<double> preferred = preferences(candidates);
+    const std::vector<double> weights = weightsByRoom(candidates, preferred);
     if (hasWeight(weights)) {
         selection.index = drawIndex(weights, draw);
         return selection;
     }
-    for (std::size_t i = 1; i < candidates.size(); ++i) {
-        if (waitAt(candidates[i]) < waitAt(candidates[selection.firstFree])) {
+    Duration firstFreeIn = Duration::max();
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (preferred[i] > 0 && waitAt(candidates[i]) < firstFreeIn) {
+            firstFreeIn = waitAt(candidates[i]);
             selection.firstFree = i;
         }
     }
-    selection.freeIn = waitAt(candidates[selection.firstFree]) - MaxQueueTime;
+    selection.freeIn = std::max(firstFreeIn - MaxQueueTime, Duration::zero());
     return selection;
 }
 
--- a/tests/Serving/EngineLoadTest.cpp
+++ b/tests/Serving/EngineLoadTest.cpp
@@ -266,6 +266,9 @@
     for (double draw : {0.0, 0.5, 0.99}) {
         CHECK(selectEngine(engines, draw).index == 0U);
     }
+    // One that is avoided gets none because the others are full.
+    CHECK_FALSE(
+        selectEngine(std::vector<EngineCandidate>{{90, Slots, 0, 2s}, {0, Slots, 8, 2s}}, 0).index);
     const std::vector<EngineCandidate> full{{40, Slots, 0, 2s}, {Slots + 2, Slots, 0, 2s}};
     CHECK(selectEngine(full, 0).index == 1U);
     const std::vector<EngineCandidate> overfull{{40, Slots, 0, 2s}};
