Count one replacement of a leaving copy, and test trials that take time

A busy model that only a leaving engine has could be placed twice in one plan, when its replacement waited for an engine: deferred loads are not counted as copies. The urgent pass of addCopies counts them now; at that point only replacements can be deferred.

The stand-in's successor answered a resumed stream within a millisecond, so the test passed also when events that came during the trial cancelled it. It answers after 60 ms now.

--- a/lib/Serving/PlacementCopies.cpp
+++ b/lib/Serving/PlacementCopies.cpp
@@ -120,6 +120,10 @@
         // Pending copies count, so a model that becomes busy gets all its copies at the same time.
         const int servingCopies = copyCount(key.pool, key.model);
         int existingCopies = servingCopies + pendingCopyCount(key.pool, key.model);
+        if (onlyUrgent && m_deferredLoads.count({key.pool, key.model}) > 0) {
+            // A copy that replaces one of a leaving engine.
+            ++existingCopies;
+        }
         if (servingCopies > 0 && existingCopies == servingCopies
             && isOverloaded(key.pool, key.model)) {
             neededCopies = std::max(neededCopies, existingCopies + 1);
--- a/tests/PlatformAdapter/ShortNoticeTest.cpp
+++ b/tests/PlatformAdapter/ShortNoticeTest.cpp
@@ -59,20 +59,32 @@
     }
 
     // Sends an event every 10 ms until the test ends the stream; /llm/x ends with the first one.
+    // The first engine sends some more while the other one has not answered.
     void stream(const HttpRequest &request, const std::shared_ptr<ResponseSink> &sink)
     {
         const std::string *last = findHeader(request.headers, "Last-Event-Id");
-        if (last != nullptr && refusesResumed) {
-            answerNotRun(request, sink, 503);
+        if (last == nullptr) {
+            begin(request, sink, 1);
             return;
         }
+        const auto timer = std::make_shared<boost::asio::steady_timer>(io, 60ms);
+        timer->async_wait([=, next = std::stoi(*last) + 1](const boost::system::error_code &ec) {
+            if (!ec && timer && refusesResumed) {
+                answerNotRun(request, sink, 503);
+            } else if (!ec) {
+                begin(request, sink, next);
+            }
+        });
+    }
+
+    void begin(const HttpRequest &request, const std::shared_ptr<ResponseSink> &sink, int event)
+    {
         sink->head(200, streamHeaders(request), true);
         const auto gone = std::make_shared<bool>(false);
         sink->onCallerGone([gone] {
             *gone = true;
         });
-        sendEvents(sink, gone, last == nullptr ? 1 : std::stoi(*last) + 1,
-                   request.target == "/llm/x");
+        sendEvents(sink, gone, event, request.target == "/llm/x");
     }
 
     void sendEvents(const std::shared_ptr<ResponseSink> &sink, const std::shared_ptr<bool> &gone,
