--- a/lib/Serving/EndpointSuspicions.cpp
+++ b/lib/Serving/EndpointSuspicions.cpp
@@ -12,9 +12,13 @@
 
 constexpr std::size_t ConfirmingNotices = 3;
 constexpr std::size_t ConfirmingZones = 2;
+// When an endpoint stops or a link is cut, the last bytes have come at times up to this far apart.
+constexpr Duration LastBytesSpread = EndpointSuspicions::MinSilence / 2;
 // An instance that has heard from no other endpoint of the zone in this time may itself be cut off.
-// It is shorter than MinSilence, since the last bytes before a cut come at different times.
-constexpr Duration MaxZoneSilence = EndpointSuspicions::MinSilence / 2;
+constexpr Duration MaxZoneSilence = EndpointSuspicions::MinSilence - LastBytesSpread;
+// After this time, the hub passes on notices of another author instead of one that has not repeated
+// its own. The notices that were passed on still count then.
+constexpr Duration AuthorLifetime = EndpointSuspicions::RepeatInterval * 3 / 2;
 constexpr Duration HeardRetention = std::chrono::seconds(60);
 // A longer time in a notice says no more, and the request would have ended.
 constexpr std::int64_t MaxSilenceMs = 60'000;
@@ -120,7 +124,7 @@
 void EndpointSuspicions::addNotice(const InstanceId &author, const EndpointIncarnation &endpoint,
                                    SteadyTime silentSince)
 {
-    if (hasHeardSince(endpoint, silentSince)) {
+    if (hasHeardSince(endpoint, silentSince + LastBytesSpread)) {
         return;
     }
     Suspicion &suspicion = m_suspicions[endpoint.endpoint];
@@ -272,7 +276,7 @@
     for (auto it = m_passedOn.begin(); it != m_passedOn.end();) {
         auto &authors = it->second;
         for (auto author = authors.begin(); author != authors.end();) {
-            const bool isOutdated = now >= author->second + EndpointSuspicions::NoticeLifetime;
+            const bool isOutdated = now >= author->second + AuthorLifetime;
             author = isOutdated ? authors.erase(author) : std::next(author);
         }
         it = authors.empty() ? m_passedOn.erase(it) : std::next(it);
