Lease orders by subject, and calls to the platform's control API

The control API checks the token of each call by subject and accepts a call from one instance at a time, but the lease knew endpoints only.

OwnerLease counts orders by OrderSubject, an endpoint or the subject of a duty; the stored record and the messages are unchanged. mayOrderArrive() says whether an order of an earlier process of this instance may still arrive: engines tell such orders by their count, the API does not. The settings section 'cloud' is read; without it there are no duties.

--- a/include/marigoldspool/Fleet/FleetCodec.h
+++ b/include/marigoldspool/Fleet/FleetCodec.h
@@ -7,6 +7,7 @@
 #include "marigoldspool/Serving/OwnerLease.h"
 #include "marigoldspool/Serving/PlacementPlanner.h"
 #include "marigoldspool/Serving/ServingTypes.h"
+#include "marigoldspool/Serving/UsageTypes.h"
 
 #include <optional>
 #include <string>
@@ -102,6 +103,14 @@
     virtual Expected<OrderOutcome> decodeOrderAnswer(int status) const = 0;
     /// \}
 
+    /// \name Calls to the control API at \p address
+    /// \{
+    virtual EndpointCall encodeUsageReport(const std::string &address,
+                                           const UsageWindowReport &report,
+                                           const InstanceId &holder,
+                                           std::uint64_t fencingToken) const = 0;
+    /// \}
+
     /// \name Objects in the store
     /// \{
     virtual std::string configurationPrefix() const = 0;
--- a/include/marigoldspool/Serving/OwnerLease.h
+++ b/include/marigoldspool/Serving/OwnerLease.h
@@ -1,6 +1,7 @@
 #ifndef MARIGOLDSPOOL_SERVING_OWNERLEASE_H
 #define MARIGOLDSPOOL_SERVING_OWNERLEASE_H
 
+#include "marigoldspool/Serving/OrderSubject.h"
 #include "marigoldspool/Support/Clock.h"
 #include "marigoldspool/Support/Identifiers.h"
 
@@ -21,13 +22,13 @@
     bool released = false;
     /// Incremented at each renewal.
     std::uint64_t renewal = 0;
-    /// Set at a release: endpoints that received an order within the last handover gap.
-    std::set<EndpointId> recentlyOrdered;
+    /// Set at a release: subjects of the orders within the last handover gap.
+    std::set<OrderSubject> recentlyOrdered;
     /// How long after this record was written the next holder must not send orders, because
     /// orders of earlier holders may still arrive.
     Duration orderDelay = Duration::zero();
-    /// The same for single endpoints.
-    std::map<EndpointId, Duration> endpointDelays;
+    /// The same for single subjects.
+    std::map<OrderSubject, Duration> subjectDelays;
     /// The era of the store that the writer knew.
     std::uint64_t era = 0;
     /// The store's version of the object; 0 if it does not exist.
@@ -87,12 +88,15 @@
     bool isHolder() const { return m_current && m_isHeld; }
     /// The record as last read, written or announced.
     const std::optional<LeaseRecord> &current() const { return m_current; }
-    /// Whether an order to \p endpoint may be sent now.
-    bool canOrder(const EndpointId &endpoint) const;
-    /// Whether orders may be sent now, apart from limits on single endpoints.
+    /// Whether an order on \p subject may be sent now.
+    bool canOrder(const OrderSubject &subject) const;
+    /// Whether an order on \p subject by an earlier process of this instance may still arrive.
+    /// Its receiver must then tell the order from later ones.
+    bool mayOrderArrive(const OrderSubject &subject) const;
+    /// Whether orders may be sent now, apart from limits on single subjects.
     bool canOrder() const;
     /// Records that an order has been sent.
-    void onOrder(const EndpointId &endpoint);
+    void onOrder(const OrderSubject &subject);
     std::uint64_t term() const { return m_current ? m_current->term : 0; }
     /// The last known holder; empty after a release.
     InstanceId holder() const;
@@ -130,9 +134,12 @@
     SteadyTime m_sentAt;
     SteadyTime m_validUntil;
     SteadyTime m_ordersAllowedFrom;
-    /// Endpoints that earlier holders sent orders to, and until when they get none.
-    std::map<EndpointId, SteadyTime> m_delayedUntil;
-    std::map<EndpointId, SteadyTime> m_lastOrderAt;
+    /// Subjects of orders of earlier holders, and until when there are no orders on them.
+    std::map<OrderSubject, SteadyTime> m_delayedUntil;
+    std::map<OrderSubject, SteadyTime> m_lastOrderAt;
+    /// Until when orders that an earlier process of this instance sent before its planned stop may
+    /// arrive.
+    std::map<OrderSubject, SteadyTime> m_ownOrdersUntil;
     /// Until when a successor has to wait for orders of an earlier process of this instance.
     SteadyTime m_earlierOrdersUntil;
     bool m_isCallPending = false;
--- a/lib/Fleet/FleetDaemon.cpp
+++ b/lib/Fleet/FleetDaemon.cpp
@@ -1,5 +1,6 @@
 #include "marigoldspool/Fleet/FleetDaemon.h"
 
+#include "Fleet/DutyDriver.h"
 #include "Fleet/FleetLink.h"
 #include "Fleet/FleetRuntime.h"
 #include "Fleet/FleetState.h"
@@ -60,6 +61,7 @@
         , m_state(m_runtime)
         , m_link(m_runtime, m_state)
         , m_placement(m_runtime, m_link)
+        , m_duties(m_runtime, m_placement.lease())
         , m_front(m_runtime)
         , m_statements(m_runtime, m_link, *this)
         , m_usageHub(m_runtime.options.instance, m_runtime.clock)
@@ -451,6 +453,7 @@
     FleetState m_state;
     FleetLink m_link;
     PlacementDriver m_placement;
+    DutyDriver m_duties;
     ServingFront m_front;
     StatementMonitor m_statements;
     UsageHubSelector m_usageHub;
--- a/lib/Fleet/PlacementDriver.cpp
+++ b/lib/Fleet/PlacementDriver.cpp
@@ -112,12 +112,12 @@
     record.term = update.term;
     record.released = update.lease.released;
     record.renewal = update.lease.renewal;
-    for (const std::string &endpoint : update.lease.recentlyOrdered) {
-        record.recentlyOrdered.insert(EndpointId(endpoint));
+    for (const std::string &subject : update.lease.recentlyOrdered) {
+        record.recentlyOrdered.insert(OrderSubject(subject));
     }
     record.orderDelay = milliseconds(update.lease.orderDelayMs);
     for (const EndpointDelay &it : update.lease.endpointDelays) {
-        record.endpointDelays[it.endpoint] = milliseconds(it.delayMs);
+        record.subjectDelays[endpointSubject(it.endpoint)] = milliseconds(it.delayMs);
     }
     record.version = update.lease.version;
     m_lease.onAnnounced(record);
@@ -300,7 +300,8 @@
         const EngineTracker &tracker = m_trackers[id];
         engine.rateLimit = m_runtime.directory.statements().rateLimit(id);
         if (!engine.hasPendingOrder
-            && (tracker.isCallPending || now < tracker.noOrderBefore || !m_lease.canOrder(id)
+            && (tracker.isCallPending || now < tracker.noOrderBefore
+                || !m_lease.canOrder(endpointSubject(id))
                 || !m_runtime.directory.acceptsCalls(id))) {
             engine.hasPendingOrder = true;
             blocked.push_back(id);
@@ -325,13 +326,13 @@
     EngineState &engine = m_planner.engines()[order.endpoint];
     // The lease may have expired since the planner ran, so it is checked again right before
     // sending.
-    if (state == nullptr || !m_lease.canOrder(order.endpoint) || tracker.isCallPending
-        || !m_runtime.directory.canSend(order.endpoint)) {
+    if (state == nullptr || !m_lease.canOrder(endpointSubject(order.endpoint))
+        || tracker.isCallPending || !m_runtime.directory.canSend(order.endpoint)) {
         onOrderFailed(engine, tracker, order, ConflictPause);
         return;
     }
     tracker.isCallPending = true;
-    m_lease.onOrder(order.endpoint);
+    m_lease.onOrder(endpointSubject(order.endpoint));
     if (!order.isLoad) {
         // Instances must stop sending requests for it before the engine unloads it.
         engine.unloading = std::make_pair(order.model, order.adapter);
--- a/lib/Fleet/PlacementDriver.h
+++ b/lib/Fleet/PlacementDriver.h
@@ -37,6 +37,8 @@
     bool isOwner() const { return m_active; }
     /// Also true while this instance may not send orders yet because of its predecessor's orders.
     bool isLeaseHolder() const { return m_lease.isHolder(); }
+    /// The lease that also covers the duties.
+    OwnerLease &lease() { return m_lease; }
     /// Handles an update from another instance that acts as the owner.
     void onOwnerSeen(const InstanceId &owner, const PlacementUpdate &update);
 
--- a/lib/Fleet/PlacementLease.cpp
+++ b/lib/Fleet/PlacementLease.cpp
@@ -28,12 +28,12 @@
 json leaseToJson(const LeaseRecord &record)
 {
     json ordered = json::array();
-    for (const EndpointId &endpoint : record.recentlyOrdered) {
-        ordered.push_back(endpoint.str());
+    for (const OrderSubject &subject : record.recentlyOrdered) {
+        ordered.push_back(subject.str());
     }
     json delays = json::object();
-    for (const auto &[endpoint, delay] : record.endpointDelays) {
-        delays[endpoint.str()] = toMilliseconds(delay);
+    for (const auto &[subject, delay] : record.subjectDelays) {
+        delays[subject.str()] = toMilliseconds(delay);
     }
     return {{"holder", record.holder.str()},
             {"term", record.term},
@@ -63,9 +63,9 @@
     record.released = value["released"].get<bool>();
     record.renewal = value["renewal"].get<std::uint64_t>();
     record.version = object.version;
-    for (const json &endpoint : value["ordered"]) {
-        if (endpoint.is_string()) {
-            record.recentlyOrdered.insert(EndpointId(endpoint.get<std::string>()));
+    for (const json &subject : value["ordered"]) {
+        if (subject.is_string()) {
+            record.recentlyOrdered.insert(OrderSubject(subject.get<std::string>()));
         }
     }
     // Records of earlier versions lack these fields.
@@ -74,8 +74,8 @@
     record.orderDelay = delayFromJson(value.value("orderDelayMs", json()));
     const json delays = value.value("endpointDelaysMs", json::object());
     if (delays.is_object()) {
-        for (const auto &[endpoint, delay] : delays.items()) {
-            record.endpointDelays.emplace(EndpointId(endpoint), delayFromJson(delay));
+        for (const auto &[subject, delay] : delays.items()) {
+            record.subjectDelays.emplace(OrderSubject(subject), delayFromJson(delay));
         }
     }
     return record;
--- a/lib/Fleet/PlacementPublish.cpp
+++ b/lib/Fleet/PlacementPublish.cpp
@@ -42,12 +42,12 @@
     status.version = record->version;
     status.renewal = record->renewal;
     status.released = record->released;
-    for (const EndpointId &endpoint : record->recentlyOrdered) {
-        status.recentlyOrdered.push_back(endpoint.str());
+    for (const OrderSubject &subject : record->recentlyOrdered) {
+        status.recentlyOrdered.push_back(subject.str());
     }
     status.orderDelayMs = toMilliseconds(record->orderDelay);
-    for (const auto &[endpoint, delay] : record->endpointDelays) {
-        status.endpointDelays.push_back({endpoint, toMilliseconds(delay)});
+    for (const auto &[subject, delay] : record->subjectDelays) {
+        status.endpointDelays.push_back({EndpointId(subject.str()), toMilliseconds(delay)});
     }
     return status;
 }
--- a/lib/Serving/OwnerLease.cpp
+++ b/lib/Serving/OwnerLease.cpp
@@ -90,18 +90,18 @@
     record.released = m_isReleasing;
     const SteadyTime now = m_clock.now();
     record.orderDelay = std::max(m_ordersAllowedFrom - now, Duration::zero());
-    record.endpointDelays.clear();
-    for (const auto &[endpoint, until] : m_delayedUntil) {
+    record.subjectDelays.clear();
+    for (const auto &[subject, until] : m_delayedUntil) {
         if (until > now) {
-            record.endpointDelays.emplace(endpoint, until - now);
+            record.subjectDelays.emplace(subject, until - now);
         }
     }
     record.recentlyOrdered.clear();
     if (m_isReleasing) {
         record.orderDelay = std::max(record.orderDelay, m_earlierOrdersUntil - now);
-        for (const auto &[endpoint, at] : m_lastOrderAt) {
+        for (const auto &[subject, at] : m_lastOrderAt) {
             if (now - at < m_times.handoverGap + m_times.safetyMargin) {
-                record.recentlyOrdered.insert(endpoint);
+                record.recentlyOrdered.insert(subject);
             }
         }
     }
@@ -163,16 +163,19 @@
     for (auto it = m_lastOrderAt.begin(); it != m_lastOrderAt.end();) {
         it = it->second + gap <= now ? m_lastOrderAt.erase(it) : std::next(it);
     }
-    const auto delay = [this](const EndpointId &endpoint, SteadyTime until) {
-        SteadyTime &current = m_delayedUntil[endpoint];
+    for (auto it = m_ownOrdersUntil.begin(); it != m_ownOrdersUntil.end();) {
+        it = it->second <= now ? m_ownOrdersUntil.erase(it) : std::next(it);
+    }
+    const auto delay = [this](const OrderSubject &subject, SteadyTime until) {
+        SteadyTime &current = m_delayedUntil[subject];
         current = std::max(current, until);
     };
     // No sound record has a longer delay.
     const Duration maxDelay = m_times.validity + gap;
     m_ordersAllowedFrom =
         std::max(m_ordersAllowedFrom, m_firstSeenAt + std::min(before.orderDelay, maxDelay));
-    for (const auto &[endpoint, time] : before.endpointDelays) {
-        delay(endpoint, m_firstSeenAt + std::min(time, maxDelay));
+    for (const auto &[subject, time] : before.subjectDelays) {
+        delay(subject, m_firstSeenAt + std::min(time, maxDelay));
     }
     if (!isProven()) {
         m_ordersAllowedFrom =
@@ -185,12 +188,13 @@
     if (isOwn && !before.released) {
         m_earlierOrdersUntil = m_firstSeenAt + gap;
     } else if (isProven() && before.released) {
-        // After a planned release only the endpoints with recent orders have to wait.
-        for (const EndpointId &endpoint : before.recentlyOrdered) {
+        // After a planned release only the subjects of recent orders have to wait.
+        for (const OrderSubject &subject : before.recentlyOrdered) {
             if (isOwn) {
-                m_lastOrderAt.emplace(endpoint, m_firstSeenAt);
+                m_lastOrderAt.emplace(subject, m_firstSeenAt);
+                m_ownOrdersUntil[subject] = m_firstSeenAt + gap;
             } else {
-                delay(endpoint, m_firstSeenAt + gap);
+                delay(subject, m_firstSeenAt + gap);
             }
         }
     } else {
@@ -282,20 +286,27 @@
     return m_isHeld && !m_isReleasing && now >= m_ordersAllowedFrom && now < m_validUntil;
 }
 
-bool OwnerLease::canOrder(const EndpointId &endpoint) const
+bool OwnerLease::canOrder(const OrderSubject &subject) const
 {
-    const auto delayed = m_delayedUntil.find(endpoint);
+    const auto delayed = m_delayedUntil.find(subject);
     return canOrder() && (delayed == m_delayedUntil.end() || m_clock.now() >= delayed->second);
 }
 
+bool OwnerLease::mayOrderArrive(const OrderSubject &subject) const
+{
+    const SteadyTime now = m_clock.now();
+    const auto own = m_ownOrdersUntil.find(subject);
+    return now < m_earlierOrdersUntil || (own != m_ownOrdersUntil.end() && now < own->second);
+}
+
 Duration OwnerLease::orderDelay() const
 {
     return std::max(m_ordersAllowedFrom - m_clock.now(), Duration::zero());
 }
 
-void OwnerLease::onOrder(const EndpointId &endpoint)
+void OwnerLease::onOrder(const OrderSubject &subject)
 {
-    m_lastOrderAt[endpoint] = m_clock.now();
+    m_lastOrderAt[subject] = m_clock.now();
 }
 
 InstanceId OwnerLease::holder() const
--- a/tests/PlatformAdapter/NodeSettingsTest.cpp
+++ b/tests/PlatformAdapter/NodeSettingsTest.cpp
@@ -90,3 +90,26 @@
     settings["limits"]["cpuShare"] = 0.12;
     CHECK(readNodeSettings(settings.dump())->lease.acquireDelay > Duration::zero());
 }
+
+// Guards against duties in deployments without a control API, and against a start without one that
+// the settings call for.
+TEST_CASE("duties are read from the section of the control API, and are off without it")
+{
+    json settings = validSettings();
+    CHECK_FALSE(readNodeSettings(settings.dump())->duties);
+    settings["cloud"] = {
+        {"addr", "10.200.1.9:8300"}, {"duties", {"metering", "unknown"}}, {"dutyPerS", 4}};
+    settings["bounds"]["usageWindowS"] = 2.5;
+    const Expected<FleetOptions> options = readNodeSettings(settings.dump());
+    REQUIRE(options);
+    REQUIRE(options->duties);
+    CHECK(options->duties->address == "10.200.1.9:8300");
+    CHECK(options->duties->reportsUsage);
+    CHECK_FALSE(options->duties->ordersReplicas);
+    CHECK(options->duties->callsPerSecond == 4);
+    CHECK(options->duties->usageWindow == std::chrono::milliseconds(2500));
+    CHECK(options->duties->usageDue == std::chrono::seconds(10));
+    settings["cloud"].erase("addr");
+    CHECK(readNodeSettings(settings.dump()).error().message.find("/cloud/addr")
+          != std::string::npos);
+}
--- a/tests/Serving/OwnerLeaseTest.cpp
+++ b/tests/Serving/OwnerLeaseTest.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-const EndpointId Engine("engine");
+const OrderSubject Engine("engine");
 
 // Two instances that read and write one lease object in a store.
 class LeaseFixture
@@ -141,7 +141,7 @@
     run(1500ms, true, true);
     CHECK(a.isReleased());
     CHECK(b.canOrder());
-    CHECK(b.canOrder(EndpointId("untouched")));
+    CHECK(b.canOrder(OrderSubject("untouched")));
     CHECK_FALSE(b.canOrder(Engine));
     run(4s, true, true);
     CHECK(b.canOrder(Engine));
@@ -160,6 +160,37 @@
     CHECK(restarted.term() == 2);
 }
 
+// A receiver that keeps no count of the orders would see the token of the earlier process after
+// that of the later one.
+TEST_CASE_FIXTURE(LeaseFixture, "orders of an earlier process of the holder may still arrive")
+{
+    run(2s, true, true);
+    a.onOrder(Engine);
+    bool isReleased = false;
+    SUBCASE("after a crash") { }
+    SUBCASE("after a planned stop")
+    {
+        isReleased = true;
+        a.release();
+        run(200ms, true, false);
+    }
+    OwnerLease restarted(InstanceId("a"), clock, times);
+    const SteadyTime start = clock.now();
+    while (!restarted.canOrder()) {
+        step(restarted);
+        clock.advance(50ms);
+    }
+    CHECK(restarted.mayOrderArrive(Engine));
+    CHECK(restarted.mayOrderArrive(OrderSubject("untouched")) == !isReleased);
+    while (restarted.mayOrderArrive(Engine)) {
+        step(restarted);
+        clock.advance(50ms);
+    }
+    CHECK(restarted.canOrder(Engine));
+    CHECK(clock.now() - start >= times.handoverGap);
+    CHECK(clock.now() - start <= times.handoverGap + times.safetyMargin + 200ms);
+}
+
 TEST_CASE_FIXTURE(LeaseFixture, "an instance with an acquire delay leaves the lease to one without")
 {
     LeaseTimes delayedTimes = times;
@@ -490,7 +521,7 @@
     {
         OwnerLease &lease = *m_leases[i];
         for (const char *name : {"e1", "e2"}) {
-            const EndpointId endpoint(name);
+            const OrderSubject endpoint(name);
             if (!lease.canOrder(endpoint) || m_random.below(4) != 0) {
                 continue;
             }
@@ -519,7 +550,7 @@
     std::uint64_t m_era = 1;
     std::uint64_t m_revision = 1;
     /// By endpoint.
-    std::map<EndpointId, Orders> m_orders;
+    std::map<OrderSubject, Orders> m_orders;
 };
 
 } // namespace
