Report the usage of each window to the control API

The platform asks for the number of requests of each workspace that began to run in each window; two accepted reports of a window must never differ.

Each instance counts its requests (UsageTally, by a time of day that follows steps of the system clock only after 30 s) and sends the counts to the holder of the lease in the new message RequestStarts. The holder (UsageReports, UsageReporter) writes each report to duties/usage, conditional on the object's version, before it sends the report, so that a successor repeats it unchanged. A window is final at an instance only when no request of it is pending.

--- a/include/marigoldspool/Peer/Messages.h
+++ b/include/marigoldspool/Peer/Messages.h
@@ -325,12 +325,31 @@
     std::vector<LimitedEndpoint> endpoints;
 };
 
+struct WorkspaceCount {
+    WorkspaceName workspace;
+    std::uint64_t count = 0;
+};
+
+/// The requests that began to run at the sender in one window.
+struct WindowStarts {
+    std::int64_t window = 0;
+    /// The window has ended, and the sender knows of all requests of it whether they have run.
+    bool final = false;
+    std::vector<WorkspaceCount> counts;
+};
+
+/// Counts of the sender's process since its start; they replace those that it sent earlier for the
+/// same windows. Sent to the lease holder.
+struct RequestStarts {
+    std::vector<WindowStarts> windows;
+};
+
 using PeerMessage =
     std::variant<Heartbeat, ConfigRequest, ConfigTransfer, LoanRequest, LoanGrant, EpochAck,
                  ForwardRequest, ForwardHead, ForwardData, ForwardRefusal, ForwardCancel,
                  DemandReport, PlacementUpdate, ObjectsRequest, ObjectsTransfer, UsageReport,
                  UsageTotals, LoadForecasts, RevisionBeacon, PromptEvidence, LeavingEndpoints,
-                 LimitedEndpoints>;
+                 LimitedEndpoints, RequestStarts>;
 
 struct AddressedMessage {
     InstanceId to;
--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -421,6 +421,10 @@
     if (m_attemptCount == 0) {
         m_firstSentAt = now;
     }
+    if (m_runtime.usage && !m_isUsageCounted && !m_workspace.empty()
+        && m_route->kind != RequestKind::Stream) {
+        m_pendingUsage = m_runtime.usage->onSent(m_workspace);
+    }
     m_triedEndpoints.push_back(endpoint);
     const std::int64_t startedAtMs = m_runtime.directory.find(endpoint)->listed.startedAtMs;
     beginAttempt(std::make_shared<Attempt>(shared_from_this()), {endpoint, startedAtMs}, now);
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -104,6 +104,11 @@
     void onCompleteAtClose();
     void onFailure(SendStage stage, const Error &error);
     void onResponse();
+    /// Counts a stream in the usage of its workspace when its first event has come.
+    void countFirstEvent();
+    /// Counts a request that is not a stream in the usage of its workspace if the attempt that has
+    /// ended may have run it.
+    void settleUsage(bool mayHaveRun);
     /// Why the whole answer that has come can't be passed on, as a cause for the log; empty if it
     /// can.
     std::string answerDefect() const;
@@ -225,6 +230,9 @@
     EventStream m_events;
     std::optional<SteadyTime> m_firstEventAt;
     std::string m_lastError;
+    bool m_isUsageCounted = false;
+    /// The attempt under way in the usage tally; 0: none.
+    std::uint64_t m_pendingUsage = 0;
 };
 
 } // namespace marigoldspool
--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -142,6 +142,7 @@
         noteServed();
     }
     if (!m_answerStarted) {
+        countFirstEvent();
         m_answerStarted = true;
         m_callerStatus = m_status;
         m_firstEventAt = now;
@@ -237,6 +238,9 @@
         }
     }
     endAttempt(isServerError ? failureResult(m_traits) : EndpointResult::Answered);
+    if (isSuccess(m_status)) {
+        countFirstEvent();
+    }
     if (m_answerStarted) {
         m_sink->finish();
         finish("served", m_status);
@@ -467,6 +471,8 @@
     }
     m_attempt->detach();
     m_attempt.reset();
+    settleUsage(result != EndpointResult::Unreachable && result != EndpointResult::RefusedBusy
+                && result != EndpointResult::RefusedNotLoaded);
     if (!m_firstByteSeen) {
         m_runtime.directory.onNoFirstByte(m_endpoint, m_request.promptTokens);
     }
@@ -474,6 +480,31 @@
     m_front.scheduleDispatch();
 }
 
+// A stream that the caller resumes has begun to run when its first event came.
+void Exchange::countFirstEvent()
+{
+    if (!m_runtime.usage || m_isUsageCounted || m_workspace.empty()
+        || m_route->kind != RequestKind::Stream || !m_request.lastEventId.empty()) {
+        return;
+    }
+    m_isUsageCounted = true;
+    m_runtime.usage->onFirstEvent(m_workspace);
+}
+
+void Exchange::settleUsage(bool mayHaveRun)
+{
+    if (m_pendingUsage == 0) {
+        return;
+    }
+    const std::uint64_t pending = std::exchange(m_pendingUsage, 0);
+    if (mayHaveRun) {
+        m_isUsageCounted = true;
+        m_runtime.usage->onRun(pending);
+    } else {
+        m_runtime.usage->onNotRun(pending);
+    }
+}
+
 // A status that means "not processed" is sent only if no endpoint can have processed the request.
 void Exchange::refuse(RefusalReason reason, RanState ran, Duration retryAfter, std::string message)
 {
--- a/lib/Fleet/FleetDaemon.cpp
+++ b/lib/Fleet/FleetDaemon.cpp
@@ -7,6 +7,7 @@
 #include "Fleet/PlacementDriver.h"
 #include "Fleet/ServingFront.h"
 #include "Fleet/StatementMonitor.h"
+#include "Fleet/UsageReporter.h"
 #include "marigoldspool/Serving/UsageHubSelector.h"
 #include "marigoldspool/Support/EventLog.h"
 #include "marigoldspool/Support/Invariant.h"
@@ -69,13 +70,21 @@
         , m_stopTimer(io)
         , m_nextDemandReport(m_runtime.clock.now())
         , m_nextUsageReport(m_runtime.clock.now())
-    { }
+    {
+        if (m_runtime.usage) {
+            m_usageReporter = std::make_unique<UsageReporter>(m_runtime, m_state, m_link,
+                                                              m_placement.lease(), m_duties);
+        }
+    }
 
     Expected<void> start()
     {
         m_state.setMembersHandler([this] {
             m_link.updatePeers();
             m_usageHub.setZoneMembers(zoneMembers());
+            if (m_usageReporter) {
+                m_usageReporter->onMembers();
+            }
         });
         m_state.setConfigurationHandler([this] {
             m_placement.onConfiguration();
@@ -208,6 +217,10 @@
             if (m_usageHub.acceptTotals(from, m_link.connectedPeers())) {
                 m_runtime.quota.onTotals(from, incarnation, *totals);
             }
+        } else if (const auto *starts = std::get_if<RequestStarts>(&message)) {
+            if (m_usageReporter) {
+                m_usageReporter->onStarts(from, incarnation, *starts);
+            }
         }
     }
 
@@ -385,6 +398,9 @@
         m_state.onTick();
         m_link.onTick();
         m_placement.onTick();
+        if (m_usageReporter) {
+            m_usageReporter->onTick();
+        }
         m_runtime.directory.onTick();
         m_statements.onTick();
         const SteadyTime now = m_runtime.clock.now();
@@ -454,6 +470,8 @@
     FleetLink m_link;
     PlacementDriver m_placement;
     DutyDriver m_duties;
+    /// Null if usage is not reported.
+    std::unique_ptr<UsageReporter> m_usageReporter;
     ServingFront m_front;
     StatementMonitor m_statements;
     UsageHubSelector m_usageHub;
--- a/lib/Fleet/FleetRuntime.cpp
+++ b/lib/Fleet/FleetRuntime.cpp
@@ -43,6 +43,9 @@
     , incarnation(static_cast<std::uint64_t>(toMilliseconds(clock.wallNow().time_since_epoch())))
 {
     directory.setStartPhase(1 - random.uniform());
+    if (options.duties && options.duties->reportsUsage) {
+        usage = std::make_unique<UsageTally>(orderClock, options.duties->usageWindow);
+    }
 }
 
 void FleetRuntime::noteAnswer(const EndpointIncarnation &called, const AnswerTraits &traits,
--- a/lib/Fleet/FleetRuntime.h
+++ b/lib/Fleet/FleetRuntime.h
@@ -8,6 +8,7 @@
 #include "marigoldspool/Serving/ObservedTime.h"
 #include "marigoldspool/Serving/PromptQuarantine.h"
 #include "marigoldspool/Serving/RouteTable.h"
+#include "marigoldspool/Serving/UsageTally.h"
 #include "marigoldspool/Serving/WorkspaceQuota.h"
 #include "marigoldspool/Support/Metrics.h"
 #include "marigoldspool/Support/RandomSource.h"
@@ -45,6 +46,8 @@
     WorkspaceQuota quota;
     RetryBudget retries;
     PromptQuarantine quarantine;
+    /// Null if usage is not reported.
+    std::unique_ptr<UsageTally> usage;
     std::uint64_t incarnation;
     /// Whether the configuration, endpoints, evacuations and instances have been received. Before,
     /// an instance might use an evacuated zone, or more than its share of a limit.
--- a/lib/Peer/MessageFields.h
+++ b/lib/Peer/MessageFields.h
@@ -317,6 +317,27 @@
     visit("endpoints", m.endpoints);
 }
 
+template <class V, class M>
+std::enable_if_t<IsMessage<M, WorkspaceCount>> visitFields(V &visit, M &m)
+{
+    visit("w", m.workspace);
+    visit("n", m.count);
+}
+
+template <class V, class M>
+std::enable_if_t<IsMessage<M, WindowStarts>> visitFields(V &visit, M &m)
+{
+    visit("k", m.window);
+    visit("f", m.final);
+    visit("c", m.counts);
+}
+
+template <class V, class M>
+std::enable_if_t<IsMessage<M, RequestStarts>> visitFields(V &visit, M &m)
+{
+    visit("windows", m.windows);
+}
+
 } // namespace marigoldspool
 
 #endif
--- a/tests/Peer/MessagesTest.cpp
+++ b/tests/Peer/MessagesTest.cpp
@@ -52,7 +52,7 @@
 
 PeerMessage anyMessage()
 {
-    switch (*rc::gen::inRange(0, 14)) {
+    switch (*rc::gen::inRange(0, 15)) {
     case 0:
         return Heartbeat{anyId<ZoneName>(),    anyText(),  any<std::uint64_t>(), anyMilliseconds(),
                          any<std::uint64_t>(), any<bool>()};
@@ -94,6 +94,9 @@
     case 12:
         return LimitedEndpoints{{{anyId<EndpointId>(), anyMilliseconds(), any<double>(),
                                   any<bool>(), anyMilliseconds()}}};
+    case 13:
+        return RequestStarts{
+            {{anyMilliseconds(), any<bool>(), {{anyId<WorkspaceName>(), any<std::uint64_t>()}}}}};
     default:
         return ForwardCancel{anyId<RequestId>()};
     }
