--- a/lib/Fleet/FleetDaemon.cpp
+++ b/lib/Fleet/FleetDaemon.cpp
@@ -1,5 +1,6 @@
 #include "marigoldspool/Fleet/FleetDaemon.h"
 
+#include "Fleet/DutyDriver.h"
 #include "Fleet/FleetLink.h"
 #include "Fleet/FleetRuntime.h"
 #include "Fleet/FleetState.h"
@@ -8,6 +9,7 @@
 #include "Fleet/ServingFront.h"
 #include "Fleet/StatementMonitor.h"
 #include "Fleet/SuspicionExchange.h"
+#include "Fleet/UsageReporter.h"
 #include "marigoldspool/Serving/UsageHubSelector.h"
 #include "marigoldspool/Support/EventLog.h"
 #include "marigoldspool/Support/Invariant.h"
@@ -63,6 +65,7 @@
         , m_link(m_runtime, m_state)
         , m_placement(m_runtime, m_link)
         , m_loads(m_runtime, m_link, m_placement)
+        , m_duties(m_runtime, m_placement.lease())
         , m_front(m_runtime)
         , m_statements(m_runtime, m_link, *this)
         , m_suspicions(m_runtime, m_placement, *this)
@@ -71,7 +74,12 @@
         , m_stopTimer(io)
         , m_nextDemandReport(m_runtime.clock.now())
         , m_nextUsageReport(m_runtime.clock.now())
-    { }
+    {
+        if (m_runtime.usage) {
+            m_usageReporter = std::make_unique<UsageReporter>(m_runtime, m_state, m_link,
+                                                              m_placement.lease(), m_duties);
+        }
+    }
 
     Expected<void> start()
     {
@@ -79,6 +87,9 @@
             m_link.updatePeers();
             m_usageHub.setZoneMembers(zoneMembers());
             m_placement.onMembers();
+            if (m_usageReporter) {
+                m_usageReporter->onMembers();
+            }
         });
         m_state.setConfigurationHandler([this] {
             m_placement.onConfiguration();
@@ -217,6 +228,10 @@
             if (m_usageHub.acceptTotals(from, m_link.connectedPeers())) {
                 m_runtime.quota.onTotals(from, incarnation, *totals);
             }
+        } else if (const auto *starts = std::get_if<RequestStarts>(&message)) {
+            if (m_usageReporter) {
+                m_usageReporter->onStarts(from, incarnation, *starts);
+            }
         }
     }
 
@@ -394,6 +409,9 @@
         m_state.onTick();
         m_link.onTick();
         m_placement.onTick();
+        if (m_usageReporter) {
+            m_usageReporter->onTick();
+        }
         m_runtime.directory.onTick();
         m_statements.onTick();
         m_loads.onTick();
@@ -465,6 +483,9 @@
     FleetLink m_link;
     PlacementDriver m_placement;
     LoadExchange m_loads;
+    DutyDriver m_duties;
+    /// Null if usage is not reported.
+    std::unique_ptr<UsageReporter> m_usageReporter;
     ServingFront m_front;
     StatementMonitor m_statements;
     SuspicionExchange m_suspicions;
--- a/lib/Peer/Messages.cpp
+++ b/lib/Peer/Messages.cpp
@@ -25,7 +25,7 @@
     "placement",         "objects_request",   "objects",         "usage_report",
     "usage_totals",      "load_forecasts",    "revision_beacon", "prompt_evidence",
     "leaving_endpoints", "limited_endpoints", "endpoint_loads",  "fleet_loads",
-    "silent_endpoints"};
+    "silent_endpoints",  "request_starts"};
 
 class Encoder
 {
--- a/tests/Peer/MessagesTest.cpp
+++ b/tests/Peer/MessagesTest.cpp
@@ -52,7 +52,7 @@
 
 PeerMessage anyMessage()
 {
-    switch (*rc::gen::inRange(0, 17)) {
+    switch (*rc::gen::inRange(0, 18)) {
     case 0:
         return Heartbeat{anyId<ZoneName>(),    anyText(),  any<std::uint64_t>(), anyMilliseconds(),
                          any<std::uint64_t>(), any<bool>()};
@@ -107,6 +107,9 @@
     case 15:
         return SilentEndpoints{{{anyId<EndpointId>(), anyMilliseconds(), anyMilliseconds(),
                                  any<bool>(), anyId<InstanceId>()}}};
+    case 16:
+        return RequestStarts{
+            {{anyMilliseconds(), any<bool>(), {{anyId<WorkspaceName>(), any<std::uint64_t>()}}}}};
     default:
         return ForwardCancel{anyId<RequestId>()};
     }
