--- a/include/marigoldspool/Fleet/FleetCodec.h
+++ b/include/marigoldspool/Fleet/FleetCodec.h
@@ -102,6 +102,12 @@
     virtual Expected<OrderOutcome> decodeOrderAnswer(int status) const = 0;
     /// \}
 
+    /// Orders from the control API at \p address how many endpoints \p pool has in \p zone.
+    virtual EndpointCall encodeReplicaCount(const std::string &address, const PoolName &pool,
+                                            const ZoneName &zone, int desired,
+                                            const InstanceId &holder,
+                                            std::uint64_t fencingToken) const = 0;
+
     /// \name Objects in the store
     /// \{
     virtual std::string configurationPrefix() const = 0;
--- a/include/marigoldspool/Peer/Messages.h
+++ b/include/marigoldspool/Peer/Messages.h
@@ -148,6 +148,9 @@
     std::int64_t dueInMs = 0;
     /// Priority of the most urgent waiting request; 0 is the most urgent.
     std::int64_t priority = 0;
+    /// Requests that wait for a free slot, in pools whose number of endpoints is ordered. They are
+    /// not among the waiting ones, which wait for a load.
+    std::uint64_t waitingForSlot = 0;
 };
 
 /// Demand at the sender; replaces its previous report.
--- a/include/marigoldspool/Serving/DemandAggregator.h
+++ b/include/marigoldspool/Serving/DemandAggregator.h
@@ -37,6 +37,8 @@
     SteadyTime latestDueAt;
     int priority = 0;
     SteadyTime lastArrival;
+    /// Requests that wait for a free slot, in pools whose number of endpoints is ordered.
+    std::uint64_t waitingForSlot = 0;
 };
 
 /// A request queued at this instance until its model or adapter is loaded.
@@ -47,6 +49,8 @@
     Duration dueIn = Duration::zero();
     /// 0 is the most urgent.
     int priority = 0;
+    /// What it needs is loaded, but all endpoints with it are full.
+    bool isForSlot = false;
 };
 
 /// Measures the request rate of each model and adapter at this instance.
@@ -84,6 +88,8 @@
     void onTick();
 
     std::size_t reporterCount() const { return m_reporters.size(); }
+    /// Whether \p instance has reported within the last three seconds.
+    bool isReporting(const InstanceId &instance) const { return m_reporters.count(instance) > 0; }
     const std::map<DemandKey, FleetDemand> &totalDemand() const;
     FleetDemand demandFor(const DemandKey &key) const;
 
--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -175,7 +175,8 @@
 // Requests beyond the workspace's rate need no model, so they are not counted.
 void Exchange::reportDemand()
 {
-    if (m_isDemandReported || !isEngineRequest()) {
+    // The number of endpoints of a service follows from its requests as well.
+    if (m_isDemandReported || (!isEngineRequest() && (m_pool->engine || !m_pool->replicas))) {
         return;
     }
     m_isDemandReported = true;
@@ -272,6 +273,17 @@
     return DemandKey{m_pool->name, m_request.model, m_request.adapter};
 }
 
+std::optional<DemandKey> Exchange::slotDemand() const
+{
+    const bool isForSlot =
+        (m_waitReason == ChoiceKind::Busy || m_waitReason == ChoiceKind::NoEndpoint)
+        && m_limitedEndpoint.empty();
+    if (!m_waiting || !isForSlot || m_pool == nullptr || !m_pool->replicas) {
+        return std::nullopt;
+    }
+    return DemandKey{m_pool->name, m_request.model, {}};
+}
+
 void Exchange::dispatch()
 {
     if (m_finished || m_attempt || !resolveRoute() || refuseQuarantined() || !takeQuota()) {
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -41,6 +41,9 @@
     /// The model or adapter that this request waits for: not loaded, or only on endpoints that
     /// limit their rate. Empty if it doesn't wait for a load.
     std::optional<DemandKey> unmetDemand() const;
+    /// The model whose endpoints are all full or gone while this request waits, in a pool whose
+    /// number of endpoints is ordered. Empty if it doesn't wait for a slot.
+    std::optional<DemandKey> slotDemand() const;
     /// The endpoint whose rate limit this request waits for; empty if it waits for anything else.
     const EndpointId &limitedEndpoint() const { return m_limitedEndpoint; }
 
--- a/lib/Fleet/PlacementDriver.h
+++ b/lib/Fleet/PlacementDriver.h
@@ -40,6 +40,9 @@
     void setEngineLoads(const EndpointLoadSums &sums);
     /// Also true while this instance may not send orders yet because of its predecessor's orders.
     bool isLeaseHolder() const { return m_lease.isHolder(); }
+    /// While this instance is the owner: the engines and the demand of all instances.
+    const std::map<EndpointId, EngineState> &engines() const { return m_planner.engines(); }
+    const DemandAggregator &demand() const { return m_demand; }
     /// Handles an update from another instance that acts as the owner.
     void onOwnerSeen(const InstanceId &owner, const PlacementUpdate &update);
 
--- a/lib/Fleet/ServingFront.cpp
+++ b/lib/Fleet/ServingFront.cpp
@@ -263,6 +263,9 @@
         if (std::optional<DemandKey> key = exchange->unmetDemand()) {
             waiting.push_back({std::move(*key), now - exchange->arrival(), exchange->dueAt() - now,
                                exchange->priority()});
+        } else if (std::optional<DemandKey> slotKey = exchange->slotDemand()) {
+            waiting.push_back({std::move(*slotKey), now - exchange->arrival(),
+                               exchange->dueAt() - now, exchange->priority(), true});
         }
     }
     return m_demand.report(waiting);
--- a/lib/Peer/MessageFields.h
+++ b/lib/Peer/MessageFields.h
@@ -132,6 +132,7 @@
     visit("o", m.oldestWaitMs);
     visit.optional("d", m.dueInMs);
     visit("u", m.priority);
+    visit.optional("s", m.waitingForSlot);
 }
 
 template <class V, class M>
--- a/lib/Serving/DemandAggregator.cpp
+++ b/lib/Serving/DemandAggregator.cpp
@@ -73,6 +73,10 @@
         item.pool = request.key.pool.str();
         item.model = request.key.model;
         item.adapter = request.key.adapter;
+        if (request.isForSlot) {
+            ++item.waitingForSlot;
+            continue;
+        }
         const bool isFirst = item.waiting == 0;
         ++item.waiting;
         item.oldestWaitMs = std::max(item.oldestWaitMs, toMilliseconds(request.waited));
@@ -107,6 +111,7 @@
         FleetDemand demand;
         demand.requestsPerSecond = item.requestsPerSecond;
         demand.waiting = item.waiting;
+        demand.waitingForSlot = item.waitingForSlot;
         demand.oldestWaitingSince = now - std::chrono::milliseconds(item.oldestWaitMs);
         demand.latestDueAt = now + std::chrono::milliseconds(item.dueInMs);
         demand.priority = static_cast<int>(item.priority);
@@ -171,6 +176,7 @@
             FleetDemand &demand = m_total[key];
             demand.requestsPerSecond += item.requestsPerSecond;
             demand.lastArrival = std::max(demand.lastArrival, item.lastArrival);
+            demand.waitingForSlot += item.waitingForSlot;
             if (item.waiting == 0) {
                 continue;
             }
--- a/tests/PlatformAdapter/PlatformCodecTest.cpp
+++ b/tests/PlatformAdapter/PlatformCodecTest.cpp
@@ -453,3 +453,28 @@
     // Any other status leaves unknown whether the order was accepted.
     CHECK_FALSE(Codec.decodeOrderAnswer(502));
 }
+
+TEST_CASE("the bounds of a service's number of endpoints are decoded, and odd ones are named")
+{
+    const auto decode = [](const json &autoscale) {
+        return Codec.decodeConfiguration(
+            json{{"version", 3},
+                 {"services", {{{"name", "llm"}, {"autoscale", autoscale}}, {{"name", "plain"}}}}}
+                .dump());
+    };
+    const auto configuration = decode({{"min", 2}, {"max", 9}, {"bootS", 4.5}});
+    REQUIRE(configuration);
+    const EndpointPool *pool = configuration->pool(PoolName("llm"));
+    REQUIRE(pool->replicas);
+    CHECK(pool->replicas->min == 2);
+    CHECK(pool->replicas->max == 9);
+    CHECK(pool->replicas->bootTime == 4500ms);
+    CHECK_FALSE(configuration->pool(PoolName("plain"))->replicas);
+    CHECK(decode({{"min", 2}, {"max", 9}})->pool(PoolName("llm"))->replicas->bootTime == 8s);
+    for (const json &odd :
+         {json({{"min", 1}}), json({{"max", "9"}}), json({{"max", -1}}), json(5)}) {
+        const auto unreadable = decode(odd);
+        REQUIRE_FALSE(unreadable);
+        CHECK(unreadable.error().message.find("autoscale") != std::string::npos);
+    }
+}
