--- a/include/marigoldspool/Serving/RouteTable.h
+++ b/include/marigoldspool/Serving/RouteTable.h
@@ -8,6 +8,9 @@
 
 namespace marigoldspool {
 
+/// The form in which host names are compared: lower case, without the port.
+std::string normalizeHost(std::string_view host);
+
 /// Finds the route and the workspace of a request in one configuration.
 class RouteTable
 {
--- a/lib/Serving/RouteTable.cpp
+++ b/lib/Serving/RouteTable.cpp
@@ -7,9 +7,6 @@
 
 namespace marigoldspool {
 
-namespace {
-
-// Host names are case-insensitive and are compared without the port.
 std::string normalizeHost(std::string_view host)
 {
     std::string name(host.substr(0, host.rfind(':')));
@@ -19,8 +16,6 @@
     return name;
 }
 
-} // namespace
-
 RouteTable::RouteTable(ServingConfigurationPtr configuration)
     : m_configuration(std::move(configuration))
 {
