--- a/include/marigoldspool/Fleet/FleetCodec.h
+++ b/include/marigoldspool/Fleet/FleetCodec.h
@@ -7,6 +7,7 @@
 #include "marigoldspool/Serving/OwnerLease.h"
 #include "marigoldspool/Serving/PlacementPlanner.h"
 #include "marigoldspool/Serving/ServingTypes.h"
+#include "marigoldspool/Serving/UsageTypes.h"
 
 #include <optional>
 #include <string>
@@ -102,11 +103,18 @@
     virtual Expected<OrderOutcome> decodeOrderAnswer(int status) const = 0;
     /// \}
 
-    /// Orders from the control API at \p address how many endpoints \p pool has in \p zone.
+    /// \name Calls to the control API at \p address
+    /// \{
+    virtual EndpointCall encodeUsageReport(const std::string &address,
+                                           const UsageWindowReport &report,
+                                           const InstanceId &holder,
+                                           std::uint64_t fencingToken) const = 0;
+    /// Orders how many endpoints \p pool has in \p zone.
     virtual EndpointCall encodeReplicaCount(const std::string &address, const PoolName &pool,
                                             const ZoneName &zone, int desired,
                                             const InstanceId &holder,
                                             std::uint64_t fencingToken) const = 0;
+    /// \}
 
     /// \name Objects in the store
     /// \{
--- a/lib/Fleet/FleetDaemon.cpp
+++ b/lib/Fleet/FleetDaemon.cpp
@@ -1,5 +1,6 @@
 #include "marigoldspool/Fleet/FleetDaemon.h"
 
+#include "Fleet/DutyDriver.h"
 #include "Fleet/FleetLink.h"
 #include "Fleet/FleetRuntime.h"
 #include "Fleet/FleetState.h"
@@ -62,6 +63,7 @@
         , m_link(m_runtime, m_state)
         , m_placement(m_runtime, m_link)
         , m_loads(m_runtime, m_link, m_placement)
+        , m_duties(m_runtime, m_placement.lease())
         , m_front(m_runtime)
         , m_statements(m_runtime, m_link, *this)
         , m_usageHub(m_runtime.options.instance, m_runtime.clock)
@@ -459,6 +461,7 @@
     FleetLink m_link;
     PlacementDriver m_placement;
     LoadExchange m_loads;
+    DutyDriver m_duties;
     ServingFront m_front;
     StatementMonitor m_statements;
     UsageHubSelector m_usageHub;
--- a/lib/Fleet/PlacementDriver.h
+++ b/lib/Fleet/PlacementDriver.h
@@ -43,6 +43,8 @@
     /// While this instance is the owner: the engines and the demand of all instances.
     const std::map<EndpointId, EngineState> &engines() const { return m_planner.engines(); }
     const DemandAggregator &demand() const { return m_demand; }
+    /// The lease that also covers the duties.
+    OwnerLease &lease() { return m_lease; }
     /// Handles an update from another instance that acts as the owner.
     void onOwnerSeen(const InstanceId &owner, const PlacementUpdate &update);
 
