--- a/lib/Fleet/FleetDaemon.cpp
+++ b/lib/Fleet/FleetDaemon.cpp
@@ -6,6 +6,7 @@
 #include "Fleet/FleetState.h"
 #include "Fleet/LoadExchange.h"
 #include "Fleet/PlacementDriver.h"
+#include "Fleet/ReplicaCountDriver.h"
 #include "Fleet/ServingFront.h"
 #include "Fleet/StatementMonitor.h"
 #include "marigoldspool/Serving/UsageHubSelector.h"
@@ -64,6 +65,7 @@
         , m_placement(m_runtime, m_link)
         , m_loads(m_runtime, m_link, m_placement)
         , m_duties(m_runtime, m_placement.lease())
+        , m_replicas(m_runtime, m_state, m_placement, m_duties)
         , m_front(m_runtime)
         , m_statements(m_runtime, m_link, *this)
         , m_usageHub(m_runtime.options.instance, m_runtime.clock)
@@ -394,6 +396,7 @@
         m_runtime.directory.onTick();
         m_statements.onTick();
         m_loads.onTick();
+        m_replicas.onTick();
         const SteadyTime now = m_runtime.clock.now();
         const bool isFresh = now - m_lastPlacementAt < PlacementFreshness;
         if (m_wasPlacementFresh && !isFresh) {
@@ -462,6 +465,7 @@
     PlacementDriver m_placement;
     LoadExchange m_loads;
     DutyDriver m_duties;
+    ReplicaCountDriver m_replicas;
     ServingFront m_front;
     StatementMonitor m_statements;
     UsageHubSelector m_usageHub;
--- a/lib/Serving/ConfigurationChanges.cpp
+++ b/lib/Serving/ConfigurationChanges.cpp
@@ -2,6 +2,7 @@
 #include "marigoldspool/Serving/ConfigurationCheck.h"
 
 #include <algorithm>
+#include <initializer_list>
 #include <sstream>
 
 namespace marigoldspool {
@@ -101,20 +102,23 @@
                 std::vector<std::string> &lines)
 {
     std::string changes;
-    const auto add = [&](const std::string &change) {
-        changes += (changes.empty() ? "" : "; ") + change;
+    const auto add = [&changes](std::initializer_list<std::string_view> parts) {
+        changes += changes.empty() ? "" : "; ";
+        for (const std::string_view part : parts) {
+            changes += part;
+        }
     };
     for (const auto &[name, value] : before) {
         const auto found = after.find(name);
         if (found == after.end()) {
-            add(name + " removed");
+            add({name, " removed"});
         } else if (found->second != value) {
-            add(name + " from " + value + " to " + found->second);
+            add({name, " from ", value, " to ", found->second});
         }
     }
     for (const auto &[name, value] : after) {
         if (before.count(name) == 0) {
-            add(name + " added: " + value);
+            add({name, " added: ", value});
         }
     }
     if (!changes.empty()) {
