--- a/include/marigoldspool/Fleet/FleetCodec.h
+++ b/include/marigoldspool/Fleet/FleetCodec.h
@@ -109,6 +109,11 @@
                                            const UsageWindowReport &report,
                                            const InstanceId &holder,
                                            std::uint64_t fencingToken) const = 0;
+    /// Orders how many endpoints \p pool has in \p zone.
+    virtual EndpointCall encodeReplicaCount(const std::string &address, const PoolName &pool,
+                                            const ZoneName &zone, int desired,
+                                            const InstanceId &holder,
+                                            std::uint64_t fencingToken) const = 0;
     /// \}
 
     /// \name Objects in the store
--- a/lib/Fleet/FleetDaemon.cpp
+++ b/lib/Fleet/FleetDaemon.cpp
@@ -6,6 +6,7 @@
 #include "Fleet/FleetState.h"
 #include "Fleet/LoadExchange.h"
 #include "Fleet/PlacementDriver.h"
+#include "Fleet/ReplicaCountDriver.h"
 #include "Fleet/ServingFront.h"
 #include "Fleet/StatementMonitor.h"
 #include "Fleet/SuspicionExchange.h"
@@ -66,6 +67,7 @@
         , m_placement(m_runtime, m_link)
         , m_loads(m_runtime, m_link, m_placement)
         , m_duties(m_runtime, m_placement.lease())
+        , m_replicas(m_runtime, m_state, m_placement, m_duties)
         , m_front(m_runtime)
         , m_statements(m_runtime, m_link, *this)
         , m_suspicions(m_runtime, m_placement, *this)
@@ -415,6 +417,7 @@
         m_runtime.directory.onTick();
         m_statements.onTick();
         m_loads.onTick();
+        m_replicas.onTick();
         const SteadyTime now = m_runtime.clock.now();
         const bool isFresh = now - m_lastPlacementAt < PlacementFreshness;
         if (m_wasPlacementFresh && !isFresh) {
@@ -486,6 +489,7 @@
     DutyDriver m_duties;
     /// Null if usage is not reported.
     std::unique_ptr<UsageReporter> m_usageReporter;
+    ReplicaCountDriver m_replicas;
     ServingFront m_front;
     StatementMonitor m_statements;
     SuspicionExchange m_suspicions;
