Placement: the weight store takes one more load than it has been seen to serve

Cause: in a trial a model without a copy was loaded beside copies of models that had several, and none of the four loads ended within 25 s.

Change: in contended pools, loads from the weight store go one beyond the number that has run at full speed, and a further copy counts only for its part of the requests.

--- a/lib/Serving/PlacementPlanner.cpp
+++ b/lib/Serving/PlacementPlanner.cpp
@@ -271,7 +271,13 @@
     if (loads < m_provenStoreConcurrency) {
         return true;
     }
-    const double rate = demand.demandFor({pool, model, {}}).expectedRequestsPerSecond;
+    if (loads > m_provenStoreConcurrency) {
+        // One more than has been seen to run at full speed shows whether the store serves more.
+        return false;
+    }
+    // What the load gains: a further copy only takes its part of the requests.
+    const double gainedRate = demand.demandFor({pool, model, {}}).expectedRequestsPerSecond
+        / (copyCount(pool, model) + 1);
     return std::none_of(m_engines.begin(), m_engines.end(), [&](const auto &entry) {
         const EngineState &engine = entry.second;
         const ModelName *other = storeLoadOf(engine);
@@ -279,7 +285,8 @@
             return false;
         }
         return *other == model
-            || demand.demandFor({pool, *other, {}}).expectedRequestsPerSecond > MuchMore * rate;
+            || demand.demandFor({pool, *other, {}}).expectedRequestsPerSecond
+            > MuchMore * gainedRate;
     });
 }
 
