Order waiting requests of contended pools by least cost to callers

Cause: beyond capacity, requests waited by priority and arrival.

Change: a weighted Moore-Hodgson rule by priority, objective, patience and expected work arranges the waiting requests, with the demand by priority that all instances tell the lease holder. What gets no slot in time is refused at once with a spread Retry-After. Loads of models are ordered by the value of the waiting requests for each second of the load. Pools that are not contended keep priority and arrival.

--- a/include/marigoldspool/Peer/Messages.h
+++ b/include/marigoldspool/Peer/Messages.h
@@ -148,6 +148,12 @@
     std::int64_t dueInMs = 0;
     /// Priority of the most urgent waiting request; 0 is the most urgent.
     std::int64_t priority = 0;
+    /// Value of serving all waiting requests on time; see requestWeight(). 0: not stated.
+    double weight = 0;
+    /// Shortest time that a waiting request has until its latency objective.
+    std::int64_t firstDueInMs = 0;
+    /// When the last caller of a waiting request gives up; 0: not stated.
+    std::int64_t leaveInMs = 0;
 };
 
 /// Demand at the sender; replaces its previous report.
@@ -340,9 +346,23 @@
     std::vector<ModelLoad> models;
 };
 
-/// The sender's requests at endpoints; replaces its previous report. Sent to the lease holder.
+/// Requests of one priority for one model, at one instance or at all.
+struct PriorityLoad {
+    std::string pool;
+    ModelName model;
+    /// With aging, so it may be negative; 0 is the most urgent one of routes.
+    std::int64_t priority = 0;
+    /// Requests that wait for a slot.
+    std::int64_t waiting = 0;
+    /// Smoothed arrival rate.
+    double requestsPerSecond = 0;
+};
+
+/// The sender's requests at endpoints and its demand in contended pools; replaces its previous
+/// report. Sent to the lease holder.
 struct EndpointLoads {
     std::vector<EndpointLoad> endpoints;
+    std::vector<PriorityLoad> demand = {};
 };
 
 /// Requests of all instances at one endpoint.
@@ -360,6 +380,10 @@
     std::uint64_t sequence = 0;
     bool full = false;
     std::vector<EndpointTotal> endpoints;
+    /// Whether the holder sums the demand.
+    bool hasDemand = false;
+    /// All models with waiting requests; if \c full, also those with many arrivals.
+    std::vector<PriorityLoad> demand = {};
 };
 
 using PeerMessage =
--- a/include/marigoldspool/Serving/DemandAggregator.h
+++ b/include/marigoldspool/Serving/DemandAggregator.h
@@ -37,6 +37,12 @@
     SteadyTime latestDueAt;
     int priority = 0;
     SteadyTime lastArrival;
+    /// Value of serving all waiting requests on time; see requestWeight().
+    double weight = 0;
+    /// When the first waiting request passes its latency objective.
+    SteadyTime firstDueAt;
+    /// When the last caller gives up; SteadyTime::max() if not stated.
+    SteadyTime leaveAt;
 };
 
 /// A request queued at this instance until its model or adapter is loaded.
@@ -47,6 +53,10 @@
     Duration dueIn = Duration::zero();
     /// 0 is the most urgent.
     int priority = 0;
+    /// Value of serving it on time; see requestWeight().
+    double weight = 0;
+    /// Time until its caller gives up.
+    Duration leavesIn = Duration::zero();
 };
 
 /// Measures the request rate of each model and adapter at this instance.
--- a/include/marigoldspool/Serving/EndpointDirectory.h
+++ b/include/marigoldspool/Serving/EndpointDirectory.h
@@ -95,6 +95,10 @@
     int candidateCount = 0;
     /// For Busy in a contended pool: retryIn is when a slot is expected to be free.
     bool isForecast = false;
+    /// In a contended pool whose loads are known: slots of the engines that can take the request,
+    /// and how many requests they take now.
+    int slots = 0;
+    int room = 0;
 };
 
 struct EndpointQuery {
@@ -174,7 +178,7 @@
     void onFirstByte(const EndpointId &id, int promptTokens, Duration after,
                      const ModelName &model = {});
     /// A complete response arrived \p run after the request was sent.
-    void onResponse(const EndpointId &id, int promptTokens, Duration run);
+    void onResponse(const EndpointId &id, int promptTokens, Duration run, int outputTokens = 0);
     /// The request sent with \p promptTokens ended before its first byte; before onResult().
     void onNoFirstByte(const EndpointId &id, int promptTokens, const ModelName &model = {});
     void onResult(const EndpointId &id, EndpointResult result, const ModelName &model,
@@ -189,6 +193,10 @@
     /// Selects among \p candidates, which all can take the request now.
     void selectCandidate(gsl::span<const TrackedEndpoint *const> candidates,
                          const EndpointQuery &query, SteadyTime now, EndpointChoice &choice) const;
+    /// Adds the forecast of a slot to a choice for which this instance has no more room at the
+    /// \p full endpoints.
+    void forecastSlot(gsl::span<const TrackedEndpoint *const> full, const EndpointQuery &query,
+                      EndpointChoice &choice) const;
     int maxInFlight(const TrackedEndpoint &state) const;
     int currentMaxInFlight(const TrackedEndpoint &state) const;
     /// Follows a change of the endpoint's rate limit.
--- a/include/marigoldspool/Serving/EngineSelection.h
+++ b/include/marigoldspool/Serving/EngineSelection.h
@@ -27,6 +27,10 @@
     std::optional<std::size_t> index;
     /// Without an index: after which time an engine is expected to take the request.
     Duration freeIn = Duration::zero();
+    /// Slots of all engines.
+    int slots = 0;
+    /// Requests that the engines take now, including those that wait there for a short time.
+    int room = 0;
 };
 
 /// Selects an engine by the load that all instances together have put on it.
--- a/include/marigoldspool/Serving/PlacementPlanner.h
+++ b/include/marigoldspool/Serving/PlacementPlanner.h
@@ -82,6 +82,9 @@
 
     void setConfiguration(ServingConfigurationPtr configuration);
     void setRequestCost(const PoolName &pool, RequestCost cost) { m_requestCosts[pool] = cost; }
+    /// For contended pools, loads are ordered by the value of the waiting requests that they serve
+    /// for each second of the load.
+    void setContended(std::set<PoolName> pools) { m_contended = std::move(pools); }
     std::map<EndpointId, EngineState> &engines() { return m_engines; }
     const std::map<EndpointId, EngineState> &engines() const { return m_engines; }
 
@@ -131,6 +134,9 @@
     double remainingRunSeconds(const EngineState &engine, const ModelName &model,
                                const FleetDemand &modelDemand) const;
     double loadBenefit(const DemandKey &key, const FleetDemand &modelDemand) const;
+    /// The same by priority, objective and patience, for each second of a load from \p source.
+    double loadValuePerSecond(const DemandKey &key, const FleetDemand &modelDemand,
+                              LoadSource source) const;
     /// What may be unloaded for the waiting requests, as the cost of the unloaded models.
     double waitingVictimCost(const FleetDemand &modelDemand) const;
     bool isOverloaded(const PoolName &pool, const ModelName &model) const;
@@ -179,6 +185,7 @@
     /// Fraction of each engine that the current demand is expected to use.
     std::map<EndpointId, double> m_utilization;
     std::map<PoolName, RequestCost> m_requestCosts;
+    std::set<PoolName> m_contended;
     /// Models on engines whose rate limits are too low for the demand. They don't count as copies,
     /// so the models are loaded elsewhere.
     std::set<std::pair<EndpointId, ModelName>> m_shortCopies;
--- a/include/marigoldspool/Serving/ResponseTimeModel.h
+++ b/include/marigoldspool/Serving/ResponseTimeModel.h
@@ -22,11 +22,15 @@
     /// \p after: from sending the request to the first byte of its response.
     void onFirstByte(const PoolName &pool, int promptTokens, Duration after);
     /// \p run: from sending the request to the end of a complete response.
-    void onResponse(const PoolName &pool, int promptTokens, Duration run);
+    /// \p outputTokens: of the response, as the request states them; zero if it doesn't.
+    void onResponse(const PoolName &pool, int promptTokens, Duration run, int outputTokens = 0);
     /// Time to the first byte at an endpoint without other load.
     Duration expectedFirstByte(const PoolName &pool, int promptTokens) const;
     /// Mean time to the end of a complete response; zero before the first one.
     Duration expectedRun(const PoolName &pool) const;
+    /// Expected time to the end of a response with these tokens, in seconds; the mean without
+    /// \p outputTokens, and 1 s before the first response.
+    double expectedSlotSeconds(const PoolName &pool, int promptTokens, int outputTokens) const;
     /// Time in which an engine processes prompts of \p promptTokens in all.
     double promptSeconds(const PoolName &pool, int promptTokens) const;
     /// Mean cost of the requests for each pool that has answered some.
@@ -41,6 +45,10 @@
         double secondsPerKiloToken = 0;
         double meanKiloTokens = 0;
         double meanRunSeconds = 0;
+        /// Of the responses whose number of tokens is known.
+        bool hasOutput = false;
+        double meanOutputTokens = 0;
+        double meanOutputSeconds = 0;
     };
 
     std::map<PoolName, PoolEstimate> m_pools;
--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -179,6 +179,9 @@
         return;
     }
     m_isDemandReported = true;
+    if (m_runtime.directory.isContended(*m_pool)) {
+        m_runtime.priorityDemand.onArrival({m_pool->name, m_request.model, m_priority});
+    }
     m_front.m_demand.onArrival({m_pool->name, m_request.model, {}});
     if (!m_request.adapter.empty()) {
         m_front.m_demand.onArrival({m_pool->name, m_request.model, m_request.adapter});
@@ -301,6 +304,17 @@
         query.excluded = {};
         choice = m_runtime.directory.choose(query);
     }
+    if (choice.kind == ChoiceKind::Send
+        && m_front.m_admission.mustWait(*this, choice, m_front.m_waiting)) {
+        choice.kind = ChoiceKind::Busy;
+        choice.endpoint = EndpointId();
+        choice.isForecast = true;
+        choice.retryIn = Duration::zero();
+        if (!m_waiting) {
+            m_runtime.metrics->add("marigoldspool_admission_turns_waited_total");
+            m_front.scheduleDispatch();
+        }
+    }
     if (choice.kind == ChoiceKind::Send) {
         send(choice.endpoint);
     } else {
@@ -323,13 +337,17 @@
     query.ownerReachable = m_front.m_ownerReachable;
     m_limitedEndpoint = choice.isPaused ? choice.endpoint : EndpointId();
     query.retryIn = choice.retryIn + m_front.timeForEarlierRequests(*this, choice);
+    const bool isLoading = query.forecast && query.overdue == Duration::zero();
+    if (refuseWithoutSlot(choice, isLoading ? query.forecast : std::nullopt)) {
+        return;
+    }
     const WaitDecision decision = decideWait(query);
     if (!decision.wait && m_possibleRuns == 0 && toSend < callerTimeLeft()) {
         refuseStopping();
         return;
     }
     if (!decision.wait) {
-        refuse(decision.reason, ranState(), decision.retryAfter,
+        refuse(decision.reason, ranState(), spreadRetry(decision.retryAfter),
                choice.kind == ChoiceKind::NotLoaded
                    ? "the model cannot be loaded in time"
                    : "no endpoint will have free capacity in time");
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -41,6 +41,16 @@
     /// The model or adapter that this request waits for: not loaded, or only on endpoints that
     /// limit their rate. Empty if it doesn't wait for a load.
     std::optional<DemandKey> unmetDemand() const;
+    /// Whether the order of waiting requests applies to this one: its pool is contended, and the
+    /// loads of the engines are known.
+    bool usesAdmissionOrder() const;
+    /// Whether it waits since all engines with its model are full.
+    bool isWaitingForSlot() const;
+    /// Its claim to a slot; only after the route has been found.
+    QueuedRequest queuedRequest() const;
+    const EndpointPool *pool() const { return m_pool; }
+    const ModelName &model() const { return m_request.model; }
+    const RequestId &id() const { return m_request.id; }
     /// The endpoint whose rate limit this request waits for; empty if it waits for anything else.
     const EndpointId &limitedEndpoint() const { return m_limitedEndpoint; }
 
@@ -72,6 +82,11 @@
     bool refuseQuarantined();
     void reportDemand();
     void waitOrRefuse(const EndpointChoice &choice);
+    /// Refuses the request if it gets no slot in time; returns whether it has. \p loadedIn: until
+    /// another engine has the model, if one is loading it.
+    bool refuseWithoutSlot(const EndpointChoice &choice, std::optional<Duration> loadedIn);
+    /// Keeps the callers of a contended pool from coming back at the same moment.
+    Duration spreadRetry(Duration retryAfter);
     EndpointCall makeCall(const EndpointId &endpoint) const;
     void send(const EndpointId &endpoint);
     /// Expects the answer to the request from \p attempt.
--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -227,7 +227,7 @@
     }
     if (!isServerError && m_request.lastEventId.empty() && m_attemptCount == 1) {
         m_runtime.directory.onResponse(m_endpoint, m_request.promptTokens,
-                                       m_runtime.clock.now() - m_sentAt);
+                                       m_runtime.clock.now() - m_sentAt, m_request.outputTokens);
     }
     if (isSuccess(m_status)) {
         if (m_hasUnstatedEnd) {
--- a/lib/Fleet/FleetRuntime.h
+++ b/lib/Fleet/FleetRuntime.h
@@ -6,6 +6,7 @@
 #include "marigoldspool/Platform/ObjectStore.h"
 #include "marigoldspool/Serving/EndpointDirectory.h"
 #include "marigoldspool/Serving/ObservedTime.h"
+#include "marigoldspool/Serving/PriorityDemands.h"
 #include "marigoldspool/Serving/PromptQuarantine.h"
 #include "marigoldspool/Serving/RouteTable.h"
 #include "marigoldspool/Serving/WorkspaceQuota.h"
@@ -53,6 +54,7 @@
     bool stopping = false;
     /// When a planned stop closes the callers' connections.
     SteadyTime answersEndAt = SteadyTime::max();
+    PriorityDemandView priorityDemand{clock};
 };
 
 } // namespace marigoldspool
--- a/lib/Fleet/LoadExchange.cpp
+++ b/lib/Fleet/LoadExchange.cpp
@@ -21,6 +21,15 @@
     const auto isSameModel = [](const ModelLoad &x, const ModelLoad &y) {
         return x.model == y.model && x.requests == y.requests && x.unstarted == y.unstarted;
     };
+    // Rates follow with the next report.
+    const auto isSameDemand = [](const PriorityLoad &x, const PriorityLoad &y) {
+        return x.pool == y.pool && x.model == y.model && x.priority == y.priority
+            && x.waiting == y.waiting;
+    };
+    if (!std::equal(a.demand.begin(), a.demand.end(), b.demand.begin(), b.demand.end(),
+                    isSameDemand)) {
+        return false;
+    }
     return std::equal(a.endpoints.begin(), a.endpoints.end(), b.endpoints.begin(),
                       b.endpoints.end(), [&](const EndpointLoad &x, const EndpointLoad &y) {
                           return x.endpoint == y.endpoint && x.startedAtMs == y.startedAtMs
@@ -36,6 +45,7 @@
     , m_link(link)
     , m_placement(placement)
     , m_sums(runtime.clock)
+    , m_demandSums(runtime.clock)
 { }
 
 bool LoadExchange::hasContendedPool() const
@@ -57,9 +67,11 @@
     report();
     if (m_placement.isOwner()) {
         m_sums.onTick();
+        m_demandSums.onTick();
         publish();
     } else if (m_sums.reporterCount() > 0) {
         m_sums.clear();
+        m_demandSums.clear();
     }
     const bool isFresh = m_runtime.directory.loads().isFresh();
     if (isFresh != m_wasFresh) {
@@ -77,18 +89,21 @@
     }
     const InstanceId holder = m_placement.isOwner() ? m_runtime.options.instance : m_link.owner();
     EndpointLoads loads = m_runtime.directory.ownLoads();
+    loads.demand = m_runtime.priorityDemand.report();
     const bool isDue = now >= m_reportedAt + RepeatInterval || holder != m_reportedTo;
     if (!isDue && isSame(loads, m_reported)) {
         return;
     }
     if (m_placement.isOwner()) {
         m_sums.onReport(m_runtime.options.instance, loads);
+        m_demandSums.onReport(m_runtime.options.instance, loads.demand);
     } else if (!m_link.isOwnerReachable() || !m_link.send(holder, loads)) {
         return;
     }
     m_reportedAt = now;
     m_reportedTo = holder;
     m_runtime.directory.loads().onOwnReport(loads);
+    m_runtime.priorityDemand.onOwnReport(loads.demand);
     m_reported = std::move(loads);
 }
 
@@ -109,6 +124,8 @@
     totals.full = isNewTerm || now >= m_fullAt + FullInterval;
     totals.sequence = ++m_sequence;
     totals.endpoints = m_sums.takeTotals(totals.full);
+    totals.hasDemand = true;
+    totals.demand = m_demandSums.totals(totals.full);
     m_publishedAt = now;
     m_fullAt = totals.full ? now : m_fullAt;
     for (const InstanceId &peer : m_link.connectedPeers()) {
@@ -122,6 +139,7 @@
 {
     if (m_placement.isOwner()) {
         m_sums.onReport(from, loads);
+        m_demandSums.onReport(from, loads.demand);
     }
 }
 
@@ -135,6 +153,7 @@
         m_runtime.metrics->observe("marigoldspool_load_view_age_seconds", toSeconds(view.age()));
     }
     view.onTotals(totals);
+    m_runtime.priorityDemand.onTotals(totals);
 }
 
 } // namespace marigoldspool
--- a/lib/Fleet/LoadExchange.h
+++ b/lib/Fleet/LoadExchange.h
@@ -29,6 +29,7 @@
     FleetLink &m_link;
     PlacementDriver &m_placement;
     EndpointLoadSums m_sums;
+    PriorityDemandSums m_demandSums;
     EndpointLoads m_reported;
     /// The holder that has received m_reported.
     InstanceId m_reportedTo;
--- a/lib/Fleet/PlacementDriver.cpp
+++ b/lib/Fleet/PlacementDriver.cpp
@@ -322,6 +322,15 @@
     for (const auto &[name, cost] : m_runtime.directory.responseTimes().requestCosts()) {
         m_planner.setRequestCost(name, cost);
     }
+    if (m_runtime.routes != nullptr) {
+        std::set<PoolName> contended;
+        for (const auto &[name, pool] : m_runtime.routes->configuration()->pools) {
+            if (m_runtime.directory.isContended(pool)) {
+                contended.insert(name);
+            }
+        }
+        m_planner.setContended(std::move(contended));
+    }
     const std::vector<PlacementOrder> orders = m_planner.plan(m_demand);
     for (const EndpointId &id : blocked) {
         m_planner.engines()[id].hasPendingOrder = false;
--- a/lib/Fleet/ServingFront.cpp
+++ b/lib/Fleet/ServingFront.cpp
@@ -35,6 +35,7 @@
 
 ServingFront::ServingFront(FleetRuntime &runtime)
     : m_runtime(runtime)
+    , m_admission(runtime)
     , m_demand(runtime.clock)
     , m_crashCheck(std::make_shared<CrashCheck>(runtime))
 { }
@@ -203,7 +204,8 @@
         return;
     }
     m_dispatching = true;
-    const std::list<std::shared_ptr<Exchange>> waiting = m_waiting;
+    std::list<std::shared_ptr<Exchange>> waiting = m_waiting;
+    m_admission.arrange(waiting);
     for (const auto &exchange : waiting) {
         if (exchange->isWaiting()) {
             exchange->dispatch();
@@ -261,8 +263,10 @@
     std::vector<WaitingRequest> waiting;
     for (const auto &exchange : m_waiting) {
         if (std::optional<DemandKey> key = exchange->unmetDemand()) {
+            const QueuedRequest request = exchange->queuedRequest();
             waiting.push_back({std::move(*key), now - exchange->arrival(), exchange->dueAt() - now,
-                               exchange->priority()});
+                               exchange->priority(), requestWeight(agedPriority(request, now)),
+                               request.patienceEndsAt - now});
         }
     }
     return m_demand.report(waiting);
--- a/lib/Fleet/ServingFront.h
+++ b/lib/Fleet/ServingFront.h
@@ -1,6 +1,7 @@
 #ifndef MARIGOLDSPOOL_LIB_FLEET_SERVINGFRONT_H
 #define MARIGOLDSPOOL_LIB_FLEET_SERVINGFRONT_H
 
+#include "Fleet/AdmissionQueue.h"
 #include "Fleet/CrashCheck.h"
 #include "Fleet/FleetRuntime.h"
 #include "marigoldspool/Gateway/HttpServer.h"
@@ -78,8 +79,10 @@
     std::unordered_set<std::shared_ptr<Exchange>> m_openExchanges;
     std::uint64_t m_startedCount = 0;
     std::uint64_t m_finishedCount = 0;
-    /// Ordered by priority, then by arrival.
+    /// Ordered by priority, then by arrival. Those of contended pools are served in the order of
+    /// m_admission.
     std::list<std::shared_ptr<Exchange>> m_waiting;
+    AdmissionQueue m_admission;
     DemandTracker m_demand;
     std::shared_ptr<CrashCheck> m_crashCheck;
     std::map<std::pair<ModelName, std::string>, SteadyTime> m_forecasts;
--- a/lib/Peer/MessageFields.h
+++ b/lib/Peer/MessageFields.h
@@ -132,6 +132,9 @@
     visit("o", m.oldestWaitMs);
     visit.optional("d", m.dueInMs);
     visit("u", m.priority);
+    visit.optional("v", m.weight);
+    visit.optional("e", m.firstDueInMs);
+    visit.optional("l", m.leaveInMs);
 }
 
 template <class V, class M>
@@ -333,10 +336,21 @@
     visit("m", m.models);
 }
 
+template <class V, class M>
+std::enable_if_t<IsMessage<M, PriorityLoad>> visitFields(V &visit, M &m)
+{
+    visit("p", m.pool);
+    visit("m", m.model);
+    visit("u", m.priority);
+    visit("w", m.waiting);
+    visit("r", m.requestsPerSecond);
+}
+
 template <class V, class M>
 std::enable_if_t<IsMessage<M, EndpointLoads>> visitFields(V &visit, M &m)
 {
     visit("endpoints", m.endpoints);
+    visit.optional("demand", m.demand);
 }
 
 template <class V, class M>
@@ -355,6 +369,8 @@
     visit("sequence", m.sequence);
     visit("full", m.full);
     visit("endpoints", m.endpoints);
+    visit.optional("has_demand", m.hasDemand);
+    visit.optional("demand", m.demand);
 }
 
 } // namespace marigoldspool
--- a/lib/Serving/DemandAggregator.cpp
+++ b/lib/Serving/DemandAggregator.cpp
@@ -1,5 +1,7 @@
 #include "marigoldspool/Serving/DemandAggregator.h"
 
+#include "marigoldspool/Serving/AdmissionOrder.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -27,6 +29,19 @@
     return value * decayFactor(now - since, HalfLifeSeconds);
 }
 
+// Older versions state no value; their requests then count by the priority of the most urgent.
+void readWaitingValue(const ReportedDemand &item, SteadyTime now, FleetDemand &demand)
+{
+    const double count = static_cast<double>(item.waiting);
+    const bool isStated = item.weight > 0;
+    demand.weight = isStated ? std::min(item.weight, count * requestWeight(MostUrgentPriority))
+                             : count * requestWeight(demand.priority);
+    demand.firstDueAt =
+        now + std::chrono::milliseconds(isStated ? item.firstDueInMs : item.dueInMs);
+    demand.leaveAt =
+        item.leaveInMs > 0 ? now + std::chrono::milliseconds(item.leaveInMs) : SteadyTime::max();
+}
+
 } // namespace
 
 DemandTracker::DemandTracker(const Clock &clock)
@@ -79,6 +94,10 @@
         if (request.dueIn > Duration::zero()) {
             item.dueInMs = std::max(item.dueInMs, toMilliseconds(request.dueIn));
         }
+        const std::int64_t dueInMs = toMilliseconds(std::max(request.dueIn, Duration::zero()));
+        item.firstDueInMs = isFirst ? dueInMs : std::min(item.firstDueInMs, dueInMs);
+        item.leaveInMs = std::max(item.leaveInMs, toMilliseconds(request.leavesIn));
+        item.weight += request.weight;
         item.priority =
             isFirst ? request.priority : std::min<std::int64_t>(item.priority, request.priority);
     }
@@ -111,6 +130,7 @@
         demand.latestDueAt = now + std::chrono::milliseconds(item.dueInMs);
         demand.priority = static_cast<int>(item.priority);
         demand.lastArrival = now - std::chrono::milliseconds(item.idleMs);
+        readWaitingValue(item, now, demand);
         reporter.items[{PoolName(item.pool), item.model, item.adapter}] = demand;
     }
     m_isTotalOutdated = true;
@@ -178,6 +198,10 @@
             demand.oldestWaitingSince = isFirst
                 ? item.oldestWaitingSince
                 : std::min(demand.oldestWaitingSince, item.oldestWaitingSince);
+            demand.weight += item.weight;
+            demand.firstDueAt =
+                isFirst ? item.firstDueAt : std::min(demand.firstDueAt, item.firstDueAt);
+            demand.leaveAt = isFirst ? item.leaveAt : std::max(demand.leaveAt, item.leaveAt);
             demand.latestDueAt = std::max(demand.latestDueAt, item.latestDueAt);
             demand.priority = isFirst ? item.priority : std::min(demand.priority, item.priority);
             demand.waiting += item.waiting;
--- a/lib/Serving/EndpointDirectory.cpp
+++ b/lib/Serving/EndpointDirectory.cpp
@@ -403,6 +403,8 @@
                                penalty(*it, query, now), meanRun});
         }
         const EngineSelection selection = selectEngine(engines, query.draw);
+        choice.slots = selection.slots;
+        choice.room = selection.room;
         if (selection.index) {
             choice.endpoint = candidates[*selection.index]->listed.id;
             return;
@@ -428,6 +430,7 @@
     const SteadyTime now = m_clock.now();
     EndpointChoice choice;
     std::vector<const TrackedEndpoint *> candidates;
+    std::vector<const TrackedEndpoint *> full;
     bool hasUsableEndpoint = false;
     Duration minColdDelay = Duration::max();
     Duration minPause = Duration::max();
@@ -478,6 +481,7 @@
             continue;
         }
         if (now < state.busyUntil || state.inFlight >= currentMaxInFlight(state)) {
+            full.push_back(&state);
             continue;
         }
         if (now < state.coldUntil && query.pool->coldRequestsPerSecond > 0
@@ -503,6 +507,9 @@
     choice.retryIn = choice.isPaused
         ? minPause
         : std::min(std::max(minColdDelay, BusyPause), Duration(milliseconds(500)));
+    if (!full.empty() && !choice.isPaused) {
+        forecastSlot(full, query, choice);
+    }
     return choice;
 }
 
@@ -561,11 +568,12 @@
     }
 }
 
-void EndpointDirectory::onResponse(const EndpointId &id, int promptTokens, Duration run)
+void EndpointDirectory::onResponse(const EndpointId &id, int promptTokens, Duration run,
+                                   int outputTokens)
 {
     const auto it = m_endpoints.find(id);
     if (it != m_endpoints.end()) {
-        m_responseTimes.onResponse(it->second.listed.pool, promptTokens, run);
+        m_responseTimes.onResponse(it->second.listed.pool, promptTokens, run, outputTokens);
     }
 }
 
--- a/lib/Serving/EngineSelection.cpp
+++ b/lib/Serving/EngineSelection.cpp
@@ -108,6 +108,11 @@
     if (candidates.empty()) {
         return selection;
     }
+    for (const EngineCandidate &it : candidates) {
+        const int slots = std::max(1, it.slots);
+        selection.slots += slots;
+        selection.room += std::max(0, slots + queueOf(it) - it.requests);
+    }
     const std::vector<double> weights = weightsByRoom(candidates, hasFewSlots(candidates));
     if (hasWeight(weights)) {
         selection.index = drawIndex(weights, draw);
--- a/lib/Serving/PlacementCosts.cpp
+++ b/lib/Serving/PlacementCosts.cpp
@@ -1,5 +1,6 @@
 // What loads and unloads cost the callers, in seconds of delay, and how many callers a load serves.
 #include "Serving/PlacementCosts.h"
+#include "marigoldspool/Serving/AdmissionOrder.h"
 #include "marigoldspool/Serving/PlacementPlanner.h"
 
 #include <algorithm>
@@ -186,4 +187,19 @@
     return weight * static_cast<double>(modelDemand.waiting);
 }
 
+// The due times of the waiting requests are taken as evenly spread between the first and the last.
+double PlacementPlanner::loadValuePerSecond(const DemandKey &key, const FleetDemand &modelDemand,
+                                            LoadSource source) const
+{
+    const double seconds = UnloadCostSeconds + toSeconds(loadTime(key.pool, key.model, source));
+    const SteadyTime readyAt = m_clock.now() + fromSeconds(seconds);
+    double onTime = readyAt <= modelDemand.firstDueAt ? 1 : 0;
+    if (readyAt > modelDemand.firstDueAt && readyAt < modelDemand.latestDueAt) {
+        onTime = toSeconds(modelDemand.latestDueAt - readyAt)
+            / toSeconds(modelDemand.latestDueAt - modelDemand.firstDueAt);
+    }
+    const double late = readyAt < modelDemand.leaveAt ? LateServiceWeight * (1 - onTime) : 0;
+    return modelDemand.weight * (onTime + late) / seconds;
+}
+
 } // namespace marigoldspool
--- a/lib/Serving/PlacementForecast.cpp
+++ b/lib/Serving/PlacementForecast.cpp
@@ -114,8 +114,15 @@
             earliestSlot() += loadTime(engine.pool, *engine.plannedLoad, LoadSource::Store);
         }
     }
-    std::sort(waiting.begin(), waiting.end(), [](const auto &a, const auto &b) {
-        return a.second->requestsPerSecond > b.second->requestsPerSecond;
+    const auto rank = [this](const auto &it) {
+        const bool isContended = m_contended.count(it.first->pool) > 0;
+        const double value = isContended
+            ? loadValuePerSecond(*it.first, *it.second, LoadSource::Store)
+            : it.second->requestsPerSecond;
+        return std::make_pair(isContended, -value);
+    };
+    std::sort(waiting.begin(), waiting.end(), [&rank](const auto &a, const auto &b) {
+        return rank(a) < rank(b);
     });
     for (const auto &[key, modelDemand] : waiting) {
         Duration &slot = earliestSlot();
--- a/lib/Serving/PlacementPlanner.cpp
+++ b/lib/Serving/PlacementPlanner.cpp
@@ -352,14 +352,16 @@
 
 // A load from the weight store takes seconds, so those are ordered by request rate. Loads from
 // memory and disk are short; they are ordered by priority and then by the callers that they serve.
+// In contended pools, where many models compete for loads, all are ordered by their value.
 void PlacementPlanner::loadRequestedModels(const DemandAggregator &demand,
                                            std::vector<PlacementOrder> &orders)
 {
     struct WaitingModel {
         const DemandKey *key;
         const FleetDemand *modelDemand;
+        bool isContended;
         /// Ascending sort keys: the negated request rate for loads from the weight store, else the
-        /// priority; and the negated benefit.
+        /// priority; and the negated benefit. In contended pools the negated value.
         double sortKey;
         double negatedBenefit;
     };
@@ -368,14 +370,22 @@
         if (modelDemand.waiting > 0 && copyCount(key.pool, key.model) == 0
             && !isLoadPending(key.pool, key.model)) {
             const bool fromStore = !isLoadedOrCached(key.pool, key.model);
-            waiting.push_back({&key, &modelDemand,
+            if (m_contended.count(key.pool) > 0) {
+                const LoadSource source = fromStore ? LoadSource::Store : LoadSource::Disk;
+                waiting.push_back(
+                    {&key, &modelDemand, true, -loadValuePerSecond(key, modelDemand, source), 0});
+                continue;
+            }
+            waiting.push_back({&key, &modelDemand, false,
                                fromStore ? -modelDemand.requestsPerSecond : modelDemand.priority,
                                fromStore ? 0 : -loadBenefit(key, modelDemand)});
         }
     }
     std::sort(waiting.begin(), waiting.end(), [](const WaitingModel &a, const WaitingModel &b) {
-        return std::tie(a.sortKey, a.negatedBenefit, a.modelDemand->oldestWaitingSince)
-            < std::tie(b.sortKey, b.negatedBenefit, b.modelDemand->oldestWaitingSince);
+        return std::tie(a.isContended, a.sortKey, a.negatedBenefit,
+                        a.modelDemand->oldestWaitingSince)
+            < std::tie(b.isContended, b.sortKey, b.negatedBenefit,
+                       b.modelDemand->oldestWaitingSince);
     });
     for (const WaitingModel &it : waiting) {
         const bool isPlaced = isLoadPending(it.key->pool, it.key->model)
--- a/lib/Serving/ResponseTimeModel.cpp
+++ b/lib/Serving/ResponseTimeModel.cpp
@@ -48,12 +48,20 @@
         std::max(0.0, estimate.secondsPerKiloToken + step * tokens / norm);
 }
 
-void ResponseTimeModel::onResponse(const PoolName &pool, int promptTokens, Duration run)
+void ResponseTimeModel::onResponse(const PoolName &pool, int promptTokens, Duration run,
+                                   int outputTokens)
 {
     PoolEstimate &estimate = m_pools[pool];
     updateMean(estimate.meanRunSeconds, toSeconds(run), !estimate.hasResponse);
     updateMean(estimate.meanKiloTokens, kiloTokens(promptTokens), !estimate.hasResponse);
     estimate.hasResponse = true;
+    if (outputTokens > 0) {
+        const double promptSeconds = toSeconds(expectedFirstByte(pool, promptTokens));
+        updateMean(estimate.meanOutputTokens, outputTokens, !estimate.hasOutput);
+        updateMean(estimate.meanOutputSeconds, std::max(0.0, toSeconds(run) - promptSeconds),
+                   !estimate.hasOutput);
+        estimate.hasOutput = true;
+    }
 }
 
 Duration ResponseTimeModel::expectedFirstByte(const PoolName &pool, int promptTokens) const
@@ -73,6 +81,21 @@
     return it == m_pools.end() ? Duration::zero() : fromSeconds(it->second.meanRunSeconds);
 }
 
+double ResponseTimeModel::expectedSlotSeconds(const PoolName &pool, int promptTokens,
+                                              int outputTokens) const
+{
+    const auto it = m_pools.find(pool);
+    if (it == m_pools.end() || !it->second.hasResponse) {
+        return 1;
+    }
+    const PoolEstimate &estimate = it->second;
+    if (!estimate.hasOutput || outputTokens <= 0) {
+        return estimate.meanRunSeconds;
+    }
+    const double ratio = outputTokens / std::max(1.0, estimate.meanOutputTokens);
+    return toSeconds(expectedFirstByte(pool, promptTokens)) + estimate.meanOutputSeconds * ratio;
+}
+
 double ResponseTimeModel::promptSeconds(const PoolName &pool, int promptTokens) const
 {
     const auto it = m_pools.find(pool);
--- a/tests/Peer/MessagesTest.cpp
+++ b/tests/Peer/MessagesTest.cpp
@@ -95,15 +95,19 @@
         return LimitedEndpoints{{{anyId<EndpointId>(), anyMilliseconds(), any<double>(),
                                   any<bool>(), anyMilliseconds()}}};
     case 13:
-        return EndpointLoads{{{anyId<EndpointId>(),
-                               anyMilliseconds(),
-                               {{anyId<ModelName>(), anyMilliseconds(), anyMilliseconds()}}}}};
+        return EndpointLoads{
+            {{anyId<EndpointId>(),
+              anyMilliseconds(),
+              {{anyId<ModelName>(), anyMilliseconds(), anyMilliseconds()}}}},
+            {{anyText(), anyId<ModelName>(), anyMilliseconds(), anyMilliseconds(), any<double>()}}};
     case 14:
         return FleetLoads{
             any<std::uint64_t>(),
             any<std::uint64_t>(),
             any<bool>(),
-            {{anyId<EndpointId>(), anyMilliseconds(), anyMilliseconds(), anyMilliseconds()}}};
+            {{anyId<EndpointId>(), anyMilliseconds(), anyMilliseconds(), anyMilliseconds()}},
+            any<bool>(),
+            {{anyText(), anyId<ModelName>(), anyMilliseconds(), anyMilliseconds(), any<double>()}}};
     default:
         return ForwardCancel{anyId<RequestId>()};
     }
--- a/tests/Serving/PlacementPlannerTest.cpp
+++ b/tests/Serving/PlacementPlannerTest.cpp
@@ -518,6 +518,46 @@
     CHECK(orders[0].model == ModelName("m7"));
 }
 
+// Guards against a load for callers that leave before its end, and against many patient requests
+// that wait for a load of one urgent request.
+TEST_CASE_FIXTURE(PlannerFixture, "in a contended pool the load of the greatest value goes first")
+{
+    EngineState &engine = addEngine("a", {0, 1});
+    engine.onDisk.insert(ModelName("m7"));
+    engine.onDisk.insert(ModelName("m8"));
+    ReportedDemand urgent = makeDemand(7, 0.2, 1);
+    urgent.weight = 1;
+    urgent.firstDueInMs = urgent.dueInMs = 3'000;
+    urgent.leaveInMs = 6'000;
+    ReportedDemand patient = makeDemand(8, 0.2, 6);
+    patient.priority = 2;
+    patient.weight = 6 * 0.25;
+    patient.firstDueInMs = patient.dueInMs = 5'000;
+    patient.leaveInMs = 20'000;
+    std::string first = "m7";
+    SUBCASE("other pools go by priority") { }
+    SUBCASE("six patient requests in time are worth more than an urgent one")
+    {
+        planner.setContended({Pool});
+        first = "m8";
+    }
+    SUBCASE("in time beside late")
+    {
+        planner.setContended({Pool});
+        patient.firstDueInMs = patient.dueInMs = 0;
+    }
+    SUBCASE("callers that leave before the end of the load are worth nothing")
+    {
+        planner.setContended({Pool});
+        patient.firstDueInMs = patient.dueInMs = 0;
+        patient.leaveInMs = 1'000;
+        urgent.firstDueInMs = urgent.dueInMs = 0;
+    }
+    const auto orders = planWaiting({urgent, patient});
+    REQUIRE_FALSE(orders.empty());
+    CHECK(orders[0].model == ModelName(first));
+}
+
 // Requests for the model waited at the limited engine until their callers left.
 TEST_CASE_FIXTURE(
     PlannerFixture,
