--- a/include/marigoldspool/Serving/DemandAggregator.h
+++ b/include/marigoldspool/Serving/DemandAggregator.h
@@ -39,6 +39,12 @@
     SteadyTime lastArrival;
     /// Requests that wait for a free slot, in pools whose number of endpoints is ordered.
     std::uint64_t waitingForSlot = 0;
+    /// Value of serving all waiting requests on time; see requestWeight().
+    double weight = 0;
+    /// When the first waiting request passes its latency objective.
+    SteadyTime firstDueAt;
+    /// When the last caller gives up; SteadyTime::max() if not stated.
+    SteadyTime leaveAt;
 };
 
 /// A request queued at this instance until its model or adapter is loaded.
@@ -51,6 +57,10 @@
     int priority = 0;
     /// What it needs is loaded, but all endpoints with it are full.
     bool isForSlot = false;
+    /// Value of serving it on time; see requestWeight().
+    double weight = 0;
+    /// Time until its caller gives up.
+    Duration leavesIn = Duration::zero();
 };
 
 /// Measures the request rate of each model and adapter at this instance.
--- a/include/marigoldspool/Serving/EngineSelection.h
+++ b/include/marigoldspool/Serving/EngineSelection.h
@@ -28,6 +28,10 @@
     /// Without an index: after which time an engine is expected to take the request, and which one.
     Duration freeIn = Duration::zero();
     std::size_t firstFree = 0;
+    /// Slots of all engines.
+    int slots = 0;
+    /// Requests that the engines take now, including those that wait there for a short time.
+    int room = 0;
 };
 
 /// Selects an engine by the load that all instances together have put on it.
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -44,6 +44,16 @@
     /// The model whose endpoints are all full or gone while this request waits, in a pool whose
     /// number of endpoints is ordered. Empty if it doesn't wait for a slot.
     std::optional<DemandKey> slotDemand() const;
+    /// Whether the order of waiting requests applies to this one: its pool is contended, and the
+    /// loads of the engines are known.
+    bool usesAdmissionOrder() const;
+    /// Whether it waits since all engines with its model are full.
+    bool isWaitingForSlot() const;
+    /// Its claim to a slot; only after the route has been found.
+    QueuedRequest queuedRequest() const;
+    const EndpointPool *pool() const { return m_pool; }
+    const ModelName &model() const { return m_request.model; }
+    const RequestId &id() const { return m_request.id; }
     /// The endpoint whose rate limit this request waits for; empty if it waits for anything else.
     const EndpointId &limitedEndpoint() const { return m_limitedEndpoint; }
 
@@ -77,6 +87,11 @@
     void waitOrRefuse(const EndpointChoice &choice);
     /// Counts by what an endpoint of a contended pool was chosen.
     void countChoice(const EndpointChoice &choice) const;
+    /// Refuses the request if it gets no slot in time; returns whether it has. \p loadedIn: until
+    /// another engine has the model, if one is loading it.
+    bool refuseWithoutSlot(const EndpointChoice &choice, std::optional<Duration> loadedIn);
+    /// Keeps the callers of a contended pool from coming back at the same moment.
+    Duration spreadRetry(Duration retryAfter);
     EndpointCall makeCall(const EndpointId &endpoint) const;
     void send(const EndpointId &endpoint);
     /// Expects the answer to the request from \p attempt.
--- a/lib/Serving/EndpointDirectory.cpp
+++ b/lib/Serving/EndpointDirectory.cpp
@@ -376,6 +376,7 @@
     // Used only if no other endpoint can take the request, now or when a slot becomes free: with
     // all others full, a silent endpoint would otherwise get the requests that none of them takes.
     std::vector<const TrackedEndpoint *> suspects;
+    std::vector<const TrackedEndpoint *> full;
     bool hasUsableEndpoint = false;
     Duration minColdDelay = Duration::max();
     Duration minPause = Duration::max();
@@ -427,6 +428,7 @@
             continue;
         }
         if (now < state.busyUntil || state.inFlight >= currentMaxInFlight(state)) {
+            full.push_back(&state);
             continue;
         }
         if (now < state.coldUntil && query.pool->coldRequestsPerSecond > 0
@@ -455,6 +457,9 @@
     choice.retryIn = choice.isPaused
         ? minPause
         : std::min(std::max(minColdDelay, BusyPause), Duration(milliseconds(500)));
+    if (!full.empty() && !choice.isPaused) {
+        forecastSlot(full, query, choice);
+    }
     return choice;
 }
 
@@ -513,11 +518,12 @@
     }
 }
 
-void EndpointDirectory::onResponse(const EndpointId &id, int promptTokens, Duration run)
+void EndpointDirectory::onResponse(const EndpointId &id, int promptTokens, Duration run,
+                                   int outputTokens)
 {
     const auto it = m_endpoints.find(id);
     if (it != m_endpoints.end()) {
-        m_responseTimes.onResponse(it->second.listed.pool, promptTokens, run);
+        m_responseTimes.onResponse(it->second.listed.pool, promptTokens, run, outputTokens);
     }
 }
 
--- a/lib/Serving/EndpointDirectoryLoads.cpp
+++ b/lib/Serving/EndpointDirectoryLoads.cpp
@@ -52,6 +52,8 @@
                                penalty(*it, query, now), meanRun});
         }
         const EngineSelection selection = selectEngine(engines, query.draw);
+        choice.slots = selection.slots;
+        choice.room = selection.room;
         if (selection.index || query.isUrgent) {
             choice.endpoint = candidates[selection.index.value_or(selection.firstFree)]->listed.id;
             return;
--- a/lib/Serving/EngineSelection.cpp
+++ b/lib/Serving/EngineSelection.cpp
@@ -113,6 +113,12 @@
         return selection;
     }
     const std::vector<double> preferred = preferences(candidates);
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const EngineCandidate &it = candidates[i];
+        const int slots = preferred[i] > 0 ? std::max(1, it.slots) : 0;
+        selection.slots += slots;
+        selection.room += slots > 0 ? std::max(0, slots + queueOf(it) - it.requests) : 0;
+    }
     const std::vector<double> weights = weightsByRoom(candidates, preferred);
     if (hasWeight(weights)) {
         selection.index = drawIndex(weights, draw);
