--- a/lib/Serving/UsageReports.cpp
+++ b/lib/Serving/UsageReports.cpp
@@ -156,6 +156,9 @@
         giveUpUntil(first);
     }
     m_drafted.clear();
+    if (!isReady(m_nextWindow)) {
+        return false;
+    }
     m_draft = *m_ledger;
     m_draft.era = m_era;
     m_draft.term = *m_term;
@@ -170,7 +173,7 @@
         m_draft.reports.erase(m_draft.reports.begin(),
                               m_draft.reports.end() - static_cast<std::ptrdiff_t>(LedgerWindows));
     }
-    return !m_drafted.empty();
+    return true;
 }
 
 void UsageReports::dropOldWindows()
--- a/tests/Serving/UsageReportsTest.cpp
+++ b/tests/Serving/UsageReportsTest.cpp
@@ -201,7 +201,8 @@
         clock.elapsed += 50ms;
         countRequests();
         for (const auto &it : members) {
-            if (holder != nullptr && (clock.elapsed % 1s == 0s || holder != sentTo)) {
+            if (it.get() != cutOff && holder != nullptr
+                && (clock.elapsed % 1s == 0s || holder != sentTo)) {
                 holder->reports.onStarts(it->id, 1, it->tally.report());
             }
         }
@@ -278,6 +279,8 @@
     std::uint64_t term = 1;
     Member *holder = nullptr;
     Member *sentTo = nullptr;
+    /// Its counts do not reach the holder.
+    Member *cutOff = nullptr;
     UsageStep lastStep = UsageStep::Nothing;
     std::int64_t firstWindow = 0;
     std::map<std::int64_t, std::map<WorkspaceName, std::uint64_t>> truth;
@@ -327,6 +330,24 @@
     CHECK(fleet.wrongWindows() == 0);
 }
 
+// Guards against a report whose counts a successor cannot know.
+TEST_CASE("a report that the store has not acknowledged is not sent")
+{
+    UsageFleet fleet(6);
+    fleet.holder = fleet.members[0].get();
+    fleet.run(21050ms);
+    fleet.cutOff = fleet.members[7].get();
+    fleet.run(10s);
+    fleet.hasStore = false;
+    // The window is computed without most counts of the instance, since its report is due soon.
+    fleet.run(3s);
+    fleet.hasStore = true;
+    fleet.cutOff = nullptr;
+    fleet.replaceHolder(1);
+    fleet.run(40s);
+    CHECK(fleet.wrongWindows() == 0);
+}
+
 // The holder had computed the window with the counts of fewer instances than its successor.
 TEST_CASE("a frozen holder that wakes after its successor has acted changes no report")
 {
