--- a/tests/Serving/PlacementPlannerTest.cpp
+++ b/tests/Serving/PlacementPlannerTest.cpp
@@ -477,6 +477,53 @@
     }
 }
 
+// Rarely used models of leaving engines were loaded only when a request waited for them. The engine
+// ends here while the weight store is still busy.
+TEST_CASE_FIXTURE(PlannerFixture,
+                  "the models of a leaving engine are loaded elsewhere, the most requested first")
+{
+    EngineState &leaving = addEngine("a", {0, 1, 2, 3, 4, 5});
+    leaving.isLeaving = true;
+    leaving.isUsable = false;
+    for (const std::string id : {"b", "c", "d", "e", "f"}) {
+        addEngine(id, {});
+    }
+    std::vector<ReportedDemand> rates;
+    for (const auto &[model, rate] : {std::pair(0, 0.4), {1, 0.1}, {2, 0.2}, {4, 0.3}, {5, 0.05}}) {
+        rates.push_back(makeDemand(model, rate, 0));
+    }
+    std::string models;
+    for (const PlacementOrder &order : planWaiting(rates)) {
+        models += order.model.str() + ' ';
+        EngineState &engine = planner.engines()[order.endpoint];
+        engine.models[order.model] = {};
+        engine.loading.reset();
+    }
+    CHECK(models == "m0 m4 m2 m1 ");
+    planner.engines().erase(EndpointId("a"));
+    const auto orders = planWaiting(rates);
+    CHECK((orders.size() == 1 && orders[0].model == ModelName("m5")));
+}
+
+TEST_CASE_FIXTURE(PlannerFixture, "a leaving model that was requested lately replaces cheaper ones")
+{
+    addEngine("a", {0}).isLeaving = true;
+    planner.engines()[EndpointId("a")].isUsable = false;
+    EngineState &engine = addEngine("b", {3, 4, 5});
+    for (int i = 0; i < 12; ++i) {
+        engine.onDisk.insert(ModelName("m" + std::to_string(i)));
+    }
+    const std::vector<ReportedDemand> rates{makeDemand(0, 0.2, 0), makeDemand(3, 5, 0),
+                                            makeDemand(5, 5, 0)};
+    std::vector<ReportedDemand> notRequested = rates;
+    notRequested[0].idleMs = 10'000;
+    CHECK(planWaiting(notRequested).empty());
+    std::vector<ReportedDemand> dearer = rates;
+    dearer.push_back(makeDemand(4, 5, 0));
+    CHECK(planWaiting(dearer).empty());
+    CHECK(planWaiting(rates).size() == 1);
+}
+
 // Guards against two loads that unload both copies of a model in the same plan.
 TEST_CASE_FIXTURE(PlannerFixture, "one plan does not unload all copies of a busy model")
 {
