--- a/lib/Serving/AdmissionOrder.cpp
+++ b/lib/Serving/AdmissionOrder.cpp
@@ -13,6 +13,7 @@
 
 // Bounds the weights, and the time that aging takes to exceed every priority.
 constexpr int MaxPriority = -MostUrgentPriority;
+constexpr Duration::rep MaxSteps = Duration::rep(2) * MaxPriority;
 // A refusal later than this part of the objective counts as late.
 constexpr int AcceptedAfterFraction = 8;
 // Capacity that remains for a request when more urgent ones arrive faster than they can run.
@@ -203,8 +204,7 @@
 int agedPriority(const QueuedRequest &request, SteadyTime now)
 {
     const Duration objective = std::max<Duration>(request.dueAt - request.arrival, milliseconds(1));
-    const auto steps =
-        std::clamp<Duration::rep>((now - request.arrival) / objective, 0, 2 * MaxPriority);
+    const auto steps = std::clamp<Duration::rep>((now - request.arrival) / objective, 0, MaxSteps);
     const int priority = std::clamp(request.priority, 0, MaxPriority);
     return std::max(priority - static_cast<int>(steps), MostUrgentPriority);
 }
--- a/lib/Serving/PriorityDemands.cpp
+++ b/lib/Serving/PriorityDemands.cpp
@@ -118,6 +118,7 @@
         loads.try_emplace(key, loadFor(key)).first->second.waiting = waiting;
     }
     std::vector<PriorityLoad> result;
+    result.reserve(loads.size());
     for (auto &[key, load] : loads) {
         result.push_back(std::move(load));
     }
--- a/tests/Serving/AdmissionOrderTest.cpp
+++ b/tests/Serving/AdmissionOrderTest.cpp
@@ -130,6 +130,7 @@
                       std::vector<SteadyTime> &running, std::vector<Outcome> &outcomes)
     {
         std::vector<QueuedRequest> requests;
+        requests.reserve(waiting.size());
         for (const auto &it : waiting) {
             requests.push_back(it.second);
         }
