--- a/lib/Fleet/ExchangeAttempt.h
+++ b/lib/Fleet/ExchangeAttempt.h
@@ -3,8 +3,17 @@
 
 #include "Fleet/Exchange.h"
 
+#include <string>
+
 namespace marigoldspool {
 
+/// Whole milliseconds of \p value, for log lines.
+inline std::string millisecondsText(Duration value)
+{
+    using std::chrono::milliseconds;
+    return std::to_string(std::chrono::duration_cast<milliseconds>(value).count());
+}
+
 /// Forwards the response to one attempt to the exchange until it is detached.
 class Exchange::Attempt final : public EndpointCallHandler
 {
