Number of endpoints: order nothing before the list of endpoints is complete

A holder that has just started could take a partial list of endpoints for a low number and order fewer than there are. The driver now begins once all objects of the store have been received.

--- a/lib/Fleet/ReplicaCountDriver.cpp
+++ b/lib/Fleet/ReplicaCountDriver.cpp
@@ -40,7 +40,9 @@
 void ReplicaCountDriver::onTick()
 {
     const bool hasDuty = m_runtime.options.duties && m_runtime.options.duties->ordersReplicas;
-    const bool isActive = hasDuty && m_placement.isOwner() && m_runtime.routes != nullptr;
+    // Before all endpoints are listed, the number that is present would be taken for a lower one.
+    const bool isActive =
+        hasDuty && m_placement.isOwner() && m_runtime.isLoaded && m_runtime.routes != nullptr;
     if (isActive != m_isActive) {
         m_isActive = isActive;
         m_sender.clear();
--- a/tests/Serving/DemandAggregatorTest.cpp
+++ b/tests/Serving/DemandAggregatorTest.cpp
@@ -122,3 +122,21 @@
     CHECK(aggregator.demandFor(rising).expectedRequestsPerSecond
           == doctest::Approx(rate).epsilon(0.05));
 }
+
+TEST_CASE("requests that wait for a slot are summed apart from those that wait for a load")
+{
+    ManualClock clock;
+    DemandTracker tracker(clock);
+    DemandAggregator aggregator(clock);
+    const DemandKey key{PoolName("p"), ModelName("m"), {}};
+    const std::vector<WaitingRequest> waiting{{key, 2s, 1s, 0, true}, {key, 1s, 1s, 0, false}};
+    aggregator.onReport(InstanceId("i1"), tracker.report(waiting));
+    aggregator.onReport(InstanceId("i2"), tracker.report(waiting));
+    CHECK(aggregator.demandFor(key).waitingForSlot == 2);
+    CHECK(aggregator.demandFor(key).waiting == 2);
+    CHECK(aggregator.demandFor(key).oldestWaitingSince == clock.now() - 1s);
+    CHECK(aggregator.isReporting(InstanceId("i2")));
+    clock.advance(4s);
+    aggregator.onTick();
+    CHECK_FALSE(aggregator.isReporting(InstanceId("i2")));
+}
