--- a/tests/Serving/EngineLoadTest.cpp
+++ b/tests/Serving/EngineLoadTest.cpp
@@ -42,6 +42,7 @@
 std::vector<TopologyMember> members(int count)
 {
     std::vector<TopologyMember> result;
+    result.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
         result.push_back({InstanceId("i" + std::to_string(i)), ZoneName("a")});
     }
