Placement: forecast no more loads from the weight store than are begun

Cause: since contended pools begin only one load more than has been seen to run at full speed, forecasts that count four at a time are too short, and requests wait for loads that come after their callers have left.

Change: forecasts count the loads that are begun.

--- a/lib/Serving/PlacementForecast.cpp
+++ b/lib/Serving/PlacementForecast.cpp
@@ -101,7 +101,12 @@
     std::vector<LoadForecast> &result) const
 {
     const SteadyTime now = m_clock.now();
-    std::vector<Duration> slots(static_cast<std::size_t>(std::max(1, m_storeConcurrency)));
+    // As in canLoadFromStore(): with more loads than are begun, the forecasts would be too short,
+    // and requests would wait for loads that come after their callers have left.
+    const int concurrentLoads = m_contendedPools.empty()
+        ? m_storeConcurrency
+        : std::min(m_storeConcurrency, m_provenStoreConcurrency + 1);
+    std::vector<Duration> slots(static_cast<std::size_t>(std::max(1, concurrentLoads)));
     const auto earliestSlot = [&slots]() -> Duration & {
         return *std::min_element(slots.begin(), slots.end());
     };
--- a/tests/Serving/PlacementUnderLoadTest.cpp
+++ b/tests/Serving/PlacementUnderLoadTest.cpp
@@ -76,3 +76,25 @@
     REQUIRE(orders.size() == 1);
     CHECK(orders[0].model == ModelName("m9"));
 }
+
+// Guards against requests that wait for loads which the weight store begins later than forecast.
+TEST_CASE_FIXTURE(PlannerFixture, "forecasts count only the loads that the weight store begins")
+{
+    for (const bool isContended : {false, true}) {
+        planner.setContendedPools(isContended ? std::set<PoolName>{Pool} : std::set<PoolName>());
+        planner.engines().clear();
+        EngineState &engine = addEngine("e", {});
+        engine.loading = ModelName("m7");
+        engine.source = LoadSource::Store;
+        engine.loadEndsAt = clock.now() + 6s;
+        engine.hasPendingOrder = true;
+        // It takes no further load, so none is planned on it.
+        engine.hasReported = false;
+        planWaiting({makeDemand(7, 1, 1), makeDemand(8, 1, 1), makeDemand(9, 1, 1)});
+        std::int64_t last = 0;
+        for (const LoadForecast &it : planner.forecast(demand)) {
+            last = std::max(last, it.readyInMs);
+        }
+        CHECK(last == (isContended ? 12'000 : 6'000));
+    }
+}
