--- a/lib/Fleet/ExchangeEnd.cpp
+++ b/lib/Fleet/ExchangeEnd.cpp
@@ -207,6 +207,7 @@
               {"first_ms", m_firstEventAt ? millisecondsText(*m_firstEventAt - m_arrival) : "none"},
               {"total_ms", millisecondsText(now - m_arrival)},
               {"config", m_routes ? std::to_string(m_routes->configuration()->version) : "0"},
+              {"config_age_ms", millisecondsText(now - m_runtime.configurationConfirmedAt)},
               {"cause", m_lastError}});
     m_runtime.metrics->add("marigoldspool_requests_total", 1,
                            {{"outcome", std::string(outcome)}, {"route", route}});
--- a/lib/Fleet/FleetLink.cpp
+++ b/lib/Fleet/FleetLink.cpp
@@ -1,6 +1,7 @@
 #include "Fleet/FleetLink.h"
 
 #include "marigoldspool/Peer/PeerTopology.h"
+#include "marigoldspool/Platform/StorePosition.h"
 #include "marigoldspool/Support/EventLog.h"
 
 #include <algorithm>
@@ -12,6 +13,8 @@
 
 constexpr Duration HeartbeatInterval = std::chrono::seconds(1);
 constexpr Duration BeaconInterval = std::chrono::milliseconds(300);
+// Smaller transfers are part of the usual exchange and are not logged.
+constexpr std::size_t MinLoggedTransferBytes = 16'384;
 // How often outdated objects are requested from peers. A relayed copy lags the peer's own by at
 // most this.
 constexpr Duration RelayInterval = std::chrono::milliseconds(300);
@@ -161,13 +164,32 @@
     }
 }
 
+void FleetLink::sendRequested(const InstanceId &to, const ObjectsTransfer &transfer)
+{
+    std::size_t bytes = 0;
+    for (const RelayedObject &object : transfer.objects) {
+        bytes += object.value.size();
+    }
+    const bool isSent = m_channel->send(to, transfer);
+    m_runtime.metrics->add("marigoldspool_relayed_bytes_total", static_cast<double>(bytes),
+                           {{"prefix", transfer.prefix}});
+    if (bytes >= MinLoggedTransferBytes) {
+        logEvent(LogLevel::Info, "objects_sent",
+                 {{"peer", to.str()},
+                  {"prefix", transfer.prefix},
+                  {"revision", positionText(transfer.revision)},
+                  {"bytes", std::to_string(bytes)},
+                  {"accepted", isSent ? "yes" : "no"}});
+    }
+}
+
 void FleetLink::onMessage(const InstanceId &from, std::uint64_t incarnation,
                           const PeerMessage &message)
 {
     if (const auto *request = std::get_if<ObjectsRequest>(&message)) {
         ObjectsTransfer transfer = m_state.transferFor(*request);
         if (transfer.revision > request->revision) {
-            m_channel->send(from, transfer);
+            sendRequested(from, transfer);
         }
         return;
     }
--- a/lib/Fleet/FleetLink.h
+++ b/lib/Fleet/FleetLink.h
@@ -38,6 +38,8 @@
 private:
     void onMessage(const InstanceId &from, std::uint64_t incarnation, const PeerMessage &message);
     void sendChanges(SteadyTime now);
+    /// Sends the objects that \p to has asked for.
+    void sendRequested(const InstanceId &to, const ObjectsTransfer &transfer);
 
     FleetRuntime &m_runtime;
     FleetState &m_state;
--- a/lib/Fleet/FleetRuntime.h
+++ b/lib/Fleet/FleetRuntime.h
@@ -43,6 +43,8 @@
     std::unique_ptr<EndpointClient> endpoints;
     /// Routes of the current configuration; null before the first one.
     std::shared_ptr<const RouteTable> routes;
+    /// The store had no configuration newer than that of \c routes at this time.
+    SteadyTime configurationConfirmedAt;
     EndpointDirectory directory;
     WorkspaceQuota quota;
     RetryBudget retries;
--- a/lib/Fleet/FleetState.cpp
+++ b/lib/Fleet/FleetState.cpp
@@ -97,6 +97,7 @@
     for (const auto &prefix : m_prefixes) {
         prefix->onTick(m_isWatcher);
     }
+    m_runtime.configurationConfirmedAt = find(m_runtime.codec.configurationPrefix())->confirmedAt();
     applyHeldBack();
     registerSelf();
     if (!m_areMembersKnown && find(MemberPrefix)->mirror.hasSnapshot()) {
--- a/lib/Fleet/WatchedPrefix.h
+++ b/lib/Fleet/WatchedPrefix.h
@@ -111,6 +111,7 @@
 
     bool isOutdated() const { return age() > m_timing.wait + m_timing.interval + OverdueAfter; }
 
+    SteadyTime confirmedAt() const { return m_confirmedAt; }
     Duration age() const { return m_runtime.clock.now() - m_confirmedAt; }
 
     /// The last revision that was sent to peers.
--- a/lib/Platform/StoreConnectionPool.cpp
+++ b/lib/Platform/StoreConnectionPool.cpp
@@ -185,11 +185,15 @@
             return;
         }
         finish(unexpectedError(timedOut ? ErrorKind::Timeout : ErrorKind::Unavailable,
-                               "the store did not answer: " + ec.message(),
+                               "the store did not answer: " + ec.message() + " after "
+                                   + std::to_string(answerBytes()) + " bytes of the answer",
                                "try again after a delay"),
                false);
     }
 
+    // Received bytes of the body; tells a slow answer from none.
+    std::size_t answerBytes() const { return m_parser ? m_parser->get().body().size() : 0; }
+
     void finish(Expected<StoreAnswer> result, bool reusable)
     {
         m_parser.reset();
