--- a/tests/PlatformAdapter/RequestPathFixture.h
+++ b/tests/PlatformAdapter/RequestPathFixture.h
@@ -92,9 +92,11 @@
         configure(1, {"k1"});
     }
 
-    /// Starts an instance, to which the next requests of callers go.
+    /// Starts an instance, to which the next requests of callers go. \p storeAddress: where it
+    /// reaches the store, if not at the store's own address.
     std::unique_ptr<FleetDaemon> addInstance(const std::string &name,
-                                             FleetOptions options = FleetOptions())
+                                             FleetOptions options = FleetOptions(),
+                                             const std::string &storeAddress = {})
     {
         options.instance = InstanceId(name);
         options.zone = ZoneName("z1");
@@ -103,10 +105,10 @@
         };
         callerAddress = options.callerAddress = port();
         options.readinessAddress = port();
-        options.peerAddress = port();
-        options.storeAddress = store.address();
+        options.peerAddress = options.peerAddress.empty() ? port() : options.peerAddress;
+        options.storeAddress = storeAddress.empty() ? store.address() : storeAddress;
         auto objectStore =
-            makePlatformStore(io, store.address(), std::chrono::milliseconds(800), metrics);
+            makePlatformStore(io, options.storeAddress, std::chrono::milliseconds(800), metrics);
         REQUIRE(objectStore);
         auto ownMetrics = std::make_unique<Metrics>();
         daemonMetrics = ownMetrics.get();
--- a/tests/System/LoopbackProxy.cpp
+++ b/tests/System/LoopbackProxy.cpp
@@ -106,17 +106,27 @@
                 return;
             }
             direction.held = n;
-            if (m_fault != Fault::Delay) {
+            const bool isLimited = m_rate > 0;
+            if (m_fault != Fault::Delay && !isLimited) {
                 write(link, direction);
                 return;
             }
-            direction.delay.expires_after(FaultDelay);
+            direction.delay.expires_after(isLimited ? takeTurn(n) : FaultDelay);
             direction.delay.async_wait([this, link, &direction](const auto &) {
                 write(link, direction);
             });
         });
 }
 
+std::chrono::steady_clock::duration LoopbackProxy::takeTurn(std::size_t n)
+{
+    const auto now = std::chrono::steady_clock::now();
+    m_busyUntil = std::max(m_busyUntil, now)
+        + std::chrono::microseconds(n * std::chrono::microseconds(std::chrono::seconds(1)).count()
+                                    / m_rate);
+    return m_busyUntil - now;
+}
+
 bool LoopbackProxy::holdsBack(const Direction &direction) const
 {
     return m_fault == Fault::Silence || (m_fault == Fault::CutToTarget && direction.toTarget)
--- a/tests/System/LoopbackProxy.h
+++ b/tests/System/LoopbackProxy.h
@@ -36,6 +36,8 @@
     /// Also ends what the fault before did; bytes that were held back are then passed on.
     void setFault(Fault fault);
     void resetConnections();
+    /// Limits the bytes of all connections together, in both directions; 0: no limit.
+    void setRate(std::size_t bytesPerSecond) { m_rate = bytesPerSecond; }
 
 private:
     struct Link;
@@ -45,6 +47,8 @@
     void read(const std::shared_ptr<Link> &link, Direction &direction);
     void write(const std::shared_ptr<Link> &link, Direction &direction);
     bool holdsBack(const Direction &direction) const;
+    /// How long to hold \p n bytes back for the rate.
+    std::chrono::steady_clock::duration takeTurn(std::size_t n);
     void close(const std::shared_ptr<Link> &link);
 
     boost::asio::io_context &m_io;
@@ -52,6 +56,9 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::list<std::shared_ptr<Link>> m_links;
     Fault m_fault = Fault::None;
+    std::size_t m_rate = 0;
+    /// When the bytes that were taken before have passed.
+    std::chrono::steady_clock::time_point m_busyUntil;
 };
 
 } // namespace marigoldspool::system_tests
