Store: a read takes as long as its answer keeps arriving

Cause: a list ended 800 ms after it was sent and a watch 500 ms after its wait, however many bytes had come. A configuration of 930 kB takes 0.75 s on an idle link of 10 Mbit/s, so beside other traffic each read ended near its last byte and the next one began with the first: 'timeout after 385973 bytes of the answer', again and again. A followed instance reads the whole configuration with a list at each change, also of one entry. Class: a time limit on the whole of an operation whose duration depends on its size.

Now an answer that has begun to arrive ends 800 ms after its last bytes, at the latest 10 s after the call's deadline. Calls that wait behind such answers end at their own deadlines (a timer; they were only looked at when a connection became free).

--- a/include/marigoldspool/Platform/StoreConnectionPool.h
+++ b/include/marigoldspool/Platform/StoreConnectionPool.h
@@ -13,6 +13,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/verb.hpp>
 
 namespace marigoldspool {
@@ -35,7 +36,11 @@
     bool isWrite = false;
     /// Name of a header field of the answer to pass on.
     std::string answerField;
+    /// When the call ends without an answer.
     std::chrono::steady_clock::time_point deadline;
+    /// If not zero, an answer that has begun to arrive may take until this long after its last
+    /// bytes, at most StoreConnectionPool::MaxAnswerTime after \c deadline.
+    std::chrono::steady_clock::duration stallTimeout{};
     std::function<void(Expected<StoreAnswer>)> done;
 };
 
@@ -45,6 +50,8 @@
 class StoreConnectionPool : public std::enable_shared_from_this<StoreConnectionPool>
 {
 public:
+    static constexpr std::chrono::seconds MaxAnswerTime{10};
+
     StoreConnectionPool(boost::asio::io_context &io, boost::asio::ip::tcp::endpoint server,
                         std::size_t maxConnections);
     ~StoreConnectionPool();
@@ -56,6 +63,9 @@
 private:
     friend class StoreConnection;
     void startNext();
+    void rejectExpired();
+    /// Rejects queued calls at their deadlines.
+    void scheduleExpiry();
     void release(const std::shared_ptr<StoreConnection> &connection, bool reusable);
     void reject(HttpCall call, std::string message, std::string remedy);
 
@@ -63,6 +73,7 @@
     boost::asio::ip::tcp::endpoint m_server;
     std::size_t m_maxConnections;
     std::deque<HttpCall> m_queue;
+    boost::asio::steady_timer m_expiry;
     std::vector<std::shared_ptr<StoreConnection>> m_busy;
     std::vector<std::shared_ptr<StoreConnection>> m_idle;
 };
--- a/lib/Platform/StoreConnectionPool.cpp
+++ b/lib/Platform/StoreConnectionPool.cpp
@@ -141,14 +141,35 @@
     {
         m_parser.emplace();
         m_parser->body_limit(MaxAnswerBytes);
-        http::async_read(m_stream, m_buffer, *m_parser,
-                         [self = shared_from_this()](beast::error_code ec, std::size_t) {
-                             if (ec) {
-                                 self->onConnectionError(ec);
-                                 return;
-                             }
-                             self->onAnswer();
-                         });
+        m_parser->eager(true);
+        receivePart();
+    }
+
+    void receivePart()
+    {
+        http::async_read_some(m_stream, m_buffer, *m_parser,
+                              [self = shared_from_this()](beast::error_code ec, std::size_t) {
+                                  if (ec) {
+                                      self->onConnectionError(ec);
+                                  } else if (self->m_parser->is_done()) {
+                                      self->onAnswer();
+                                  } else {
+                                      self->extendDeadline();
+                                      self->receivePart();
+                                  }
+                              });
+    }
+
+    // How long a large answer takes depends on the link, so its deadline follows its bytes: ended
+    // at a fixed time, it would be read again from its first byte and never arrive.
+    void extendDeadline()
+    {
+        if (m_call.stallTimeout == std::chrono::steady_clock::duration::zero()) {
+            return;
+        }
+        const auto extended = std::chrono::steady_clock::now() + m_call.stallTimeout;
+        m_stream.expires_at(std::clamp(extended, m_call.deadline,
+                                       m_call.deadline + StoreConnectionPool::MaxAnswerTime));
     }
 
     void onAnswer()
@@ -241,6 +262,7 @@
     : m_io(io)
     , m_server(std::move(server))
     , m_maxConnections(maxConnections)
+    , m_expiry(io)
 { }
 
 StoreConnectionPool::~StoreConnectionPool() = default;
@@ -259,6 +281,7 @@
 void StoreConnectionPool::close()
 {
     m_queue.clear();
+    m_expiry.cancel();
     for (const auto &connection : m_busy) {
         connection->close();
     }
@@ -271,17 +294,8 @@
 
 void StoreConnectionPool::startNext()
 {
-    // Queued calls need no timer: the calls on busy connections have earlier deadlines than those
-    // queued behind them, and this function runs whenever one of them ends.
-    const auto now = std::chrono::steady_clock::now();
+    rejectExpired();
     while (!m_queue.empty()) {
-        if (m_queue.front().deadline <= now) {
-            HttpCall expired = std::move(m_queue.front());
-            m_queue.pop_front();
-            reject(std::move(expired), "no connection to the store became free in time",
-                   "try again after a delay");
-            continue;
-        }
         std::shared_ptr<StoreConnection> connection;
         if (!m_idle.empty()) {
             connection = std::move(m_idle.back());
@@ -289,6 +303,7 @@
         } else if (m_busy.size() < m_maxConnections) {
             connection = std::make_shared<StoreConnection>(m_io, weak_from_this(), m_server);
         } else {
+            scheduleExpiry();
             return;
         }
         m_busy.push_back(connection);
@@ -298,6 +313,30 @@
     }
 }
 
+void StoreConnectionPool::rejectExpired()
+{
+    // All calls of a pool have about the same time, so those behind the first have later deadlines.
+    const auto now = std::chrono::steady_clock::now();
+    while (!m_queue.empty() && m_queue.front().deadline <= now) {
+        HttpCall expired = std::move(m_queue.front());
+        m_queue.pop_front();
+        reject(std::move(expired), "no connection to the store became free in time",
+               "try again after a delay");
+    }
+}
+
+// The calls on busy connections may take longer than those that are queued behind them.
+void StoreConnectionPool::scheduleExpiry()
+{
+    m_expiry.expires_at(m_queue.front().deadline);
+    m_expiry.async_wait([weak = weak_from_this()](const boost::system::error_code &ec) {
+        const auto pool = weak.lock();
+        if (!ec && pool) {
+            pool->startNext();
+        }
+    });
+}
+
 void StoreConnectionPool::release(const std::shared_ptr<StoreConnection> &connection, bool reusable)
 {
     const auto it = std::find(m_busy.begin(), m_busy.end(), connection);
--- a/tests/PlatformAdapter/SlowLinkTest.cpp
+++ b/tests/PlatformAdapter/SlowLinkTest.cpp
@@ -152,6 +152,37 @@
     checkInForce("/big2799/x");
 }
 
+// Calls behind large answers waited for as long as these took.
+TEST_CASE_FIXTURE(SlowLinkFixture, "a call that waits behind large answers ends at its deadline")
+{
+    addRoutes();
+    storeLink.setRate(LinkBytesPerSecond);
+    constexpr Duration Timeout = 500ms;
+    auto objectStore = makePlatformStore(io, storeLink.address(), Timeout, metrics);
+    REQUIRE(objectStore);
+    std::size_t lists = 0;
+    for (int i = 0; i < 3; ++i) {
+        (*objectStore)->list("config/", [&lists](const Expected<ListResult> &result) {
+            lists += result ? 1 : 0;
+        });
+    }
+    std::optional<Error> error;
+    const SteadyTime start = clock.now();
+    (*objectStore)
+        ->put("locks/a", 0, "{}", WriteId("w"), [&error](const Expected<std::uint64_t> &result) {
+            REQUIRE_FALSE(result);
+            error = result.error();
+        });
+    REQUIRE(runUntil(io, [&error] {
+        return error.has_value();
+    }));
+    CHECK(clock.now() - start < 2 * Timeout);
+    CHECK(error->kind == ErrorKind::Unavailable);
+    REQUIRE(runUntil(io, [&lists] {
+        return lists == 3;
+    }));
+}
+
 // All peers sent the whole configuration every 300 ms until the first copy had arrived; their
 // heartbeats waited behind the copies, and the connections were closed as silent.
 TEST_CASE_FIXTURE(SlowPeersFixture, "a large version arrives through peers over a slow link")
