Deny routes and keys only by a configuration that was confirmed lately

Callers got 404, which they take as final, from an instance that had not heard of the version with their route.

Cause: the refusal was made from the instance's own table, however long ago the store or a peer had confirmed it. A 404 is a claim about all versions up to now, which an instance that is behind or cut off can't make. Class: a conclusion that is kept after its ground has gone; a 401 for an unknown or missing key is another case and is treated alike.

Now 404 and 401 need a confirmation of the last 2 s, the users' bound for a version to be in force; else the answer is 503 with Retry-After, not run. Routes and keys that the instance knows are served as before.

The test failed before: CHECK( 404 == 503 ), CHECK( 401 == 503 ); it passes now.

--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -24,6 +24,9 @@
 constexpr int RunTimeMargin = 2;
 constexpr Duration MaxCallTime = std::chrono::hours(1);
 constexpr Duration NoConfigurationRetryAfter = milliseconds(500);
+// The users' bound for a version to be in force everywhere. An instance whose configuration was
+// last confirmed earlier may lack a route or a key that callers have been told of.
+constexpr Duration MaxConfigurationAge = milliseconds(2000);
 constexpr Duration CallerGoneRetryAfter = milliseconds(500);
 
 } // namespace
@@ -107,18 +110,25 @@
     }
     const RouteTable &routes = *resolved.routes;
     resolved.route = routes.find(m_request.host, m_request.target);
+    // What this configuration lacks may be in a later one.
+    const auto refuseAbsent = [this, &refusal](RefusalReason reason, const std::string &message) {
+        if (m_runtime.clock.now() - m_runtime.configurationConfirmedAt > MaxConfigurationAge) {
+            return refusal(RefusalReason::StoreUnavailable, NoConfigurationRetryAfter,
+                           message + ", but this instance's configuration may be outdated");
+        }
+        return refusal(reason, Duration::zero(), message);
+    };
     if (resolved.route == nullptr) {
-        return refusal(RefusalReason::RouteUnknown, Duration::zero(),
-                       "no route matches this host and path");
+        return refuseAbsent(RefusalReason::RouteUnknown, "no route matches this host and path");
     }
     resolved.pool = routes.configuration()->pool(choosePool(*resolved.route, m_request.id));
     resolved.priority = resolved.route->priority;
     if (routes.requiresKeys() && !resolved.route->open) {
         const ServedWorkspace *workspace = routes.findWorkspace(m_request.key);
         if (workspace == nullptr) {
-            return refusal(m_request.key.empty() ? RefusalReason::KeyMissing
-                                                 : RefusalReason::KeyUnknown,
-                           Duration::zero(), "the API key is missing or unknown");
+            return refuseAbsent(m_request.key.empty() ? RefusalReason::KeyMissing
+                                                      : RefusalReason::KeyUnknown,
+                                "the API key is missing or unknown");
         }
         resolved.workspace = workspace->name;
         resolved.priority = workspace->priority.value_or(resolved.route->priority);
--- a/tests/PlatformAdapter/SlowLinkTest.cpp
+++ b/tests/PlatformAdapter/SlowLinkTest.cpp
@@ -199,3 +199,23 @@
     configure(3, {"k1"});
     checkInForce("/small/x", carrying + VersionInForce);
 }
+
+// An instance that cannot know whether a route has been added answered 404, which callers take as
+// final. What it knows it goes on serving.
+TEST_CASE_FIXTURE(SlowStoreFixture, "an instance with an outdated configuration denies no route")
+{
+    CHECK(callAndWait("/none/x")->status == 404);
+    CHECK(callAndWait("/app/x", {}, "none")->status == 401);
+    storeLink.setFault(LoopbackProxy::Fault::Refuse);
+    storeLink.resetConnections();
+    // The users' bound for a version to be in force, and the time between two confirmations.
+    io.restart();
+    io.run_for(3500ms);
+    const auto refused = callAndWait("/none/x");
+    CHECK(refused->status == 503);
+    CHECK_FALSE(refused->retryAfter.empty());
+    CHECK(callAndWait("/app/x", {}, "none")->status == 503);
+    CHECK(callAndWait("/app/x")->status == 200);
+    storeLink.setFault(LoopbackProxy::Fault::None);
+    callUntilStatus(404, "/none/x");
+}
