Decode only the routes that a version of the configuration changes

Cause: every version was parsed and decoded from its first byte. Class: work that grows with the whole state instead of the change.

Now the decoder keeps the routes of the last version by their text and decodes those that are new. Everything else is decoded as before, and an unreadable version is still rejected as a whole. configuration_in_force tells decoded_routes.

--- a/include/marigoldspool/Fleet/FleetCodec.h
+++ b/include/marigoldspool/Fleet/FleetCodec.h
@@ -9,6 +9,7 @@
 #include "marigoldspool/Serving/ServingTypes.h"
 #include "marigoldspool/Serving/UsageTypes.h"
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -79,6 +80,17 @@
     WrongEndpoint,
 };
 
+/// Decodes the versions of a configuration that follow each other.
+class ConfigurationDecoder
+{
+public:
+    virtual ~ConfigurationDecoder();
+    /// Fails with Malformed if any part of \p value is unreadable.
+    virtual Expected<ServingConfiguration> decode(std::string_view value) = 0;
+    /// Number of routes that the last call has decoded; the others were as before.
+    virtual std::size_t decodedRoutes() const = 0;
+};
+
 /// Encodes and decodes the platform's HTTP messages and stored objects. Contains no policy.
 class FleetCodec
 {
@@ -121,7 +133,7 @@
     virtual std::string configurationPrefix() const = 0;
     virtual std::string endpointPrefix() const = 0;
     virtual std::string evacuationPrefix() const = 0;
-    virtual Expected<ServingConfiguration> decodeConfiguration(std::string_view value) const = 0;
+    virtual std::unique_ptr<ConfigurationDecoder> makeConfigurationDecoder() const = 0;
     virtual Expected<ListedEndpoint> decodeEndpoint(std::string_view name,
                                                     std::string_view value) const = 0;
     /// \}
--- a/lib/Fleet/FleetRuntime.cpp
+++ b/lib/Fleet/FleetRuntime.cpp
@@ -11,6 +11,8 @@
 
 FleetCodec::~FleetCodec() = default;
 
+ConfigurationDecoder::~ConfigurationDecoder() = default;
+
 // An address may have been assigned to another endpoint, which refuses as misdirected what was
 // meant for the earlier one. Its refusal says nothing about the earlier one, and looks like the
 // endpoint's own refusal of a model that it has not loaded, unless the answer names the endpoint.
--- a/lib/Fleet/FleetState.cpp
+++ b/lib/Fleet/FleetState.cpp
@@ -57,6 +57,7 @@
 
 FleetState::FleetState(FleetRuntime &runtime)
     : m_runtime(runtime)
+    , m_configurationDecoder(runtime.codec.makeConfigurationDecoder())
     , m_nextRegistration(runtime.clock.now())
 {
     const auto addPrefix = [this](const std::string &prefix, WatchTiming timing,
@@ -355,7 +356,7 @@
         return;
     }
     const SteadyTime receivedAt = m_runtime.clock.now();
-    Expected<ServingConfiguration> decoded = m_runtime.codec.decodeConfiguration(event.value);
+    Expected<ServingConfiguration> decoded = m_configurationDecoder->decode(event.value);
     const SteadyTime decodedAt = m_runtime.clock.now();
     if (!decoded) {
         m_runtime.metrics->add("marigoldspool_unreadable_objects_total", 1, {{"kind", "config"}});
@@ -381,6 +382,7 @@
               {"before", std::to_string(current)},
               {"store_version", positionText(event.version)},
               {"routes", std::to_string(configuration->routes.size())},
+              {"decoded_routes", std::to_string(m_configurationDecoder->decodedRoutes())},
               {"workspaces", std::to_string(configuration->workspaces.size())},
               {"decode_ms", std::to_string(toMilliseconds(decodedAt - receivedAt))},
               {"adopt_ms", std::to_string(toMilliseconds(m_runtime.clock.now() - decodedAt))}});
--- a/lib/Fleet/FleetState.h
+++ b/lib/Fleet/FleetState.h
@@ -101,6 +101,7 @@
     std::function<void()> m_onMembers;
     std::function<void()> m_onConfiguration;
     std::function<void()> m_onEndpoints;
+    std::unique_ptr<ConfigurationDecoder> m_configurationDecoder;
     SteadyTime m_nextRegistration;
     /// Whether the list of instances is complete; shares of limits follow from it.
     bool m_areMembersKnown = false;
--- a/tests/PlatformAdapter/PlatformCodecTest.cpp
+++ b/tests/PlatformAdapter/PlatformCodecTest.cpp
@@ -414,6 +414,48 @@
     }
 }
 
+// Each version of a large configuration was decoded whole, also when one route of thousands
+// differed.
+TEST_CASE("only the routes that a version changes are decoded")
+{
+    const auto route = [](const std::string &name, int timeoutMs) {
+        return json{{"name", name},     {"host", "h"},      {"prefix", "/" + name + "/"},
+                    {"kind", "stream"}, {"service", "llm"}, {"timeoutMs", timeoutMs}};
+    };
+    json routes = json::array();
+    for (int i = 0; i < 50; ++i) {
+        routes.push_back(route(std::to_string(i), 1000));
+    }
+    const auto decoder = Codec.makeConfigurationDecoder();
+    int version = 0;
+    const auto check = [&](std::size_t changedRoutes) {
+        const std::string text = json{{"version", ++version}, {"routes", routes}}.dump();
+        const Expected<ServingConfiguration> configuration = decoder->decode(text);
+        REQUIRE(configuration);
+        CHECK(decoder->decodedRoutes() == changedRoutes);
+        REQUIRE(configuration->routes.size() == routes.size());
+        for (std::size_t i = 0; i < routes.size(); ++i) {
+            CHECK(configuration->routes[i].name.str() == routes[i]["name"]);
+            CHECK(configuration->routes[i].timeout
+                  == std::chrono::milliseconds(routes[i]["timeoutMs"].get<int>()));
+        }
+    };
+    check(50);
+    check(0);
+    routes[20] = route("20", 2000);
+    routes.push_back(route("new", 1000));
+    check(2);
+    routes.erase(3);
+    std::swap(routes[0], routes[40]);
+    // The same route twice is decoded once.
+    routes.push_back(routes[5]);
+    check(0);
+    // An unreadable version is rejected as a whole, and the next one is decoded anew.
+    CHECK_FALSE(decoder->decode(R"({"version": 1, "routes": [{}]})"));
+    CHECK_FALSE(decoder->decode(R"({"version": 1, "routes": {}})"));
+    check(50);
+}
+
 TEST_CASE("an engine's report is decoded with the adapters that are loading")
 {
     const Expected<EngineReport> report = Codec.decodeReport(
