Refuse a request that crashes the endpoints that run it

Cause: a crash was looked into only for requests of engines, and blamed only on the parts of a prompt that several requests share. Nothing remembered a plain request, or a whole prompt, that comes again under another id. Class: evidence that is collected for one kind of request only.

Now the fingerprint of a request, a digest of method, host, path, key, body, model and prompt, counts as one more part in the quarantine of prompt parts, for all requests. It is worked out only while something is suspected. An endpoint without models is asked at its health path whether it lives. After a malformed answer nobody is asked, since this end has closed the connection.

Ruled out: a fingerprint without the prompt. Callers whose prompts stand in header fields alone would all be one request; the test 'a prompt part that crashes engines is refused after a few crashes' then refused the sound ones, too.

--- a/include/marigoldspool/Serving/PromptQuarantine.h
+++ b/include/marigoldspool/Serving/PromptQuarantine.h
@@ -45,7 +45,8 @@
 /// withdraws the suspicion of a part that an engine has survived: its answer has ended whole or
 /// gone on for long. What remains suspected after several crashes that no other part explains is
 /// put under quarantine for a time that doubles with each repetition. The last part of a prompt
-/// belongs to one request or session and is never considered.
+/// belongs to one request or session and is never considered. The fingerprint of a request is
+/// treated as another part of its prompt, for requests that crash engines whatever their prompt.
 class PromptQuarantine
 {
 public:
@@ -62,6 +63,11 @@
     /// The remaining time of a part's quarantine; zero if it is not under quarantine.
     Duration remaining(const PoolName &pool, const std::string &part) const;
     std::size_t quarantinedCount() const { return m_quarantined.size(); }
+    /// Whether an answer to some request would withdraw a suspicion.
+    bool hasSuspects() const
+    {
+        return !m_suspects.empty() || !m_quarantined.empty() || !m_ended.empty();
+    }
 
     /// Merges what a peer has reported; with \p relay, passes on what was new to other peers.
     void onEvidence(const PromptEvidence &evidence, bool relay);
--- a/lib/Fleet/CrashCheck.cpp
+++ b/lib/Fleet/CrashCheck.cpp
@@ -3,6 +3,7 @@
 #include "Fleet/EngineCalls.h"
 #include "marigoldspool/Support/EventLog.h"
 
+#include <cassert>
 #include <set>
 
 namespace marigoldspool {
@@ -99,10 +100,11 @@
 void CrashCheck::onConnectionLost(const EndpointId &engine, const std::vector<PromptPart> &prompt,
                                   LostAnswer kind)
 {
+    assert(!prompt.empty() && "each request has at least its fingerprint");
     const TrackedEndpoint *state = m_runtime.directory.find(engine);
     // An engine that leaves ends its connections without a crash, and one that wants no requests is
     // not asked either. One at its announced end refuses connections, as after a crash.
-    if (state == nullptr || prompt.empty() || !m_runtime.directory.acceptsCalls(engine)
+    if (state == nullptr || !m_runtime.directory.acceptsCalls(engine)
         || m_runtime.directory.isAtEnd(engine)) {
         return;
     }
@@ -118,6 +120,13 @@
 void CrashCheck::askEngine(const ListedEndpoint &engine)
 {
     EndpointCall call = m_runtime.codec.encodeReportCall(engine);
+    // Endpoints without models have no report; any answer shows that the process lives.
+    const EndpointPool *pool = m_runtime.routes == nullptr
+        ? nullptr
+        : m_runtime.routes->configuration()->pool(engine.pool);
+    if (pool != nullptr && !pool->engine && !pool->healthPath.empty()) {
+        call.target = pool->healthPath;
+    }
     prepareEngineCall(call, "crash-check-" + std::to_string(++m_callCounter));
     call.connectTimeout = ConnectTimeout;
     m_runtime.endpoints->call(std::move(call),
--- a/lib/Fleet/CrashCheck.h
+++ b/lib/Fleet/CrashCheck.h
@@ -22,7 +22,8 @@
 
     explicit CrashCheck(FleetRuntime &runtime);
 
-    /// The connection to \p engine was lost while the request with \p prompt was in work.
+    /// The connection to \p engine was lost while a request with the suspects \p prompt was in
+    /// work.
     void onConnectionLost(const EndpointId &engine, const std::vector<PromptPart> &prompt,
                           LostAnswer kind);
 
--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -1,5 +1,6 @@
 #include "Fleet/ExchangeAttempt.h"
 
+#include "marigoldspool/Serving/RequestFingerprint.h"
 #include "marigoldspool/Support/Invariant.h"
 
 #include <algorithm>
@@ -199,24 +200,40 @@
     }
 }
 
-// Also called when a part of the prompt has come under quarantine while the request waits.
+// Also called when a part of the prompt, or the request, has come under quarantine while it waits.
 bool Exchange::refuseQuarantined()
 {
-    const std::optional<std::string> part =
-        m_runtime.quarantine.findQuarantined(m_pool->name, m_request.prompt);
+    const std::optional<std::string> part = findQuarantined();
     if (!part) {
         return false;
     }
+    const bool isWhole = *part == suspects().front().id;
     refuse(RefusalReason::PromptQuarantined, ranState(),
            m_runtime.quarantine.remaining(m_pool->name, *part),
-           "engines have crashed on part " + *part + " of the prompt");
+           isWhole ? "endpoints have crashed on this request"
+                   : "engines have crashed on part " + *part + " of the prompt");
     return true;
 }
 
+const std::vector<PromptPart> &Exchange::suspects()
+{
+    if (m_suspects.empty()) {
+        m_suspects = crashSuspects(m_request);
+    }
+    return m_suspects;
+}
+
+std::optional<std::string> Exchange::findQuarantined()
+{
+    // The fingerprint is worked out only when it is needed.
+    return m_runtime.quarantine.quarantinedCount() == 0
+        ? std::nullopt
+        : m_runtime.quarantine.findQuarantined(m_pool->name, suspects());
+}
+
 void Exchange::checkQuarantine()
 {
-    if (m_finished || m_answerStarted || m_pool == nullptr
-        || !m_runtime.quarantine.findQuarantined(m_pool->name, m_request.prompt)) {
+    if (m_finished || m_answerStarted || m_pool == nullptr || !findQuarantined()) {
         return;
     }
     cancelAttempt();
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -83,6 +83,10 @@
     bool resolveRoute();
     bool takeQuota();
     bool refuseQuarantined();
+    /// What the crash of an endpoint may be blamed on; the fingerprint of the request is the first.
+    const std::vector<PromptPart> &suspects();
+    /// The part of the prompt, or the fingerprint, that is under quarantine, if any.
+    std::optional<std::string> findQuarantined();
     void reportDemand();
     void waitOrRefuse(const EndpointChoice &choice);
     /// Counts by what an endpoint of a contended pool was chosen.
@@ -252,6 +256,8 @@
     /// When the first bytes of the attempt's answer were passed on.
     std::optional<SteadyTime> m_attemptBegunAt;
     bool m_isServedNoted = false;
+    /// Empty until it is needed; see suspects().
+    std::vector<PromptPart> m_suspects;
     /// The attempt's answer has ended with its connection.
     bool m_hasUnstatedEnd = false;
     /// Time from the sending to the first byte that was expected when the attempt began.
--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -267,7 +267,10 @@
         onAttemptFailed(EndpointOutcome::NotSent, EndpointResult::Unreachable);
         return;
     }
-    reportLost(CrashCheck::LostAnswer::BrokenOff);
+    // After a malformed answer, this end has closed the connection.
+    if (error.kind != ErrorKind::Malformed) {
+        reportLost(CrashCheck::LostAnswer::BrokenOff);
+    }
     onAttemptFailed(m_answerStarted ? EndpointOutcome::CutOff : EndpointOutcome::MaybeSent,
                     EndpointResult::Failed);
 }
@@ -287,13 +290,14 @@
 void Exchange::noteServed()
 {
     m_isServedNoted = true;
-    m_runtime.quarantine.onAnswerServed(m_pool->name, m_request.prompt);
+    m_runtime.quarantine.onAnswerServed(
+        m_pool->name, m_runtime.quarantine.hasSuspects() ? suspects() : m_request.prompt);
 }
 
 void Exchange::reportLost(CrashCheck::LostAnswer kind)
 {
-    if (isEngineRequest() && !m_isServedNoted) {
-        m_front.m_crashCheck->onConnectionLost(m_endpoint, m_request.prompt, kind);
+    if (!m_isServedNoted) {
+        m_front.m_crashCheck->onConnectionLost(m_endpoint, suspects(), kind);
     }
 }
 
@@ -381,7 +385,7 @@
     if (!keepsRoute(m_possibleRuns)) {
         return "route_changed";
     }
-    if (m_runtime.quarantine.findQuarantined(m_pool->name, m_request.prompt)) {
+    if (findQuarantined()) {
         return "quarantined";
     }
     // The stream must not pause for long, so the request does not wait for an endpoint.
--- a/lib/Fleet/ExchangeSuccessor.cpp
+++ b/lib/Fleet/ExchangeSuccessor.cpp
@@ -98,7 +98,7 @@
     }
     if (!canRepeat || m_attemptCount >= MaxTotalAttempts || timeLeft() <= MinResumeTime
         || m_runtime.answersEndAt - now <= MinResumeTime || !keepsRoute(m_possibleRuns + 1)
-        || m_runtime.quarantine.findQuarantined(m_pool->name, m_request.prompt)) {
+        || findQuarantined()) {
         if (isEnding) {
             noteNotMoved("not_allowed");
         }
@@ -303,7 +303,7 @@
 {
     const bool isSent = stage != SendStage::NotSent;
     if (isSent) {
-        m_front.m_crashCheck->onConnectionLost(m_trialEndpoint, m_request.prompt,
+        m_front.m_crashCheck->onConnectionLost(m_trialEndpoint, suspects(),
                                                CrashCheck::LostAnswer::BrokenOff);
     }
     endTrial(isSent ? EndpointResult::Failed : EndpointResult::Unreachable,
