Crash check: ask at the health path only if the configuration names one

The check of asked endpoints without models at '/' when no health path was configured, which the service itself may serve.

Now the path is empty if it is not named, and such an endpoint is asked for a report as before; any answer shows that it lives. Names for the parameters, and downloads from peers are resumed with the other requests to peers, not at each tick.

New case: endpoints that cut connections but live are asked at their health path, and their requests are not refused.

--- a/include/marigoldspool/Serving/ServingTypes.h
+++ b/include/marigoldspool/Serving/ServingTypes.h
@@ -86,6 +86,7 @@
 /// A set of endpoints that serve the same requests.
 struct EndpointPool {
     PoolName name;
+    /// Empty if the configuration names none.
     std::string healthPath;
     /// Rate limit for a cold endpoint, over all instances; zero: unlimited.
     double coldRequestsPerSecond = 0;
--- a/lib/Fleet/CrashCheck.cpp
+++ b/lib/Fleet/CrashCheck.cpp
@@ -97,10 +97,10 @@
     : m_runtime(runtime)
 { }
 
-void CrashCheck::onConnectionLost(const EndpointId &engine, const std::vector<PromptPart> &prompt,
+void CrashCheck::onConnectionLost(const EndpointId &engine, const std::vector<PromptPart> &parts,
                                   LostAnswer kind)
 {
-    assert(!prompt.empty() && "each request has at least its fingerprint");
+    assert(!parts.empty() && "each request has at least its fingerprint");
     const TrackedEndpoint *state = m_runtime.directory.find(engine);
     // An engine that leaves ends its connections without a crash, and one that wants no requests is
     // not asked either. One at its announced end refuses connections, as after a crash.
@@ -110,7 +110,7 @@
     }
     const auto [it, isFirst] = m_lost.try_emplace(engine);
     if (it->second.size() < MaxLostRequests) {
-        it->second.push_back({prompt, kind});
+        it->second.push_back({parts, kind});
     }
     if (isFirst) {
         askEngine(state->listed);
@@ -120,7 +120,7 @@
 void CrashCheck::askEngine(const ListedEndpoint &engine)
 {
     EndpointCall call = m_runtime.codec.encodeReportCall(engine);
-    // Endpoints without models have no report; any answer shows that the process lives.
+    // Endpoints without models have no report to give; any answer shows that the process lives.
     const EndpointPool *pool = m_runtime.routes == nullptr
         ? nullptr
         : m_runtime.routes->configuration()->pool(engine.pool);
@@ -151,9 +151,9 @@
     CrashSuspects suspects;
     for (const LostRequest &request : lost) {
         if (finding == Finding::Crashed) {
-            suspects.merge(m_runtime.quarantine.onCrash(id, state->listed.pool, request.prompt));
+            suspects.merge(m_runtime.quarantine.onCrash(id, state->listed.pool, request.parts));
         } else if (finding == Finding::Alive && request.kind == LostAnswer::MayBeWhole) {
-            m_runtime.quarantine.onAnswerServed(state->listed.pool, request.prompt);
+            m_runtime.quarantine.onAnswerServed(state->listed.pool, request.parts);
         }
     }
     if (finding == Finding::Crashed) {
--- a/lib/Fleet/CrashCheck.h
+++ b/lib/Fleet/CrashCheck.h
@@ -9,7 +9,7 @@
 
 namespace marigoldspool {
 
-/// Finds out whether an engine that has lost a request's connection has crashed, and tells the
+/// Finds out whether an endpoint that has lost a request's connection has crashed, and tells the
 /// prompt quarantine which requests were in work there.
 class CrashCheck : public std::enable_shared_from_this<CrashCheck>
 {
@@ -22,9 +22,9 @@
 
     explicit CrashCheck(FleetRuntime &runtime);
 
-    /// The connection to \p engine was lost while a request with the suspects \p prompt was in
-    /// work.
-    void onConnectionLost(const EndpointId &engine, const std::vector<PromptPart> &prompt,
+    /// The connection to \p engine was lost while a request was in work. \p parts: what a crash may
+    /// be blamed on, see crashSuspects().
+    void onConnectionLost(const EndpointId &engine, const std::vector<PromptPart> &parts,
                           LostAnswer kind);
 
 private:
@@ -35,7 +35,7 @@
         Unknown,
     };
     struct LostRequest {
-        std::vector<PromptPart> prompt;
+        std::vector<PromptPart> parts;
         LostAnswer kind;
     };
 
--- a/lib/Fleet/FleetLink.cpp
+++ b/lib/Fleet/FleetLink.cpp
@@ -122,11 +122,11 @@
     if (m_state.isWatcher()) {
         sendChanges(now);
     }
-    for (const AddressedMessage &request : m_state.resumeDownloads(connectedPeers())) {
-        m_channel->send(request.to, request.message);
-    }
     if (now >= m_nextRelayRequest) {
         m_nextRelayRequest = now + RelayInterval;
+        for (const AddressedMessage &request : m_state.resumeDownloads(connectedPeers())) {
+            m_channel->send(request.to, request.message);
+        }
         const std::vector<ObjectsRequest> outdated = m_state.outdatedPrefixes();
         if (outdated.empty()) {
             return;
--- a/tests/PlatformAdapter/CrashingRequestTest.cpp
+++ b/tests/PlatformAdapter/CrashingRequestTest.cpp
@@ -23,6 +23,10 @@
         for (int i = 0; i < Endpoints; ++i) {
             addReplica(
                 "i-" + std::to_string(i), "app", [this](const auto &request, const auto &sink) {
+                    if (request.target == "/app/cut") {
+                        sink->abort();
+                        return;
+                    }
                     const bool isCrashing = request.target == "/app/crash"
                         && *findHeader(request.headers, "X-Marigoldspool-Tenant") == "t";
                     if (!isCrashing) {
@@ -109,3 +113,17 @@
     askAt(0, "/app/crash", "k2");
     CHECK(crashes > before);
 }
+
+// Endpoints that lose connections for other reasons are no ground to refuse a request.
+TEST_CASE_FIXTURE(CrashingRequestFixture, "a request whose endpoints live is not refused")
+{
+    for (std::size_t i = 0; i < 8; ++i) {
+        CHECK(askAt(i % 2, "/app/cut")->status == 502);
+    }
+    int checks = 0;
+    for (const auto &replica : replicas) {
+        checks += replica->healthChecks;
+    }
+    CHECK(checks > 0);
+    CHECK(askAt(0, "/app/x")->status == 200);
+}
--- a/tests/PlatformAdapter/RequestPathFixture.h
+++ b/tests/PlatformAdapter/RequestPathFixture.h
@@ -162,7 +162,9 @@
               {{"name", "n"}, {"weightsMb", 60}, {"loadS", 0.05}, {"warmS", 0.05}}}}};
         return {{"version", version},
                 {"routes", routes},
-                {"services", {{{"name", "app"}}, {{"name", "llm"}, {"engine", engine}}}},
+                {"services",
+                 {{{"name", "app"}, {"healthPath", StandinReplica::HealthPath}},
+                  {{"name", "llm"}, {"engine", engine}}}},
                 {"tenants", {{{"name", "t"}, {"apiKeys", keys}}}}};
     }
 
--- a/tests/PlatformAdapter/StandinPlatform.h
+++ b/tests/PlatformAdapter/StandinPlatform.h
@@ -398,6 +398,7 @@
     using Json = nlohmann::json;
     using Handler =
         std::function<void(const HttpRequest &request, const std::shared_ptr<ResponseSink> &sink)>;
+    static constexpr const char *HealthPath = "/health";
 
     StandinReplica(boost::asio::io_context &io, Metrics &metrics, std::string replicaId,
                    Handler replicaHandler)
@@ -438,6 +439,7 @@
     /// Answer reports with a body that has no end.
     bool reportsWithoutEnd = false;
     int reports = 0;
+    int healthChecks = 0;
     /// Reports keep listing the models of the first report after this is set.
     bool reportsStale = false;
     /// Number of orders to leave unanswered and execute after the delay if they still apply.
@@ -466,6 +468,13 @@
 
     void handle(const HttpRequest &request, const std::shared_ptr<ResponseSink> &sink)
     {
+        if (request.target == HealthPath) {
+            ++healthChecks;
+            const HeaderField headers[] = {{"X-Marigoldspool-Replica-Id", id}};
+            sink->head(200, headers, false);
+            sink->finish();
+            return;
+        }
         const bool isReport = request.target == "/v1/report";
         if (engineCallStatus != 0 && (isReport || request.target == "/v1/order")) {
             ++refusedCalls;
