--- a/tests/System/FleetSoakTest.cpp
+++ b/tests/System/FleetSoakTest.cpp
@@ -33,6 +33,8 @@
 constexpr auto StopTime = 8s;
 // The stated bound for serving again after all faults, of the users' first deployments.
 constexpr auto RecoverTime = 12s;
+constexpr int LargeConfigurationRoutes = 2'500;
+constexpr std::size_t SlowLinkBytesPerSecond = 300'000;
 constexpr int SeedsInTests = 2;
 constexpr std::uint64_t FirstSeed = 9'000;
 
@@ -193,14 +195,17 @@
                              {"models",
                               {{{"name", "m"}, {"weightsMb", 60}, {"loadS", 0.05}},
                                {{"name", "n"}, {"weightsMb", 60}, {"loadS", 0.05}}}}};
-        m_store.put(
-            "config", "main",
-            {{"version", ++m_version},
-             {"routes",
-              {route("again", "idempotent", "app", false),
-               route("once", "non_idempotent", "app", false), route("llm", "stream", "llm", true)}},
-             {"services", {{{"name", "app"}}, {{"name", "llm"}, {"engine", engine}}}},
-             {"tenants", {{{"name", "t"}, {"apiKeys", {"k1"}}}}}});
+        json routes = {route("again", "idempotent", "app", false),
+                       route("once", "non_idempotent", "app", false),
+                       route("llm", "stream", "llm", true)};
+        for (int i = 0; i < m_addedRoutes; ++i) {
+            routes.push_back(route(("added" + std::to_string(i)).c_str(), "stream", "llm", true));
+        }
+        m_store.put("config", "main",
+                    {{"version", ++m_version},
+                     {"routes", routes},
+                     {"services", {{{"name", "app"}}, {{"name", "llm"}, {"engine", engine}}}},
+                     {"tenants", {{{"name", "t"}, {"apiKeys", {"k1"}}}}}});
     }
 
     void addReplica(const std::string &service)
@@ -411,7 +416,7 @@
         const std::size_t number = m_random() % m_nodes.size();
         Node &node = m_nodes[number];
         Replica &replica = *m_replicas[m_random() % m_replicas.size()];
-        const auto fault = m_random() % 11;
+        const auto fault = m_random() % 12;
         std::ofstream(m_directory + "/faults.log", std::ios::app)
             << toMilliseconds(m_clock.wallNow().time_since_epoch()) << " fault " << fault
             << " node " << number << " replica " << replica.standin->id << '\n';
@@ -467,6 +472,17 @@
                 list(replica, "ready");
             });
             break;
+        case 11:
+            // Takes longer than the timeout of a call.
+            m_addedRoutes = LargeConfigurationRoutes;
+            node.storeProxy->setRate(SlowLinkBytesPerSecond);
+            configure();
+            later([this, &node] {
+                node.storeProxy->setRate(0);
+                m_addedRoutes = 0;
+                configure();
+            });
+            break;
         }
     }
 
@@ -520,6 +536,7 @@
     std::vector<Ending> m_endings;
     std::string m_directory;
     int m_version = 0;
+    int m_addedRoutes = 0;
 };
 
 std::uint64_t fromEnvironment(const char *name, std::uint64_t fallback)
