Log which connection an attempt used, and the answers and bytes that are not taken

To tell a copy of an earlier answer from other causes of a wrong promise: failed attempts and requests name their connection, what it had carried and its age; an answer that is skipped is logged with both ids; bytes on a connection without a call are counted and logged.

--- a/include/marigoldspool/Gateway/EndpointClient.h
+++ b/include/marigoldspool/Gateway/EndpointClient.h
@@ -8,6 +8,7 @@
 #include "marigoldspool/Support/Metrics.h"
 #include "marigoldspool/Support/SocketOptions.h"
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -57,6 +58,16 @@
     bool mayEndWithConnection = false;
 };
 
+/// The connection that carries a call.
+struct ConnectionUse {
+    /// Counts the connections of the client; 0: the call is invalid and gets no connection.
+    std::uint64_t number = 0;
+    /// Calls that the connection has carried before.
+    std::uint64_t earlierCalls = 0;
+    /// Time since the connection was opened.
+    Duration age = Duration::zero();
+};
+
 /// Receives the answer to one call: head, data, then either complete or failure, exactly once.
 class EndpointCallHandler
 {
@@ -82,7 +93,7 @@
 public:
     virtual ~EndpointClient();
     /// The handler is never called from within call().
-    virtual void call(EndpointCall call, std::shared_ptr<EndpointCallHandler> handler) = 0;
+    virtual ConnectionUse call(EndpointCall call, std::shared_ptr<EndpointCallHandler> handler) = 0;
     /// Closes the connections of all calls with this id; their handlers are not called any more.
     virtual void cancel(const RequestId &id) = 0;
     /// Cancels one of several calls with the same id.
--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -500,7 +500,7 @@
     const std::int64_t startedAtMs = m_runtime.directory.find(endpoint)->listed.startedAtMs;
     beginAttempt(std::make_shared<Attempt>(shared_from_this()), {endpoint, startedAtMs}, now);
     m_runtime.directory.onSent(endpoint, m_request.promptTokens, m_request.model);
-    m_runtime.endpoints->call(std::move(call), m_attempt);
+    m_connection = m_runtime.endpoints->call(std::move(call), m_attempt);
 }
 
 void Exchange::beginAttempt(std::shared_ptr<Attempt> attempt, const EndpointIncarnation &endpoint,
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -232,6 +232,8 @@
     /// Number of endpoints that may have processed the request.
     int m_possibleRuns = 0;
     std::shared_ptr<Attempt> m_attempt;
+    /// The connection of the last attempt, for the log.
+    ConnectionUse m_connection;
     EndpointId m_endpoint;
     /// Start of the endpoint's process when the request was sent.
     std::int64_t m_endpointStartedAtMs = 0;
@@ -240,6 +242,7 @@
     EndpointId m_trialEndpoint;
     std::int64_t m_trialStartedAtMs = 0;
     SteadyTime m_trialSentAt;
+    ConnectionUse m_trialConnection;
     boost::asio::steady_timer m_trialTimer;
     /// Trials that have ended without taking over.
     int m_trialCount = 0;
--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -310,6 +310,10 @@
               {"try", std::to_string(m_attemptCount)},
               {"outcome", std::string(outcomeName(outcome))},
               {"after_ms", millisecondsText(m_runtime.clock.now() - m_sentAt)},
+              {"status", std::to_string(m_status)},
+              {"connection", std::to_string(m_connection.number)},
+              {"connection_calls", std::to_string(m_connection.earlierCalls)},
+              {"connection_age_ms", millisecondsText(m_connection.age)},
               {"answer_started", m_answerStarted ? "yes" : "no"},
               {"possible_runs", std::to_string(m_possibleRuns)},
               {"cause", m_lastError}});
--- a/lib/Fleet/ExchangeEnd.cpp
+++ b/lib/Fleet/ExchangeEnd.cpp
@@ -200,6 +200,7 @@
               {"tokens_in", std::to_string(m_request.promptTokens)},
               {"tokens_out", std::to_string(m_request.outputTokens)},
               {"endpoint", m_endpoint.str()},
+              {"connection", std::to_string(m_connection.number)},
               {"tries", std::to_string(m_attemptCount)},
               {"wait_ms",
                m_attemptCount > 0 ? millisecondsText(m_firstSentAt - m_arrival)
--- a/lib/Fleet/ExchangeSuccessor.cpp
+++ b/lib/Fleet/ExchangeSuccessor.cpp
@@ -263,7 +263,7 @@
     m_triedEndpoints.push_back(endpoint);
     m_trial = std::make_shared<Attempt>(shared_from_this(), Attempt::Role::Trial);
     m_runtime.directory.onSent(endpoint, m_request.promptTokens, m_request.model);
-    m_runtime.endpoints->call(std::move(call), m_trial);
+    m_trialConnection = m_runtime.endpoints->call(std::move(call), m_trial);
     m_trialTimer.expires_after(MaxTrialTime);
     m_trialTimer.async_wait([weak = weak_from_this(), trial = std::weak_ptr<Attempt>(m_trial)](
                                 const boost::system::error_code &ec) {
@@ -317,6 +317,7 @@
         recordMove(m_trialEndpoint);
     }
     m_trial->acceptTrial();
+    m_connection = m_trialConnection;
     beginAttempt(std::move(m_trial), {m_trialEndpoint, m_trialStartedAtMs}, m_trialSentAt);
 }
 
--- a/lib/Gateway/EndpointClient.cpp
+++ b/lib/Gateway/EndpointClient.cpp
@@ -44,23 +44,24 @@
         }
     }
 
-    void call(EndpointCall call, std::shared_ptr<EndpointCallHandler> handler) override
+    ConnectionUse call(EndpointCall call, std::shared_ptr<EndpointCallHandler> handler) override
     {
         const auto endpoint = parseEndpoint(call.address);
         if (!endpoint || !isToken(call.method) || !isWritableTarget(call.target)) {
             refuse(std::move(handler));
-            return;
+            return {};
         }
         const RequestId id = call.id;
         if (const ConnectionPtr idle = takeIdle(call)) {
             m_calls.emplace(id, idle);
             idle->send(std::move(call), std::move(handler));
-            return;
+            return idle->use();
         }
         const auto connection = std::make_shared<EndpointConnection>(m_context, call.address);
         m_connections.insert(connection);
         m_calls.emplace(id, connection);
         connection->connect(*endpoint, std::move(call), std::move(handler));
+        return connection->use();
     }
 
     void cancel(const RequestId &id) override
--- a/lib/Gateway/EndpointConnection.cpp
+++ b/lib/Gateway/EndpointConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "HttpFields.h"
 
+#include "marigoldspool/Support/EventLog.h"
 #include "marigoldspool/Support/SocketOptions.h"
 
 #include <algorithm>
@@ -93,10 +94,18 @@
     , m_socket(m_context->io)
     , m_timer(m_context->io)
     , m_pauseTimer(m_context->io)
+    , m_number(++m_context->connectionCount)
+    , m_openedAt(m_context->clock.now())
 { }
 
+ConnectionUse EndpointConnection::use() const
+{
+    return {m_number, m_callCount - 1, m_context->clock.now() - m_openedAt};
+}
+
 void EndpointConnection::beginCall(EndpointCall call, std::shared_ptr<EndpointCallHandler> handler)
 {
+    ++m_callCount;
     m_handler = std::move(handler);
     m_head = formatHead(call);
     m_body = std::move(call.body);
@@ -182,9 +191,23 @@
     }
     char byte = 0;
     const ssize_t n = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (n > 0) {
+        noteUnsolicited();
+    }
     return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+void EndpointConnection::noteUnsolicited() const
+{
+    m_context->metrics.add("marigoldspool_endpoint_unsolicited_bytes_total");
+    logEvent(LogLevel::Info, "unsolicited_bytes",
+             {{"endpoint_address", m_address},
+              {"connection", std::to_string(m_number)},
+              {"calls", std::to_string(m_callCount)},
+              {"idle_ms", std::to_string(toMilliseconds(m_context->clock.now() - m_lastActivity))},
+              {"last_id", m_id.str()}});
+}
+
 void EndpointConnection::flush()
 {
     while (m_state == State::Busy && !isSent()) {
@@ -235,7 +258,9 @@
         return;
     }
     if (m_state == State::Idle) {
-        // Closed by the endpoint, or unsolicited bytes.
+        if (!ec) {
+            noteUnsolicited();
+        }
         close();
         return;
     }
@@ -321,6 +346,27 @@
     return m_sendsNoId ? echoed == nullptr : echoed != nullptr && *echoed == m_id.str();
 }
 
+bool EndpointConnection::skipAnswer(const std::vector<HeaderField> &headers)
+{
+    const std::string *echoed = findHeader(headers, m_echoField);
+    m_context->metrics.add("marigoldspool_endpoint_crossed_answers_total");
+    logEvent(LogLevel::Info, "answer_skipped",
+             {{"endpoint_address", m_address},
+              {"connection", std::to_string(m_number)},
+              {"calls", std::to_string(m_callCount)},
+              {"awaited_id", m_sendsNoId ? "none" : m_id.str()},
+              {"answer_id", echoed == nullptr ? "none" : *echoed},
+              {"status", std::to_string(m_parser->status())}});
+    if (++m_skippedAnswers > MaxSkippedAnswers) {
+        fail(ErrorKind::Malformed, m_address + " sends answers to other requests",
+             "check that the endpoint repeats the id of the request");
+        return false;
+    }
+    m_skippingAnswer = true;
+    m_mustNotReuse = true;
+    return true;
+}
+
 // Returns false when the handler has cancelled the call.
 bool EndpointConnection::deliverAnswer()
 {
@@ -333,15 +379,7 @@
         }
         const std::vector<HeaderField> headers = m_parser->takeHeaders();
         if (!isAnswerToThisRequest(headers)) {
-            m_context->metrics.add("marigoldspool_endpoint_crossed_answers_total");
-            if (++m_skippedAnswers > MaxSkippedAnswers) {
-                fail(ErrorKind::Malformed, m_address + " sends answers to other requests",
-                     "check that the endpoint repeats the id of the request");
-                return false;
-            }
-            m_skippingAnswer = true;
-            m_mustNotReuse = true;
-            return true;
+            return skipAnswer(headers);
         }
         m_headDelivered = true;
         handler->onHead(m_parser->status(), headers);
--- a/lib/Gateway/EndpointConnection.h
+++ b/lib/Gateway/EndpointConnection.h
@@ -28,6 +28,7 @@
     Metrics &metrics;
     /// Receive buffer shared by all connections, which run on one thread.
     std::vector<char> receiveBuffer;
+    std::uint64_t connectionCount = 0;
     /// The call has ended and the connection can take another one.
     std::function<void(const std::shared_ptr<EndpointConnection> &)> onReusable;
     std::function<void(const std::shared_ptr<EndpointConnection> &)> onClosed;
@@ -50,6 +51,8 @@
     void close();
 
     const std::string &address() const { return m_address; }
+    /// How the connection is used by the call under way.
+    ConnectionUse use() const;
     SteadyTime callBeganAt() const { return m_callBeganAt; }
     bool isClosed() const { return m_state == State::Closed; }
     /// Whether the answer to the call under way goes to \p handler.
@@ -76,6 +79,10 @@
     void onBytes(std::string_view bytes);
     bool deliverAnswer();
     bool isAnswerToThisRequest(const std::vector<HeaderField> &headers) const;
+    /// Skips the answer whose head has been read; returns false if there are too many of them.
+    bool skipAnswer(const std::vector<HeaderField> &headers);
+    /// Records bytes that have come while no call was under way.
+    void noteUnsolicited() const;
     void complete(bool reusable);
     void completeAtClose();
     void onEndOfStream(const boost::system::error_code &ec);
@@ -93,6 +100,9 @@
     boost::asio::steady_timer m_timer;
     boost::asio::steady_timer m_pauseTimer;
     State m_state = State::Connecting;
+    std::uint64_t m_number;
+    SteadyTime m_openedAt;
+    std::uint64_t m_callCount = 0;
     RequestId m_id;
     std::shared_ptr<EndpointCallHandler> m_handler;
     std::string m_head;
