Test that fails: the copy of the answer to an order passes for that to the next order

Orders bear no id, and the kept connection that carried one carries the next one as well. On the code before the fix an order that the engine accepts is taken for refused: CHECK( 409 == 202 ).

--- a/tests/PlatformAdapter/UnprovenRefusalTest.cpp
+++ b/tests/PlatformAdapter/UnprovenRefusalTest.cpp
@@ -259,3 +259,22 @@
     waitForEnd(*answer);
     CHECK(answer->status == 409);
 }
+
+// An engine that carries out an order was taken for one that had refused it.
+TEST_CASE_FIXTURE(
+    RawReplicaFixture,
+    "an answer to an order that is written again is not taken for that to the next one")
+{
+    const auto refused = std::make_shared<CallerAnswer>();
+    RawSocket &first = order(refused, "first-tester");
+    first.send(answerText("409 Conflict", ""));
+    waitForEnd(*refused);
+    const auto accepted = std::make_shared<CallerAnswer>();
+    RawSocket &second = order(accepted, "second-tester");
+    first.send(answerText("409 Conflict", ""));
+    run(200ms);
+    CHECK_FALSE(accepted->ended);
+    second.send(answerText("202 Accepted", ""));
+    waitForEnd(*accepted);
+    CHECK(accepted->status == 202);
+}
