A connection carries no id twice

Cause: an answer is believed because it bears the id of the awaited one, but an endpoint may write an answer too many, and the copy of a refusal bears the id of the refused request also when that is under way again on the same connection. Since a repeat by the same exchange avoids the connections that may have carried its id; nothing else did, since the rule was an option of each call: not a caller that sends its attempt again, and not the product's own daemon, which repeats a refused request under one id. Class: a proof that holds for one attempt is taken for another.

Fix: the client ties ids to connections itself. A connection keeps the hashes of the ids that it has carried and takes no call with one of them; it is replaced after 1,024 calls, so that it keeps 8 KB at most. The option onlyIdleSince is gone, and with it the assumption that a copy is of the last answer. A caller that reuses one id would open a connection for each request, so of more than eight idle ones that cannot carry it, one is closed.

Ruled out: closing after each refusal; under overload refusals come in hundreds, and 1 in 1,024 calls needs a new connection now. Sending another id on a repeat: endpoints and callers know the request by its id.

--- a/include/marigoldspool/Gateway/EndpointClient.h
+++ b/include/marigoldspool/Gateway/EndpointClient.h
@@ -43,10 +43,6 @@
     Duration peerTimeout = DefaultPeerTimeout;
     /// The Host field. When set, the other fields are passed on as they are, without an id of ours.
     std::string host;
-    /// Only connections that began their last call before this time are reused. An endpoint may
-    /// write an answer twice, so a repeated call must not wait for its answer on a connection that
-    /// has carried the same id.
-    SteadyTime onlyIdleSince = SteadyTime::max();
     /// Field in which the endpoint repeats the request's id; empty when it repeats none. Answers
     /// without this id may belong to other requests and are skipped.
     std::string echoField;
@@ -87,7 +83,8 @@
 };
 
 /// Calls to endpoints over kept-alive HTTP/1.1 connections. A connection that failed, timed out or
-/// was cancelled is closed and never used again, so a late answer cannot reach another request.
+/// was cancelled is closed and never used again, so a late answer cannot reach another request. A
+/// connection carries no id twice, so a copy of an earlier answer cannot reach a repeated call.
 class EndpointClient
 {
 public:
--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -469,11 +469,6 @@
     // The end of a connection does not show whether more events would have followed. An answer that
     // only continues a stream has to state its end.
     call.mayEndWithConnection = !m_answerStarted;
-    if (std::find(m_triedEndpoints.begin(), m_triedEndpoints.end(), endpoint)
-        != m_triedEndpoints.end()) {
-        // The endpoint may write its answer to the earlier attempt once more, with the same id.
-        call.onlyIdleSince = m_firstSentAt;
-    }
     return call;
 }
 
--- a/lib/Gateway/EndpointClient.cpp
+++ b/lib/Gateway/EndpointClient.cpp
@@ -19,6 +19,10 @@
 
 using ConnectionPtr = std::shared_ptr<EndpointConnection>;
 
+// A caller that reuses one id needs a new connection for each request. Beyond this number of idle
+// ones that cannot carry it, one is closed, since endpoints reset connections above their limit.
+constexpr std::size_t MaxUnsuitableIdle = 8;
+
 class PooledEndpointClient final : public EndpointClient
 {
 public:
@@ -116,9 +120,13 @@
     ConnectionPtr takeIdle(const EndpointCall &call)
     {
         const auto it = m_idle.find(call.address);
+        std::size_t unsuitableCount = 0;
+        ConnectionPtr unsuitable;
         for (std::size_t i = it == m_idle.end() ? 0 : it->second.size(); i > 0; --i) {
             ConnectionPtr connection = it->second[i - 1];
-            if (connection->callBeganAt() >= call.onlyIdleSince) {
+            if (!connection->canCarry(call)) {
+                ++unsuitableCount;
+                unsuitable = std::move(connection);
                 continue;
             }
             if (connection->isReusable()) {
@@ -128,6 +136,9 @@
             // Erases the connection from the list, and the map's entry when it was the last one.
             connection->close();
         }
+        if (unsuitableCount >= MaxUnsuitableIdle) {
+            unsuitable->close();
+        }
         return nullptr;
     }
 
--- a/lib/Gateway/EndpointConnection.cpp
+++ b/lib/Gateway/EndpointConnection.cpp
@@ -37,6 +37,9 @@
 constexpr int MaxSkippedAnswers = 8;
 constexpr std::size_t MaxSkippedBytes = 1U << 20U;
 
+// Bounds the ids that a connection keeps, which are compared with that of each further call.
+constexpr std::uint64_t MaxCallsOfConnection = 1024;
+
 // Fields that this client sets itself, and credentials of the caller, which are never forwarded.
 bool isDropped(const HeaderField &field)
 {
@@ -111,6 +114,9 @@
     m_body = std::move(call.body);
     m_sent = 0;
     m_id = std::move(call.id);
+    if (!call.sendsNoId) {
+        m_carriedIds.push_back(std::hash<RequestId>()(m_id));
+    }
     m_isHeadRequest = call.method == "HEAD";
     m_parser.emplace(m_isHeadRequest);
     m_headDelivered = false;
@@ -124,8 +130,7 @@
     m_keepAliveTimeout = DefaultKeepAliveTimeout;
     m_idleTimeout = call.idleTimeout;
     m_peerTimeout = call.peerTimeout;
-    m_callBeganAt = m_context->clock.now();
-    m_lastActivity = m_callBeganAt;
+    m_lastActivity = m_context->clock.now();
     m_callDeadline = m_lastActivity + call.timeout;
     m_connectDeadline = call.connectTimeout > Duration::zero()
         ? m_lastActivity + call.connectTimeout
@@ -197,6 +202,16 @@
     return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+// An endpoint may write an answer once more, on the connection on which it wrote it first and
+// several answers late. It bears the id of its request, also while another attempt with that id is
+// under way.
+bool EndpointConnection::canCarry(const EndpointCall &call) const
+{
+    return call.sendsNoId
+        || std::find(m_carriedIds.begin(), m_carriedIds.end(), std::hash<RequestId>()(call.id))
+        == m_carriedIds.end();
+}
+
 void EndpointConnection::noteUnsolicited() const
 {
     m_context->metrics.add("marigoldspool_endpoint_unsolicited_bytes_total");
@@ -331,7 +346,7 @@
         return;
     }
     if (isDone) {
-        complete(reusable && !m_mustNotReuse);
+        complete(reusable && !m_mustNotReuse && m_callCount < MaxCallsOfConnection);
     }
 }
 
--- a/lib/Gateway/EndpointConnection.h
+++ b/lib/Gateway/EndpointConnection.h
@@ -48,12 +48,13 @@
     void send(EndpointCall call, std::shared_ptr<EndpointCallHandler> handler);
     /// Whether the connection is open and has no unread bytes.
     bool isReusable();
+    /// Whether no answer to an earlier call, written again, can pass for that to \p call.
+    bool canCarry(const EndpointCall &call) const;
     void close();
 
     const std::string &address() const { return m_address; }
     /// How the connection is used by the call under way.
     ConnectionUse use() const;
-    SteadyTime callBeganAt() const { return m_callBeganAt; }
     bool isClosed() const { return m_state == State::Closed; }
     /// Whether the answer to the call under way goes to \p handler.
     bool isCalledBy(const EndpointCallHandler &handler) const
@@ -103,6 +104,8 @@
     std::uint64_t m_number;
     SteadyTime m_openedAt;
     std::uint64_t m_callCount = 0;
+    /// Hashes of the ids of all calls; two ids with one hash only cost a connection.
+    std::vector<std::size_t> m_carriedIds;
     RequestId m_id;
     std::shared_ptr<EndpointCallHandler> m_handler;
     std::string m_head;
@@ -128,7 +131,6 @@
     std::string m_unparsed;
     Duration m_idleTimeout = Duration::zero();
     Duration m_peerTimeout = Duration::zero();
-    SteadyTime m_callBeganAt;
     SteadyTime m_callDeadline;
     SteadyTime m_lastActivity;
     std::optional<SteadyTime> m_timerExpiry;
--- a/tests/Gateway/EndpointClientTest.cpp
+++ b/tests/Gateway/EndpointClientTest.cpp
@@ -224,6 +224,38 @@
     }
 }
 
+// Guards against a caller that takes all connections of an endpoint by reusing one id.
+TEST_CASE("repeated calls with one id leave few idle connections")
+{
+    ClientFixture fixture;
+    constexpr std::size_t Calls = 20;
+    for (std::size_t i = 0; i < Calls; ++i) {
+        const HandlerPtr handler = fixture.start(fixture.makeCall("r1"));
+        fixture.waitForRequest(i, "r1").send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        fixture.waitForEnd(handler);
+    }
+    std::size_t openCount = 0;
+    for (std::size_t i = 0; i < Calls; ++i) {
+        openCount += fixture.listener.connection(i).isClosed() ? 0 : 1;
+    }
+    CHECK(openCount <= 9);
+}
+
+// Guards against ids that a busy connection keeps without bound.
+TEST_CASE("a connection is replaced after many calls")
+{
+    ClientFixture fixture;
+    constexpr int MaxCalls = 1024;
+    for (int i = 0; i < MaxCalls + 1; ++i) {
+        const std::string id = "r" + std::to_string(i);
+        const HandlerPtr handler = fixture.start(fixture.makeCall(id));
+        RawSocket &socket = fixture.waitForRequest(i < MaxCalls ? 0 : 1, id);
+        socket.clearReceived();
+        socket.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        fixture.waitForEnd(handler);
+    }
+}
+
 TEST_CASE("a reused connection closed after the request was written counts as maybe sent")
 {
     ClientFixture fixture;
