Orders: a connection carries one call that bears no id

What callers would see: models that are waited for and come late, since the lease holder takes an order that an engine carries out for refused, or one that it has not read for done.

Same class as the copies of refusals.

Fix: a call without an id may ask that its connection carry no other such call, before or after; orders do. Requests with ids still share that connection. Reports share connections as before: one that lacks the last order is ignored already, and the copy of an older one is such a report.

Ruled out: the count of orders that each order states keeps an engine from carrying out too much, but not the holder from believing a wrong answer.

Evidence: the test failed on the code before, CHECK( 409 == 202 ); with the fix GatewayTests pass, and the seven cases of answers that are written again.

--- a/include/marigoldspool/Gateway/EndpointClient.h
+++ b/include/marigoldspool/Gateway/EndpointClient.h
@@ -48,6 +48,9 @@
     std::string echoField;
     /// The call bears no id for the endpoint to repeat; answers that repeat one are skipped.
     bool sendsNoId = false;
+    /// With sendsNoId: the answer must be that to this call, so its connection carries no other
+    /// call without an id, before or after.
+    bool needsOwnAnswer = false;
     /// The call fails when the body of the answer is longer, in bytes; zero: unlimited.
     std::size_t maxAnswerBytes = 0;
     /// An answer without a length is complete when the endpoint closes the connection cleanly.
--- a/lib/Gateway/EndpointConnection.cpp
+++ b/lib/Gateway/EndpointConnection.cpp
@@ -114,7 +114,10 @@
     m_body = std::move(call.body);
     m_sent = 0;
     m_id = std::move(call.id);
-    if (!call.sendsNoId) {
+    if (call.sendsNoId) {
+        m_hasCarriedNoId = true;
+        m_takesNoCallWithoutId = call.needsOwnAnswer;
+    } else {
         m_carriedIds.push_back(std::hash<RequestId>()(m_id));
     }
     m_isHeadRequest = call.method == "HEAD";
@@ -207,9 +210,11 @@
 // under way.
 bool EndpointConnection::canCarry(const EndpointCall &call) const
 {
-    return call.sendsNoId
-        || std::find(m_carriedIds.begin(), m_carriedIds.end(), std::hash<RequestId>()(call.id))
-        == m_carriedIds.end();
+    if (call.sendsNoId) {
+        return !m_takesNoCallWithoutId && !(call.needsOwnAnswer && m_hasCarriedNoId);
+    }
+    const std::size_t hash = std::hash<RequestId>()(call.id);
+    return std::find(m_carriedIds.begin(), m_carriedIds.end(), hash) == m_carriedIds.end();
 }
 
 void EndpointConnection::noteUnsolicited() const
--- a/lib/Gateway/EndpointConnection.h
+++ b/lib/Gateway/EndpointConnection.h
@@ -106,6 +106,9 @@
     std::uint64_t m_callCount = 0;
     /// Hashes of the ids of all calls; two ids with one hash only cost a connection.
     std::vector<std::size_t> m_carriedIds;
+    bool m_hasCarriedNoId = false;
+    /// The call without an id that the connection has carried must remain the only one.
+    bool m_takesNoCallWithoutId = false;
     RequestId m_id;
     std::shared_ptr<EndpointCallHandler> m_handler;
     std::string m_head;
