Test: a call without an id that needs its own answer shares no connection with another one

The test of orders on shared connections sends orders only, so it does not show that a report stays off the connection of an order: there, the copy of the answer to the order would count as a failed report.

--- a/tests/Gateway/EndpointClientTest.cpp
+++ b/tests/Gateway/EndpointClientTest.cpp
@@ -224,6 +224,30 @@
     }
 }
 
+// Guards against the copy of an answer to one call without an id that passes for that to another.
+TEST_CASE("a call without an id that needs its own answer shares its connection with no other one")
+{
+    ClientFixture fixture;
+    const auto exchange = [&fixture](const std::string &id, bool sendsNoId, bool needsOwnAnswer,
+                                     std::size_t connection) {
+        CAPTURE(id);
+        EndpointCall call = fixture.makeCall(id);
+        call.sendsNoId = sendsNoId;
+        call.needsOwnAnswer = needsOwnAnswer;
+        const HandlerPtr handler = fixture.start(std::move(call));
+        fixture.waitForRequest(connection, id).send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        fixture.waitForEnd(handler);
+    };
+    exchange("order-1", true, true, 0);
+    exchange("report-1", true, false, 1);
+    exchange("order-2", true, true, 2);
+    exchange("report-2", true, false, 1);
+    exchange("r1", false, false, 1);
+    exchange("order-3", true, true, 3);
+    exchange("r2", false, false, 3);
+    CHECK(fixture.listener.connections() == 4);
+}
+
 // Guards against a caller that takes all connections of an endpoint by reusing one id.
 TEST_CASE("repeated calls with one id leave few idle connections")
 {
