Test that fails: the copy of the answer to a HEAD request hides the next answer

Guards against an awaited answer of which a part is read as the body of the skipped one. The request then counts as one that may have run: CHECK( second->completed == 1 ) and CHECK( second->body == "ok" ) fail.

--- a/tests/Gateway/EndpointClientTest.cpp
+++ b/tests/Gateway/EndpointClientTest.cpp
@@ -503,6 +503,31 @@
     CHECK(handler->body == "ok");
 }
 
+// Guards against an answer of which a part is taken for the body of the answer that is skipped.
+TEST_CASE("the answer to a HEAD request that is written again does not hide the next answer")
+{
+    ClientFixture fixture;
+    const std::string copied = "HTTP/1.1 200 OK\r\nX-Echo: r1\r\nContent-Length: 20\r\n\r\n";
+    EndpointCall head = fixture.makeCall("r1", "HEAD");
+    head.echoField = "X-Echo";
+    const HandlerPtr first = fixture.start(std::move(head));
+    RawSocket &old = fixture.waitForRequest(0, "r1");
+    old.send(copied);
+    fixture.waitForEnd(first);
+    EndpointCall get = fixture.makeCall("r2");
+    get.echoField = "X-Echo";
+    const HandlerPtr second = fixture.start(std::move(get));
+    REQUIRE(fixture.loop.runUntil([&] {
+        return old.hasReceived("X-Request-Id: r2\r\n") || fixture.listener.connections() > 1;
+    }));
+    old.send(copied);
+    RawSocket &current = fixture.listener.connection(fixture.listener.connections() - 1);
+    current.send("HTTP/1.1 200 OK\r\nX-Echo: r2\r\nContent-Length: 2\r\n\r\nok");
+    fixture.waitForEnd(second);
+    CHECK(second->completed == 1);
+    CHECK(second->body == "ok");
+}
+
 TEST_CASE("an answer received byte by byte is whole")
 {
     ClientFixture fixture;
