Log surplus bytes behind an answer, and bound the ids in the lines of skipped answers

Findings of a review: the copy that follows an answer at once closed its connection without a line, and the id of a skipped answer, which may have any length, displaced the status from its line.

--- a/lib/Gateway/EndpointConnection.cpp
+++ b/lib/Gateway/EndpointConnection.cpp
@@ -37,6 +37,9 @@
 constexpr int MaxSkippedAnswers = 8;
 constexpr std::size_t MaxSkippedBytes = 1U << 20U;
 
+// An endpoint may send an id of any length.
+constexpr std::size_t MaxLoggedIdBytes = 64;
+
 // Bounds the ids that a connection keeps, which are compared with that of each further call.
 constexpr std::uint64_t MaxCallsOfConnection = 1024;
 
@@ -356,6 +359,9 @@
         return;
     }
     if (isDone) {
+        if (hasMore) {
+            noteUnsolicited();
+        }
         complete(reusable && !m_mustNotReuse && !m_isHeadRequest
                  && m_callCount < MaxCallsOfConnection);
     }
@@ -380,9 +386,9 @@
              {{"endpoint_address", m_address},
               {"connection", std::to_string(m_number)},
               {"calls", std::to_string(m_callCount)},
+              {"status", std::to_string(m_parser->status())},
               {"awaited_id", m_sendsNoId ? "none" : m_id.str()},
-              {"answer_id", echoed == nullptr ? "none" : *echoed},
-              {"status", std::to_string(m_parser->status())}});
+              {"answer_id", echoed == nullptr ? "none" : echoed->substr(0, MaxLoggedIdBytes)}});
     if (++m_skippedAnswers > MaxSkippedAnswers) {
         fail(ErrorKind::Malformed, m_address + " sends answers to other requests",
              "check that the endpoint repeats the id of the request");
--- a/lib/Gateway/EndpointConnection.h
+++ b/lib/Gateway/EndpointConnection.h
@@ -82,7 +82,7 @@
     bool isAnswerToThisRequest(const std::vector<HeaderField> &headers) const;
     /// Skips the answer whose head has been read; returns false if there are too many of them.
     bool skipAnswer(const std::vector<HeaderField> &headers);
-    /// Records bytes that have come while no call was under way.
+    /// Records bytes that have come behind an answer or while no call was under way.
     void noteUnsolicited() const;
     void complete(bool reusable);
     void completeAtClose();
--- a/tests/PlatformAdapter/UnprovenRefusalTest.cpp
+++ b/tests/PlatformAdapter/UnprovenRefusalTest.cpp
@@ -217,6 +217,9 @@
         const auto answer = call("/once/x");
         RawSocket &carrier = waitForRequest();
         carrier.clearReceived();
+        CHECK(std::any_of(refusals.begin(), refusals.end(), [](RawSocket *it) {
+            return !it->isClosed();
+        }));
         for (RawSocket *it : refusals) {
             it->send(refusal());
         }
