Duties and crash checks: the answer must be that to the call

What callers would see: usage that is not reported, since the copy of an earlier acceptance passes for that of the next window; requests under suspicion of a crash, since the copy of a 421 passes for the sign that an engine was replaced. Found by a review of the copies of refusals; not seen in play, and the users' pages name only endpoints as writers of such copies.

Fix: both kinds of calls bear no id, so each has a connection that carries no other call without an id. They are rare.

Evidence: a check of the encoded call; the effect of a copy is tested for orders.

--- a/lib/Fleet/CrashCheck.cpp
+++ b/lib/Fleet/CrashCheck.cpp
@@ -129,6 +129,8 @@
     }
     prepareEngineCall(call, "crash-check-" + std::to_string(++m_callCounter));
     call.connectTimeout = ConnectTimeout;
+    // A 421 is evidence only if it is not the copy of an earlier one.
+    call.needsOwnAnswer = true;
     m_runtime.endpoints->call(std::move(call),
                               std::make_shared<ReportHandler>(shared_from_this(), engine));
 }
--- a/tests/PlatformAdapter/ReplicaOrderTest.cpp
+++ b/tests/PlatformAdapter/ReplicaOrderTest.cpp
@@ -98,6 +98,8 @@
     CHECK(valueOf("X-Marigoldspool-Duty-Holder") == "front-1");
     CHECK(valueOf("X-Marigoldspool-Fence-Token") == "12");
     CHECK(valueOf("Content-Type") == "application/json");
+    // The copy of an answer to an earlier duty must not pass for the acceptance of this one.
+    CHECK((call.sendsNoId && call.needsOwnAnswer));
 }
 
 TEST_CASE("a call without an answer is repeated with the newest number")
