--- a/include/marigoldspool/Serving/EndpointDirectory.h
+++ b/include/marigoldspool/Serving/EndpointDirectory.h
@@ -115,6 +115,8 @@
     int sessionTokens = 0;
     /// Endpoints already tried for this request.
     gsl::span<const EndpointId> excluded;
+    /// Only endpoints of these versions; nullptr: of any.
+    const std::set<SoftwareVersion> *softwareVersions = nullptr;
     /// Latency objective of the request; expected delays are weighed against it.
     Duration objective = std::chrono::seconds(1);
     /// Skip endpoints with recent failures.
--- a/include/marigoldspool/Serving/ServingTypes.h
+++ b/include/marigoldspool/Serving/ServingTypes.h
@@ -16,6 +16,8 @@
 namespace marigoldspool {
 
 using PoolName = Identifier<struct PoolTag>;
+/// The version of an endpoint's software, not of the weights; versions have no order.
+using SoftwareVersion = Identifier<struct SoftwareVersionTag>;
 
 enum class RequestKind {
     Idempotent,
@@ -154,6 +156,7 @@
     std::optional<Duration> remainingLifetime;
     /// Start of the process in Unix milliseconds; distinguishes processes that reuse an id.
     std::int64_t startedAtMs = 0;
+    SoftwareVersion softwareVersion;
     LoadedModels models;
     std::set<ModelName> inMemory;
     std::set<ModelName> onDisk;
@@ -185,6 +188,8 @@
     std::vector<PromptPart> prompt;
     /// Id of the event after which the caller resumes a stream.
     std::string lastEventId;
+    /// The caller's attempt that brought the first event of the stream, as the caller says.
+    RequestId resumes;
 };
 
 } // namespace marigoldspool
--- a/lib/Fleet/FleetRuntime.h
+++ b/lib/Fleet/FleetRuntime.h
@@ -9,6 +9,8 @@
 #include "marigoldspool/Serving/PriorityDemands.h"
 #include "marigoldspool/Serving/PromptQuarantine.h"
 #include "marigoldspool/Serving/RouteTable.h"
+#include "marigoldspool/Serving/SoftwareVersions.h"
+#include "marigoldspool/Serving/StreamOrigins.h"
 #include "marigoldspool/Serving/UsageTally.h"
 #include "marigoldspool/Serving/WorkspaceQuota.h"
 #include "marigoldspool/Support/Metrics.h"
@@ -49,6 +51,8 @@
     WorkspaceQuota quota;
     RetryBudget retries;
     PromptQuarantine quarantine;
+    SoftwareVersions softwareVersions{clock};
+    StreamOrigins streamOrigins{clock};
     /// Null if usage is not reported.
     std::unique_ptr<UsageTally> usage;
     std::uint64_t incarnation;
--- /dev/null
+++ b/lib/Serving/StreamOrigins.cpp
@@ -0,0 +1,162 @@
+#include "marigoldspool/Serving/StreamOrigins.h"
+
+#include "marigoldspool/Support/Digest.h"
+
+#include <algorithm>
+#include <charconv>
+#include <map>
+#include <utility>
+
+namespace marigoldspool {
+
+namespace {
+
+void append(std::map<std::pair<PoolName, SoftwareVersion>, std::vector<StreamKey>> &groups,
+            const PoolName &pool, const SoftwareVersion &version, StreamKey key)
+{
+    groups[{pool, version}].push_back(key);
+}
+
+std::vector<StreamOriginGroup>
+toList(std::map<std::pair<PoolName, SoftwareVersion>, std::vector<StreamKey>> groups)
+{
+    std::vector<StreamOriginGroup> list;
+    list.reserve(groups.size());
+    for (auto &[kind, keys] : groups) {
+        list.push_back({kind.first, kind.second, std::move(keys)});
+    }
+    return list;
+}
+
+} // namespace
+
+StreamKey streamKey(const WorkspaceName &workspace, const RequestId &id)
+{
+    // The size keeps the two parts apart.
+    const std::string digest =
+        sha256Hex(std::to_string(workspace.str().size()) + ':' + workspace.str() + id.str());
+    StreamKey key = 0;
+    std::from_chars(digest.data(), digest.data() + 2 * sizeof(key), key, 16);
+    return key;
+}
+
+StreamOrigins::StreamOrigins(const Clock &clock)
+    : m_clock(clock)
+{ }
+
+std::uint32_t StreamOrigins::kindOf(const PoolName &pool, const SoftwareVersion &version)
+{
+    const auto it = std::find_if(m_kinds.begin(), m_kinds.end(), [&](const Kind &kind) {
+        return kind.pool == pool && kind.version == version;
+    });
+    if (it != m_kinds.end()) {
+        return static_cast<std::uint32_t>(it - m_kinds.begin());
+    }
+    m_kinds.push_back({pool, version});
+    return static_cast<std::uint32_t>(m_kinds.size() - 1);
+}
+
+StreamOrigins::Stream &StreamOrigins::add(const PoolName &pool, StreamKey key,
+                                          const SoftwareVersion &version, Duration lifetime)
+{
+    const SteadyTime now = m_clock.now();
+    const std::uint32_t kind = kindOf(pool, version);
+    const auto [it, isNew] = m_streams.emplace(key, Stream());
+    Stream &stream = it->second;
+    if (isNew) {
+        stream.kind = kind;
+        stream.addedAt = now;
+        m_order.push_back(key);
+    } else if (stream.kind != kind) {
+        stream.isAmbiguous = true;
+    }
+    stream.endsAt = std::max(stream.endsAt, now + lifetime);
+    while (m_streams.size() > MaxStreams) {
+        m_streams.erase(m_order.front());
+        m_order.pop_front();
+    }
+    return stream;
+}
+
+void StreamOrigins::onBegun(const PoolName &pool, StreamKey key, const SoftwareVersion &version,
+                            Duration lifetime)
+{
+    Stream &stream = add(pool, key, version, lifetime);
+    if (!stream.isOwn) {
+        stream.isOwn = true;
+        m_unannounced.push_back(key);
+    }
+}
+
+void StreamOrigins::onNotice(const StreamOriginGroup &group, Duration lifetime)
+{
+    for (const StreamKey key : group.keys) {
+        add(group.pool, key, group.version, lifetime);
+    }
+}
+
+std::optional<SoftwareVersion> StreamOrigins::find(const PoolName &pool, StreamKey key) const
+{
+    const auto it = m_streams.find(key);
+    if (it == m_streams.end() || it->second.isAmbiguous) {
+        return std::nullopt;
+    }
+    const Kind &kind = m_kinds[it->second.kind];
+    return kind.pool == pool ? std::make_optional(kind.version) : std::nullopt;
+}
+
+std::vector<StreamOriginGroup>
+StreamOrigins::takeNew(const std::function<bool(const PoolName &)> &isWanted)
+{
+    std::map<std::pair<PoolName, SoftwareVersion>, std::vector<StreamKey>> groups;
+    std::vector<StreamKey> kept;
+    for (const StreamKey key : m_unannounced) {
+        const auto it = m_streams.find(key);
+        if (it == m_streams.end()) {
+            continue;
+        }
+        const Kind &kind = m_kinds[it->second.kind];
+        if (!isWanted(kind.pool)) {
+            kept.push_back(key);
+            continue;
+        }
+        append(groups, kind.pool, kind.version, key);
+    }
+    m_unannounced = std::move(kept);
+    return toList(std::move(groups));
+}
+
+std::vector<StreamOriginGroup> StreamOrigins::addedSince(SteadyTime since) const
+{
+    std::map<std::pair<PoolName, SoftwareVersion>, std::vector<StreamKey>> groups;
+    for (auto it = m_order.rbegin(); it != m_order.rend(); ++it) {
+        const auto found = m_streams.find(*it);
+        if (found == m_streams.end()) {
+            continue;
+        }
+        if (found->second.addedAt <= since) {
+            break;
+        }
+        const Kind &kind = m_kinds[found->second.kind];
+        append(groups, kind.pool, kind.version, *it);
+    }
+    return toList(std::move(groups));
+}
+
+// The lifetimes of pools differ, so a stream may be kept longer behind one of another pool.
+void StreamOrigins::onTick()
+{
+    const SteadyTime now = m_clock.now();
+    while (!m_order.empty()) {
+        const auto it = m_streams.find(m_order.front());
+        if (it != m_streams.end() && now < it->second.endsAt) {
+            return;
+        }
+        if (it != m_streams.end()) {
+            m_streams.erase(it);
+        }
+        m_order.pop_front();
+    }
+}
+
+} // namespace marigoldspool
