Software versions: streams do not begin at a version that is not known yet

allowedForNew() allowed any version as soon as all known ones were allowed, so that a stream could begin at an endpoint whose version was not listed or recorded yet, and a kill of all instances would forget it. It now returns the set wherever a version is known. The new test fails without the change.

--- a/include/marigoldspool/Serving/SoftwareVersions.h
+++ b/include/marigoldspool/Serving/SoftwareVersions.h
@@ -36,7 +36,7 @@
     std::optional<SoftwareVersion> onlyVersion(const PoolName &pool) const;
     /// Whether an endpoint of this version is listed.
     bool isListed(const PoolName &pool, const SoftwareVersion &version) const;
-    /// The versions at which streams may begin; nullptr if any may.
+    /// The versions at which streams may begin; nullptr if none has been listed or recorded.
     const Versions *allowedForNew(const PoolName &pool) const;
     /// What the record of each pool has to be, where that differs from what it is.
     std::map<PoolName, Versions> recordsToWrite() const;
@@ -57,7 +57,6 @@
         std::map<SoftwareVersion, VersionState> versions;
         /// Derived from \c versions.
         Versions allowed;
-        bool isAnyAllowed = true;
     };
 
     const PoolState *find(const PoolName &pool) const;
--- a/lib/Serving/SoftwareVersions.cpp
+++ b/lib/Serving/SoftwareVersions.cpp
@@ -88,15 +88,12 @@
         ++it;
     }
     state.allowed.clear();
-    state.isAnyAllowed = true;
     for (auto &[version, it] : state.versions) {
         // Before the first record, the only version is the one that it will have.
         it.isAllowed = it.isRecorded || (!hasRecord && listedCount <= 1)
             || (it.isListed && (it.isAllowed || now - it.listedSince >= MaxUnrecordedTime));
         if (it.isAllowed) {
             state.allowed.insert(version);
-        } else {
-            state.isAnyAllowed = false;
         }
     }
 }
@@ -135,7 +132,7 @@
 const SoftwareVersions::Versions *SoftwareVersions::allowedForNew(const PoolName &pool) const
 {
     const PoolState *state = find(pool);
-    return state == nullptr || state->isAnyAllowed ? nullptr : &state->allowed;
+    return state == nullptr || state->versions.empty() ? nullptr : &state->allowed;
 }
 
 std::map<PoolName, SoftwareVersions::Versions> SoftwareVersions::recordsToWrite() const
--- a/tests/Serving/SoftwareVersionsTest.cpp
+++ b/tests/Serving/SoftwareVersionsTest.cpp
@@ -85,6 +85,14 @@
     CHECK(allows(V2));
 }
 
+// Guards against streams at a version that an endpoint has, but that has not been listed yet.
+TEST_CASE_FIXTURE(VersionsFixture, "streams do not begin at a version that is not known")
+{
+    list({V1});
+    writeRecords();
+    CHECK_FALSE(allows(V2));
+}
+
 // Guards against a version that stops serving streams when the list lacks it for a short time.
 TEST_CASE_FIXTURE(VersionsFixture, "a version that returns soon serves at once")
 {
