Software versions: a successor waits for the first record

Before the first record, a version was allowed if it alone was listed, also if another one had served shortly before. Streams had then begun at two versions, neither recorded. The exception now holds only for a pool of which no other version is known. The new test fails without the change.

--- a/lib/Serving/SoftwareVersions.cpp
+++ b/lib/Serving/SoftwareVersions.cpp
@@ -76,7 +76,6 @@
     const SteadyTime now = m_clock.now();
     const Duration lifetime = streamLifetime(pool);
     bool hasRecord = false;
-    std::size_t listedCount = 0;
     for (auto it = state.versions.begin(); it != state.versions.end();) {
         const bool isOver = !it->second.isListed && now - it->second.lastSeen >= lifetime;
         if (isOver && !it->second.isRecorded) {
@@ -84,13 +83,12 @@
             continue;
         }
         hasRecord = hasRecord || it->second.isRecorded;
-        listedCount += it->second.isListed ? 1 : 0;
         ++it;
     }
     state.allowed.clear();
     for (auto &[version, it] : state.versions) {
         // Before the first record, the only version is the one that it will have.
-        it.isAllowed = it.isRecorded || (!hasRecord && listedCount <= 1)
+        it.isAllowed = it.isRecorded || (!hasRecord && state.versions.size() == 1)
             || (it.isListed && (it.isAllowed || now - it.listedSince >= MaxUnrecordedTime));
         if (it.isAllowed) {
             state.allowed.insert(version);
--- a/tests/Serving/SoftwareVersionsTest.cpp
+++ b/tests/Serving/SoftwareVersionsTest.cpp
@@ -93,6 +93,17 @@
     CHECK_FALSE(allows(V2));
 }
 
+// Guards against forgetting the first version: the second was allowed before either was recorded.
+TEST_CASE_FIXTURE(VersionsFixture, "the successor of a version without a record waits for one")
+{
+    list({V1});
+    list({V2});
+    CHECK_FALSE(allows(V2));
+    writeRecords();
+    CHECK(allows(V2));
+    CHECK(versions.isMixed(Pool));
+}
+
 // Guards against a version that stops serving streams when the list lacks it for a short time.
 TEST_CASE_FIXTURE(VersionsFixture, "a version that returns soon serves at once")
 {
