Software versions: a version found in the record again counts from then

An instance that still knew a version which had left kept its old time when another instance recorded it again, and forgot it at once when the record dropped it, although its streams were still open. The new test fails without the change.

--- a/lib/Serving/SoftwareVersions.cpp
+++ b/lib/Serving/SoftwareVersions.cpp
@@ -58,9 +58,9 @@
     const SteadyTime now = m_clock.now();
     PoolState &state = m_pools[pool];
     for (const SoftwareVersion &version : versions) {
-        const auto [it, isNew] = state.versions.emplace(version, VersionState());
-        if (isNew) {
-            it->second.lastSeen = now;
+        VersionState &it = state.versions[version];
+        if (!it.isRecorded) {
+            it.lastSeen = now;
         }
     }
     for (auto &[version, it] : state.versions) {
--- a/tests/Serving/SoftwareVersionsTest.cpp
+++ b/tests/Serving/SoftwareVersionsTest.cpp
@@ -104,6 +104,21 @@
     CHECK(versions.isMixed(Pool));
 }
 
+// Guards against a version that is forgotten as soon as a record without it is read, although
+// other instances served it until then.
+TEST_CASE_FIXTURE(VersionsFixture, "a version found in the record again counts from then")
+{
+    record({V2});
+    list({V1, V2});
+    run(50s, {V2});
+    record({V1, V2});
+    run(15s, {V2});
+    record({V2});
+    CHECK(versions.isMixed(Pool));
+    run(60s, {V2});
+    CHECK(versions.onlyVersion(Pool) == V2);
+}
+
 // Guards against a version that stops serving streams when the list lacks it for a short time.
 TEST_CASE_FIXTURE(VersionsFixture, "a version that returns soon serves at once")
 {
