Software versions: a version counts until late streams of it have ended

A version counted for the lifetime of a stream after it was last listed. An instance that receives the list later, or a request that was sent before, begins a stream after that time, and its version was forgotten while it could be taken up. The version now counts 10 s longer. The new test fails without the change.

--- a/lib/Serving/SoftwareVersions.cpp
+++ b/lib/Serving/SoftwareVersions.cpp
@@ -13,6 +13,9 @@
 // While the store cannot be written, endpoints of a new version would otherwise serve no streams. A
 // kill of all instances in that time loses that the version has served.
 constexpr Duration MaxUnrecordedTime = seconds(5);
+// Instances learn at different times that an endpoint has left, and a request that was sent before
+// begins its stream afterwards. Without this time, the version of such a stream is forgotten first.
+constexpr Duration LateBeginning = seconds(10);
 
 } // namespace
 
@@ -74,10 +77,10 @@
 void SoftwareVersions::update(const PoolName &pool, PoolState &state)
 {
     const SteadyTime now = m_clock.now();
-    const Duration lifetime = streamLifetime(pool);
+    const Duration retention = streamLifetime(pool) + LateBeginning;
     bool hasRecord = false;
     for (auto it = state.versions.begin(); it != state.versions.end();) {
-        const bool isOver = !it->second.isListed && now - it->second.lastSeen >= lifetime;
+        const bool isOver = !it->second.isListed && now - it->second.lastSeen >= retention;
         if (isOver && !it->second.isRecorded) {
             it = state.versions.erase(it);
             continue;
@@ -138,10 +141,11 @@
     const SteadyTime now = m_clock.now();
     std::map<PoolName, Versions> records;
     for (const auto &[pool, state] : m_pools) {
+        const Duration retention = streamLifetime(pool) + LateBeginning;
         Versions versions;
         bool isDifferent = false;
         for (const auto &[version, it] : state.versions) {
-            const bool isDue = it.isListed || now - it.lastSeen < streamLifetime(pool);
+            const bool isDue = it.isListed || now - it.lastSeen < retention;
             if (isDue) {
                 versions.insert(version);
             }
--- a/tests/Serving/SoftwareVersionsTest.cpp
+++ b/tests/Serving/SoftwareVersionsTest.cpp
@@ -119,6 +119,22 @@
     CHECK(versions.onlyVersion(Pool) == V2);
 }
 
+// Guards against forgetting a version while a stream that began after its endpoint left, or at an
+// instance that received the list later, may still be taken up.
+TEST_CASE_FIXTURE(VersionsFixture, "a version counts until late streams of it have ended")
+{
+    list({V1, V2});
+    writeRecords();
+    run(59s, {V2});
+    CHECK(versions.recordsToWrite().empty());
+    CHECK(versions.isMixed(Pool));
+    run(1s, {V2});
+    CHECK(versions.recordsToWrite() == std::map<PoolName, Versions>{{Pool, {V2}}});
+    CHECK(versions.isMixed(Pool));
+    writeRecords();
+    CHECK(versions.onlyVersion(Pool) == V2);
+}
+
 // Guards against a version that stops serving streams when the list lacks it for a short time.
 TEST_CASE_FIXTURE(VersionsFixture, "a version that returns soon serves at once")
 {
