Software versions: a version that returns late waits for a current record

A version that had been unlisted for the lifetime of a stream was allowed again at once if the instance had last read it in the record, which the lease holder may have changed since. Streams then began at a version that was not recorded. It now waits for a record that is read or written after its return. The new test fails without the change.

--- a/lib/Serving/SoftwareVersions.cpp
+++ b/lib/Serving/SoftwareVersions.cpp
@@ -44,10 +44,15 @@
     }
     for (auto &[pool, state] : m_pools) {
         const auto found = listed.find(pool);
+        const Duration lifetime = streamLifetime(pool);
         for (auto &[version, it] : state.versions) {
             const bool isListed = found != listed.end() && found->second.count(version) > 0;
             if (isListed && !it.isListed) {
                 it.listedSince = now;
+                // The lease holder may have removed it from the record in the meantime.
+                const bool isRecordCurrent = now - it.lastSeen < lifetime;
+                it.isRecorded = it.isRecorded && isRecordCurrent;
+                it.isAllowed = it.isAllowed && isRecordCurrent;
             }
             it.isListed = isListed;
             it.lastSeen = isListed ? now : it.lastSeen;
--- a/tests/Serving/SoftwareVersionsTest.cpp
+++ b/tests/Serving/SoftwareVersionsTest.cpp
@@ -135,6 +135,19 @@
     CHECK(versions.onlyVersion(Pool) == V2);
 }
 
+// Guards against streams at a version that the lease holder has just removed from the record.
+TEST_CASE_FIXTURE(VersionsFixture, "a version that returns late waits for a current record")
+{
+    list({V1, V2});
+    writeRecords();
+    run(55s, {V2});
+    list({V1, V2});
+    CHECK_FALSE(allows(V1));
+    CHECK(versions.recordsToWrite() == std::map<PoolName, Versions>{{Pool, {V1, V2}}});
+    writeRecords();
+    CHECK(allows(V1));
+}
+
 // Guards against a version that stops serving streams when the list lacks it for a short time.
 TEST_CASE_FIXTURE(VersionsFixture, "a version that returns soon serves at once")
 {
