Software versions: forget pools without versions

The state of a pool stayed after its last version had been forgotten, so that memory grew with every pool that had ever been listed. The new test fails without the change.

--- a/include/marigoldspool/Serving/SoftwareVersions.h
+++ b/include/marigoldspool/Serving/SoftwareVersions.h
@@ -42,6 +42,8 @@
     std::map<PoolName, Versions> recordsToWrite() const;
     /// How long a stream of \p pool may be taken up.
     Duration streamLifetime(const PoolName &pool) const;
+    /// How many pools are kept.
+    std::size_t size() const { return m_pools.size(); }
 
 private:
     struct VersionState {
--- a/lib/Serving/SoftwareVersions.cpp
+++ b/lib/Serving/SoftwareVersions.cpp
@@ -1,6 +1,7 @@
 #include "marigoldspool/Serving/SoftwareVersions.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace marigoldspool {
@@ -42,7 +43,8 @@
             m_pools[pool].versions[version];
         }
     }
-    for (auto &[pool, state] : m_pools) {
+    for (auto entry = m_pools.begin(); entry != m_pools.end();) {
+        auto &[pool, state] = *entry;
         const auto found = listed.find(pool);
         const Duration lifetime = streamLifetime(pool);
         for (auto &[version, it] : state.versions) {
@@ -58,6 +60,7 @@
             it.lastSeen = isListed ? now : it.lastSeen;
         }
         update(pool, state);
+        entry = state.versions.empty() ? m_pools.erase(entry) : std::next(entry);
     }
 }
 
--- a/tests/Serving/SoftwareVersionsTest.cpp
+++ b/tests/Serving/SoftwareVersionsTest.cpp
@@ -185,3 +185,16 @@
     run(49s, {V2});
     CHECK_FALSE(versions.onlyVersion(Pool).has_value());
 }
+
+// Guards against memory that grows with every pool that has ever been listed.
+TEST_CASE_FIXTURE(VersionsFixture, "a pool without versions is forgotten")
+{
+    list({V1});
+    writeRecords();
+    run(60s, {});
+    writeRecords();
+    list({});
+    CHECK(versions.size() == 0);
+    CHECK(versions.allowedForNew(Pool) == nullptr);
+    CHECK(versions.recordsToWrite().empty());
+}
