Stream origins: tell of both versions of a key

When streams of two versions had begun under one id, only the first version was told to other instances and written to the record, and nothing at all if the first had been told already. They resumed streams of the second version at the first one. Both are told now. The new test fails without the change.

--- a/include/marigoldspool/Serving/StreamOrigins.h
+++ b/include/marigoldspool/Serving/StreamOrigins.h
@@ -5,8 +5,10 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include <gsl/span>
@@ -57,6 +59,9 @@
     struct Stream {
         /// Index into m_kinds.
         std::uint32_t kind = 0;
+        /// The same for another version, if isAmbiguous.
+        std::uint32_t otherKind = 0;
+        /// Whether it has begun here, with all the versions that are known.
         bool isOwn = false;
         /// Streams of two versions have this key.
         bool isAmbiguous = false;
@@ -68,6 +73,10 @@
         SoftwareVersion version;
     };
 
+    using Groups = std::map<std::pair<PoolName, SoftwareVersion>, std::vector<StreamKey>>;
+
+    /// Adds the stream under each version that is known of it.
+    void append(Groups &groups, StreamKey key, const Stream &stream) const;
     std::uint32_t kindOf(const PoolName &pool, const SoftwareVersion &version);
     Stream &add(const PoolName &pool, StreamKey key, const SoftwareVersion &version,
                 Duration lifetime);
--- a/lib/Serving/StreamOrigins.cpp
+++ b/lib/Serving/StreamOrigins.cpp
@@ -11,12 +11,6 @@
 
 namespace {
 
-void append(std::map<std::pair<PoolName, SoftwareVersion>, std::vector<StreamKey>> &groups,
-            const PoolName &pool, const SoftwareVersion &version, StreamKey key)
-{
-    groups[{pool, version}].push_back(key);
-}
-
 std::vector<StreamOriginGroup>
 toList(std::map<std::pair<PoolName, SoftwareVersion>, std::vector<StreamKey>> groups)
 {
@@ -67,8 +61,14 @@
         stream.kind = kind;
         stream.addedAt = now;
         m_order.push_back(key);
-    } else if (stream.kind != kind) {
+    } else if (stream.kind != kind && !stream.isAmbiguous) {
+        // The record has to hold both versions, also if it holds the first one already.
+        m_order.erase(std::find(m_order.begin(), m_order.end(), key));
+        m_order.push_back(key);
+        stream.addedAt = now;
         stream.isAmbiguous = true;
+        stream.otherKind = kind;
+        stream.isOwn = false;
     }
     stream.endsAt = std::max(stream.endsAt, now + lifetime);
     while (m_streams.size() > MaxStreams) {
@@ -105,22 +105,33 @@
     return kind.pool == pool ? std::make_optional(kind.version) : std::nullopt;
 }
 
+void StreamOrigins::append(Groups &groups, StreamKey key, const Stream &stream) const
+{
+    const Kind &kind = m_kinds[stream.kind];
+    groups[{kind.pool, kind.version}].push_back(key);
+    if (stream.isAmbiguous) {
+        const Kind &other = m_kinds[stream.otherKind];
+        groups[{other.pool, other.version}].push_back(key);
+    }
+}
+
 std::vector<StreamOriginGroup>
 StreamOrigins::takeNew(const std::function<bool(const PoolName &)> &isWanted)
 {
-    std::map<std::pair<PoolName, SoftwareVersion>, std::vector<StreamKey>> groups;
+    Groups groups;
     std::vector<StreamKey> kept;
     for (const StreamKey key : m_unannounced) {
         const auto it = m_streams.find(key);
         if (it == m_streams.end()) {
             continue;
         }
-        const Kind &kind = m_kinds[it->second.kind];
-        if (!isWanted(kind.pool)) {
+        const Stream &stream = it->second;
+        if (!isWanted(m_kinds[stream.kind].pool)
+            && !(stream.isAmbiguous && isWanted(m_kinds[stream.otherKind].pool))) {
             kept.push_back(key);
             continue;
         }
-        append(groups, kind.pool, kind.version, key);
+        append(groups, key, it->second);
     }
     m_unannounced = std::move(kept);
     return toList(std::move(groups));
@@ -128,7 +139,7 @@
 
 std::vector<StreamOriginGroup> StreamOrigins::addedSince(SteadyTime since) const
 {
-    std::map<std::pair<PoolName, SoftwareVersion>, std::vector<StreamKey>> groups;
+    Groups groups;
     for (auto it = m_order.rbegin(); it != m_order.rend(); ++it) {
         const auto found = m_streams.find(*it);
         if (found == m_streams.end()) {
@@ -137,8 +148,7 @@
         if (found->second.addedAt <= since) {
             break;
         }
-        const Kind &kind = m_kinds[found->second.kind];
-        append(groups, kind.pool, kind.version, *it);
+        append(groups, *it, found->second);
     }
     return toList(std::move(groups));
 }
--- a/tests/Serving/StreamOriginsTest.cpp
+++ b/tests/Serving/StreamOriginsTest.cpp
@@ -68,6 +68,29 @@
     CHECK(origins.takeNew(isAnyPool).empty());
 }
 
+// Guards against a peer that knows one version of a key after both had begun streams: only the
+// first one was told.
+TEST_CASE_FIXTURE(OriginsFixture, "a key of two versions is unknown at all instances")
+{
+    origins.onBegun(Pool, 1, V1, 50s);
+    tellPeer(origins.takeNew(isAnyPool));
+    clock.advance(1s);
+    const SteadyTime since = clock.now();
+    clock.advance(1s);
+    origins.onBegun(Pool, 1, V2, 50s);
+    CHECK_FALSE(origins.find(Pool, 1).has_value());
+    SUBCASE("by message")
+    {
+        tellPeer(origins.takeNew(isAnyPool));
+    }
+    SUBCASE("by the record")
+    {
+        tellPeer(origins.addedSince(since));
+    }
+    CHECK_FALSE(peer.find(Pool, 1).has_value());
+    CHECK(peer.size() == 1);
+}
+
 // Guards against streams that are kept after the end, or lost before it, beside other lifetimes.
 TEST_CASE_FIXTURE(OriginsFixture, "streams are kept for their lifetime")
 {
