Stream origins: bound the list of streams that nobody was told of

The list of own streams grew for ever in a pool that is never mixed, since only takeNew() shortened it. Entries of forgotten streams and repeated ones are now removed once the list is more than twice as long as there are streams. The new test fails without the change.

--- a/include/marigoldspool/Serving/StreamOrigins.h
+++ b/include/marigoldspool/Serving/StreamOrigins.h
@@ -54,6 +54,8 @@
     /// Forgets streams whose lifetime is over.
     void onTick();
     std::size_t size() const { return m_streams.size(); }
+    /// How many entries wait for takeNew(), with those of streams that have been forgotten.
+    std::size_t unannouncedCount() const { return m_unannounced.size(); }
 
 private:
     struct Stream {
@@ -77,6 +79,7 @@
 
     /// Adds the stream under each version that is known of it.
     void append(Groups &groups, StreamKey key, const Stream &stream) const;
+    void pruneUnannounced();
     std::uint32_t kindOf(const PoolName &pool, const SoftwareVersion &version);
     Stream &add(const PoolName &pool, StreamKey key, const SoftwareVersion &version,
                 Duration lifetime);
--- a/lib/Serving/StreamOrigins.cpp
+++ b/lib/Serving/StreamOrigins.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr std::size_t MinUnannouncedForPruning = 1'000;
+
 std::vector<StreamOriginGroup>
 toList(std::map<std::pair<PoolName, SoftwareVersion>, std::vector<StreamKey>> groups)
 {
@@ -86,6 +88,22 @@
         stream.isOwn = true;
         m_unannounced.push_back(key);
     }
+    // Nothing takes the streams of a pool that is never mixed.
+    if (m_unannounced.size() > 2 * m_streams.size() + MinUnannouncedForPruning) {
+        pruneUnannounced();
+    }
+}
+
+// A key that was forgotten and used again is in the list twice.
+void StreamOrigins::pruneUnannounced()
+{
+    std::sort(m_unannounced.begin(), m_unannounced.end());
+    const auto end = std::unique(m_unannounced.begin(), m_unannounced.end());
+    const auto isForgotten = [this](StreamKey key) {
+        return m_streams.count(key) == 0;
+    };
+    m_unannounced.erase(std::remove_if(m_unannounced.begin(), end, isForgotten),
+                        m_unannounced.end());
 }
 
 void StreamOrigins::onNotice(const StreamOriginGroup &group, Duration lifetime)
--- a/tests/Serving/StreamOriginsTest.cpp
+++ b/tests/Serving/StreamOriginsTest.cpp
@@ -127,3 +127,14 @@
     CHECK_FALSE(origins.find(Pool, 10).has_value());
     CHECK(origins.find(Pool, 11) == V1);
 }
+
+// Guards against memory that grows while a pool is never mixed, also if a caller reuses an id.
+TEST_CASE_FIXTURE(OriginsFixture, "streams that are never told of are forgotten")
+{
+    for (StreamKey key = 1; key <= 20'000; ++key) {
+        origins.onBegun(Pool, key % 2 == 0 ? 0 : key, V1, 1s);
+        clock.advance(1s);
+        origins.onTick();
+    }
+    CHECK(origins.unannouncedCount() <= 1'100);
+}
