Stream origins: forget versions without streams

Each pair of pool and version that ever had a stream kept its place, so that memory and the search for a pair grew with every release. Places are now used again. The new test fails without the change.

--- a/include/marigoldspool/Serving/StreamOrigins.h
+++ b/include/marigoldspool/Serving/StreamOrigins.h
@@ -54,6 +54,8 @@
     /// Forgets streams whose lifetime is over.
     void onTick();
     std::size_t size() const { return m_streams.size(); }
+    /// How many pairs of pool and version have a place, with free ones.
+    std::size_t kindCount() const { return m_kinds.size(); }
     /// How many entries wait for takeNew(), with those of streams that have been forgotten.
     std::size_t unannouncedCount() const { return m_unannounced.size(); }
 
@@ -73,6 +75,8 @@
     struct Kind {
         PoolName pool;
         SoftwareVersion version;
+        /// Streams that refer to it; at 0 its place is free.
+        std::size_t uses = 0;
     };
 
     using Groups = std::map<std::pair<PoolName, SoftwareVersion>, std::vector<StreamKey>>;
@@ -80,6 +84,7 @@
     /// Adds the stream under each version that is known of it.
     void append(Groups &groups, StreamKey key, const Stream &stream) const;
     void pruneUnannounced();
+    void forgetOldest();
     std::uint32_t kindOf(const PoolName &pool, const SoftwareVersion &version);
     Stream &add(const PoolName &pool, StreamKey key, const SoftwareVersion &version,
                 Duration lifetime);
--- a/lib/Serving/StreamOrigins.cpp
+++ b/lib/Serving/StreamOrigins.cpp
@@ -48,6 +48,13 @@
     if (it != m_kinds.end()) {
         return static_cast<std::uint32_t>(it - m_kinds.begin());
     }
+    const auto unused = std::find_if(m_kinds.begin(), m_kinds.end(), [](const Kind &kind) {
+        return kind.uses == 0;
+    });
+    if (unused != m_kinds.end()) {
+        *unused = {pool, version};
+        return static_cast<std::uint32_t>(unused - m_kinds.begin());
+    }
     m_kinds.push_back({pool, version});
     return static_cast<std::uint32_t>(m_kinds.size() - 1);
 }
@@ -61,6 +68,7 @@
     Stream &stream = it->second;
     if (isNew) {
         stream.kind = kind;
+        ++m_kinds[kind].uses;
         stream.addedAt = now;
         m_order.push_back(key);
     } else if (stream.kind != kind && !stream.isAmbiguous) {
@@ -70,16 +78,30 @@
         stream.addedAt = now;
         stream.isAmbiguous = true;
         stream.otherKind = kind;
+        ++m_kinds[kind].uses;
         stream.isOwn = false;
     }
     stream.endsAt = std::max(stream.endsAt, now + lifetime);
     while (m_streams.size() > MaxStreams) {
-        m_streams.erase(m_order.front());
-        m_order.pop_front();
+        forgetOldest();
     }
     return stream;
 }
 
+void StreamOrigins::forgetOldest()
+{
+    const auto it = m_streams.find(m_order.front());
+    m_order.pop_front();
+    if (it == m_streams.end()) {
+        return;
+    }
+    --m_kinds[it->second.kind].uses;
+    if (it->second.isAmbiguous) {
+        --m_kinds[it->second.otherKind].uses;
+    }
+    m_streams.erase(it);
+}
+
 void StreamOrigins::onBegun(const PoolName &pool, StreamKey key, const SoftwareVersion &version,
                             Duration lifetime)
 {
@@ -180,10 +202,7 @@
         if (it != m_streams.end() && now < it->second.endsAt) {
             return;
         }
-        if (it != m_streams.end()) {
-            m_streams.erase(it);
-        }
-        m_order.pop_front();
+        forgetOldest();
     }
 }
 
--- a/tests/Serving/StreamOriginsTest.cpp
+++ b/tests/Serving/StreamOriginsTest.cpp
@@ -138,3 +138,16 @@
     }
     CHECK(origins.unannouncedCount() <= 1'100);
 }
+
+// Guards against memory that grows with every version that has ever been released.
+TEST_CASE_FIXTURE(OriginsFixture, "versions without streams are forgotten")
+{
+    for (int i = 0; i < 1'000; ++i) {
+        const SoftwareVersion version("v" + std::to_string(i));
+        origins.onBegun(Pool, static_cast<StreamKey>(i), version, 2s);
+        clock.advance(1s);
+        origins.onTick();
+        CHECK(origins.find(Pool, static_cast<StreamKey>(i)) == version);
+    }
+    CHECK(origins.kindCount() <= 10);
+}
