Stream origins: a reused id does not keep later streams

A caller that used one id again and again prolonged its entry, and as the oldest one it kept all later streams from being forgotten, up to the limit of 100,000. Such an entry now moves behind the others. The new test fails without the change.

--- a/include/marigoldspool/Serving/StreamOrigins.h
+++ b/include/marigoldspool/Serving/StreamOrigins.h
@@ -69,6 +69,8 @@
         bool isOwn = false;
         /// Streams of two versions have this key.
         bool isAmbiguous = false;
+        /// Whether its key has been used again since it was put into m_order.
+        bool isExtended = false;
         SteadyTime addedAt;
         SteadyTime endsAt;
     };
--- a/lib/Serving/StreamOrigins.cpp
+++ b/lib/Serving/StreamOrigins.cpp
@@ -81,6 +81,7 @@
         ++m_kinds[kind].uses;
         stream.isOwn = false;
     }
+    stream.isExtended = !isNew;
     stream.endsAt = std::max(stream.endsAt, now + lifetime);
     while (m_streams.size() > MaxStreams) {
         forgetOldest();
@@ -199,10 +200,18 @@
     const SteadyTime now = m_clock.now();
     while (!m_order.empty()) {
         const auto it = m_streams.find(m_order.front());
-        if (it != m_streams.end() && now < it->second.endsAt) {
+        if (it == m_streams.end() || now >= it->second.endsAt) {
+            forgetOldest();
+            continue;
+        }
+        if (!it->second.isExtended) {
             return;
         }
-        forgetOldest();
+        // A caller that uses an id again and again must not keep all later streams.
+        m_order.pop_front();
+        m_order.push_back(it->first);
+        it->second.addedAt = now;
+        it->second.isExtended = false;
     }
 }
 
--- a/tests/Serving/StreamOriginsTest.cpp
+++ b/tests/Serving/StreamOriginsTest.cpp
@@ -151,3 +151,16 @@
     }
     CHECK(origins.kindCount() <= 10);
 }
+
+// Guards against memory that grows while a caller uses an id again and again.
+TEST_CASE_FIXTURE(OriginsFixture, "a stream whose id is reused does not keep later ones")
+{
+    for (StreamKey key = 1; key <= 100; ++key) {
+        origins.onBegun(Pool, 0, V1, 2s);
+        origins.onBegun(Pool, key, V1, 2s);
+        clock.advance(1s);
+        origins.onTick();
+    }
+    CHECK(origins.find(Pool, 0) == V1);
+    CHECK(origins.size() <= 5);
+}
