Stream origins: keep the streams of a large fleet

An instance that is told of 2,600 streams a second, each of which may be taken up for 50 s, has 130,000 of them. The limit of 100,000 forgot them after 38 s. The new test fails without the change.

--- a/include/marigoldspool/Serving/StreamOrigins.h
+++ b/include/marigoldspool/Serving/StreamOrigins.h
@@ -33,8 +33,9 @@
 class StreamOrigins
 {
 public:
-    /// At most this many streams are kept; the oldest are forgotten first.
-    static constexpr std::size_t MaxStreams = 100'000;
+    /// At most this many streams are kept; the oldest are forgotten first. A fleet that begins
+    /// 2,600 streams a second, each of which may be taken up for 50 s, needs 130,000.
+    static constexpr std::size_t MaxStreams = 200'000;
 
     explicit StreamOrigins(const Clock &clock);
 
--- a/tests/Serving/StreamOriginsTest.cpp
+++ b/tests/Serving/StreamOriginsTest.cpp
@@ -128,6 +128,21 @@
     CHECK(origins.find(Pool, 11) == V1);
 }
 
+// Guards against take-ups that are refused because a large fleet's streams exceed the limit.
+TEST_CASE_FIXTURE(OriginsFixture, "all streams of a large fleet are kept for their lifetime")
+{
+    constexpr StreamKey Rate = 2'600;
+    for (StreamKey second = 0; second < 60; ++second) {
+        for (StreamKey i = 0; i < Rate; ++i) {
+            origins.onNotice({Pool, V1, {second * Rate + i}}, 50s);
+        }
+        clock.advance(1s);
+        origins.onTick();
+    }
+    CHECK(origins.size() == 49 * Rate);
+    CHECK(origins.find(Pool, 11 * Rate) == V1);
+}
+
 // Guards against memory that grows while a pool is never mixed, also if a caller reuses an id.
 TEST_CASE_FIXTURE(OriginsFixture, "streams that are never told of are forgotten")
 {
