--- a/include/marigoldspool/Gateway/EndpointClient.h
+++ b/include/marigoldspool/Gateway/EndpointClient.h
@@ -8,6 +8,7 @@
 #include "marigoldspool/Support/Metrics.h"
 #include "marigoldspool/Support/SocketOptions.h"
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -42,21 +43,30 @@
     Duration peerTimeout = DefaultPeerTimeout;
     /// The Host field. When set, the other fields are passed on as they are, without an id of ours.
     std::string host;
-    /// Only connections that began their last call before this time are reused. An endpoint may
-    /// write an answer twice, so a repeated call must not wait for its answer on a connection that
-    /// has carried the same id.
-    SteadyTime onlyIdleSince = SteadyTime::max();
     /// Field in which the endpoint repeats the request's id; empty when it repeats none. Answers
     /// without this id may belong to other requests and are skipped.
     std::string echoField;
     /// The call bears no id for the endpoint to repeat; answers that repeat one are skipped.
     bool sendsNoId = false;
+    /// With sendsNoId: the answer must be that to this call, so its connection carries no other
+    /// call without an id, before or after.
+    bool needsOwnAnswer = false;
     /// The call fails when the body of the answer is longer, in bytes; zero: unlimited.
     std::size_t maxAnswerBytes = 0;
     /// An answer without a length is complete when the endpoint closes the connection cleanly.
     bool mayEndWithConnection = false;
 };
 
+/// The connection that carries a call.
+struct ConnectionUse {
+    /// Counts the connections of the client; 0: the call is invalid and gets no connection.
+    std::uint64_t number = 0;
+    /// Calls that the connection has carried before.
+    std::uint64_t earlierCalls = 0;
+    /// Time since the connection was opened.
+    Duration age = Duration::zero();
+};
+
 /// Receives the answer to one call: head, data, then either complete or failure, exactly once.
 class EndpointCallHandler
 {
@@ -76,13 +86,14 @@
 };
 
 /// Calls to endpoints over kept-alive HTTP/1.1 connections. A connection that failed, timed out or
-/// was cancelled is closed and never used again, so a late answer cannot reach another request.
+/// was cancelled is closed and never used again, so a late answer cannot reach another request. A
+/// connection carries no id twice, so a copy of an earlier answer cannot reach a repeated call.
 class EndpointClient
 {
 public:
     virtual ~EndpointClient();
     /// The handler is never called from within call().
-    virtual void call(EndpointCall call, std::shared_ptr<EndpointCallHandler> handler) = 0;
+    virtual ConnectionUse call(EndpointCall call, std::shared_ptr<EndpointCallHandler> handler) = 0;
     /// Closes the connections of all calls with this id; their handlers are not called any more.
     virtual void cancel(const RequestId &id) = 0;
     /// Cancels one of several calls with the same id.
--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -469,11 +469,6 @@
     // The end of a connection does not show whether more events would have followed. An answer that
     // only continues a stream has to state its end.
     call.mayEndWithConnection = !m_answerStarted;
-    if (std::find(m_triedEndpoints.begin(), m_triedEndpoints.end(), endpoint)
-        != m_triedEndpoints.end()) {
-        // The endpoint may write its answer to the earlier attempt once more, with the same id.
-        call.onlyIdleSince = m_firstSentAt;
-    }
     return call;
 }
 
@@ -500,7 +495,7 @@
     const std::int64_t startedAtMs = m_runtime.directory.find(endpoint)->listed.startedAtMs;
     beginAttempt(std::make_shared<Attempt>(shared_from_this()), {endpoint, startedAtMs}, now);
     m_runtime.directory.onSent(endpoint, m_request.promptTokens, m_request.model);
-    m_runtime.endpoints->call(std::move(call), m_attempt);
+    m_connection = m_runtime.endpoints->call(std::move(call), m_attempt);
 }
 
 void Exchange::beginAttempt(std::shared_ptr<Attempt> attempt, const EndpointIncarnation &endpoint,
--- a/lib/Gateway/EndpointClient.cpp
+++ b/lib/Gateway/EndpointClient.cpp
@@ -19,6 +19,10 @@
 
 using ConnectionPtr = std::shared_ptr<EndpointConnection>;
 
+// A caller that reuses one id needs a new connection for each request. Beyond this number of idle
+// ones that cannot carry it, one is closed, since endpoints reset connections above their limit.
+constexpr std::size_t MaxUnsuitableIdle = 8;
+
 class PooledEndpointClient final : public EndpointClient
 {
 public:
@@ -44,23 +48,24 @@
         }
     }
 
-    void call(EndpointCall call, std::shared_ptr<EndpointCallHandler> handler) override
+    ConnectionUse call(EndpointCall call, std::shared_ptr<EndpointCallHandler> handler) override
     {
         const auto endpoint = parseEndpoint(call.address);
         if (!endpoint || !isToken(call.method) || !isWritableTarget(call.target)) {
             refuse(std::move(handler));
-            return;
+            return {};
         }
         const RequestId id = call.id;
         if (const ConnectionPtr idle = takeIdle(call)) {
             m_calls.emplace(id, idle);
             idle->send(std::move(call), std::move(handler));
-            return;
+            return idle->use();
         }
         const auto connection = std::make_shared<EndpointConnection>(m_context, call.address);
         m_connections.insert(connection);
         m_calls.emplace(id, connection);
         connection->connect(*endpoint, std::move(call), std::move(handler));
+        return connection->use();
     }
 
     void cancel(const RequestId &id) override
@@ -115,9 +120,13 @@
     ConnectionPtr takeIdle(const EndpointCall &call)
     {
         const auto it = m_idle.find(call.address);
+        std::size_t unsuitableCount = 0;
+        ConnectionPtr unsuitable;
         for (std::size_t i = it == m_idle.end() ? 0 : it->second.size(); i > 0; --i) {
             ConnectionPtr connection = it->second[i - 1];
-            if (connection->callBeganAt() >= call.onlyIdleSince) {
+            if (!connection->canCarry(call)) {
+                ++unsuitableCount;
+                unsuitable = std::move(connection);
                 continue;
             }
             if (connection->isReusable()) {
@@ -127,6 +136,9 @@
             // Erases the connection from the list, and the map's entry when it was the last one.
             connection->close();
         }
+        if (unsuitableCount >= MaxUnsuitableIdle) {
+            unsuitable->close();
+        }
         return nullptr;
     }
 
--- a/lib/Gateway/EndpointConnection.cpp
+++ b/lib/Gateway/EndpointConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "HttpFields.h"
 
+#include "marigoldspool/Support/EventLog.h"
 #include "marigoldspool/Support/SocketOptions.h"
 
 #include <algorithm>
@@ -36,6 +37,12 @@
 constexpr int MaxSkippedAnswers = 8;
 constexpr std::size_t MaxSkippedBytes = 1U << 20U;
 
+// An endpoint may send an id of any length.
+constexpr std::size_t MaxLoggedIdBytes = 64;
+
+// Bounds the ids that a connection keeps, which are compared with that of each further call.
+constexpr std::uint64_t MaxCallsOfConnection = 1024;
+
 // Fields that this client sets itself, and credentials of the caller, which are never forwarded.
 bool isDropped(const HeaderField &field)
 {
@@ -93,15 +100,29 @@
     , m_socket(m_context->io)
     , m_timer(m_context->io)
     , m_pauseTimer(m_context->io)
+    , m_number(++m_context->connectionCount)
+    , m_openedAt(m_context->clock.now())
 { }
 
+ConnectionUse EndpointConnection::use() const
+{
+    return {m_number, m_callCount - 1, m_context->clock.now() - m_openedAt};
+}
+
 void EndpointConnection::beginCall(EndpointCall call, std::shared_ptr<EndpointCallHandler> handler)
 {
+    ++m_callCount;
     m_handler = std::move(handler);
     m_head = formatHead(call);
     m_body = std::move(call.body);
     m_sent = 0;
     m_id = std::move(call.id);
+    if (call.sendsNoId) {
+        m_hasCarriedNoId = true;
+        m_takesNoCallWithoutId = call.needsOwnAnswer;
+    } else {
+        m_carriedIds.push_back(std::hash<RequestId>()(m_id));
+    }
     m_isHeadRequest = call.method == "HEAD";
     m_parser.emplace(m_isHeadRequest);
     m_headDelivered = false;
@@ -115,8 +136,7 @@
     m_keepAliveTimeout = DefaultKeepAliveTimeout;
     m_idleTimeout = call.idleTimeout;
     m_peerTimeout = call.peerTimeout;
-    m_callBeganAt = m_context->clock.now();
-    m_lastActivity = m_callBeganAt;
+    m_lastActivity = m_context->clock.now();
     m_callDeadline = m_lastActivity + call.timeout;
     m_connectDeadline = call.connectTimeout > Duration::zero()
         ? m_lastActivity + call.connectTimeout
@@ -182,9 +202,40 @@
     }
     char byte = 0;
     const ssize_t n = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (n > 0) {
+        noteUnsolicited();
+    }
     return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+// An endpoint may write an answer once more, on the connection on which it wrote it first and
+// several answers late. It bears the id of its request, also while another attempt with that id is
+// under way.
+bool EndpointConnection::canCarry(const EndpointCall &call) const
+{
+    // The answer to a HEAD request has no body, whatever its head says, so a copy cannot be skipped
+    // beside other answers. Such a request has a connection to itself.
+    if (call.method == "HEAD") {
+        return false;
+    }
+    if (call.sendsNoId) {
+        return !m_takesNoCallWithoutId && !(call.needsOwnAnswer && m_hasCarriedNoId);
+    }
+    const std::size_t hash = std::hash<RequestId>()(call.id);
+    return std::find(m_carriedIds.begin(), m_carriedIds.end(), hash) == m_carriedIds.end();
+}
+
+void EndpointConnection::noteUnsolicited() const
+{
+    m_context->metrics.add("marigoldspool_endpoint_unsolicited_bytes_total");
+    logEvent(LogLevel::Info, "unsolicited_bytes",
+             {{"endpoint_address", m_address},
+              {"connection", std::to_string(m_number)},
+              {"calls", std::to_string(m_callCount)},
+              {"idle_ms", std::to_string(toMilliseconds(m_context->clock.now() - m_lastActivity))},
+              {"last_id", m_id.str()}});
+}
+
 void EndpointConnection::flush()
 {
     while (m_state == State::Busy && !isSent()) {
@@ -235,7 +286,9 @@
         return;
     }
     if (m_state == State::Idle) {
-        // Closed by the endpoint, or unsolicited bytes.
+        if (!ec) {
+            noteUnsolicited();
+        }
         close();
         return;
     }
@@ -306,7 +359,11 @@
         return;
     }
     if (isDone) {
-        complete(reusable && !m_mustNotReuse);
+        if (hasMore) {
+            noteUnsolicited();
+        }
+        complete(reusable && !m_mustNotReuse && !m_isHeadRequest
+                 && m_callCount < MaxCallsOfConnection);
     }
 }
 
@@ -321,6 +378,27 @@
     return m_sendsNoId ? echoed == nullptr : echoed != nullptr && *echoed == m_id.str();
 }
 
+bool EndpointConnection::skipAnswer(const std::vector<HeaderField> &headers)
+{
+    const std::string *echoed = findHeader(headers, m_echoField);
+    m_context->metrics.add("marigoldspool_endpoint_crossed_answers_total");
+    logEvent(LogLevel::Info, "answer_skipped",
+             {{"endpoint_address", m_address},
+              {"connection", std::to_string(m_number)},
+              {"calls", std::to_string(m_callCount)},
+              {"status", std::to_string(m_parser->status())},
+              {"awaited_id", m_sendsNoId ? "none" : m_id.str()},
+              {"answer_id", echoed == nullptr ? "none" : echoed->substr(0, MaxLoggedIdBytes)}});
+    if (++m_skippedAnswers > MaxSkippedAnswers) {
+        fail(ErrorKind::Malformed, m_address + " sends answers to other requests",
+             "check that the endpoint repeats the id of the request");
+        return false;
+    }
+    m_skippingAnswer = true;
+    m_mustNotReuse = true;
+    return true;
+}
+
 // Returns false when the handler has cancelled the call.
 bool EndpointConnection::deliverAnswer()
 {
@@ -333,15 +411,7 @@
         }
         const std::vector<HeaderField> headers = m_parser->takeHeaders();
         if (!isAnswerToThisRequest(headers)) {
-            m_context->metrics.add("marigoldspool_endpoint_crossed_answers_total");
-            if (++m_skippedAnswers > MaxSkippedAnswers) {
-                fail(ErrorKind::Malformed, m_address + " sends answers to other requests",
-                     "check that the endpoint repeats the id of the request");
-                return false;
-            }
-            m_skippingAnswer = true;
-            m_mustNotReuse = true;
-            return true;
+            return skipAnswer(headers);
         }
         m_headDelivered = true;
         handler->onHead(m_parser->status(), headers);
--- a/lib/Gateway/EndpointConnection.h
+++ b/lib/Gateway/EndpointConnection.h
@@ -28,6 +28,7 @@
     Metrics &metrics;
     /// Receive buffer shared by all connections, which run on one thread.
     std::vector<char> receiveBuffer;
+    std::uint64_t connectionCount = 0;
     /// The call has ended and the connection can take another one.
     std::function<void(const std::shared_ptr<EndpointConnection> &)> onReusable;
     std::function<void(const std::shared_ptr<EndpointConnection> &)> onClosed;
@@ -47,10 +48,13 @@
     void send(EndpointCall call, std::shared_ptr<EndpointCallHandler> handler);
     /// Whether the connection is open and has no unread bytes.
     bool isReusable();
+    /// Whether no answer to an earlier call, written again, can pass for that to \p call.
+    bool canCarry(const EndpointCall &call) const;
     void close();
 
     const std::string &address() const { return m_address; }
-    SteadyTime callBeganAt() const { return m_callBeganAt; }
+    /// How the connection is used by the call under way.
+    ConnectionUse use() const;
     bool isClosed() const { return m_state == State::Closed; }
     /// Whether the answer to the call under way goes to \p handler.
     bool isCalledBy(const EndpointCallHandler &handler) const
@@ -76,6 +80,10 @@
     void onBytes(std::string_view bytes);
     bool deliverAnswer();
     bool isAnswerToThisRequest(const std::vector<HeaderField> &headers) const;
+    /// Skips the answer whose head has been read; returns false if there are too many of them.
+    bool skipAnswer(const std::vector<HeaderField> &headers);
+    /// Records bytes that have come behind an answer or while no call was under way.
+    void noteUnsolicited() const;
     void complete(bool reusable);
     void completeAtClose();
     void onEndOfStream(const boost::system::error_code &ec);
@@ -93,6 +101,14 @@
     boost::asio::steady_timer m_timer;
     boost::asio::steady_timer m_pauseTimer;
     State m_state = State::Connecting;
+    std::uint64_t m_number;
+    SteadyTime m_openedAt;
+    std::uint64_t m_callCount = 0;
+    /// Hashes of the ids of all calls; two ids with one hash only cost a connection.
+    std::vector<std::size_t> m_carriedIds;
+    bool m_hasCarriedNoId = false;
+    /// The call without an id that the connection has carried must remain the only one.
+    bool m_takesNoCallWithoutId = false;
     RequestId m_id;
     std::shared_ptr<EndpointCallHandler> m_handler;
     std::string m_head;
@@ -118,7 +134,6 @@
     std::string m_unparsed;
     Duration m_idleTimeout = Duration::zero();
     Duration m_peerTimeout = Duration::zero();
-    SteadyTime m_callBeganAt;
     SteadyTime m_callDeadline;
     SteadyTime m_lastActivity;
     std::optional<SteadyTime> m_timerExpiry;
--- a/tests/Gateway/EndpointClientTest.cpp
+++ b/tests/Gateway/EndpointClientTest.cpp
@@ -216,14 +216,67 @@
     fixture.waitForEnd(earlier[0]);
     fixture.waitForRequest(1, "b").send(Refusal);
     fixture.waitForEnd(earlier[1]);
-    EndpointCall call = fixture.makeCall("r1");
-    const SteadyTime firstSentAt = fixture.clock.now();
     // The other idle connection is used before a new one.
     for (const std::size_t connection : {1, 0, 2}) {
-        const HandlerPtr handler = fixture.start(call);
+        const HandlerPtr handler = fixture.start(fixture.makeCall("r1"));
         fixture.waitForRequest(connection, "r1").send(Refusal);
         fixture.waitForEnd(handler);
-        call.onlyIdleSince = firstSentAt;
+    }
+}
+
+// Guards against the copy of an answer to one call without an id that passes for that to another.
+TEST_CASE("a call without an id that needs its own answer shares its connection with no other one")
+{
+    ClientFixture fixture;
+    const auto exchange = [&fixture](const std::string &id, bool sendsNoId, bool needsOwnAnswer,
+                                     std::size_t connection) {
+        CAPTURE(id);
+        EndpointCall call = fixture.makeCall(id);
+        call.sendsNoId = sendsNoId;
+        call.needsOwnAnswer = needsOwnAnswer;
+        const HandlerPtr handler = fixture.start(std::move(call));
+        fixture.waitForRequest(connection, id).send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        fixture.waitForEnd(handler);
+    };
+    exchange("order-1", true, true, 0);
+    exchange("report-1", true, false, 1);
+    exchange("order-2", true, true, 2);
+    exchange("report-2", true, false, 1);
+    exchange("r1", false, false, 1);
+    exchange("order-3", true, true, 3);
+    exchange("r2", false, false, 3);
+    CHECK(fixture.listener.connections() == 4);
+}
+
+// Guards against a caller that takes all connections of an endpoint by reusing one id.
+TEST_CASE("repeated calls with one id leave few idle connections")
+{
+    ClientFixture fixture;
+    constexpr std::size_t Calls = 20;
+    for (std::size_t i = 0; i < Calls; ++i) {
+        const HandlerPtr handler = fixture.start(fixture.makeCall("r1"));
+        fixture.waitForRequest(i, "r1").send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        fixture.waitForEnd(handler);
+    }
+    std::size_t openCount = 0;
+    for (std::size_t i = 0; i < Calls; ++i) {
+        openCount += fixture.listener.connection(i).isClosed() ? 0 : 1;
+    }
+    CHECK(openCount <= 9);
+}
+
+// Guards against ids that a busy connection keeps without bound.
+TEST_CASE("a connection is replaced after many calls")
+{
+    ClientFixture fixture;
+    constexpr int MaxCalls = 1024;
+    for (int i = 0; i < MaxCalls + 1; ++i) {
+        const std::string id = "r" + std::to_string(i);
+        const HandlerPtr handler = fixture.start(fixture.makeCall(id));
+        RawSocket &socket = fixture.waitForRequest(i < MaxCalls ? 0 : 1, id);
+        socket.clearReceived();
+        socket.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        fixture.waitForEnd(handler);
     }
 }
 
@@ -450,6 +503,31 @@
     CHECK(handler->body == "ok");
 }
 
+// Guards against an answer of which a part is taken for the body of the answer that is skipped.
+TEST_CASE("the answer to a HEAD request that is written again does not hide the next answer")
+{
+    ClientFixture fixture;
+    const std::string copied = "HTTP/1.1 200 OK\r\nX-Echo: r1\r\nContent-Length: 20\r\n\r\n";
+    EndpointCall head = fixture.makeCall("r1", "HEAD");
+    head.echoField = "X-Echo";
+    const HandlerPtr first = fixture.start(std::move(head));
+    RawSocket &old = fixture.waitForRequest(0, "r1");
+    old.send(copied);
+    fixture.waitForEnd(first);
+    EndpointCall get = fixture.makeCall("r2");
+    get.echoField = "X-Echo";
+    const HandlerPtr second = fixture.start(std::move(get));
+    REQUIRE(fixture.loop.runUntil([&] {
+        return old.hasReceived("X-Request-Id: r2\r\n") || fixture.listener.connections() > 1;
+    }));
+    old.send(copied);
+    RawSocket &current = fixture.listener.connection(fixture.listener.connections() - 1);
+    current.send("HTTP/1.1 200 OK\r\nX-Echo: r2\r\nContent-Length: 2\r\n\r\nok");
+    fixture.waitForEnd(second);
+    CHECK(second->completed == 1);
+    CHECK(second->body == "ok");
+}
+
 TEST_CASE("an answer received byte by byte is whole")
 {
     ClientFixture fixture;
