--- a/tests/PlatformAdapter/RequestPathFixture.h
+++ b/tests/PlatformAdapter/RequestPathFixture.h
@@ -214,6 +214,9 @@
         if (!lastEventId.empty()) {
             call.headers.push_back({"Last-Event-Id", lastEventId});
         }
+        if (!resumes.empty()) {
+            call.headers.push_back({"Resumes", resumes});
+        }
         if (!prompt.empty()) {
             call.headers.push_back({"X-Marigoldspool-Prefix-Hash", prompt});
         }
@@ -307,6 +310,8 @@
                               {"resumable", true}}};
     /// The event after which callers resume their streams; empty for new ones.
     std::string lastEventId;
+    /// The attempt that began the stream that callers resume; empty if they name none.
+    std::string resumes;
 };
 
 } // namespace marigoldspool
