Streams go on only at the software version that began them

Cause: the choice of an endpoint heeds no software version, so a stream that the instance resumes or moves, or that the caller takes up, goes on at any endpoint with the model. Change: EndpointDirectory::choose heeds the versions of its query. Exchange keeps the version of each attempt's endpoint and, from the first event on, asks only for that version. A take-up goes to the version that began the stream that it names, or to the only one of the pool; where neither is known, or no endpoint of the version takes requests, it is refused with stream_not_resumable (503, with Retry-After only while a notice may be on its way). A stream whose endpoint is listed with another version by its first event goes on nowhere. The pool of a split route is chosen by what the caller takes up. New counter marigoldspool_streams_taken_up_total{outcome}.

--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -134,6 +134,7 @@
         resolved.workspace = workspace->name;
         resolved.priority = workspace->priority.value_or(resolved.route->priority);
     }
+    resolved.pool = routes.configuration()->pool(poolOf(*resolved.route, resolved.workspace));
     if (resolved.pool == nullptr) {
         return refusal(RefusalReason::NoCapacity, NoConfigurationRetryAfter,
                        "the route's pool is not configured");
@@ -316,7 +317,8 @@
 
 void Exchange::dispatch()
 {
-    if (m_finished || m_attempt || !resolveRoute() || refuseQuarantined() || !takeQuota()) {
+    if (m_finished || m_attempt || !resolveRoute() || refuseQuarantined() || refuseUnresumable()
+        || !takeQuota()) {
         return;
     }
     if (m_possibleRuns > 0 && (!isRepeatable() || m_possibleRuns >= m_route->maxAttempts)) {
@@ -336,7 +338,6 @@
         refuseStopping();
         return;
     }
-    findOrigin();
     EndpointQuery query = endpointQuery();
     EndpointChoice choice = m_runtime.directory.choose(query);
     if (choice.kind != ChoiceKind::Send && !m_triedEndpoints.empty()) {
@@ -429,6 +430,7 @@
     }
     query.objective = m_route->objective;
     query.excluded = m_triedEndpoints;
+    query.softwareVersions = allowedVersions();
     query.draw = m_runtime.random.uniform();
     return query;
 }
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -214,6 +214,21 @@
     /// Finds out which software version began the stream that the caller takes up.
     void findOrigin();
     std::string_view originName() const;
+    bool isResumableStream() const;
+    /// Selects a pool of the route: the one that began the stream, for one that is taken up.
+    const PoolName &poolOf(const PrefixRoute &route, const WorkspaceName &workspace) const;
+    /// The versions at which the stream may begin or go on; nullptr: any.
+    const std::set<SoftwareVersion> *allowedVersions() const;
+    bool isVersionAllowed(const EndpointId &endpoint) const;
+    /// Refuses a stream that no endpoint can go on with; returns whether it has.
+    bool refuseUnresumable();
+    /// Whether the endpoint of the attempt is listed with another version since.
+    bool isVersionReplaced() const;
+    /// Whether the first event of the attempt may be passed on.
+    bool isFromOwnVersion();
+    /// Records which version began the stream that the caller receives.
+    void noteStreamBegun();
+    std::string_view takeUpOutcome(std::string_view outcome) const;
     /// When the caller of a request that endpoints have refused should send it again.
     Duration overloadRetryAfter();
 
@@ -293,8 +308,8 @@
     EventStream m_events;
     std::optional<SteadyTime> m_firstEventAt;
     OriginSource m_originSource = OriginSource::None;
-    /// The version that began the stream which the caller takes up, if it is known.
-    std::optional<SoftwareVersion> m_origin;
+    /// Once the stream has begun: the version that began it, or none if it is not known.
+    std::optional<std::set<SoftwareVersion>> m_streamVersions;
     std::string m_lastError;
     bool m_isUsageCounted = false;
     /// The attempt under way in the usage tally; 0: none.
--- a/lib/Fleet/ExchangeAnswer.cpp
+++ b/lib/Fleet/ExchangeAnswer.cpp
@@ -97,6 +97,13 @@
         }
         return;
     }
+    if (!m_attemptBegunAt && !isFromOwnVersion()) {
+        m_lastError = "other_software_version";
+        cancelCall();
+        onAttemptFailed(m_answerStarted ? EndpointOutcome::CutOff : EndpointOutcome::MaybeSent,
+                        EndpointResult::Abandoned);
+        return;
+    }
     const std::string events = m_events.feed(bytes);
     if (!events.empty()) {
         cancelTrial();
@@ -143,6 +150,7 @@
     }
     if (!m_answerStarted) {
         countFirstEvent();
+        noteStreamBegun();
         m_answerStarted = true;
         m_callerStatus = m_status;
         m_firstEventAt = now;
--- a/lib/Fleet/ExchangeEnd.cpp
+++ b/lib/Fleet/ExchangeEnd.cpp
@@ -230,6 +230,10 @@
               {"cause", m_lastError}});
     m_runtime.metrics->add("marigoldspool_requests_total", 1,
                            {{"outcome", std::string(outcome)}, {"route", route}});
+    if (m_originSource != OriginSource::None) {
+        m_runtime.metrics->add("marigoldspool_streams_taken_up_total", 1,
+                               {{"outcome", std::string(takeUpOutcome(outcome))}});
+    }
     m_runtime.metrics->observe("marigoldspool_request_seconds",
                                std::chrono::duration<double>(now - m_arrival).count(),
                                {{"outcome", std::string(outcome)}});
--- a/lib/Fleet/ExchangeSuccessor.cpp
+++ b/lib/Fleet/ExchangeSuccessor.cpp
@@ -104,6 +104,7 @@
         }
         return std::nullopt;
     }
+    findOrigin();
     EndpointQuery query = endpointQuery();
     query.onlyHealthy = true;
     query.isUrgent = true;
@@ -165,7 +166,7 @@
         return;
     }
     if (id != m_endpoint && findSuccessor() && m_runtime.directory.canSend(id)
-        && m_runtime.directory.hasRateFor(id)) {
+        && m_runtime.directory.hasRateFor(id) && isVersionAllowed(id)) {
         moveTo(id);
     }
 }
--- a/lib/Serving/EndpointDirectory.cpp
+++ b/lib/Serving/EndpointDirectory.cpp
@@ -388,6 +388,10 @@
         if (std::find(query.excluded.begin(), query.excluded.end(), id) != query.excluded.end()) {
             continue;
         }
+        if (query.softwareVersions != nullptr
+            && query.softwareVersions->count(state.listed.softwareVersion) == 0) {
+            continue;
+        }
         if (isLeftToOthers(state)) {
             // The owner may load the model at another endpoint.
             hasUsableEndpoint = hasUsableEndpoint || !query.model.empty();
--- a/tests/Serving/EndpointDirectoryTest.cpp
+++ b/tests/Serving/EndpointDirectoryTest.cpp
@@ -460,3 +460,25 @@
     clock.advance(1100ms);
     CHECK(choose("m").endpoint == EndpointId("down"));
 }
+
+// A stream that had begun at one software version went on at another.
+TEST_CASE_FIXTURE(DirectoryFixture, "only an endpoint of an allowed software version is chosen")
+{
+    ListedEndpoint first = engine("i-1");
+    first.softwareVersion = SoftwareVersion("v1");
+    ListedEndpoint second = engine("i-2", "z2");
+    second.softwareVersion = SoftwareVersion("v2");
+    directory.apply(first);
+    directory.apply(second);
+    EndpointQuery limited = query("m");
+    std::set<SoftwareVersion> versions{SoftwareVersion("v2")};
+    limited.softwareVersions = &versions;
+    CHECK(directory.choose(limited).endpoint == EndpointId("i-2"));
+    versions = {SoftwareVersion("v1"), SoftwareVersion("v2")};
+    CHECK(directory.choose(limited).endpoint == EndpointId("i-1"));
+    for (const std::set<SoftwareVersion> &none :
+         {std::set<SoftwareVersion>(), std::set<SoftwareVersion>{SoftwareVersion("v3")}}) {
+        limited.softwareVersions = &none;
+        CHECK(directory.choose(limited).kind == ChoiceKind::NoEndpoint);
+    }
+}
