--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -134,6 +134,7 @@
         resolved.workspace = workspace->name;
         resolved.priority = workspace->priority.value_or(resolved.route->priority);
     }
+    resolved.pool = routes.configuration()->pool(poolOf(*resolved.route, resolved.workspace));
     if (resolved.pool == nullptr) {
         return refusal(RefusalReason::NoCapacity, NoConfigurationRetryAfter,
                        "the route's pool is not configured");
@@ -316,7 +317,8 @@
 
 void Exchange::dispatch()
 {
-    if (m_finished || m_attempt || !resolveRoute() || refuseQuarantined() || !takeQuota()) {
+    if (m_finished || m_attempt || !resolveRoute() || refuseQuarantined() || refuseUnresumable()
+        || !takeQuota()) {
         return;
     }
     if (m_possibleRuns > 0 && (!isRepeatable() || m_possibleRuns >= m_route->maxAttempts)) {
@@ -428,6 +430,7 @@
     }
     query.objective = m_route->objective;
     query.excluded = m_triedEndpoints;
+    query.softwareVersions = allowedVersions();
     query.draw = m_runtime.random.uniform();
     return query;
 }
@@ -492,18 +495,20 @@
         m_pendingUsage = m_runtime.usage->onSent(m_workspace);
     }
     m_triedEndpoints.push_back(endpoint);
-    const std::int64_t startedAtMs = m_runtime.directory.find(endpoint)->listed.startedAtMs;
-    beginAttempt(std::make_shared<Attempt>(shared_from_this()), {endpoint, startedAtMs}, now);
+    const ListedEndpoint &listed = m_runtime.directory.find(endpoint)->listed;
+    beginAttempt(std::make_shared<Attempt>(shared_from_this()), {endpoint, listed.startedAtMs},
+                 listed.softwareVersion, now);
     m_runtime.directory.onSent(endpoint, m_request.promptTokens, m_request.model);
     m_connection = m_runtime.endpoints->call(std::move(call), m_attempt);
 }
 
 void Exchange::beginAttempt(std::shared_ptr<Attempt> attempt, const EndpointIncarnation &endpoint,
-                            SteadyTime sentAt)
+                            SoftwareVersion version, SteadyTime sentAt)
 {
     m_attempt = std::move(attempt);
     m_endpoint = endpoint.endpoint;
     m_endpointStartedAtMs = endpoint.startedAtMs;
+    m_endpointVersion = std::move(version);
     ++m_attemptCount;
     m_sentAt = sentAt;
     m_firstByteSeen = false;
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -78,6 +78,14 @@
         std::optional<Refusal> refusal;
     };
 
+    /// How the version of the stream that the caller takes up is known.
+    enum class OriginSource {
+        None, ///< The request takes up no stream.
+        Known, ///< The stream began here, or another instance has told where it did.
+        OnlyVersion, ///< All streams of the pool have begun at one version.
+        Unknown,
+    };
+
     ResolvedRoute lookUpRoute() const;
     /// Adopts the configuration in force, or refuses the request and returns false.
     bool resolveRoute();
@@ -100,7 +108,7 @@
     void send(const EndpointId &endpoint);
     /// Expects the answer to the request from \p attempt.
     void beginAttempt(std::shared_ptr<Attempt> attempt, const EndpointIncarnation &endpoint,
-                      SteadyTime sentAt);
+                      SoftwareVersion version, SteadyTime sentAt);
     /// Whether the configuration in force still lets the request be repeated after \p runs runs.
     bool keepsRoute(int runs) const;
     /// An endpoint that can take over at once from one that is silent or about to end.
@@ -201,6 +209,26 @@
     /// Records that the endpoint has sent nothing for longer than is usual, if so.
     void noteSilence();
     EndpointQuery endpointQuery() const;
+    /// Whether the caller takes up a stream that has begun in an earlier attempt.
+    bool isTakeUp() const;
+    /// Finds out which software version began the stream that the caller takes up.
+    void findOrigin();
+    std::string_view originName() const;
+    bool isResumableStream() const;
+    /// Selects a pool of the route: the one that began the stream, for one that is taken up.
+    const PoolName &poolOf(const PrefixRoute &route, const WorkspaceName &workspace) const;
+    /// The versions at which the stream may begin or go on; nullptr: any.
+    const std::set<SoftwareVersion> *allowedVersions() const;
+    bool isVersionAllowed(const EndpointId &endpoint) const;
+    /// Refuses a stream that no endpoint can go on with; returns whether it has.
+    bool refuseUnresumable();
+    /// Whether the endpoint of the attempt is listed with another version since.
+    bool isVersionReplaced() const;
+    /// Whether the first event of the attempt may be passed on.
+    bool isFromOwnVersion();
+    /// Records which version began the stream that the caller receives.
+    void noteStreamBegun();
+    std::string_view takeUpOutcome(std::string_view outcome) const;
     /// When the caller of a request that endpoints have refused should send it again.
     Duration overloadRetryAfter();
 
@@ -237,10 +265,13 @@
     EndpointId m_endpoint;
     /// Start of the endpoint's process when the request was sent.
     std::int64_t m_endpointStartedAtMs = 0;
+    /// Its software version, as listed when the request was sent.
+    SoftwareVersion m_endpointVersion;
     /// An attempt at another endpoint while the one under way is silent.
     std::shared_ptr<Attempt> m_trial;
     EndpointId m_trialEndpoint;
     std::int64_t m_trialStartedAtMs = 0;
+    SoftwareVersion m_trialVersion;
     SteadyTime m_trialSentAt;
     ConnectionUse m_trialConnection;
     boost::asio::steady_timer m_trialTimer;
@@ -279,6 +310,9 @@
     int m_callerStatus = 0;
     EventStream m_events;
     std::optional<SteadyTime> m_firstEventAt;
+    OriginSource m_originSource = OriginSource::None;
+    /// Once the stream has begun: the version that began it, or none if it is not known.
+    std::optional<std::set<SoftwareVersion>> m_streamVersions;
     std::string m_lastError;
     bool m_isUsageCounted = false;
     /// The attempt under way in the usage tally; 0: none.
--- a/lib/Fleet/ExchangeSuccessor.cpp
+++ b/lib/Fleet/ExchangeSuccessor.cpp
@@ -104,6 +104,7 @@
         }
         return std::nullopt;
     }
+    findOrigin();
     EndpointQuery query = endpointQuery();
     query.onlyHealthy = true;
     query.isUrgent = true;
@@ -165,7 +166,7 @@
         return;
     }
     if (id != m_endpoint && findSuccessor() && m_runtime.directory.canSend(id)
-        && m_runtime.directory.hasRateFor(id)) {
+        && m_runtime.directory.hasRateFor(id) && isVersionAllowed(id)) {
         moveTo(id);
     }
 }
@@ -258,7 +259,9 @@
     EndpointCall call = makeCall(endpoint);
     call.connectTimeout = TrialConnectTimeout;
     m_trialEndpoint = endpoint;
-    m_trialStartedAtMs = m_runtime.directory.find(endpoint)->listed.startedAtMs;
+    const ListedEndpoint &listed = m_runtime.directory.find(endpoint)->listed;
+    m_trialStartedAtMs = listed.startedAtMs;
+    m_trialVersion = listed.softwareVersion;
     m_trialSentAt = m_runtime.clock.now();
     m_triedEndpoints.push_back(endpoint);
     m_trial = std::make_shared<Attempt>(shared_from_this(), Attempt::Role::Trial);
@@ -318,7 +321,8 @@
     }
     m_trial->acceptTrial();
     m_connection = m_trialConnection;
-    beginAttempt(std::move(m_trial), {m_trialEndpoint, m_trialStartedAtMs}, m_trialSentAt);
+    beginAttempt(std::move(m_trial), {m_trialEndpoint, m_trialStartedAtMs}, m_trialVersion,
+                 m_trialSentAt);
 }
 
 void Exchange::cancelTrial()
