Peer: message for the software versions that began streams

Cause: an instance cannot know which version began a stream that a caller first sent to another instance. Change: StreamOriginNotices with pool, version and the streams' keys, packed as 8 bytes each in network byte order. A notice with more than 4,096 keys is malformed, so that one message bounds what its receiver stores.

--- a/include/marigoldspool/Peer/Messages.h
+++ b/include/marigoldspool/Peer/Messages.h
@@ -449,13 +449,29 @@
     std::vector<WindowStarts> windows;
 };
 
+/// Streams of one pool that endpoints of one software version have begun.
+struct StreamOriginNotice {
+    /// A notice with more keys is malformed. Senders split what they have; this bounds what one
+    /// message makes a receiver store.
+    static constexpr std::size_t MaxKeys = 4096;
+
+    std::string pool;
+    std::string version;
+    std::vector<std::uint64_t> keys;
+};
+
+/// Resumable streams of pools that several software versions serve. Passed on by the hub.
+struct StreamOriginNotices {
+    std::vector<StreamOriginNotice> streams;
+};
+
 using PeerMessage =
     std::variant<Heartbeat, ConfigRequest, ConfigTransfer, LoanRequest, LoanGrant, EpochAck,
                  ForwardRequest, ForwardHead, ForwardData, ForwardRefusal, ForwardCancel,
                  DemandReport, PlacementUpdate, ObjectsRequest, ObjectsTransfer, UsageReport,
                  UsageTotals, LoadForecasts, RevisionBeacon, PromptEvidence, LeavingEndpoints,
                  LimitedEndpoints, EndpointLoads, FleetLoads, SilentEndpoints, RequestStarts,
-                 ObjectPartRequest, ObjectPart>;
+                 ObjectPartRequest, ObjectPart, StreamOriginNotices>;
 
 struct AddressedMessage {
     InstanceId to;
--- a/lib/Peer/MessageFields.h
+++ b/lib/Peer/MessageFields.h
@@ -227,6 +227,20 @@
     visit.optional("o", m.omittedBytes);
 }
 
+template <class V, class M>
+std::enable_if_t<IsMessage<M, StreamOriginNotice>> visitFields(V &visit, M &m)
+{
+    visit("p", m.pool);
+    visit("v", m.version);
+    visit.packed("k", m.keys, StreamOriginNotice::MaxKeys);
+}
+
+template <class V, class M>
+std::enable_if_t<IsMessage<M, StreamOriginNotices>> visitFields(V &visit, M &m)
+{
+    visit("streams", m.streams);
+}
+
 template <class V, class M>
 std::enable_if_t<IsMessage<M, ObjectPartRequest>> visitFields(V &visit, M &m)
 {
--- a/lib/Peer/Messages.cpp
+++ b/lib/Peer/Messages.cpp
@@ -28,7 +28,7 @@
     "revision_beacon",   "prompt_evidence", "leaving_endpoints",
     "limited_endpoints", "endpoint_loads",  "fleet_loads",
     "silent_endpoints",  "request_starts",  "object_part_request",
-    "object_part"};
+    "object_part",       "stream_origins"};
 
 class Encoder
 {
@@ -50,6 +50,19 @@
         m_fields[name] = json::binary({value.begin(), value.end()});
     }
 
+    // Numbers that use all 64 bits take nine bytes each as CBOR integers.
+    void packed(const char *name, const std::vector<std::uint64_t> &values, std::size_t /*max*/)
+    {
+        std::string text;
+        text.reserve(values.size() * sizeof(std::uint64_t));
+        for (const std::uint64_t value : values) {
+            for (int shift = 56; shift >= 0; shift -= 8) {
+                text.push_back(static_cast<char>((value >> shift) & 0xFF));
+            }
+        }
+        bytes(name, text);
+    }
+
     json take() { return std::move(m_fields); }
 
 private:
@@ -143,6 +156,22 @@
         value.assign(binary.begin(), binary.end());
     }
 
+    void packed(const char *name, std::vector<std::uint64_t> &values, std::size_t max)
+    {
+        constexpr std::size_t Size = sizeof(std::uint64_t);
+        const json *field = find(name);
+        if (field == nullptr || !field->is_binary() || field->get_binary().size() % Size != 0
+            || field->get_binary().size() / Size > max) {
+            markInvalid(name);
+            return;
+        }
+        const auto &binary = field->get_binary();
+        values.assign(binary.size() / Size, 0);
+        for (std::size_t i = 0; i < binary.size(); ++i) {
+            values[i / Size] = values[i / Size] << 8U | binary[i];
+        }
+    }
+
     const std::string &invalidField() const { return m_invalidField; }
 
 private:
--- a/tests/Peer/MessagesTest.cpp
+++ b/tests/Peer/MessagesTest.cpp
@@ -52,7 +52,7 @@
 
 PeerMessage anyMessage()
 {
-    switch (*rc::gen::inRange(0, 20)) {
+    switch (*rc::gen::inRange(0, 21)) {
     case 0:
         return Heartbeat{anyId<ZoneName>(),    anyText(),  any<std::uint64_t>(), anyMilliseconds(),
                          any<std::uint64_t>(), any<bool>()};
@@ -120,6 +120,8 @@
         return ObjectPart{
             anyText(), anyText(), any<std::uint64_t>(), any<std::uint64_t>(), any<std::uint64_t>(),
             anyText()};
+    case 19:
+        return StreamOriginNotices{{{anyText(), anyText(), any<std::vector<std::uint64_t>>()}}};
     default:
         return ForwardCancel{anyId<RequestId>()};
     }
@@ -326,3 +328,55 @@
         CHECK(std::abs(read / 1'000) <= 4'000'000'000);
     }
 }
+
+// Guards against keys whose bytes are swapped between instances, which would make every stream
+// unknown at the others.
+TEST_CASE("the keys of streams are packed in network byte order")
+{
+    const std::vector<std::uint64_t> keys{0, 1, 0x0102030405060708, 0xFFFFFFFFFFFFFFFF};
+    const auto bytes = encodeMessage({PeerProtocolVersion, InstanceId("a-1"), 1, 2},
+                                     StreamOriginNotices{{{"p", "v1", keys}}});
+    const json frame = json::from_cbor(bytes);
+    const auto &packed = frame["m"]["streams"][0]["k"].get_binary();
+    CHECK(packed.size() == 32);
+    CHECK(std::vector<std::uint8_t>(packed.begin() + 16, packed.begin() + 24)
+          == std::vector<std::uint8_t>{1, 2, 3, 4, 5, 6, 7, 8});
+    const auto decoded = decodeMessage(bytes);
+    REQUIRE(decoded);
+    const auto &notices = std::get<StreamOriginNotices>(decoded->message);
+    REQUIRE(notices.streams.size() == 1);
+    CHECK(notices.streams[0].pool == "p");
+    CHECK(notices.streams[0].version == "v1");
+    CHECK(notices.streams[0].keys == keys);
+    CHECK(messageName(decoded->message) == "stream_origins");
+}
+
+// Guards against keys read from a part of eight bytes, and against a message that makes its
+// receiver store any number of streams.
+TEST_CASE("notices of streams with incomplete, mistyped or too many keys are malformed")
+{
+    const std::vector<std::uint64_t> most(StreamOriginNotice::MaxKeys, 7);
+    const json frame = json::from_cbor(encodeMessage({PeerProtocolVersion, InstanceId("a-1"), 1, 2},
+                                                     StreamOriginNotices{{{"p", "v1", most}}}));
+    CHECK_FALSE(isMalformed(frame));
+    const std::size_t size = most.size() * 8;
+    for (const std::size_t wrongSize : {size - 1, size - 7, size + 1, size + 8}) {
+        CAPTURE(wrongSize);
+        json wrong = frame;
+        wrong["m"]["streams"][0]["k"] = json::binary(std::vector<std::uint8_t>(wrongSize));
+        CHECK(isMalformed(wrong));
+    }
+    for (const json &value : {json(1), json("12345678"), json::array({1, 2}), json(nullptr)}) {
+        json wrong = frame;
+        wrong["m"]["streams"][0]["k"] = value;
+        CHECK(isMalformed(wrong));
+    }
+    for (const char *name : {"p", "v", "k"}) {
+        json wrong = frame;
+        wrong["m"]["streams"][0].erase(name);
+        CHECK(isMalformed(wrong));
+    }
+    json wrong = frame;
+    wrong["m"]["streams"] = "text";
+    CHECK(isMalformed(wrong));
+}
