Fleet: record of the software versions of each pool in the store

Cause: after a kill of all instances, nothing tells that a version has served whose endpoints have left. Change: objects software-versions/POOL, one more watched prefix of FleetState. That the record follows the listed versions has not been run, since entries' versions are not decoded yet.

--- a/lib/Fleet/FleetDaemon.cpp
+++ b/lib/Fleet/FleetDaemon.cpp
@@ -8,6 +8,7 @@
 #include "Fleet/PlacementDriver.h"
 #include "Fleet/ReplicaCountDriver.h"
 #include "Fleet/ServingFront.h"
+#include "Fleet/SoftwareVersionRecord.h"
 #include "Fleet/StatementMonitor.h"
 #include "Fleet/SuspicionExchange.h"
 #include "Fleet/UsageReporter.h"
@@ -71,6 +72,7 @@
         , m_front(m_runtime)
         , m_statements(m_runtime, m_link, *this)
         , m_suspicions(m_runtime, m_placement, *this)
+        , m_versionRecord(m_runtime, m_placement)
         , m_usageHub(m_runtime.options.instance, m_runtime.clock)
         , m_tickTimer(io)
         , m_stopTimer(io)
@@ -104,6 +106,9 @@
             m_front.scheduleDispatch();
         };
         m_state.setEndpointsHandler(onEndpoints);
+        m_state.setVersionRecordHandler([this](const WatchEvent &event) {
+            m_versionRecord.onObject(event);
+        });
         m_statements.setChangeHandler(onEndpoints);
         m_link.setHandler(
             [this](const InstanceId &from, std::uint64_t incarnation, const PeerMessage &message) {
@@ -438,6 +443,7 @@
             m_front.checkSilence();
         }
         m_suspicions.onTick();
+        m_versionRecord.onTick();
         const bool ready = isReady();
         if (ready != m_wasReady) {
             m_wasReady = ready;
@@ -493,6 +499,7 @@
     ServingFront m_front;
     StatementMonitor m_statements;
     SuspicionExchange m_suspicions;
+    SoftwareVersionRecord m_versionRecord;
     UsageHubSelector m_usageHub;
     std::unique_ptr<HttpServer> m_readinessServer;
     std::unique_ptr<HttpServer> m_metricsServer;
--- a/lib/Fleet/FleetState.cpp
+++ b/lib/Fleet/FleetState.cpp
@@ -1,6 +1,7 @@
 #include "Fleet/FleetState.h"
 
 #include "Fleet/FleetLink.h"
+#include "Fleet/SoftwareVersionRecord.h"
 #include "Fleet/WatchedPrefix.h"
 #include "marigoldspool/Peer/PeerTable.h"
 #include "marigoldspool/Platform/StorePosition.h"
@@ -74,6 +75,7 @@
     addPrefix(runtime.codec.endpointPrefix(), EndpointTiming, &FleetState::onEndpoint);
     addPrefix(runtime.codec.evacuationPrefix(), EvacuationTiming, &FleetState::onEvacuation);
     addPrefix(MemberPrefix, MemberTiming, &FleetState::onMember);
+    addPrefix(SoftwareVersionRecord::Prefix, EvacuationTiming, &FleetState::onVersionRecord);
 }
 
 FleetState::~FleetState() = default;
@@ -520,6 +522,14 @@
     }
 }
 
+// Not held back after the store was restored: the versions that are listed stay known without it.
+void FleetState::onVersionRecord(const WatchEvent &event)
+{
+    if (m_onVersionRecord) {
+        m_onVersionRecord(event);
+    }
+}
+
 std::size_t FleetState::memberCount() const
 {
     // This instance uses its own share from its start, even before it is listed.
--- a/lib/Fleet/FleetState.h
+++ b/lib/Fleet/FleetState.h
@@ -23,8 +23,8 @@
     std::string peerAddress;
 };
 
-/// Tracks the configuration, endpoints, zone evacuations and instances in the store, either by
-/// watching the store or through peers that do.
+/// Tracks the configuration, endpoints, zone evacuations, instances and records of software
+/// versions in the store, either by watching the store or through peers that do.
 class FleetState
 {
 public:
@@ -43,6 +43,10 @@
         m_onConfiguration = std::move(handler);
     }
     void setEndpointsHandler(std::function<void()> handler) { m_onEndpoints = std::move(handler); }
+    void setVersionRecordHandler(std::function<void(const WatchEvent &)> handler)
+    {
+        m_onVersionRecord = std::move(handler);
+    }
     /// \}
 
     const std::map<InstanceId, FleetMember> &members() const { return m_members; }
@@ -72,7 +76,7 @@
     std::vector<ObjectsTransfer> takeChanges();
 
 private:
-    /// Whether the configuration, endpoints, evacuations and instances have all been received.
+    /// Whether all prefixes have been received, and a configuration with them.
     bool hasAll() const;
     void applyTransfer(WatchedPrefix &prefix, const InstanceId &from,
                        const ObjectsTransfer &transfer);
@@ -82,6 +86,7 @@
     void onEndpoint(const WatchEvent &event);
     void onEvacuation(const WatchEvent &event);
     void onMember(const WatchEvent &event);
+    void onVersionRecord(const WatchEvent &event);
     /// Number of instances, including this one.
     std::size_t memberCount() const;
     void applyMembers();
@@ -101,6 +106,7 @@
     std::function<void()> m_onMembers;
     std::function<void()> m_onConfiguration;
     std::function<void()> m_onEndpoints;
+    std::function<void(const WatchEvent &)> m_onVersionRecord;
     std::unique_ptr<ConfigurationDecoder> m_configurationDecoder;
     SteadyTime m_nextRegistration;
     /// Whether the list of instances is complete; shares of limits follow from it.
