Fleet: instances tell each other which version began a stream

Cause: a caller may take a stream up at an instance that did not begin it. The messages have not been run between instances: requests do not report the streams that they begin yet.

--- a/include/marigoldspool/Serving/SoftwareVersions.h
+++ b/include/marigoldspool/Serving/SoftwareVersions.h
@@ -36,6 +36,8 @@
     std::optional<SoftwareVersion> onlyVersion(const PoolName &pool) const;
     /// Whether an endpoint of this version is listed.
     bool isListed(const PoolName &pool, const SoftwareVersion &version) const;
+    /// The versions that serve \p pool, or have served it lately.
+    Versions knownVersions(const PoolName &pool) const;
     /// The versions at which streams may begin; nullptr if any may.
     const Versions *allowedForNew(const PoolName &pool) const;
     /// What the record of each pool has to be, where that differs from what it is.
--- a/lib/Fleet/FleetDaemon.cpp
+++ b/lib/Fleet/FleetDaemon.cpp
@@ -10,6 +10,7 @@
 #include "Fleet/ServingFront.h"
 #include "Fleet/SoftwareVersionRecord.h"
 #include "Fleet/StatementMonitor.h"
+#include "Fleet/StreamOriginExchange.h"
 #include "Fleet/SuspicionExchange.h"
 #include "Fleet/UsageReporter.h"
 #include "marigoldspool/Serving/UsageHubSelector.h"
@@ -73,6 +74,7 @@
         , m_statements(m_runtime, m_link, *this)
         , m_suspicions(m_runtime, m_placement, *this)
         , m_versionRecord(m_runtime, m_placement)
+        , m_originExchange(m_runtime, m_state, m_link, *this)
         , m_usageHub(m_runtime.options.instance, m_runtime.clock)
         , m_tickTimer(io)
         , m_stopTimer(io)
@@ -230,6 +232,8 @@
             m_loads.onTotals(from, *fleetLoads);
         } else if (const auto *silent = std::get_if<SilentEndpoints>(&message)) {
             m_suspicions.onMessage(from, from == usageHub() || from == usageOwner(), *silent);
+        } else if (const auto *origins = std::get_if<StreamOriginNotices>(&message)) {
+            m_originExchange.onMessage(from == usageHub() || from == usageOwner(), *origins);
         } else if (const auto *totals = std::get_if<UsageTotals>(&message)) {
             m_usageHub.setOwner(usageOwner());
             if (m_usageHub.acceptTotals(from, m_link.connectedPeers())) {
@@ -444,6 +448,7 @@
         }
         m_suspicions.onTick();
         m_versionRecord.onTick();
+        m_originExchange.onTick();
         const bool ready = isReady();
         if (ready != m_wasReady) {
             m_wasReady = ready;
@@ -500,6 +505,7 @@
     StatementMonitor m_statements;
     SuspicionExchange m_suspicions;
     SoftwareVersionRecord m_versionRecord;
+    StreamOriginExchange m_originExchange;
     UsageHubSelector m_usageHub;
     std::unique_ptr<HttpServer> m_readinessServer;
     std::unique_ptr<HttpServer> m_metricsServer;
--- a/lib/Serving/SoftwareVersions.cpp
+++ b/lib/Serving/SoftwareVersions.cpp
@@ -132,6 +132,17 @@
     return it != state->versions.end() && it->second.isListed;
 }
 
+SoftwareVersions::Versions SoftwareVersions::knownVersions(const PoolName &pool) const
+{
+    Versions versions;
+    if (const PoolState *state = find(pool)) {
+        for (const auto &[version, it] : state->versions) {
+            versions.insert(version);
+        }
+    }
+    return versions;
+}
+
 const SoftwareVersions::Versions *SoftwareVersions::allowedForNew(const PoolName &pool) const
 {
     const PoolState *state = find(pool);
