Fleet: streams of mixed pools are kept in the store

Cause: a kill of all instances loses which version began each stream. The stand-in store can refuse the calls of one kind.

--- a/lib/Fleet/FleetDaemon.cpp
+++ b/lib/Fleet/FleetDaemon.cpp
@@ -11,6 +11,7 @@
 #include "Fleet/SoftwareVersionRecord.h"
 #include "Fleet/StatementMonitor.h"
 #include "Fleet/StreamOriginExchange.h"
+#include "Fleet/StreamOriginRecord.h"
 #include "Fleet/SuspicionExchange.h"
 #include "Fleet/UsageReporter.h"
 #include "marigoldspool/Serving/UsageHubSelector.h"
@@ -75,6 +76,7 @@
         , m_suspicions(m_runtime, m_placement, *this)
         , m_versionRecord(m_runtime, m_placement)
         , m_originExchange(m_runtime, m_state, m_link, *this)
+        , m_originRecord(m_runtime, m_placement)
         , m_usageHub(m_runtime.options.instance, m_runtime.clock)
         , m_tickTimer(io)
         , m_stopTimer(io)
@@ -449,6 +451,7 @@
         m_suspicions.onTick();
         m_versionRecord.onTick();
         m_originExchange.onTick();
+        m_originRecord.onTick();
         const bool ready = isReady();
         if (ready != m_wasReady) {
             m_wasReady = ready;
@@ -506,6 +509,7 @@
     SuspicionExchange m_suspicions;
     SoftwareVersionRecord m_versionRecord;
     StreamOriginExchange m_originExchange;
+    StreamOriginRecord m_originRecord;
     UsageHubSelector m_usageHub;
     std::unique_ptr<HttpServer> m_readinessServer;
     std::unique_ptr<HttpServer> m_metricsServer;
--- a/lib/Fleet/FleetRuntime.h
+++ b/lib/Fleet/FleetRuntime.h
@@ -59,6 +59,9 @@
     /// Whether the configuration, endpoints, evacuations and instances have been received. Before,
     /// an instance might use an evacuated zone, or more than its share of a limit.
     bool isLoaded = false;
+    /// Whether the streams that were begun before have been read from the store, or need not be
+    /// waited for any longer.
+    bool areStreamOriginsRead = false;
     /// Whether a planned stop is in progress.
     bool stopping = false;
     /// When a planned stop closes the callers' connections.
--- a/lib/Fleet/FleetState.cpp
+++ b/lib/Fleet/FleetState.cpp
@@ -107,7 +107,7 @@
         m_areMembersKnown = true;
         applyMembers();
     }
-    m_runtime.isLoaded = m_runtime.isLoaded || hasAll();
+    m_runtime.isLoaded = m_runtime.isLoaded || (m_runtime.areStreamOriginsRead && hasAll());
 }
 
 WatchedPrefix *FleetState::find(std::string_view prefix) const
--- a/tests/PlatformAdapter/StandinPlatform.h
+++ b/tests/PlatformAdapter/StandinPlatform.h
@@ -177,6 +177,8 @@
     int answersToLose = 0;
     /// Refuse all calls with 503.
     bool refuseCalls = false;
+    /// Refuse the calls for objects of this kind.
+    std::string refusedKind;
     /// Answer all calls with a body that has no end.
     bool answersWithoutEnd = false;
     int calls = 0;
@@ -251,6 +253,10 @@
             request.target.substr(prefix.size(), request.target.find('?') - prefix.size());
         const std::size_t slash = path.find('/');
         const std::string kind = path.substr(0, slash);
+        if (kind == refusedKind) {
+            reply(*sink, 503, Json::object());
+            return;
+        }
         const std::string name =
             slash == std::string::npos ? std::string() : percentDecoded(path.substr(slash + 1));
         if (request.method == "GET" && name.empty()) {
