--- a/lib/Fleet/FleetDaemon.cpp
+++ b/lib/Fleet/FleetDaemon.cpp
@@ -9,7 +9,10 @@
 #include "Fleet/ReplicaCountDriver.h"
 #include "Fleet/ServingFront.h"
 #include "Fleet/SoftwareVersionFeed.h"
+#include "Fleet/SoftwareVersionRecord.h"
 #include "Fleet/StatementMonitor.h"
+#include "Fleet/StreamOriginExchange.h"
+#include "Fleet/StreamOriginRecord.h"
 #include "Fleet/SuspicionExchange.h"
 #include "Fleet/UsageReporter.h"
 #include "marigoldspool/Serving/UsageHubSelector.h"
@@ -73,6 +76,9 @@
         , m_front(m_runtime)
         , m_statements(m_runtime, m_link, *this)
         , m_suspicions(m_runtime, m_placement, *this)
+        , m_versionRecord(m_runtime, m_placement)
+        , m_originExchange(m_runtime, m_state, m_link, *this)
+        , m_originRecord(m_runtime, m_placement)
         , m_usageHub(m_runtime.options.instance, m_runtime.clock)
         , m_tickTimer(io)
         , m_stopTimer(io)
@@ -108,6 +114,9 @@
             m_front.scheduleDispatch();
         };
         m_state.setEndpointsHandler(onEndpoints);
+        m_state.setVersionRecordHandler([this](const WatchEvent &event) {
+            m_versionRecord.onObject(event);
+        });
         m_statements.setChangeHandler(onEndpoints);
         m_link.setHandler(
             [this](const InstanceId &from, std::uint64_t incarnation, const PeerMessage &message) {
@@ -229,6 +238,8 @@
             m_loads.onTotals(from, *fleetLoads);
         } else if (const auto *silent = std::get_if<SilentEndpoints>(&message)) {
             m_suspicions.onMessage(from, from == usageHub() || from == usageOwner(), *silent);
+        } else if (const auto *origins = std::get_if<StreamOriginNotices>(&message)) {
+            m_originExchange.onMessage(from == usageHub() || from == usageOwner(), *origins);
         } else if (const auto *totals = std::get_if<UsageTotals>(&message)) {
             m_usageHub.setOwner(usageOwner());
             if (m_usageHub.acceptTotals(from, m_link.connectedPeers())) {
@@ -443,6 +454,9 @@
             m_front.checkSilence();
         }
         m_suspicions.onTick();
+        m_versionRecord.onTick();
+        m_originExchange.onTick();
+        m_originRecord.onTick();
         const bool ready = isReady();
         if (ready != m_wasReady) {
             m_wasReady = ready;
@@ -499,6 +513,9 @@
     ServingFront m_front;
     StatementMonitor m_statements;
     SuspicionExchange m_suspicions;
+    SoftwareVersionRecord m_versionRecord;
+    StreamOriginExchange m_originExchange;
+    StreamOriginRecord m_originRecord;
     UsageHubSelector m_usageHub;
     std::unique_ptr<HttpServer> m_readinessServer;
     std::unique_ptr<HttpServer> m_metricsServer;
