Streams: the only version counts as known only while the list of endpoints is current

What callers would see: a stream joined from two versions at an instance that is cut off from the store, since it still takes the version that it knows for the only one. Found by a review of the decision.

Fix: a take-up of a stream that nobody has told of is refused if the list of endpoints was last confirmed over 4 s ago. Streams that began at the instance go on. The test fails without the bound.

--- a/lib/Fleet/ExchangeVersion.cpp
+++ b/lib/Fleet/ExchangeVersion.cpp
@@ -10,6 +10,9 @@
 
 // The notice of the instance that began the stream may be on its way.
 constexpr Duration UnknownVersionRetryAfter = std::chrono::milliseconds(300);
+// Streams may have begun at a version that an older list of endpoints lacks. A list in touch with
+// the store is confirmed within 3 s, also through peers.
+constexpr Duration MaxListAge = std::chrono::seconds(4);
 
 } // namespace
 
@@ -36,7 +39,10 @@
     }
     m_originSource = OriginSource::Known;
     if (!origin) {
-        origin = m_runtime.softwareVersions.onlyVersion(m_pool->name);
+        const bool isListCurrent =
+            m_runtime.clock.now() - m_runtime.endpointsConfirmedAt <= MaxListAge;
+        origin =
+            isListCurrent ? m_runtime.softwareVersions.onlyVersion(m_pool->name) : std::nullopt;
         m_originSource = origin ? OriginSource::OnlyVersion : OriginSource::Unknown;
     }
     m_streamVersions.emplace();
--- a/lib/Fleet/FleetRuntime.h
+++ b/lib/Fleet/FleetRuntime.h
@@ -48,6 +48,8 @@
     /// The store had no configuration newer than that of \c routes at this time.
     SteadyTime configurationConfirmedAt;
     EndpointDirectory directory;
+    /// The store's list of endpoints was that of \c directory at this time.
+    SteadyTime endpointsConfirmedAt;
     WorkspaceQuota quota;
     RetryBudget retries;
     PromptQuarantine quarantine;
--- a/lib/Fleet/FleetState.cpp
+++ b/lib/Fleet/FleetState.cpp
@@ -101,6 +101,7 @@
         prefix->onTick(m_isWatcher);
     }
     m_runtime.configurationConfirmedAt = find(m_runtime.codec.configurationPrefix())->confirmedAt();
+    m_runtime.endpointsConfirmedAt = find(m_runtime.codec.endpointPrefix())->confirmedAt();
     applyHeldBack();
     registerSelf();
     if (!m_areMembersKnown && find(MemberPrefix)->mirror.hasSnapshot()) {
--- a/tests/PlatformAdapter/SoftwareVersionTest.cpp
+++ b/tests/PlatformAdapter/SoftwareVersionTest.cpp
@@ -345,6 +345,22 @@
     CHECK(resumed["i-1"] + resumed["i-2"] == 0);
 }
 
+// An instance that is cut off from the store does not know the versions that serve since.
+TEST_CASE_FIXTURE(SoftwareVersionFixture,
+                  "a stream of an unknown version is refused while the list may be outdated")
+{
+    startFirst();
+    const std::string attempt = begin();
+    store.refuseCalls = true;
+    run(6s);
+    CHECK(takeUp("unknown")->status == Unavailable);
+    CHECK(takeUp(attempt)->body == RestOfV1);
+    store.refuseCalls = false;
+    CHECK(runUntil(io, [this] {
+        return takeUp("unknown")->status == 200;
+    }));
+}
+
 // A stream that was taken up twice got its last part from another version.
 TEST_CASE_FIXTURE(SoftwareVersionFixture, "a stream that is taken up again stays at its version")
 {
