Request log: what a request resumes, and at which software version

Cause: a stream that went on at another software version could not be told from others in the log: neither the version of its endpoint nor what the caller takes up was in the line of the request. Change: the version in an endpoint's entry and the header field Resumes (256 bytes at most) are decoded; the line `request` gains software_version, resumes, after_event and origin. SoftwareVersions is fed from the list of endpoints. The reason stream_not_resumable is reserved for the refusal of such streams.

--- a/include/marigoldspool/Support/Refusal.h
+++ b/include/marigoldspool/Support/Refusal.h
@@ -38,6 +38,7 @@
     Malformed,
     CallerGone,
     PromptQuarantined,
+    StreamNotResumable,
 };
 
 /// Whether the refused request may have run at an endpoint.
--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -336,6 +336,7 @@
         refuseStopping();
         return;
     }
+    findOrigin();
     EndpointQuery query = endpointQuery();
     EndpointChoice choice = m_runtime.directory.choose(query);
     if (choice.kind != ChoiceKind::Send && !m_triedEndpoints.empty()) {
@@ -497,18 +498,20 @@
         m_pendingUsage = m_runtime.usage->onSent(m_workspace);
     }
     m_triedEndpoints.push_back(endpoint);
-    const std::int64_t startedAtMs = m_runtime.directory.find(endpoint)->listed.startedAtMs;
-    beginAttempt(std::make_shared<Attempt>(shared_from_this()), {endpoint, startedAtMs}, now);
+    const ListedEndpoint &listed = m_runtime.directory.find(endpoint)->listed;
+    beginAttempt(std::make_shared<Attempt>(shared_from_this()), {endpoint, listed.startedAtMs},
+                 listed.softwareVersion, now);
     m_runtime.directory.onSent(endpoint, m_request.promptTokens, m_request.model);
     m_runtime.endpoints->call(std::move(call), m_attempt);
 }
 
 void Exchange::beginAttempt(std::shared_ptr<Attempt> attempt, const EndpointIncarnation &endpoint,
-                            SteadyTime sentAt)
+                            SoftwareVersion version, SteadyTime sentAt)
 {
     m_attempt = std::move(attempt);
     m_endpoint = endpoint.endpoint;
     m_endpointStartedAtMs = endpoint.startedAtMs;
+    m_endpointVersion = std::move(version);
     ++m_attemptCount;
     m_sentAt = sentAt;
     m_firstByteSeen = false;
--- a/lib/Fleet/Exchange.h
+++ b/lib/Fleet/Exchange.h
@@ -78,6 +78,14 @@
         std::optional<Refusal> refusal;
     };
 
+    /// How the version of the stream that the caller takes up is known.
+    enum class OriginSource {
+        None, ///< The request takes up no stream.
+        Known, ///< The stream began here, or another instance has told where it did.
+        OnlyVersion, ///< All streams of the pool have begun at one version.
+        Unknown,
+    };
+
     ResolvedRoute lookUpRoute() const;
     /// Adopts the configuration in force, or refuses the request and returns false.
     bool resolveRoute();
@@ -100,7 +108,7 @@
     void send(const EndpointId &endpoint);
     /// Expects the answer to the request from \p attempt.
     void beginAttempt(std::shared_ptr<Attempt> attempt, const EndpointIncarnation &endpoint,
-                      SteadyTime sentAt);
+                      SoftwareVersion version, SteadyTime sentAt);
     /// Whether the configuration in force still lets the request be repeated after \p runs runs.
     bool keepsRoute(int runs) const;
     /// An endpoint that can take over at once from one that is silent or about to end.
@@ -201,6 +209,11 @@
     /// Records that the endpoint has sent nothing for longer than is usual, if so.
     void noteSilence();
     EndpointQuery endpointQuery() const;
+    /// Whether the caller takes up a stream that has begun in an earlier attempt.
+    bool isTakeUp() const;
+    /// Finds out which software version began the stream that the caller takes up.
+    void findOrigin();
+    std::string_view originName() const;
     /// When the caller of a request that endpoints have refused should send it again.
     Duration overloadRetryAfter();
 
@@ -235,10 +248,13 @@
     EndpointId m_endpoint;
     /// Start of the endpoint's process when the request was sent.
     std::int64_t m_endpointStartedAtMs = 0;
+    /// Its software version, as listed when the request was sent.
+    SoftwareVersion m_endpointVersion;
     /// An attempt at another endpoint while the one under way is silent.
     std::shared_ptr<Attempt> m_trial;
     EndpointId m_trialEndpoint;
     std::int64_t m_trialStartedAtMs = 0;
+    SoftwareVersion m_trialVersion;
     SteadyTime m_trialSentAt;
     boost::asio::steady_timer m_trialTimer;
     /// Trials that have ended without taking over.
@@ -276,6 +292,9 @@
     int m_callerStatus = 0;
     EventStream m_events;
     std::optional<SteadyTime> m_firstEventAt;
+    OriginSource m_originSource = OriginSource::None;
+    /// The version that began the stream which the caller takes up, if it is known.
+    std::optional<SoftwareVersion> m_origin;
     std::string m_lastError;
     bool m_isUsageCounted = false;
     /// The attempt under way in the usage tally; 0: none.
--- a/lib/Fleet/ExchangeEnd.cpp
+++ b/lib/Fleet/ExchangeEnd.cpp
@@ -6,6 +6,7 @@
 #include "marigoldspool/Support/EventLog.h"
 #include "marigoldspool/Support/Invariant.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <utility>
@@ -17,6 +18,20 @@
 // Other instances can take the request at once.
 constexpr Duration StoppingRetryAfter = std::chrono::milliseconds(100);
 
+// The text comes from callers.
+std::string printable(std::string_view text)
+{
+    constexpr std::size_t MaxLoggedBytes = 64;
+    std::string result(text.substr(0, MaxLoggedBytes));
+    std::replace_if(
+        result.begin(), result.end(),
+        [](char c) {
+            return c < ' ' || c > '~';
+        },
+        '?');
+    return result;
+}
+
 std::string fractionalSeconds(Duration value)
 {
     std::array<char, 32> text{};
@@ -200,6 +215,10 @@
               {"tokens_in", std::to_string(m_request.promptTokens)},
               {"tokens_out", std::to_string(m_request.outputTokens)},
               {"endpoint", m_endpoint.str()},
+              {"software_version", m_endpointVersion.str()},
+              {"resumes", printable(m_request.resumes.str())},
+              {"after_event", printable(m_request.lastEventId)},
+              {"origin", std::string(originName())},
               {"tries", std::to_string(m_attemptCount)},
               {"wait_ms",
                m_attemptCount > 0 ? millisecondsText(m_firstSentAt - m_arrival)
--- a/lib/Fleet/ExchangeSuccessor.cpp
+++ b/lib/Fleet/ExchangeSuccessor.cpp
@@ -258,7 +258,9 @@
     EndpointCall call = makeCall(endpoint);
     call.connectTimeout = TrialConnectTimeout;
     m_trialEndpoint = endpoint;
-    m_trialStartedAtMs = m_runtime.directory.find(endpoint)->listed.startedAtMs;
+    const ListedEndpoint &listed = m_runtime.directory.find(endpoint)->listed;
+    m_trialStartedAtMs = listed.startedAtMs;
+    m_trialVersion = listed.softwareVersion;
     m_trialSentAt = m_runtime.clock.now();
     m_triedEndpoints.push_back(endpoint);
     m_trial = std::make_shared<Attempt>(shared_from_this(), Attempt::Role::Trial);
@@ -317,7 +319,8 @@
         recordMove(m_trialEndpoint);
     }
     m_trial->acceptTrial();
-    beginAttempt(std::move(m_trial), {m_trialEndpoint, m_trialStartedAtMs}, m_trialSentAt);
+    beginAttempt(std::move(m_trial), {m_trialEndpoint, m_trialStartedAtMs}, m_trialVersion,
+                 m_trialSentAt);
 }
 
 void Exchange::cancelTrial()
--- a/lib/Fleet/FleetDaemon.cpp
+++ b/lib/Fleet/FleetDaemon.cpp
@@ -8,6 +8,7 @@
 #include "Fleet/PlacementDriver.h"
 #include "Fleet/ReplicaCountDriver.h"
 #include "Fleet/ServingFront.h"
+#include "Fleet/SoftwareVersionFeed.h"
 #include "Fleet/SoftwareVersionRecord.h"
 #include "Fleet/StatementMonitor.h"
 #include "Fleet/StreamOriginExchange.h"
@@ -65,6 +66,7 @@
     Impl(boost::asio::io_context &io, FleetOptions options, const FleetCodec &codec,
          std::unique_ptr<ObjectStore> store, std::unique_ptr<Metrics> metrics)
         : m_runtime(io, std::move(options), codec, std::move(store), std::move(metrics))
+        , m_softwareVersions(m_runtime)
         , m_state(m_runtime)
         , m_link(m_runtime, m_state)
         , m_placement(m_runtime, m_link)
@@ -100,12 +102,14 @@
             }
         });
         m_state.setConfigurationHandler([this] {
+            m_softwareVersions.onConfiguration();
             m_placement.onConfiguration();
             m_placement.onEndpoints();
             m_front.scheduleDispatch();
             logOpenRequests();
         });
         const auto onEndpoints = [this] {
+            m_softwareVersions.onEndpoints();
             m_placement.onEndpoints();
             m_front.scheduleDispatch();
         };
@@ -426,6 +430,7 @@
             m_usageReporter->onTick();
         }
         m_runtime.directory.onTick();
+        m_softwareVersions.onTick();
         m_statements.onTick();
         m_loads.onTick();
         m_replicas.onTick();
@@ -496,6 +501,7 @@
     }
 
     FleetRuntime m_runtime;
+    SoftwareVersionFeed m_softwareVersions;
     FleetState m_state;
     FleetLink m_link;
     PlacementDriver m_placement;
--- a/lib/Support/Refusal.cpp
+++ b/lib/Support/Refusal.cpp
@@ -14,7 +14,7 @@
 };
 
 // Indexed by the enumerator's value.
-constexpr std::array<RefusalRow, 25> RefusalRows{{
+constexpr std::array<RefusalRow, 26> RefusalRows{{
     {RefusalReason::KeyMissing, "key_missing", 401},
     {RefusalReason::KeyUnknown, "key_unknown", 401},
     {RefusalReason::KeyWithdrawn, "key_withdrawn", 401},
@@ -40,6 +40,7 @@
     {RefusalReason::Malformed, "malformed", 400},
     {RefusalReason::CallerGone, "caller_gone", 499},
     {RefusalReason::PromptQuarantined, "prompt_quarantined", 503},
+    {RefusalReason::StreamNotResumable, "stream_not_resumable", 503},
 }};
 
 constexpr std::array<RefusalReason, RefusalRows.size()> makeRefusalReasons()
--- a/tests/PlatformAdapter/PlatformCodecTest.cpp
+++ b/tests/PlatformAdapter/PlatformCodecTest.cpp
@@ -85,6 +85,22 @@
     CHECK(request->prompt[1].tokens == 410);
     CHECK(request->callerTimeout == std::optional<Duration>(12s));
     CHECK(request->lastEventId == "12");
+    CHECK(request->resumes.empty());
+}
+
+// Guards against an id of a caller that takes up unbounded memory, and against a request that
+// endpoints get without it.
+TEST_CASE("the attempt that began a stream is read up to a bound, and forwarded")
+{
+    HttpRequest request = callerRequest();
+    request.headers.push_back({"resumes", std::string(256, 'a')});
+    CHECK(Codec.decodeRequest(request)->resumes == RequestId(std::string(256, 'a')));
+    CHECK(valuesOf(Codec.encodeCall(*Codec.decodeRequest(request), endpoint(), {}), "Resumes")
+          == std::vector<std::string>{std::string(256, 'a')});
+    request.headers.back().value.push_back('a');
+    CHECK(Codec.decodeRequest(request)->resumes.empty());
+    CHECK(valuesOf(Codec.encodeCall(*Codec.decodeRequest(request), endpoint(), {}), "Resumes")
+          == std::vector<std::string>{std::string(257, 'a')});
 }
 
 TEST_CASE("a request is forwarded unchanged with the system's header fields and without the key")
@@ -292,6 +308,7 @@
     CHECK_FALSE(entry->leaving);
     CHECK(entry->remainingColdTime == 1500ms);
     CHECK(entry->startedAtMs == 1700000000000);
+    CHECK(entry->softwareVersion == SoftwareVersion("v1"));
     CHECK(entry->models.at(ModelName("m")).count("a1") == 1);
     CHECK(entry->onDisk.count(ModelName("n")) == 1);
     json leaving = validEntry();
