Test: the record of versions follows what is listed

Guards against a version of which nothing tells after a kill of all instances: the record is written for a version that comes and one that goes, and again after it was removed, replaced, unreadable, or lost with a restored store. Measured: StreamOriginTest.cpp linked by itself. The whole program has not been run on this code.

--- a/tests/PlatformAdapter/StreamOriginTest.cpp
+++ b/tests/PlatformAdapter/StreamOriginTest.cpp
@@ -240,3 +240,69 @@
         CHECK(object.spec.find(KnownKey) != std::string::npos);
     }
 }
+
+// Guards against a version that has served and of which nothing tells after all instances were
+// killed, and against a record that stays as it is in the older copy of a restored store.
+TEST_CASE_FIXTURE(StreamRecordFixture, "the lease holder records the versions that are listed")
+{
+    const auto list = [this](const std::string &version) {
+        json entry = replicas[0]->entry("app");
+        entry["version"] = version;
+        store.put("servers", "i-" + version, entry);
+    };
+    const auto isRecorded = [this](const std::vector<std::string> &versions) {
+        return runUntil(io, [&] {
+            return spec(Versions, "app") == json{{"versions", versions}}.dump();
+        });
+    };
+    store.era = 1;
+    REQUIRE(isRecorded({"v1"}));
+    runFor(1s);
+    const StandinStore::Copy copy = store.copy();
+    list("v2");
+    CHECK(isRecorded({"v1", "v2"}));
+    // Changes are logged with the batches of messages, every 50 ms.
+    runFor(100ms);
+    CHECK(hasLine("event=software_versions pool=app mixed=yes versions=v1,v2"));
+    SUBCASE("an endpoint leaves")
+    {
+        store.erase("servers", "i-1");
+        runFor(2s);
+        CHECK(isRecorded({"v1", "v2"}));
+    }
+    SUBCASE("the record is removed")
+    {
+        store.erase(Versions, "app");
+        CHECK(isRecorded({"v1", "v2"}));
+    }
+    SUBCASE("the record is replaced")
+    {
+        store.put(Versions, "app", {{"versions", {"v1"}}});
+        CHECK(isRecorded({"v1", "v2"}));
+    }
+    SUBCASE("the record becomes unreadable")
+    {
+        store.putText(Versions, "app", "[1]");
+        CHECK(isRecorded({"v1", "v2"}));
+        CHECK(unreadable("software_versions") == 1);
+    }
+    SUBCASE("the answer to the write is lost")
+    {
+        store.answersToLose = 1;
+        list("v3");
+        CHECK(isRecorded({"v1", "v2", "v3"}));
+    }
+    SUBCASE("the store is restored from an older copy")
+    {
+        store.refuseCalls = true;
+        runFor(1s);
+        store.restore(copy);
+        store.refuseCalls = false;
+        CHECK(isRecorded({"v1", "v2"}));
+    }
+    // Nothing is written while nothing changes.
+    runFor(500ms);
+    const auto written = store.copy().objects[Versions]["app"].revision;
+    runFor(1s);
+    CHECK(store.copy().objects[Versions]["app"].revision == written);
+}
