--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -338,6 +338,7 @@
         refuseStopping();
         return;
     }
+    findOrigin();
     EndpointQuery query = endpointQuery();
     EndpointChoice choice = m_runtime.directory.choose(query);
     if (choice.kind != ChoiceKind::Send && !m_triedEndpoints.empty()) {
