Test promises against endpoints that copy earlier answers

An endpoint may write the copy of a refusal while the request is under way again with the same id on the same connection.

UnprovenRefusalTest has the smallest case: a copied refusal and the next attempt of a caller with the same id. No product code changes.

PlatformAdapterTests as a whole was not built or run.

--- a/tests/PlatformAdapter/UnprovenRefusalTest.cpp
+++ b/tests/PlatformAdapter/UnprovenRefusalTest.cpp
@@ -161,6 +161,39 @@
     }
 }
 
+// The copy bears the id of the request in flight, so only the connection tells them apart.
+TEST_CASE_FIXTURE(RawReplicaFixture,
+                  "a copied refusal does not end the caller's next attempt with the same id")
+{
+    store.erase("servers", "i-2");
+    run(3s);
+    const auto refused = call("/once/x");
+    std::vector<RawSocket *> earlier;
+    REQUIRE(runUntil(io, [&] {
+        for (RawSocket *it : carriers()) {
+            it->clearReceived();
+            it->send(refusal());
+            earlier.push_back(it);
+        }
+        return refused->ended;
+    }));
+    REQUIRE(refused->status == 503);
+    REQUIRE_FALSE(earlier.empty());
+    // The next call bears the same id.
+    --requests;
+    const auto answer = call("/once/x");
+    RawSocket &carrier = waitForRequest();
+    for (RawSocket *it : earlier) {
+        it->send(refusal());
+    }
+    run(200ms);
+    CHECK_FALSE(answer->ended);
+    CHECK(std::find(earlier.begin(), earlier.end(), &carrier) == earlier.end());
+    carrier.send(ownAnswer());
+    waitForEnd(*answer);
+    CHECK(answer->status == 200);
+}
+
 TEST_CASE_FIXTURE(RequestPathFixture,
                   "a refusal that does not state that the request has not run is not passed on")
 {
