--- a/tests/PlatformAdapter/StreamOriginTest.cpp
+++ b/tests/PlatformAdapter/StreamOriginTest.cpp
@@ -306,3 +306,292 @@
     runFor(1s);
     CHECK(store.copy().objects[Versions]["app"].revision == written);
 }
+
+namespace {
+
+std::string event(int id, const std::string &version)
+{
+    return "id: " + std::to_string(id) + "\ndata: " + version + "\n\n";
+}
+
+/// Two instances, and engines of several versions whose streams state the version in each of their
+/// three events.
+class TwoVersionsFixture : public StreamRecordFixture
+{
+public:
+    TwoVersionsFixture()
+    {
+        addresses["front-1"] = callerAddress;
+        engineMemoryMb = 200;
+        configure(2, {"k1"});
+        startInstance("front-2");
+        addEngine("e-1", "v1");
+        callUntilStatus(200, "/llm/x", "m");
+        REQUIRE(waitForRecord({"v1"}));
+    }
+
+    void startInstance(const std::string &name)
+    {
+        (name == "front-1" ? daemon : others.emplace_back()) = addInstance(name);
+        addresses[name] = callerAddress;
+        callUntilStatus(200, "/app/x");
+    }
+
+    // As after a kill of the machines: all instances end at once and start again.
+    void killAndStartAll()
+    {
+        killAll();
+        runFor(300ms);
+        startInstance("front-1");
+        startInstance("front-2");
+        runFor(1s);
+    }
+
+    void addEngine(const std::string &id, const std::string &version)
+    {
+        StandinReplica &replica =
+            startReplica(id, [this, id, version](const HttpRequest &request, const auto &sink) {
+                const std::string *after = findHeader(request.headers, "Last-Event-Id");
+                (after == nullptr ? begun : resumed)[id] += 1;
+                sink->head(200, streamHeaders(request), true);
+                for (int next = after == nullptr ? 1 : std::stoi(*after) + 1; next <= 3; ++next) {
+                    sink->data(event(next, version));
+                }
+                sink->finish();
+            });
+        replica.models = {"m"};
+        json entry = replica.entry("llm");
+        entry["version"] = version;
+        store.put("servers", id, entry);
+        runFor(700ms);
+    }
+
+    bool waitForRecord(const std::vector<std::string> &versions)
+    {
+        const json expected = {{"versions", versions}};
+        return runUntil(io, [&] {
+            const std::string text = spec(Versions, "llm");
+            return !text.empty() && json::parse(text) == expected;
+        });
+    }
+
+    // Engines of two versions, both in the record, and new streams at both.
+    void startMixed()
+    {
+        addEngine("e-2", "v2");
+        REQUIRE(waitForRecord({"v1", "v2"}));
+        runFor(1s);
+    }
+
+    /// Begins a stream at an instance; returns the id of the attempt.
+    std::string begin(const std::string &instance)
+    {
+        callerAddress = addresses[instance];
+        lastEventId.clear();
+        resumes.clear();
+        const auto answer = callAndWait("/llm/x", "m");
+        REQUIRE(answer->status == 200);
+        const std::string id = "r" + std::to_string(requests);
+        origins[id] =
+            answer->body == event(1, "v1") + event(2, "v1") + event(3, "v1") ? "v1" : "v2";
+        return id;
+    }
+
+    void beginMany(const std::string &instance, int n = 20)
+    {
+        for (int i = 0; i < n; ++i) {
+            begin(instance);
+        }
+    }
+
+    int begunAt(const std::string &version) const
+    {
+        return static_cast<int>(
+            std::count_if(origins.begin(), origins.end(), [&version](const auto &it) {
+                return it.second == version;
+            }));
+    }
+
+    std::shared_ptr<CallerAnswer> takeUp(const std::string &instance, const std::string &attempt)
+    {
+        callerAddress = addresses[instance];
+        lastEventId = "1";
+        resumes = attempt;
+        return callAndWait("/llm/x", "m");
+    }
+
+    // Takes all begun streams up, and checks that each goes on at its version, or is refused if
+    // that has gone.
+    void checkTakeUps(const std::string &instance, const std::string &goneVersion = {})
+    {
+        for (const auto &[id, version] : origins) {
+            CAPTURE(instance);
+            CAPTURE(id);
+            CAPTURE(version);
+            const auto answer = takeUp(instance, id);
+            if (version == goneVersion) {
+                CHECK(answer->status == 503);
+            } else {
+                CHECK(answer->status == 200);
+                CHECK(answer->body == event(2, version) + event(3, version));
+            }
+        }
+    }
+
+    std::map<std::string, std::string> addresses;
+    std::map<std::string, int> begun;
+    std::map<std::string, int> resumed;
+    /// The version that began each stream, by the id of the attempt.
+    std::map<std::string, std::string> origins;
+};
+
+} // namespace
+
+// Streams that a caller took up at another instance went on at any version, since only the instance
+// that had begun them could have known theirs.
+TEST_CASE_FIXTURE(TwoVersionsFixture,
+                  "a stream that is taken up at another instance stays at its version")
+{
+    SUBCASE("begun while two versions serve")
+    {
+        startMixed();
+    }
+    SUBCASE("begun before the second one came") { }
+    beginMany("front-1");
+    if (begun["e-2"] == 0) {
+        startMixed();
+        CHECK(begunAt("v1") == 20);
+    } else {
+        CHECK(begunAt("v1") > 0);
+        CHECK(begunAt("v2") > 0);
+        runFor(300ms);
+    }
+    checkTakeUps("front-2");
+    CHECK(takeUp("front-2", "unknown")->status == 503);
+}
+
+// After a kill of all instances beside two versions, 8 streams went on at another version.
+TEST_CASE_FIXTURE(TwoVersionsFixture,
+                  "streams stay at their version after all instances were killed")
+{
+    beginMany("front-1", 5);
+    startMixed();
+    beginMany("front-1");
+    beginMany("front-2");
+    REQUIRE(begunAt("v2") > 0);
+    runFor(1200ms);
+    killAndStartAll();
+    checkTakeUps("front-1");
+    checkTakeUps("front-2");
+    for (const char *instance : {"front-1", "front-2"}) {
+        CHECK(takeUp(instance, "unknown")->status == 503);
+    }
+}
+
+// Guards against streams of a version that has left going on at the one that is left, because
+// nothing that is listed tells that there was another one.
+TEST_CASE_FIXTURE(TwoVersionsFixture,
+                  "streams of a version whose last endpoint left before a kill are refused")
+{
+    beginMany("front-1", 5);
+    startMixed();
+    beginMany("front-1");
+    runFor(1200ms);
+    store.erase("servers", "e-1");
+    SUBCASE("just before") { }
+    SUBCASE("seen by the instances")
+    {
+        runFor(2s);
+    }
+    resumed.clear();
+    killAndStartAll();
+    for (const char *instance : {"front-1", "front-2"}) {
+        checkTakeUps(instance, "v1");
+        CHECK(takeUp(instance, "unknown")->status == 503);
+    }
+    CHECK(resumed["e-2"] == 2 * begunAt("v2"));
+    // New streams begin at the version that is left.
+    begin("front-1");
+}
+
+// Guards against a record that stays as the store's older copy has it: after a kill of all
+// instances, streams of unknown versions would then go on at the version in it.
+TEST_CASE_FIXTURE(TwoVersionsFixture, "what a restored store lacks is written again")
+{
+    killAll();
+    store.era = 1;
+    startInstance("front-1");
+    startInstance("front-2");
+    runFor(1s);
+    const StandinStore::Copy copy = store.copy();
+    const std::string entry = [&] {
+        startMixed();
+        return spec("servers", "e-2");
+    }();
+    beginMany("front-1");
+    runFor(1s);
+    store.refuseCalls = true;
+    runFor(1s);
+    store.restore(copy);
+    store.refuseCalls = false;
+    runFor(500ms);
+    checkTakeUps("front-2");
+    store.put("servers", "e-2", json::parse(entry));
+    CHECK(waitForRecord({"v1", "v2"}));
+    runFor(1500ms);
+    checkTakeUps("front-2");
+    killAndStartAll();
+    checkTakeUps("front-2");
+    CHECK(takeUp("front-1", "unknown")->status == 503);
+}
+
+// Guards against an instance that serves without knowing what was begun before it started.
+TEST_CASE_FIXTURE(TwoVersionsFixture,
+                  "an instance that starts beside two versions knows earlier streams")
+{
+    startMixed();
+    beginMany("front-1");
+    SUBCASE("from the store")
+    {
+        runFor(1s);
+    }
+    SUBCASE("from the other instances") { }
+    startInstance("front-3");
+    runFor(500ms);
+    checkTakeUps("front-3");
+    CHECK(takeUp("front-3", "unknown")->status == 503);
+}
+
+// Guards against streams that are refused, or go on elsewhere, because the store cannot be written.
+TEST_CASE_FIXTURE(TwoVersionsFixture,
+                  "while the store is away, instances tell each other of streams")
+{
+    startMixed();
+    store.refuseCalls = true;
+    runFor(500ms);
+    beginMany("front-1");
+    runFor(300ms);
+    checkTakeUps("front-2");
+    store.refuseCalls = false;
+    runFor(3s);
+    killAndStartAll();
+    checkTakeUps("front-2");
+}
+
+// Guards against streams of a version that nothing tells of after a kill of all instances.
+TEST_CASE_FIXTURE(TwoVersionsFixture, "streams begin at a new version only once it is recorded")
+{
+    store.refusedKind = Versions;
+    addEngine("e-2", "v2");
+    const SteadyTime before = clock.now();
+    while (clock.now() - before < 2s) {
+        begin("front-1");
+        begin("front-2");
+    }
+    CHECK(begun["e-2"] == 0);
+    store.refusedKind.clear();
+    REQUIRE(waitForRecord({"v1", "v2"}));
+    runFor(1s);
+    beginMany("front-1");
+    CHECK(begun["e-2"] > 0);
+}
