--- a/lib/Fleet/ExchangeEnd.cpp
+++ b/lib/Fleet/ExchangeEnd.cpp
@@ -6,6 +6,7 @@
 #include "marigoldspool/Support/EventLog.h"
 #include "marigoldspool/Support/Invariant.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <utility>
@@ -17,6 +18,20 @@
 // Other instances can take the request at once.
 constexpr Duration StoppingRetryAfter = std::chrono::milliseconds(100);
 
+// The text comes from callers.
+std::string printable(std::string_view text)
+{
+    constexpr std::size_t MaxLoggedBytes = 64;
+    std::string result(text.substr(0, MaxLoggedBytes));
+    std::replace_if(
+        result.begin(), result.end(),
+        [](char c) {
+            return c < ' ' || c > '~';
+        },
+        '?');
+    return result;
+}
+
 std::string fractionalSeconds(Duration value)
 {
     std::array<char, 32> text{};
@@ -201,6 +216,10 @@
               {"tokens_out", std::to_string(m_request.outputTokens)},
               {"endpoint", m_endpoint.str()},
               {"connection", std::to_string(m_connection.number)},
+              {"software_version", m_endpointVersion.str()},
+              {"resumes", printable(m_request.resumes.str())},
+              {"after_event", printable(m_request.lastEventId)},
+              {"origin", std::string(originName())},
               {"tries", std::to_string(m_attemptCount)},
               {"wait_ms",
                m_attemptCount > 0 ? millisecondsText(m_firstSentAt - m_arrival)
@@ -212,6 +231,10 @@
               {"cause", m_lastError}});
     m_runtime.metrics->add("marigoldspool_requests_total", 1,
                            {{"outcome", std::string(outcome)}, {"route", route}});
+    if (m_originSource != OriginSource::None) {
+        m_runtime.metrics->add("marigoldspool_streams_taken_up_total", 1,
+                               {{"outcome", std::string(takeUpOutcome(outcome))}});
+    }
     m_runtime.metrics->observe("marigoldspool_request_seconds",
                                std::chrono::duration<double>(now - m_arrival).count(),
                                {{"outcome", std::string(outcome)}});
--- a/lib/Fleet/FleetRuntime.h
+++ b/lib/Fleet/FleetRuntime.h
@@ -9,6 +9,8 @@
 #include "marigoldspool/Serving/PriorityDemands.h"
 #include "marigoldspool/Serving/PromptQuarantine.h"
 #include "marigoldspool/Serving/RouteTable.h"
+#include "marigoldspool/Serving/SoftwareVersions.h"
+#include "marigoldspool/Serving/StreamOrigins.h"
 #include "marigoldspool/Serving/UsageTally.h"
 #include "marigoldspool/Serving/WorkspaceQuota.h"
 #include "marigoldspool/Support/Metrics.h"
@@ -46,15 +48,22 @@
     /// The store had no configuration newer than that of \c routes at this time.
     SteadyTime configurationConfirmedAt;
     EndpointDirectory directory;
+    /// The store's list of endpoints was that of \c directory at this time.
+    SteadyTime endpointsConfirmedAt;
     WorkspaceQuota quota;
     RetryBudget retries;
     PromptQuarantine quarantine;
+    SoftwareVersions softwareVersions{clock};
+    StreamOrigins streamOrigins{clock};
     /// Null if usage is not reported.
     std::unique_ptr<UsageTally> usage;
     std::uint64_t incarnation;
     /// Whether the configuration, endpoints, evacuations and instances have been received. Before,
     /// an instance might use an evacuated zone, or more than its share of a limit.
     bool isLoaded = false;
+    /// Whether the streams that were begun before have been read from the store, or need not be
+    /// waited for any longer.
+    bool areStreamOriginsRead = false;
     /// Whether a planned stop is in progress.
     bool stopping = false;
     /// When a planned stop closes the callers' connections.
