A periodic timer that is destroyed does not call its task

What was seen: "while the store is away, instances tell each other of streams" crashed once in a run of its file, and once of four runs beside each other (SIGSEGV in the tick of a daemon that the test had ended).

Cause: cancelling a timer that has expired does not take its handler out of the queue, and the handler used the timer without asking whether it still exists. A process that ends as planned stops its timers first; one that is killed runs nothing, so no instance could show it.

Fix: the handler asks. The new test crashed before, and passes with the fix, as do all of SupportTests.

--- a/include/marigoldspool/Support/PeriodicTimer.h
+++ b/include/marigoldspool/Support/PeriodicTimer.h
@@ -4,6 +4,7 @@
 #include "marigoldspool/Support/Clock.h"
 
 #include <functional>
+#include <memory>
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
@@ -37,21 +38,24 @@
     void schedule()
     {
         m_timer.expires_after(m_interval);
-        m_timer.async_wait([this](boost::system::error_code ec) {
-            if (ec || !m_running) {
-                return;
-            }
-            m_task();
-            if (m_running) {
-                schedule();
-            }
-        });
+        // The handler of a timer that has expired is called also if the timer is destroyed before.
+        m_timer.async_wait(
+            [this, alive = std::weak_ptr<int>(m_alive)](boost::system::error_code ec) {
+                if (ec || alive.expired() || !m_running) {
+                    return;
+                }
+                m_task();
+                if (!alive.expired() && m_running) {
+                    schedule();
+                }
+            });
     }
 
     boost::asio::steady_timer m_timer;
     Duration m_interval{};
     std::function<void()> m_task;
     bool m_running = false;
+    std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
 
 } // namespace marigoldspool
--- a/tests/Support/SupportTest.cpp
+++ b/tests/Support/SupportTest.cpp
@@ -3,9 +3,12 @@
 #include "marigoldspool/Support/EventLog.h"
 #include "marigoldspool/Support/Invariant.h"
 #include "marigoldspool/Support/Metrics.h"
+#include "marigoldspool/Support/PeriodicTimer.h"
 #include "marigoldspool/Support/RandomSource.h"
 
+#include <memory>
 #include <set>
+#include <thread>
 
 #include <doctest/doctest.h>
 
@@ -75,3 +78,21 @@
     // The value was taken after the given time, as clocks of two sources may differ.
     CHECK(decayFactor(-std::chrono::seconds(6), 3) == 1);
 }
+
+// A daemon that was destroyed while its tick was due crashed the process.
+TEST_CASE("a periodic timer that is destroyed after it has expired does not call its task")
+{
+    boost::asio::io_context io;
+    int calls = 0;
+    auto timer = std::make_unique<PeriodicTimer>(io);
+    boost::asio::steady_timer earlier(io, std::chrono::milliseconds(1));
+    earlier.async_wait([&timer](boost::system::error_code) {
+        timer.reset();
+    });
+    timer->start(std::chrono::milliseconds(2), [&calls] {
+        ++calls;
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    io.run();
+    CHECK(calls == 0);
+}
