--- a/include/marigoldspool/Serving/SoftwareVersions.h
+++ b/include/marigoldspool/Serving/SoftwareVersions.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 
 namespace marigoldspool {
 
@@ -71,6 +72,9 @@
     std::map<PoolName, PoolState> m_pools;
 };
 
+/// The versions separated by commas, for log lines.
+std::string versionsText(const SoftwareVersions::Versions &versions);
+
 } // namespace marigoldspool
 
 #endif
--- a/lib/Fleet/Exchange.cpp
+++ b/lib/Fleet/Exchange.cpp
@@ -122,6 +122,7 @@
     if (resolved.route == nullptr) {
         return refuseAbsent(RefusalReason::RouteUnknown, "no route matches this host and path");
     }
+    // Requests that are refused below have a pool as well.
     resolved.pool = routes.configuration()->pool(choosePool(*resolved.route, m_request.id));
     resolved.priority = resolved.route->priority;
     if (routes.requiresKeys() && !resolved.route->open) {
@@ -338,7 +339,6 @@
         refuseStopping();
         return;
     }
-    findOrigin();
     EndpointQuery query = endpointQuery();
     EndpointChoice choice = m_runtime.directory.choose(query);
     if (choice.kind != ChoiceKind::Send && !m_triedEndpoints.empty()) {
--- a/lib/Fleet/SoftwareVersionRecord.cpp
+++ b/lib/Fleet/SoftwareVersionRecord.cpp
@@ -44,15 +44,6 @@
     return json{{"versions", std::move(list)}}.dump();
 }
 
-std::string joined(const SoftwareVersions::Versions &versions)
-{
-    std::string text;
-    for (const SoftwareVersion &version : versions) {
-        text += (text.empty() ? "" : ",") + version.str();
-    }
-    return text;
-}
-
 } // namespace
 
 SoftwareVersionRecord::SoftwareVersionRecord(FleetRuntime &runtime, PlacementDriver &placement)
@@ -131,7 +122,7 @@
     record.version = record.position = *result;
     logEvent(LogLevel::Info, "software_versions_recorded",
              {{"pool", pool.str()},
-              {"versions", joined(versions)},
+              {"versions", versionsText(versions)},
               {"store_version", positionText(*result)}});
     m_runtime.softwareVersions.onRecorded(pool, versions);
 }
--- a/lib/Fleet/StreamOriginExchange.cpp
+++ b/lib/Fleet/StreamOriginExchange.cpp
@@ -18,15 +18,6 @@
 // A connection is made anew within this time. What was sent in between is lost.
 constexpr Duration RepeatedTime = std::chrono::seconds(5);
 
-std::string joined(const SoftwareVersions::Versions &versions)
-{
-    std::string text;
-    for (const SoftwareVersion &version : versions) {
-        text += (text.empty() ? "" : ",") + version.str();
-    }
-    return text;
-}
-
 } // namespace
 
 std::set<PoolName> mixedPools(const FleetRuntime &runtime)
@@ -63,7 +54,7 @@
     const std::set<PoolName> mixed = mixedPools(m_runtime);
     logChanges(mixed);
     if (isSmall || m_fleet.isHub()) {
-        greetPeers(mixed);
+        sendRecentToNewPeers(mixed);
     }
     sendNew(mixed);
 }
@@ -97,8 +88,8 @@
         logEvent(LogLevel::Info, "software_versions",
                  {{"pool", pool.str()},
                   {"mixed", mixed.count(pool) > 0 ? "yes" : "no"},
-                  {"versions", joined(m_runtime.softwareVersions.knownVersions(pool))},
-                  {"allowed", allowed == nullptr ? "any" : joined(*allowed)}});
+                  {"versions", versionsText(m_runtime.softwareVersions.knownVersions(pool))},
+                  {"allowed", allowed == nullptr ? "any" : versionsText(*allowed)}});
     }
     m_mixed = mixed;
 }
@@ -117,7 +108,7 @@
     });
 }
 
-void StreamOriginExchange::greetPeers(const std::set<PoolName> &mixed)
+void StreamOriginExchange::sendRecentToNewPeers(const std::set<PoolName> &mixed)
 {
     const std::vector<InstanceId> peers = m_link.connectedPeers();
     std::set<InstanceId> connected(peers.begin(), peers.end());
--- a/lib/Fleet/StreamOriginExchange.h
+++ b/lib/Fleet/StreamOriginExchange.h
@@ -33,7 +33,7 @@
     void logChanges(const std::set<PoolName> &mixed);
     void sendNew(const std::set<PoolName> &mixed);
     /// Sends the streams of the last seconds to instances whose connection is new.
-    void greetPeers(const std::set<PoolName> &mixed);
+    void sendRecentToNewPeers(const std::set<PoolName> &mixed);
     /// Splits \p groups into messages.
     void send(const Groups &groups, const Send &sendMessage);
 
--- a/lib/Serving/SoftwareVersions.cpp
+++ b/lib/Serving/SoftwareVersions.cpp
@@ -177,4 +177,13 @@
     return records;
 }
 
+std::string versionsText(const SoftwareVersions::Versions &versions)
+{
+    std::string text;
+    for (const SoftwareVersion &version : versions) {
+        text += (text.empty() ? "" : ",") + version.str();
+    }
+    return text;
+}
+
 } // namespace marigoldspool
