--- a/tests/PlatformAdapter/StreamOriginTest.cpp
+++ b/tests/PlatformAdapter/StreamOriginTest.cpp
@@ -391,7 +391,7 @@
         resumes.clear();
         const auto answer = callAndWait("/llm/x", "m");
         REQUIRE(answer->status == 200);
-        const std::string id = "r" + std::to_string(requests);
+        std::string id = "r" + std::to_string(requests);
         origins[id] =
             answer->body == event(1, "v1") + event(2, "v1") + event(3, "v1") ? "v1" : "v2";
         return id;
@@ -424,7 +424,9 @@
     // that has gone.
     void checkTakeUps(const std::string &instance, const std::string &goneVersion = {})
     {
-        for (const auto &[id, version] : origins) {
+        for (const auto &it : origins) {
+            const std::string &id = it.first;
+            const std::string &version = it.second;
             CAPTURE(instance);
             CAPTURE(id);
             CAPTURE(version);
