Tests of answers with an unknown status or a broken field name

Reported from another system of this kind: callers got answers of replicas with the status 000, or with a blank or a control byte in the name of a field.

These two are refused here already, so nothing but tests is added. The parser of answers accepts statuses of 100 to 599 and field names that are tokens.

--- /dev/null
+++ b/tests/Gateway/ResponseParserTest.cpp
@@ -0,0 +1,82 @@
+#include "Gateway/ResponseParser.h"
+
+#include <doctest/doctest.h>
+
+using namespace marigoldspool;
+using namespace std::string_literals;
+
+namespace {
+
+// Feeds the text in parts of \p partBytes, as a connection does, until it ends or is refused.
+std::string problemOf(ResponseParser &parser, const std::string &text, std::size_t partBytes)
+{
+    std::string problem;
+    std::string unparsed;
+    for (std::size_t i = 0; i < text.size() && problem.empty() && !parser.isDone();
+         i += partBytes) {
+        unparsed.append(text, i, partBytes);
+        unparsed.erase(0, parser.feed(unparsed, problem));
+    }
+    return problem;
+}
+
+void checkRefused(const std::string &text)
+{
+    for (const std::size_t partBytes : {text.size(), std::size_t{1}, std::size_t{7}}) {
+        CAPTURE(text);
+        CAPTURE(partBytes);
+        ResponseParser parser(false);
+        CHECK_FALSE(problemOf(parser, text, partBytes).empty());
+        CHECK_FALSE(parser.isHeadDone());
+    }
+}
+
+const std::string Length = "Content-Length: 2\r\n";
+
+// Places the fields in the final head, before and behind its length, and in and behind an interim
+// one.
+void checkFieldsRefused(const std::string &fields)
+{
+    checkRefused("HTTP/1.1 200 OK\r\n" + fields + Length + "\r\nab");
+    checkRefused("HTTP/1.1 200 OK\r\n" + Length + fields + "\r\nab");
+    checkRefused("HTTP/1.1 103 Early Hints\r\n" + fields + "\r\nHTTP/1.1 200 OK\r\n" + Length
+                 + "\r\nab");
+    checkRefused("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + fields + Length + "\r\nab");
+}
+
+} // namespace
+
+TEST_CASE("an answer without a status of RFC 9110 is refused")
+{
+    for (const char *status : {"000", "001", "099", "600", "999", "1000", "20", "2 0", "", "-20",
+                               "+20", "0x2", "2OO", "\x01"}) {
+        checkRefused("HTTP/1.1 "s + status + " Trouble\r\n" + Length + "\r\nab");
+    }
+}
+
+TEST_CASE("an answer with a field name that is no token is refused, in any of its heads")
+{
+    for (const std::string &name :
+         {"X A"s, "X-A "s, "X-A\t"s, "X\tA"s, "X\x01"s, "\x01X"s, "X\0"s, "X\x7f"s, "X\x80"s,
+          "X\x0b"s, "X\x1b[0m"s, "X\r"s, "X\n"s, ""s, "X(A)"s, "Content Length"s,
+          "Content-Length "s, "Transfer-Encoding "s, "Content-\x01Length"s}) {
+        checkFieldsRefused(name + ": 2\r\n");
+    }
+    checkRefused("HTTP/1.1 200 OK\r\n X-A: 1\r\n" + Length + "\r\nab");
+    checkRefused("HTTP/1.1 200 OK\r\nno colon\r\n" + Length + "\r\nab");
+}
+
+// Lines of a body may begin with a blank.
+TEST_CASE("a body is read whatever its lines begin with")
+{
+    for (const std::size_t partBytes : {100, 1, 7}) {
+        CAPTURE(partBytes);
+        ResponseParser parser(false);
+        CHECK(problemOf(parser,
+                        "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n"
+                        "Content-Length: 6\r\n\r\n x\r\n y",
+                        partBytes)
+                  .empty());
+        CHECK(parser.isDone());
+    }
+}
