Refuse answers with a folded line in their heads

What callers saw: an answer in which the name of a field began with a blank was passed on as an answer, with that line as part of another field's value ("X-A: 1 X-B: 1"), or with a body that was not the replica's.

Cause: Beast joins a line that begins with a blank or a tab to the value of the field before it (obs-fold). A Content-Length, Transfer-Encoding or Content-Encoding on such a line had no effect. Without its length, the body went on to the end of the connection and took in the bytes behind it; without its chunks, the chunk headers were part of the body. What a replica states in such a head (Server-Leaving) counted, too. Requests of callers were checked for this already, answers were not.

Evidence: the test "an answer with a folded line reaches no caller" failed on the code before: 200 in place of 502 for a request that must run once, and the broken answer in place of another replica's for one that may run twice. With the length on the folded line, the caller's body was the replica's and a whole further answer behind it. Ruled out: statuses below 100 or above 599 and all other broken names; their tests passed before this change.

Change: the check of the lines of a head moves from RequestParser to HeadScanner, which ResponseParser uses as well. RFC 9112, 5.2 allows a gateway to discard such an answer; it is treated like any other malformed one: the connection is closed, the request is repeated elsewhere where that is allowed, else answered with 502. Joining the line instead would keep the ambiguity of what the replica meant.

--- a/lib/Gateway/RequestParser.cpp
+++ b/lib/Gateway/RequestParser.cpp
@@ -140,30 +140,6 @@
     return fail(400, std::move(message), "send a request that follows RFC 9112");
 }
 
-// Beast accepts folded lines, and other parsers may see the head end at a bare CR or LF, so each
-// line is checked before the head is parsed.
-bool RequestParser::findHeadEnd(const std::string &in)
-{
-    const std::size_t end = std::min(in.size(), m_maxHeaderBytes);
-    for (; m_scanned < end; ++m_scanned) {
-        const std::size_t i = m_scanned;
-        const char c = in[i];
-        const char previous = i > 0 ? in[i - 1] : '\0';
-        const bool loneLineFeed = c == '\n' && previous != '\r';
-        const bool loneReturn = previous == '\r' && c != '\n';
-        const bool foldedLine = previous == '\n' && (c == ' ' || c == '\t');
-        if (loneLineFeed || loneReturn || foldedLine || c == '\0') {
-            m_hasInvalidLine = true;
-            return false;
-        }
-        if (c == '\n' && i >= 3 && in[i - 2] == '\n') {
-            m_headBytes = i + 1;
-            return true;
-        }
-    }
-    return false;
-}
-
 RequestParser::Result RequestParser::feed(std::string &in)
 {
     if (!m_headDone) {
@@ -178,21 +154,24 @@
 RequestParser::Result RequestParser::feedHead(std::string &in)
 {
     // Some clients send an empty line after a body; RFC 9112 lets a server ignore it.
-    while (m_scanned == 0 && in.compare(0, 2, "\r\n") == 0) {
+    while (m_scanner.scannedBytes() == 0 && in.compare(0, 2, "\r\n") == 0) {
         in.erase(0, 2);
     }
-    if (!findHeadEnd(in)) {
-        if (m_hasInvalidLine) {
-            return malformed("the request head contains a bare CR or LF, a folded line or a NUL");
-        }
+    const std::string_view head = std::string_view(in).substr(0, m_maxHeaderBytes);
+    const HeadScanner::Result scanned = m_scanner.scan(head.substr(m_scanner.scannedBytes()));
+    if (scanned == HeadScanner::Result::Invalid) {
+        return malformed("the request head contains a bare CR or LF, a folded line or a NUL");
+    }
+    if (scanned == HeadScanner::Result::NeedMore) {
         if (in.size() >= m_maxHeaderBytes) {
             return fail(431, "the request head is larger than allowed",
                         "send at most " + std::to_string(m_maxHeaderBytes) + " bytes of headers");
         }
         return Result::NeedMore;
     }
+    const std::size_t headBytes = m_scanner.scannedBytes();
     boost::beast::error_code ec;
-    m_impl->put(boost::asio::buffer(in.data(), m_headBytes), ec);
+    m_impl->put(boost::asio::buffer(in.data(), headBytes), ec);
     if (ec == http::error::body_limit) {
         return fail(413, "the request body is larger than allowed", "send a smaller body");
     }
@@ -203,7 +182,7 @@
         return malformed("the request head is malformed");
     }
     m_http11 = in.find(" HTTP/1.1\r\n") < in.find("\r\n");
-    in.erase(0, m_headBytes);
+    in.erase(0, headBytes);
     m_headDone = true;
     return checkHead();
 }
--- a/lib/Gateway/RequestParser.h
+++ b/lib/Gateway/RequestParser.h
@@ -1,6 +1,8 @@
 #ifndef MARIGOLDSPOOL_LIB_GATEWAY_REQUESTPARSER_H
 #define MARIGOLDSPOOL_LIB_GATEWAY_REQUESTPARSER_H
 
+#include "HeadScanner.h"
+
 #include "marigoldspool/Gateway/HttpServer.h"
 #include "marigoldspool/Support/Refusal.h"
 
@@ -57,17 +59,13 @@
 
     Result fail(int status, std::string message, std::string remedy);
     Result malformed(std::string message);
-    bool findHeadEnd(const std::string &in);
     Result feedHead(std::string &in);
     Result feedBody(std::string &in);
     Result checkHead();
 
     std::size_t m_maxHeaderBytes;
     std::unique_ptr<Impl> m_impl;
-    /// Bytes of the head checked so far, and its size once its end has been seen.
-    std::size_t m_scanned = 0;
-    std::size_t m_headBytes = 0;
-    bool m_hasInvalidLine = false;
+    HeadScanner m_scanner;
     bool m_headDone = false;
     bool m_http11 = false;
     RequestFault m_fault;
--- a/lib/Gateway/ResponseParser.cpp
+++ b/lib/Gateway/ResponseParser.cpp
@@ -1,5 +1,6 @@
 #include "ResponseParser.h"
 
+#include "HeadScanner.h"
 #include "HttpFields.h"
 
 #include <charconv>
@@ -24,6 +25,19 @@
 class ResponseParser::Impl final : public http::basic_parser<false>
 {
 public:
+    /// Checks the lines of the head in \p bytes, which follow the first usedBytes of the answer.
+    bool checkHeadLines(std::string_view bytes)
+    {
+        if (m_isHeadChecked) {
+            return true;
+        }
+        const HeadScanner::Result result =
+            m_scanner.scan(bytes.substr(m_scanner.scannedBytes() - usedBytes));
+        m_isHeadChecked = result == HeadScanner::Result::Complete;
+        return result != HeadScanner::Result::Invalid;
+    }
+
+    std::size_t usedBytes = 0;
     int status = 0;
     std::vector<HeaderField> headers;
     std::vector<std::string_view> bodyParts;
@@ -94,6 +108,9 @@
     }
 
     void on_finish_impl(boost::beast::error_code &) override { }
+
+    HeadScanner m_scanner;
+    bool m_isHeadChecked = false;
 };
 
 ResponseParser::ResponseParser(bool isHead)
@@ -119,8 +136,15 @@
     std::size_t used = 0;
     m_impl->bodyParts.clear();
     while (used < bytes.size() && !m_impl->is_done()) {
+        const std::string_view rest = bytes.substr(used);
+        if (!m_impl->checkHeadLines(rest)) {
+            problem = "the head contains a bare CR or LF, a folded line or a NUL";
+            return used;
+        }
         boost::beast::error_code ec;
-        used += m_impl->put(boost::asio::buffer(bytes.data() + used, bytes.size() - used), ec);
+        const std::size_t n = m_impl->put(boost::asio::buffer(rest.data(), rest.size()), ec);
+        m_impl->usedBytes += n;
+        used += n;
         if (ec && ec != http::error::need_more) {
             problem = ec.message();
             return used;
--- a/tests/Gateway/ResponseParserTest.cpp
+++ b/tests/Gateway/ResponseParserTest.cpp
@@ -66,6 +66,19 @@
     checkRefused("HTTP/1.1 200 OK\r\nno colon\r\n" + Length + "\r\nab");
 }
 
+// Beast takes such a line for the rest of the value before it, so a length or an encoding in it had
+// no effect, and the line was passed on in that value.
+TEST_CASE("an answer with a folded line is refused, in any of its heads")
+{
+    for (const char *fields :
+         {"X-A: 1\r\n X-B: 1\r\n", "X-A: 1\r\n\tX-B: 1\r\n", "X-A: 1\r\n \r\n", "X-A:\r\n 1\r\n",
+          "X-A: 1\r\n Content-Length: 1\r\n", "X-A: 1\r\n Transfer-Encoding: chunked\r\n"}) {
+        checkFieldsRefused(fields);
+    }
+    checkRefused("HTTP/1.1 200 OK\r\nContent-Length:\r\n 2\r\n\r\nab");
+    checkRefused("HTTP/1.1 200 OK\r\nTransfer-Encoding:\r\n chunked\r\n\r\n0\r\n\r\n");
+}
+
 // Lines of a body may begin with a blank.
 TEST_CASE("a body is read whatever its lines begin with")
 {
--- a/tests/PlatformAdapter/BrokenAnswerTest.cpp
+++ b/tests/PlatformAdapter/BrokenAnswerTest.cpp
@@ -27,6 +27,14 @@
     {"200 OK", "X\x01-A: 1\r\n" + LengthField}, {"200 OK", "X\0-A: 1\r\n"s + LengthField},
     {"200 OK", "Content Length: 15\r\n"},       {"200 OK", "Content-Length : 15\r\n"}};
 
+// The name begins with a blank, so that the line looks like the rest of the value before it.
+// Without the length or the chunks, the body goes on to the end of the connection.
+const std::vector<BrokenHead> FoldedLines{
+    {"200 OK", "X-A: 1\r\n X-B: 1\r\n" + LengthField},
+    {"200 OK", "X-A: 1\r\n\tContent-Encoding: gzip\r\n" + LengthField},
+    {"200 OK", "X-A: 1\r\n " + LengthField},
+    {"200 OK", "X-A: 1\r\n Transfer-Encoding: chunked\r\n"}};
+
 class BrokenAnswerFixture : public RawReplicaFixture
 {
 public:
@@ -140,3 +148,10 @@
     }
     checkRefused(BrokenNames);
 }
+
+// Callers got such answers with the line as part of a value, or with a body that had the bytes of
+// other answers or of chunk headers in it.
+TEST_CASE_FIXTURE(BrokenAnswerFixture, "an answer with a folded line reaches no caller")
+{
+    checkRefused(FoldedLines, answerText("200 OK", SealField, "another's"));
+}
