Move the parser of answers to a component of its own

HeadScanner, HttpFields and ResponseParser move from Gateway to Http, so that the connections to the store can read their answers with them, too. Platform must not depend on Gateway. No change of behaviour: HttpTests (4 cases) and GatewayTests (92) pass.

--- a/lib/Gateway/ResponseParser.h
+++ b/include/marigoldspool/Http/ResponseParser.h
@@ -1,5 +1,5 @@
-#ifndef MARIGOLDSPOOL_LIB_GATEWAY_RESPONSEPARSER_H
-#define MARIGOLDSPOOL_LIB_GATEWAY_RESPONSEPARSER_H
+#ifndef MARIGOLDSPOOL_HTTP_RESPONSEPARSER_H
+#define MARIGOLDSPOOL_HTTP_RESPONSEPARSER_H
 
 #include "marigoldspool/Support/HeaderField.h"
 
@@ -12,7 +12,7 @@
 
 namespace marigoldspool {
 
-/// Reads one answer from the bytes of an endpoint's connection.
+/// Reads one answer from the bytes of a connection.
 class ResponseParser
 {
 public:
@@ -35,7 +35,7 @@
     /// Only after isDone().
     bool keepAlive() const;
     int status() const;
-    /// How long the endpoint keeps the connection idle, as its Keep-Alive field says.
+    /// How long the server keeps the connection idle, as its Keep-Alive field says.
     std::optional<std::chrono::seconds> keepAliveTimeout() const;
     /// Tells the parser that the connection has ended; returns whether that completes the answer.
     bool finishAtEnd();
--- a/lib/Gateway/EndpointClient.cpp
+++ b/lib/Gateway/EndpointClient.cpp
@@ -2,7 +2,8 @@
 
 #include "EndpointAddress.h"
 #include "EndpointConnection.h"
-#include "HttpFields.h"
+
+#include "marigoldspool/Http/HttpFields.h"
 
 #include <algorithm>
 #include <unordered_map>
--- a/lib/Gateway/EndpointConnection.cpp
+++ b/lib/Gateway/EndpointConnection.cpp
@@ -1,7 +1,6 @@
 #include "EndpointConnection.h"
 
-#include "HttpFields.h"
-
+#include "marigoldspool/Http/HttpFields.h"
 #include "marigoldspool/Support/EventLog.h"
 #include "marigoldspool/Support/SocketOptions.h"
 
--- a/lib/Gateway/EndpointConnection.h
+++ b/lib/Gateway/EndpointConnection.h
@@ -1,9 +1,8 @@
 #ifndef MARIGOLDSPOOL_LIB_GATEWAY_ENDPOINTCONNECTION_H
 #define MARIGOLDSPOOL_LIB_GATEWAY_ENDPOINTCONNECTION_H
 
-#include "ResponseParser.h"
-
 #include "marigoldspool/Gateway/EndpointClient.h"
+#include "marigoldspool/Http/ResponseParser.h"
 
 #include <functional>
 #include <memory>
--- a/lib/Gateway/RequestParser.cpp
+++ b/lib/Gateway/RequestParser.cpp
@@ -1,6 +1,6 @@
 #include "RequestParser.h"
 
-#include "HttpFields.h"
+#include "marigoldspool/Http/HttpFields.h"
 
 #include <algorithm>
 
--- a/lib/Gateway/RequestParser.h
+++ b/lib/Gateway/RequestParser.h
@@ -1,9 +1,8 @@
 #ifndef MARIGOLDSPOOL_LIB_GATEWAY_REQUESTPARSER_H
 #define MARIGOLDSPOOL_LIB_GATEWAY_REQUESTPARSER_H
 
-#include "HeadScanner.h"
-
 #include "marigoldspool/Gateway/HttpServer.h"
+#include "marigoldspool/Http/HeadScanner.h"
 #include "marigoldspool/Support/Refusal.h"
 
 #include <chrono>
--- a/lib/Gateway/ResponseWriter.cpp
+++ b/lib/Gateway/ResponseWriter.cpp
@@ -1,8 +1,7 @@
 #include "ResponseWriter.h"
 
-#include "HttpFields.h"
-
 #include "marigoldspool/Gateway/OpenAi.h"
+#include "marigoldspool/Http/HttpFields.h"
 #include "marigoldspool/Support/EventLog.h"
 
 #include <array>
--- a/lib/Gateway/HeadScanner.cpp
+++ b/lib/Http/HeadScanner.cpp
@@ -1,4 +1,4 @@
-#include "HeadScanner.h"
+#include "marigoldspool/Http/HeadScanner.h"
 
 namespace marigoldspool {
 
--- a/lib/Gateway/HttpFields.cpp
+++ b/lib/Http/HttpFields.cpp
@@ -1,4 +1,4 @@
-#include "HttpFields.h"
+#include "marigoldspool/Http/HttpFields.h"
 
 #include <algorithm>
 #include <array>
--- a/lib/Gateway/ResponseParser.cpp
+++ b/lib/Http/ResponseParser.cpp
@@ -1,7 +1,7 @@
-#include "ResponseParser.h"
+#include "marigoldspool/Http/ResponseParser.h"
 
-#include "HeadScanner.h"
-#include "HttpFields.h"
+#include "marigoldspool/Http/HeadScanner.h"
+#include "marigoldspool/Http/HttpFields.h"
 
 #include <charconv>
 #include <limits>
--- a/tests/Gateway/ResponseParserTest.cpp
+++ b/tests/Http/ResponseParserTest.cpp
@@ -1,4 +1,4 @@
-#include "Gateway/ResponseParser.h"
+#include "marigoldspool/Http/ResponseParser.h"
 
 #include <doctest/doctest.h>
 
