Read the store's answers with the parser of all other answers

What was seen: a call whose answer had the status 000 (or any below 200) counted as carried out. A lock that the store had not removed was taken for removed, and an object was read from such an answer. An interim answer (103) ended its call, so that the refusal behind it (409) was not seen. A folded line was joined to the field before it, as in the answers of replicas: Store-Era on such a line was lost.

Cause: the connections to the store read their answers with Beast's response parser, which takes any three digits for a status and ends with an interim answer, and PlatformStore takes every status below 300 for success.

Evidence: "an answer of the store with a broken head is no answer" failed on the code before for 000, 099 and the folded line (read, write and removal succeeded), "an interim answer of the store does not end the call" as well. 600 and broken field names were refused before; their cases are kept.

Change: StoreConnection reads with ResponseParser, which checks the status, the lines and the lengths of a head and skips interim answers. A broken answer is treated as a lost one: a write has an unknown outcome, a read is unavailable, and the connection is closed. Limits and deadlines of an answer stay.

--- a/lib/Platform/StoreConnectionPool.cpp
+++ b/lib/Platform/StoreConnectionPool.cpp
@@ -1,17 +1,16 @@
 #include "marigoldspool/Platform/StoreConnectionPool.h"
 
+#include "marigoldspool/Http/ResponseParser.h"
 #include "marigoldspool/Support/SocketOptions.h"
 
 #include <algorithm>
+#include <array>
 #include <optional>
 #include <sys/socket.h>
 
 #include <boost/asio/post.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -27,7 +26,8 @@
 // A page of a list has about 1 MB, and a watch may report several objects of that size. All
 // connections together must stay far below the memory of a small machine when the store sends bytes
 // without end.
-constexpr std::uint64_t MaxAnswerBytes = 8U << 20U;
+constexpr std::size_t MaxAnswerBytes = 8U << 20U;
+constexpr std::size_t ReceiveBufferBytes = 4096;
 
 } // namespace
 
@@ -127,37 +127,64 @@
     void send()
     {
         m_stream.expires_at(m_call.deadline);
-        http::async_write(m_stream, m_request,
-                          [self = shared_from_this()](beast::error_code ec, std::size_t) {
-                              if (ec) {
-                                  self->onConnectionError(ec);
-                                  return;
-                              }
-                              self->receive();
-                          });
+        http::async_write(
+            m_stream, m_request, [self = shared_from_this()](beast::error_code ec, std::size_t) {
+                if (ec) {
+                    self->onConnectionError(ec.message(), ec == beast::error::timeout);
+                    return;
+                }
+                self->receive();
+            });
     }
 
     void receive()
     {
-        m_parser.emplace();
-        m_parser->body_limit(MaxAnswerBytes);
-        m_parser->eager(true);
+        m_parser.emplace(false);
         receivePart();
     }
 
     void receivePart()
     {
-        http::async_read_some(m_stream, m_buffer, *m_parser,
-                              [self = shared_from_this()](beast::error_code ec, std::size_t) {
-                                  if (ec) {
-                                      self->onConnectionError(ec);
-                                  } else if (self->m_parser->is_done()) {
-                                      self->onAnswer();
-                                  } else {
-                                      self->extendDeadline();
-                                      self->receivePart();
-                                  }
-                              });
+        m_stream.async_read_some(boost::asio::buffer(m_buffer),
+                                 [self = shared_from_this()](beast::error_code ec, std::size_t n) {
+                                     if (ec) {
+                                         self->onEndOfStream(ec);
+                                     } else {
+                                         self->onBytes({self->m_buffer.data(), n});
+                                     }
+                                 });
+    }
+
+    void onBytes(std::string_view bytes)
+    {
+        m_unparsed.append(bytes);
+        std::string problem;
+        const std::size_t used = m_parser->feed(m_unparsed, problem);
+        for (const std::string_view part : m_parser->bodyParts()) {
+            m_answerBody.append(part);
+        }
+        m_unparsed.erase(0, used);
+        if (problem.empty() && m_answerBody.size() > MaxAnswerBytes) {
+            problem = "the answer is too long";
+        }
+        if (!problem.empty()) {
+            onConnectionError(problem, false);
+        } else if (m_parser->isDone()) {
+            // Answers bear no id, so further bytes would be taken for the answer to the next call.
+            onAnswer(m_parser->keepAlive() && m_unparsed.empty());
+        } else {
+            extendDeadline();
+            receivePart();
+        }
+    }
+
+    void onEndOfStream(beast::error_code ec)
+    {
+        if (ec == boost::asio::error::eof && m_parser->finishAtEnd()) {
+            onAnswer(false);
+            return;
+        }
+        onConnectionError(ec.message(), ec == beast::error::timeout);
     }
 
     // How long a large answer takes depends on the link, so its deadline follows its bytes: ended
@@ -172,55 +199,53 @@
                                        m_call.deadline + StoreConnectionPool::MaxAnswerTime));
     }
 
-    void onAnswer()
+    void onAnswer(bool reusable)
     {
-        auto message = m_parser->release();
-        // Answers bear no id, so further bytes would be taken for the answer to the next call.
-        const bool reusable = message.keep_alive() && m_buffer.size() == 0;
         m_reused = true;
-        StoreAnswer answer{message.result_int(), std::move(message.body()), std::nullopt};
-        const auto field = message.find(m_call.answerField);
-        if (!m_call.answerField.empty() && field != message.end()) {
-            answer.field = std::string(field->value());
+        StoreAnswer answer{static_cast<unsigned>(m_parser->status()), std::move(m_answerBody),
+                           std::nullopt};
+        const std::vector<HeaderField> headers = m_parser->takeHeaders();
+        const std::string *field = findHeader(headers, m_call.answerField);
+        if (!m_call.answerField.empty() && field != nullptr) {
+            answer.field = *field;
         }
         finish(std::move(answer), reusable);
     }
 
-    // Called after sending began, so the request may have reached the store.
-    void onConnectionError(beast::error_code ec)
+    // Called after sending began, so the request may have reached the store. A broken answer shows
+    // no more than a lost one.
+    void onConnectionError(const std::string &cause, bool timedOut)
     {
         m_connected = false;
-        const bool timedOut = ec == beast::error::timeout;
         // The server may close an idle persistent connection just as it is reused; only reads can
         // safely be sent again.
         if (m_reused && !timedOut && !m_call.isWrite && !m_closed) {
-            m_buffer.clear();
+            m_unparsed.clear();
+            m_answerBody.clear();
             connect();
             return;
         }
         if (m_call.isWrite) {
             finish(unexpectedError(ErrorKind::OutcomeUnknown,
-                                   "the answer to a write was lost: " + ec.message(),
+                                   "the answer to a write was lost: " + cause,
                                    "read the object back and compare the write id"),
                    false);
             return;
         }
         finish(unexpectedError(timedOut ? ErrorKind::Timeout : ErrorKind::Unavailable,
-                               "the store did not answer: " + ec.message() + " after "
-                                   + std::to_string(answerBytes()) + " bytes of the answer",
+                               "no whole answer of the store: " + cause + " after "
+                                   + std::to_string(m_answerBody.size()) + " bytes of its body",
                                "try again after a delay"),
                false);
     }
 
-    // Received bytes of the body; tells a slow answer from none.
-    std::size_t answerBytes() const { return m_parser ? m_parser->get().body().size() : 0; }
-
     void finish(Expected<StoreAnswer> result, bool reusable)
     {
         m_parser.reset();
+        m_answerBody.clear();
         if (!reusable) {
             m_connected = false;
-            m_buffer.clear();
+            m_unparsed.clear();
             m_stream.close();
         } else {
             m_stream.expires_never();
@@ -247,10 +272,13 @@
     beast::tcp_stream m_stream;
     std::weak_ptr<StoreConnectionPool> m_pool;
     boost::asio::ip::tcp::endpoint m_server;
-    beast::flat_buffer m_buffer;
+    std::array<char, ReceiveBufferBytes> m_buffer{};
     HttpCall m_call;
     http::request<http::string_body> m_request;
-    std::optional<http::response_parser<http::string_body>> m_parser;
+    std::optional<ResponseParser> m_parser;
+    /// Received bytes that the parser has not used yet.
+    std::string m_unparsed;
+    std::string m_answerBody;
     bool m_connected = false;
     bool m_reused = false;
     bool m_closed = false;
--- a/tests/PlatformAdapter/PlatformStoreTest.cpp
+++ b/tests/PlatformAdapter/PlatformStoreTest.cpp
@@ -1,6 +1,7 @@
 #include "PlatformStore.h"
 
 #include "StandinPlatform.h"
+#include "support/EndlessServer.h"
 #include "support/IoRunner.h"
 
 #include <optional>
@@ -43,6 +44,20 @@
         });
     }
 
+    Expected<StoredObject> get(const std::string &key)
+    {
+        return wait<StoredObject>([&](auto done) {
+            store->get(key, done);
+        });
+    }
+
+    Expected<std::uint64_t> remove(const std::string &key, std::uint64_t version)
+    {
+        return wait<std::uint64_t>([&](auto done) {
+            store->remove(key, version, done);
+        });
+    }
+
     Expected<ListResult> list(const std::string &prefix)
     {
         return wait<ListResult>([&](auto done) {
@@ -63,6 +78,12 @@
     std::unique_ptr<ObjectStore> store;
 };
 
+template <class T>
+std::optional<ErrorKind> failureOf(const Expected<T> &result)
+{
+    return result ? std::nullopt : std::optional(result.error().kind);
+}
+
 } // namespace
 
 TEST_CASE_FIXTURE(StoreFixture,
@@ -221,3 +242,63 @@
     CHECK(list("servers/").error().kind == ErrorKind::Malformed);
     CHECK(watch("servers/", start->revision, 1s).error().kind == ErrorKind::Malformed);
 }
+
+// A store in trouble answers all calls with the same bytes. With a status below 200, calls counted
+// as carried out: a lock that the store had not removed was taken for removed.
+TEST_CASE_FIXTURE(StoreFixture, "an answer of the store with a broken head is no answer")
+{
+    const std::string body = R"({"metadata":{"name":"a","rev":7},"spec":{}})";
+    const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    std::string head;
+    SUBCASE("unknown status 000")
+    {
+        head = "000 Trouble\r\n";
+    }
+    SUBCASE("unknown status 099")
+    {
+        head = "099 Trouble\r\n";
+    }
+    SUBCASE("unknown status 600")
+    {
+        head = "600 Trouble\r\n";
+    }
+    SUBCASE("blank in the name of a field")
+    {
+        head = "200 OK\r\nX A: 1\r\n";
+    }
+    SUBCASE("control byte in the name of a field")
+    {
+        head = "200 OK\r\nX\x01-A: 1\r\n";
+    }
+    SUBCASE("folded line")
+    {
+        head = "200 OK\r\nX-A: 1\r\n Store-Era: 3\r\n";
+    }
+    head.insert(0, "HTTP/1.1 ");
+    EndlessServer broken(
+        io,
+        [&](const std::string &) {
+            return head + length + "\r\n" + body;
+        },
+        "");
+    store = std::move(*makePlatformStore(io, broken.address(), 1s, metrics));
+    CHECK(failureOf(get("locks/a")) == ErrorKind::Unavailable);
+    CHECK(failureOf(put("locks/a", 0, {{"x", 1}})) == ErrorKind::OutcomeUnknown);
+    CHECK(failureOf(remove("locks/a", 7)) == ErrorKind::OutcomeUnknown);
+    store.reset();
+}
+
+// The call that was refused behind the interim answer was taken for one that was carried out.
+TEST_CASE_FIXTURE(StoreFixture, "an interim answer of the store does not end the call")
+{
+    EndlessServer refusing(
+        io,
+        [](const std::string &) {
+            return "HTTP/1.1 103 Early Hints\r\n\r\n"
+                   "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n";
+        },
+        "");
+    store = std::move(*makePlatformStore(io, refusing.address(), 1s, metrics));
+    CHECK(failureOf(remove("locks/a", 7)) == ErrorKind::Conflict);
+    store.reset();
+}
