Refuse forwarded heads whose status is no final one

What would be seen: an instance of marigoldspoold that receives the head of an answer with the status 000 (or 1xx, or above 599) from another instance ends, and with it the requests of all its callers.

Cause: the status was decoded as any integer and given to ResponseWriter, which asserts that it is from 200 to 599. Assertions are enabled in release builds. No instance of this version sends such a head, as the answers of endpoints are checked when they are read.

Change: such a head is malformed like any other field out of range. The frame is dropped and counted; the first part of the body behind it finds no head, so the caller is told at once that its answer is incomplete.

--- a/lib/Peer/MessageFields.h
+++ b/lib/Peer/MessageFields.h
@@ -89,7 +89,7 @@
 std::enable_if_t<IsMessage<M, ForwardHead>> visitFields(V &visit, M &m)
 {
     visit("id", m.id);
-    visit("status", m.status);
+    visit.finalStatus("status", m.status);
     visit("headers", m.headers);
     visit("stream", m.stream);
 }
--- a/lib/Peer/Messages.cpp
+++ b/lib/Peer/Messages.cpp
@@ -45,6 +45,8 @@
         (*this)(name, value);
     }
 
+    void finalStatus(const char *name, int value) { (*this)(name, value); }
+
     void bytes(const char *name, const std::string &value)
     {
         m_fields[name] = json::binary({value.begin(), value.end()});
@@ -145,6 +147,17 @@
         }
     }
 
+    // Whoever writes an answer relies on its status.
+    void finalStatus(const char *name, int &value)
+    {
+        constexpr int First = 200;
+        constexpr int Last = 599;
+        (*this)(name, value);
+        if (value < First || value > Last) {
+            markInvalid(name);
+        }
+    }
+
     void bytes(const char *name, std::string &value)
     {
         const json *field = find(name);
