Test of broken heads in the pages that the operators' tool reads

The commands take no page but that of a response with status 200, and Beast refuses broken field names, so nothing is changed: the test passes on the code before it.

--- a/tests/Operator/HttpInstanceClientTest.cpp
+++ b/tests/Operator/HttpInstanceClientTest.cpp
@@ -95,6 +95,20 @@
     CHECK(ask(address(), LongTimeout).error().kind == ErrorKind::Malformed);
 }
 
+// The commands take no page but that of a response with status 200.
+TEST_CASE_FIXTURE(Fixture, "a response with a broken head is no page")
+{
+    for (const std::string head :
+         {"000 Trouble\r\n", "099 Trouble\r\n", "600 Trouble\r\n", "200 OK\r\nX A: 1\r\n",
+          "200 OK\r\nX\x01-A: 1\r\n", "200 OK\r\nContent Length: 5\r\n"}) {
+        CAPTURE(head);
+        serve("HTTP/1.1 " + head + "Content-Length: 5\r\n\r\nhello", true);
+        const Expected<InstanceResponse> result = ask(address(), LongTimeout);
+        CHECK((!result || result->status != 200));
+        CHECK((result || result.error().kind == ErrorKind::Malformed));
+    }
+}
+
 TEST_CASE_FIXTURE(Fixture, "an instance that accepts but never answers does not hang the command")
 {
     serve("", false);
