--- a/lib/Gateway/RequestParser.cpp
+++ b/lib/Gateway/RequestParser.cpp
@@ -26,6 +26,7 @@
 class RequestParser::Impl final : public http::basic_parser<true>
 {
 public:
+    /// Whether \p body must not be used before more of it is there.
     bool needsMoreOf(std::string_view body) const
     {
         return chunked() && !m_hasChunk && isPartOfLastChunk(body);
--- a/lib/Http/ResponseParser.cpp
+++ b/lib/Http/ResponseParser.cpp
@@ -37,6 +37,7 @@
         return result != HeadScanner::Result::Invalid;
     }
 
+    /// Whether \p bytes must not be used before more of them are there.
     bool needsMoreOf(std::string_view bytes) const
     {
         return headComplete && chunked() && !m_hasChunk && isPartOfLastChunk(bytes);
--- a/lib/Peer/Messages.cpp
+++ b/lib/Peer/Messages.cpp
@@ -147,7 +147,7 @@
         }
     }
 
-    // Whoever writes an answer relies on its status.
+    // The writer of the answer asserts that its status is a final one.
     void finalStatus(const char *name, int &value)
     {
         constexpr int First = 200;
