--- a/tests/PlatformAdapter/PlatformStoreTest.cpp
+++ b/tests/PlatformAdapter/PlatformStoreTest.cpp
@@ -95,15 +95,11 @@
     const auto replaced = put("locks/a", *created, {{"x", 3}});
     REQUIRE(replaced);
     CHECK(put("locks/a", *created, {{"x", 4}}).error().kind == ErrorKind::Conflict);
-    const auto read = wait<StoredObject>([&](auto done) {
-        store->get("locks/a", done);
-    });
+    const auto read = get("locks/a");
     REQUIRE(read);
     CHECK(read->version == *replaced);
     CHECK(json::parse(read->value) == json{{"x", 3}});
-    CHECK(wait<std::uint64_t>([&](auto done) {
-        store->remove("locks/a", *replaced, done);
-    }));
+    CHECK(remove("locks/a", *replaced));
     CHECK_FALSE(standin.has("locks", "a"));
 }
 
@@ -150,14 +146,10 @@
         REQUIRE(created);
         const auto replaced = put(key, *created, {{"x", 2}});
         REQUIRE(replaced);
-        const auto read = wait<StoredObject>([&](auto done) {
-            store->get(key, done);
-        });
+        const auto read = get(key);
         REQUIRE(read);
         CHECK(read->key == key);
-        CHECK(wait<std::uint64_t>([&](auto done) {
-            store->remove(key, *replaced, done);
-        }));
+        CHECK(remove(key, *replaced));
     }
 }
 
