Refuse the store's answers with their heads if they state a length above the limit

Cause: StoreConnection compared the bytes that it had read with the limit, while ResponseParser set none.

Evidence: "a body above the limit is refused, and with its head if that states the length" failed on the code before, with the new parameter not yet used.

Change: ResponseParser takes the limit and gives it to Beast, which checks stated lengths, chunks and bodies that end with the connection. The comparison in StoreConnection goes. Endpoints' answers have no such limit, as before.

--- a/include/marigoldspool/Http/ResponseParser.h
+++ b/include/marigoldspool/Http/ResponseParser.h
@@ -4,6 +4,8 @@
 #include "marigoldspool/Support/HeaderField.h"
 
 #include <chrono>
+#include <cstdint>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -16,8 +18,11 @@
 class ResponseParser
 {
 public:
-    /// \p isHead: the answer has no body, whatever its head says.
-    explicit ResponseParser(bool isHead);
+    /// \p isHead: the answer has no body, whatever its head says. \p maxBodyBytes: an answer with a
+    /// longer body, stated or read, is malformed. Bodies that are forwarded without buffering need
+    /// no limit.
+    explicit ResponseParser(bool isHead,
+                            std::uint64_t maxBodyBytes = std::numeric_limits<std::uint64_t>::max());
     ~ResponseParser();
     ResponseParser(const ResponseParser &) = delete;
     ResponseParser &operator=(const ResponseParser &) = delete;
@@ -49,6 +54,7 @@
     void reset();
 
     bool m_isHead;
+    std::uint64_t m_maxBodyBytes;
     int m_interimAnswers = 0;
     std::unique_ptr<Impl> m_impl;
 };
--- a/lib/Http/ResponseParser.cpp
+++ b/lib/Http/ResponseParser.cpp
@@ -4,7 +4,6 @@
 #include "marigoldspool/Http/HttpFields.h"
 
 #include <charconv>
-#include <limits>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
@@ -122,8 +121,9 @@
     bool m_hasChunk = false;
 };
 
-ResponseParser::ResponseParser(bool isHead)
+ResponseParser::ResponseParser(bool isHead, std::uint64_t maxBodyBytes)
     : m_isHead(isHead)
+    , m_maxBodyBytes(maxBodyBytes)
 {
     reset();
 }
@@ -136,8 +136,7 @@
     m_impl->eager(true);
     m_impl->skip(m_isHead);
     m_impl->header_limit(MaxHeadBytes);
-    // Bodies are forwarded without buffering, so they need no size limit.
-    m_impl->body_limit(std::numeric_limits<std::uint64_t>::max());
+    m_impl->body_limit(m_maxBodyBytes);
 }
 
 std::size_t ResponseParser::feed(std::string_view bytes, std::string &problem)
--- a/lib/Platform/StoreConnectionPool.cpp
+++ b/lib/Platform/StoreConnectionPool.cpp
@@ -26,7 +26,7 @@
 // A page of a list has about 1 MB, and a watch may report several objects of that size. All
 // connections together must stay far below the memory of a small machine when the store sends bytes
 // without end.
-constexpr std::size_t MaxAnswerBytes = 8U << 20U;
+constexpr std::uint64_t MaxAnswerBytes = 8U << 20U;
 constexpr std::size_t ReceiveBufferBytes = 4096;
 
 } // namespace
@@ -139,7 +139,7 @@
 
     void receive()
     {
-        m_parser.emplace(false);
+        m_parser.emplace(false, MaxAnswerBytes);
         receivePart();
     }
 
@@ -164,9 +164,6 @@
             m_answerBody.append(part);
         }
         m_unparsed.erase(0, used);
-        if (problem.empty() && m_answerBody.size() > MaxAnswerBytes) {
-            problem = "the answer is too long";
-        }
         if (!problem.empty()) {
             onConnectionError(problem, false);
         } else if (m_parser->isDone()) {
--- a/tests/Http/ResponseParserTest.cpp
+++ b/tests/Http/ResponseParserTest.cpp
@@ -79,6 +79,21 @@
     checkRefused("HTTP/1.1 200 OK\r\nTransfer-Encoding:\r\n chunked\r\n\r\n0\r\n\r\n");
 }
 
+// Guards against a reader that waits for a body of which it already knows that it is too long.
+TEST_CASE("a body above the limit is refused, and with its head if that states the length")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    for (const std::string text : {"Content-Length: 4\r\n\r\n", "Content-Length: 4\r\n\r\nabcd",
+                                   "Transfer-Encoding: chunked\r\n\r\n4\r\n", "\r\nabcd"}) {
+        CAPTURE(text);
+        ResponseParser parser(false, 3);
+        CHECK_FALSE(problemOf(parser, head + text, 100).empty());
+    }
+    ResponseParser parser(false, 3);
+    CHECK(problemOf(parser, head + "Content-Length: 3\r\n\r\nabc", 100).empty());
+    CHECK(parser.isDone());
+}
+
 // Lines of a body may begin with a blank.
 TEST_CASE("a body is read whatever its lines begin with")
 {
