Instances stay listed until their planned stop ends

Cause: an instance removed its object from the list as soon as its stop began, although it takes requests for 2.7 s more and answers for 7.5 s. The others read "not listed" as "gone" and closed their links with it some 20 ms later (log: peer_disconnected reason=unwanted), so nobody was told of the streams that began there. A lost notice, a lease holder that does not record and a late list were ruled out by that log: the links were closed by the other instances before the first stream began.

Change: the object has a state, and each reader of the list takes the fact that it needs. A stopping instance keeps its links and its shares of limits and is chosen for no duty: watching the store, aggregating usage, linking zones. The object is removed when the requests have ended, right before the process ends. If the process is killed before, the others drop the instance after one grace period, and the first watcher removes the object. Earlier versions pass over the state.

"a planned stop completes open requests and removes the instance from the store" waited for the removal while a request was open, which is this fault. It now waits for the stopping state then, checks that the instance stays listed a second longer, and that it is not listed after the end.

--- a/lib/Fleet/FleetDaemon.cpp
+++ b/lib/Fleet/FleetDaemon.cpp
@@ -46,6 +46,10 @@
 constexpr Duration DrainAcceptTime = milliseconds(2700);
 // Reserved at the end of the grace period for closing connections.
 constexpr Duration GraceMargin = milliseconds(500);
+// How long the end of a planned stop waits for the store to remove this instance from the list. The
+// store answers within some milliseconds; the others drop an instance that it could not remove.
+constexpr Duration UnregisterTime = milliseconds(300);
+static_assert(UnregisterTime < GraceMargin, "the process ends within the grace period");
 constexpr Duration StopPollInterval = milliseconds(20);
 constexpr Duration QuarantineRepeatInterval = std::chrono::seconds(1);
 constexpr Duration MinLoggedTickDelay = milliseconds(250);
@@ -95,7 +99,7 @@
     {
         m_state.setMembersHandler([this] {
             m_link.updatePeers();
-            m_usageHub.setZoneMembers(zoneMembers());
+            m_usageHub.setZoneMembers(electableMembers(m_state.ownZoneTopology()));
             m_placement.onMembers();
             if (m_usageReporter) {
                 m_usageReporter->onMembers();
@@ -276,17 +280,6 @@
 
     bool isSmallFleet() const { return m_state.members().size() <= FleetLink::MaxMeshMembers; }
 
-    std::vector<InstanceId> zoneMembers() const
-    {
-        std::vector<InstanceId> ids;
-        for (const auto &[id, member] : m_state.members()) {
-            if (m_state.isInOwnZone(id)) {
-                ids.push_back(id);
-            }
-        }
-        return ids;
-    }
-
     /// The lease holder aggregates quota usage, even while it may not send orders yet.
     InstanceId usageOwner() const
     {
@@ -478,19 +471,29 @@
         if (now < m_acceptUntil) {
             return;
         }
-        if (!m_accepting) {
-            if (m_front.openRequests() == 0 || now >= m_stopDeadline) {
-                finishStop();
-            }
+        if (m_accepting) {
+            m_accepting = false;
+            m_front.stopAccepting();
+            return;
+        }
+        const bool isDue = now >= m_stopDeadline;
+        if (m_front.openRequests() > 0 && !isDue) {
             return;
         }
-        m_accepting = false;
-        m_front.stopAccepting();
+        if (m_unregisterUntil == SteadyTime()) {
+            m_unregisterUntil = now + UnregisterTime;
+            m_stoppedOpenCount = m_front.openRequests();
+            m_front.endOpenRequests();
+            m_state.unregister();
+        }
+        if (m_state.isUnregistered() || now >= m_unregisterUntil) {
+            finishStop();
+        }
     }
 
     void finishStop()
     {
-        const std::size_t openCount = m_front.openRequests();
+        m_stoppedOpenCount += m_front.openRequests();
         m_front.endOpenRequests();
         const RequestCounts counts = m_front.requestCounts();
         const std::string started = std::to_string(counts.started);
@@ -498,10 +501,11 @@
         checkInvariant(counts.started == counts.finished, "started_requests_finished",
                        started + " started, " + finished + " finished");
         logEvent(LogLevel::Info, "stopped",
-                 {{"open", std::to_string(openCount)},
+                 {{"open", std::to_string(m_stoppedOpenCount)},
                   {"started", started},
                   {"finished", finished},
-                  {"released", m_placement.isReleased() ? "yes" : "no"}});
+                  {"released", m_placement.isReleased() ? "yes" : "no"},
+                  {"unregistered", m_state.isUnregistered() ? "yes" : "no"}});
         m_stopTimer.stop();
         m_tickTimer.stop();
         m_state.stop();
@@ -542,6 +546,10 @@
     std::uint64_t m_placementSequence = 0;
     SteadyTime m_acceptUntil;
     SteadyTime m_stopDeadline;
+    /// When the process ends even if it is still listed; not set before its requests have ended.
+    SteadyTime m_unregisterUntil;
+    /// Requests that the end of a planned stop has ended.
+    std::size_t m_stoppedOpenCount = 0;
     bool m_accepting = true;
     bool m_wasPlacementFresh = false;
     bool m_wasReady = false;
--- a/lib/Fleet/FleetLink.cpp
+++ b/lib/Fleet/FleetLink.cpp
@@ -88,14 +88,9 @@
 void FleetLink::updatePeers()
 {
     const auto &members = m_state.members();
-    std::vector<TopologyMember> all;
-    all.reserve(members.size());
-    for (const auto &[id, member] : members) {
-        all.push_back({id, member.zone});
-    }
     const InstanceId &self = m_runtime.options.instance;
     const bool isSmall = members.size() <= MaxMeshMembers;
-    const std::vector<InstanceId> chosen = choosePeers(self, all);
+    const std::vector<InstanceId> chosen = choosePeers(self, m_state.topology());
     std::vector<PeerAddress> peers;
     for (const auto &[id, member] : members) {
         const bool isChosen = std::find(chosen.begin(), chosen.end(), id) != chosen.end();
--- a/lib/Fleet/FleetState.cpp
+++ b/lib/Fleet/FleetState.cpp
@@ -3,27 +3,19 @@
 #include "Fleet/FleetLink.h"
 #include "Fleet/SoftwareVersionRecord.h"
 #include "Fleet/WatchedPrefix.h"
-#include "marigoldspool/Peer/PeerTable.h"
 #include "marigoldspool/Platform/StorePosition.h"
 #include "marigoldspool/Support/EventLog.h"
-#include "marigoldspool/Support/IpAddress.h"
-#include "marigoldspool/Support/JsonText.h"
 
 #include <algorithm>
 #include <optional>
 
-#include <nlohmann/json.hpp>
-
 namespace marigoldspool {
 
 namespace {
 
-using nlohmann::json;
-
-const std::string MemberPrefix = "instances/";
-
 // Configurations and draining endpoints must take effect within two seconds, evacuations within
-// five. The list of instances only determines shares of limits.
+// five. The list of instances only determines shares of limits, connections and elections, and an
+// instance that stops is listed until its end.
 constexpr WatchTiming ConfigurationTiming{std::chrono::milliseconds(1000),
                                           std::chrono::milliseconds(100)};
 constexpr WatchTiming EndpointTiming{std::chrono::milliseconds(1000),
@@ -31,31 +23,14 @@
 constexpr WatchTiming EvacuationTiming{std::chrono::milliseconds(3000),
                                        std::chrono::milliseconds(200)};
 constexpr WatchTiming MemberTiming{std::chrono::milliseconds(5000), std::chrono::milliseconds(300)};
-constexpr std::size_t WatchersInSmallFleet = 2;
-constexpr std::size_t WatchersInZone = 2;
-constexpr Duration RegisterInterval = std::chrono::seconds(1);
 
-std::string nameInKey(std::string_view key)
-{
-    return std::string(key.substr(key.find('/') + 1));
-}
+} // namespace
 
-std::optional<FleetMember> decodeMember(const InstanceId &id, std::string_view text)
+std::string FleetState::nameInKey(std::string_view key)
 {
-    const json value = parseJson(text);
-    if (id.empty() || !value.is_object() || !value.contains("peer") || !value["peer"].is_string()
-        || !value.contains("zone") || !value["zone"].is_string()) {
-        return std::nullopt;
-    }
-    FleetMember member{id, ZoneName(value["zone"].get<std::string>()),
-                       value["peer"].get<std::string>()};
-    // An instance that cannot be reached would still take a share of all limits.
-    return isConnectableAddress(member.peerAddress) ? std::make_optional(std::move(member))
-                                                    : std::nullopt;
+    return std::string(key.substr(key.find('/') + 1));
 }
 
-} // namespace
-
 FleetState::FleetState(FleetRuntime &runtime)
     : m_runtime(runtime)
     , m_configurationDecoder(runtime.codec.makeConfigurationDecoder())
@@ -104,6 +79,8 @@
     m_runtime.endpointsConfirmedAt = find(m_runtime.codec.endpointPrefix())->confirmedAt();
     applyHeldBack();
     registerSelf();
+    expireStoppedMembers();
+    removeExpired();
     if (!m_areMembersKnown && find(MemberPrefix)->mirror.hasSnapshot()) {
         m_areMembersKnown = true;
         applyMembers();
@@ -232,55 +209,6 @@
     }
 }
 
-// In a small fleet, two instances watch for all others, in different zones if possible; in a large
-// one, two instances per zone.
-void FleetState::chooseWatchers()
-{
-    const InstanceId &self = m_runtime.options.instance;
-    const auto ownMember = m_members.find(self);
-    bool isWatcher = true;
-    if (ownMember != m_members.end()) {
-        const bool isSmall = m_members.size() <= FleetLink::MaxMeshMembers;
-        std::vector<InstanceId> ids;
-        for (const auto &[id, member] : m_members) {
-            if (isSmall || member.zone == ownMember->second.zone) {
-                ids.push_back(id);
-            }
-        }
-        std::vector<InstanceId> ranked = rendezvousOrder("watchers", ids);
-        const ZoneName firstZone = m_members[ranked.front()].zone;
-        std::stable_partition(ranked.begin() + 1, ranked.end(), [&](const InstanceId &id) {
-            return m_members[id].zone != firstZone;
-        });
-        ranked.resize(std::min(ranked.size(), isSmall ? WatchersInSmallFleet : WatchersInZone));
-        isWatcher = std::find(ranked.begin(), ranked.end(), self) != ranked.end();
-        m_isFirstWatcher = ranked.front() == self;
-    }
-    if (isWatcher != m_isWatcher) {
-        m_isWatcher = isWatcher;
-        logEvent(LogLevel::Info, "watch_role",
-                 {{"watches", isWatcher ? "for_others" : "through_peers"}});
-    }
-}
-
-bool FleetState::isInOwnZone(const InstanceId &id) const
-{
-    const auto it = m_members.find(id);
-    return it != m_members.end() && it->second.zone == m_runtime.options.zone;
-}
-
-// In a large fleet, each zone has its own watchers, so that changes are not sent between zones.
-bool FleetState::sendsBeaconsTo(const InstanceId &peer) const
-{
-    return m_members.size() <= FleetLink::MaxMeshMembers || m_members.count(peer) == 0
-        || isInOwnZone(peer);
-}
-
-bool FleetState::sendsChangesTo(const InstanceId &peer) const
-{
-    return m_isFirstWatcher && sendsBeaconsTo(peer);
-}
-
 RevisionBeacon FleetState::beacon() const
 {
     RevisionBeacon beacon;
@@ -490,39 +418,6 @@
     }
 }
 
-void FleetState::onMember(const WatchEvent &event)
-{
-    const InstanceId id(nameInKey(event.key));
-    if (event.deleted && id == m_runtime.options.instance) {
-        m_registered = false;
-        m_ownVersion = 0;
-    }
-    if (event.deleted && holdBack(event)) {
-        return;
-    }
-    m_heldBack.erase(event.key);
-    if (event.deleted) {
-        m_members.erase(id);
-    } else {
-        const std::optional<FleetMember> member = decodeMember(id, event.value);
-        if (!member) {
-            m_runtime.metrics->add("marigoldspool_unreadable_objects_total", 1,
-                                   {{"kind", "instance"}});
-            logEvent(LogLevel::Warning, "instance_unreadable", {{"instance", id.str()}});
-            return;
-        }
-        if (id == m_runtime.options.instance) {
-            m_ownVersion = event.version;
-        }
-        m_members[id] = *member;
-    }
-    logEvent(LogLevel::Info, event.deleted ? "instance_left" : "instance_joined",
-             {{"instance", id.str()}, {"instances", std::to_string(memberCount())}});
-    if (m_areMembersKnown) {
-        applyMembers();
-    }
-}
-
 // Not held back after the store was restored: the versions that are listed stay known without it.
 void FleetState::onVersionRecord(const WatchEvent &event)
 {
@@ -531,63 +426,4 @@
     }
 }
 
-std::size_t FleetState::memberCount() const
-{
-    // This instance uses its own share from its start, even before it is listed.
-    const bool isListed = m_members.count(m_runtime.options.instance) > 0;
-    return m_members.size() + (isListed ? 0 : 1);
-}
-
-void FleetState::applyMembers()
-{
-    const std::size_t count = memberCount();
-    m_runtime.quota.setInstanceCount(count);
-    m_runtime.retries.setInstanceCount(count);
-    std::vector<TopologyMember> members;
-    for (const auto &[memberId, member] : m_members) {
-        members.push_back({memberId, member.zone});
-    }
-    m_runtime.directory.setMembers(members);
-    chooseWatchers();
-    if (m_onMembers) {
-        m_onMembers();
-    }
-}
-
-// Writes this instance's object once after the start and removes it at a planned stop.
-void FleetState::registerSelf()
-{
-    const SteadyTime now = m_runtime.clock.now();
-    const WatchedPrefix *prefix = find(MemberPrefix);
-    const bool isLeaving = m_runtime.stopping;
-    if (m_registering || now < m_nextRegistration || !prefix->mirror.hasSnapshot()
-        || (isLeaving ? m_ownVersion == 0 : m_registered)) {
-        return;
-    }
-    const std::string key = MemberPrefix + m_runtime.options.instance.str();
-    m_registering = true;
-    m_nextRegistration = now + RegisterInterval;
-    const auto done = [this, isLeaving](const Expected<std::uint64_t> &result) {
-        m_registering = false;
-        if (result) {
-            m_registered = !isLeaving;
-            m_ownVersion = isLeaving ? 0 : *result;
-            logEvent(LogLevel::Info, isLeaving ? "unregistered" : "registered",
-                     {{"version", std::to_string(*result)}});
-        } else if (result.error().kind != ErrorKind::Conflict) {
-            // After a conflict, the watch provides the current version.
-            logEvent(LogLevel::Warning, "registration_failed",
-                     {{"error", describeError(result.error())}});
-        }
-    };
-    if (isLeaving) {
-        m_runtime.store->remove(key, m_ownVersion, done);
-        return;
-    }
-    const json value = {{"zone", m_runtime.options.zone.str()},
-                        {"peer", m_runtime.options.peerAddress},
-                        {"incarnation", m_runtime.incarnation}};
-    m_runtime.store->put(key, m_ownVersion, value.dump(), WriteId(m_runtime.random.hex(16)), done);
-}
-
 } // namespace marigoldspool
--- a/lib/Fleet/FleetState.h
+++ b/lib/Fleet/FleetState.h
@@ -2,6 +2,7 @@
 #define MARIGOLDSPOOL_LIB_FLEET_FLEETSTATE_H
 
 #include "Fleet/FleetRuntime.h"
+#include "marigoldspool/Peer/PeerTopology.h"
 #include "marigoldspool/Platform/Watcher.h"
 #include "marigoldspool/Serving/ObjectMirror.h"
 
@@ -21,6 +22,13 @@
     InstanceId id;
     ZoneName zone;
     std::string peerAddress;
+    /// Identifies the process; 0 in objects that lack it.
+    std::uint64_t incarnation = 0;
+    bool isStopping = false;
+    /// Version of the object in the store.
+    std::uint64_t version = 0;
+    /// When a stopping instance that is still listed counts as gone.
+    SteadyTime goneAt = SteadyTime::max();
 };
 
 /// Tracks the configuration, endpoints, zone evacuations, instances and records of software
@@ -34,6 +42,13 @@
     void start();
     void stop();
     void onTick();
+    /// Removes this instance from the list, at the end of a planned stop.
+    void unregister() { m_isUnregistering = true; }
+    /// Whether this instance has no object in the store, as far as it knows, and writes none.
+    bool isUnregistered() const
+    {
+        return m_registration == Registration::None && !m_isWritingRegistration;
+    }
 
     /// \name Handlers called after each change
     /// \{
@@ -49,7 +64,12 @@
     }
     /// \}
 
+    /// The instances that run, with those in a planned stop. What an instance may be elected for
+    /// is decided by electableMembers().
     const std::map<InstanceId, FleetMember> &members() const { return m_members; }
+    /// The same, ordered by id.
+    std::vector<TopologyMember> topology() const;
+    std::vector<TopologyMember> ownZoneTopology() const;
     bool isInOwnZone(const InstanceId &id) const;
     /// Requests to peers for the prefixes that have not been confirmed recently.
     std::vector<ObjectsRequest> outdatedPrefixes() const;
@@ -76,6 +96,19 @@
     std::vector<ObjectsTransfer> takeChanges();
 
 private:
+    /// What this instance's object in the store says.
+    enum class Registration {
+        /// There is none.
+        None,
+        /// An earlier process of this instance wrote it.
+        Earlier,
+        Serving,
+        Stopping,
+    };
+
+    static constexpr const char *MemberPrefix = "instances/";
+
+    static std::string nameInKey(std::string_view key);
     /// Whether all prefixes have been received, and a configuration with them.
     bool hasAll() const;
     void applyTransfer(WatchedPrefix &prefix, const InstanceId &from,
@@ -95,7 +128,17 @@
     /// whether it did.
     bool holdBack(const WatchEvent &event);
     void applyHeldBack();
+    Registration wantedRegistration() const;
     void registerSelf();
+    void writeRegistration(Registration wanted);
+    void onRegistrationWritten(Registration written, const Expected<std::uint64_t> &result);
+    /// Takes over what the store says of this instance's own object; \p member is null if it has
+    /// been removed.
+    void onOwnObject(std::uint64_t version, const FleetMember *member);
+    /// Drops the instances that are listed as stopping for longer than a planned stop takes.
+    void expireStoppedMembers();
+    /// Removes the objects of dropped instances from the store.
+    void removeExpired();
     void chooseWatchers();
 
     FleetRuntime &m_runtime;
@@ -113,10 +156,16 @@
     bool m_areMembersKnown = false;
     bool m_isWatcher = true;
     bool m_isFirstWatcher = true;
-    bool m_registered = false;
-    bool m_registering = false;
+    Registration m_registration = Registration::None;
+    Registration m_wantedRegistration = Registration::None;
+    bool m_isWritingRegistration = false;
+    bool m_isUnregistering = false;
     /// Version of this instance's own object in the store; 0 if it does not exist.
     std::uint64_t m_ownVersion = 0;
+    /// Versions of the objects of dropped instances that are still in the store.
+    std::map<InstanceId, std::uint64_t> m_expired;
+    bool m_isRemovingExpired = false;
+    SteadyTime m_nextRemoval;
 };
 
 } // namespace marigoldspool
--- a/tests/Peer/PeerTopologyTest.cpp
+++ b/tests/Peer/PeerTopologyTest.cpp
@@ -43,7 +43,7 @@
             const int count = *rc::gen::inRange(0, 7);
             for (int i = 0; i < count; ++i) {
                 members.push_back({InstanceId(std::to_string(z) + "-" + std::to_string(i)),
-                                   ZoneName("z" + std::to_string(z))});
+                                   ZoneName("z" + std::to_string(z)), *rc::gen::arbitrary<bool>()});
             }
         }
         for (const TopologyMember &a : members) {
@@ -125,3 +125,28 @@
         }
     }
 }
+
+// Guards against links that end at the begin of a planned stop, while the instance still serves,
+// and against zones that are linked only by instances that are about to end.
+TEST_CASE("members that begin to stop keep their links and are replaced as gateways")
+{
+    const std::vector<TopologyMember> before = makeMembers(3, 6);
+    std::vector<TopologyMember> after = before;
+    for (TopologyMember &member : after) {
+        const std::string &id = member.id.str();
+        member.isStopping = id.back() < '4';
+    }
+    for (const TopologyMember &self : after) {
+        std::map<ZoneName, int> lasting;
+        for (const TopologyMember &peer : after) {
+            const bool isLinked = hasPeer(self.id, peer.id, after);
+            CHECK((isLinked || !hasPeer(self.id, peer.id, before)));
+            lasting[peer.zone] += isLinked && !peer.isStopping ? 1 : 0;
+        }
+        for (const auto &[zone, count] : lasting) {
+            CHECK(count >= (zone == self.zone ? 1 : 2));
+        }
+    }
+    CHECK(electableMembers(after).size() == 6);
+    CHECK(electableMembers(gsl::make_span(after).first(4)).size() == 4);
+}
--- a/tests/PlatformAdapter/RequestPathTest.cpp
+++ b/tests/PlatformAdapter/RequestPathTest.cpp
@@ -269,8 +269,14 @@
         stopped = true;
     });
     REQUIRE(runUntil(io, [this] {
-        return !store.has("instances", "front-1");
+        const auto objects = store.copy().objects;
+        return objects.at("instances").at("front-1").spec.find("stopping") != std::string::npos;
     }));
+    // The others need the instance in the list for as long as it serves.
+    io.restart();
+    io.run_for(1s);
+    CHECK(store.has("instances", "front-1"));
+    CHECK_FALSE(stopped);
     openSink->data("late");
     openSink->finish();
     REQUIRE(runUntil(io, [&stopped] {
@@ -278,6 +284,30 @@
     }));
     CHECK(slow->complete);
     CHECK(slow->body == "late");
+    CHECK_FALSE(store.has("instances", "front-1"));
+}
+
+// Guards against shares of limits that stay with an instance which was killed in its planned stop.
+TEST_CASE_FIXTURE(RequestPathFixture,
+                  "an instance that is killed in its planned stop is removed after its grace")
+{
+    const Duration grace = FleetOptions().gracePeriod;
+    std::unique_ptr<FleetDaemon> second = addInstance("front-2");
+    REQUIRE(runUntil(io, [this] {
+        return store.has("instances", "front-1") && store.has("instances", "front-2");
+    }));
+    io.restart();
+    io.run_for(1s);
+    const SteadyTime before = clock.now();
+    second->stop([] {});
+    io.restart();
+    io.run_for(500ms);
+    second.reset();
+    REQUIRE(runUntil(io, [this] {
+        return !store.has("instances", "front-2");
+    }));
+    CHECK(clock.now() - before >= grace);
+    CHECK(clock.now() - before < grace + 2s);
 }
 
 // The name of an adapter stands in the order to load it.
--- a/tests/PlatformAdapter/StreamOriginTest.cpp
+++ b/tests/PlatformAdapter/StreamOriginTest.cpp
@@ -547,6 +547,35 @@
     CHECK(takeUp("front-1", "unknown")->status == 503);
 }
 
+// The others hung up on an instance when its planned stop began, so nobody was told of the streams
+// that began there until its end, and all of them were refused when callers took them up.
+TEST_CASE_FIXTURE(TwoVersionsFixture,
+                  "a stream that begins in a planned stop can be taken up elsewhere")
+{
+    std::string stopping = "front-1";
+    std::string other = "front-2";
+    // Of two instances, the one with the lower id keeps its connection with one that is not listed.
+    SUBCASE("at the instance with the lower id") { }
+    SUBCASE("at the instance with the higher id")
+    {
+        std::swap(stopping, other);
+    }
+    startMixed();
+    bool stopped = false;
+    (stopping == "front-1" ? daemon : others.front())->stop([&stopped] {
+        stopped = true;
+    });
+    runFor(500ms);
+    beginMany(stopping);
+    runFor(300ms);
+    checkTakeUps(other);
+    CHECK_FALSE(stopped);
+    REQUIRE(runUntil(io, [&stopped] {
+        return stopped;
+    }));
+    CHECK_FALSE(store.has("instances", stopping));
+}
+
 // Guards against an instance that serves without knowing what was begun before it started.
 TEST_CASE_FIXTURE(TwoVersionsFixture,
                   "an instance that starts beside two versions knows earlier streams")
--- a/tests/System/FleetSoakTest.cpp
+++ b/tests/System/FleetSoakTest.cpp
@@ -133,6 +133,12 @@
             return servesEverywhere();
         });
         CHECK_MESSAGE(recovered, "not served everywhere after the faults; logs in ", m_directory);
+        // Guards against instances that stay in the list after a stop, or are not listed again.
+        CHECK_MESSAGE(pump(RecoverTime,
+                           [this] {
+                               return areAllListedAsServing();
+                           }),
+                      "the list of instances is wrong after the faults; logs in ", m_directory);
         pump(7s, [this] {
             return std::all_of(m_calls.begin(), m_calls.end(), [](const auto &it) {
                 return it.second->ended;
@@ -160,6 +166,16 @@
         std::function<void()> end;
     };
 
+    bool areAllListedAsServing() const
+    {
+        const auto objects = m_store.copy().objects;
+        const auto members = objects.find("instances");
+        return members != objects.end() && members->second.size() == m_nodes.size()
+            && std::none_of(members->second.begin(), members->second.end(), [](const auto &it) {
+                   return json::parse(it.second.spec).contains("state");
+               });
+    }
+
     // Runs the event loop until the condition holds or the time has passed.
     bool pump(Duration time, const std::function<bool()> &condition)
     {
