A reset during the upload completes no answer without a length

A replica answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once. With unsent bytes the write takes it, since the event loop handles a writable socket before a readable one; the read behind it returns what had come and then a plain end of file. EndpointConnection dropped the error of the write, to read an early answer first, and took the plain end for the end of the answer.

Change: the connection keeps that a write has failed, and then no end of the connection completes an answer. An answer with a length or a last chunk is whole and is still delivered. Otherwise the request may have run: it goes to another endpoint where the route allows it, a stream is resumed, else the caller gets 502. A counter shows how often.

The two other forms of the report, status 000 and a blank or a control byte in the name of a field, were refused already.

--- a/include/marigoldspool/Gateway/EndpointClient.h
+++ b/include/marigoldspool/Gateway/EndpointClient.h
@@ -53,7 +53,8 @@
     bool needsOwnAnswer = false;
     /// The call fails when the body of the answer is longer, in bytes; zero: unlimited.
     std::size_t maxAnswerBytes = 0;
-    /// An answer without a length is complete when the endpoint closes the connection cleanly.
+    /// An answer without a length is complete when the endpoint closes the connection cleanly. A
+    /// reset while the request is being sent is no clean close.
     bool mayEndWithConnection = false;
 };
 
--- a/lib/Gateway/EndpointConnection.cpp
+++ b/lib/Gateway/EndpointConnection.cpp
@@ -115,6 +115,7 @@
     m_head = formatHead(call);
     m_body = std::move(call.body);
     m_sent = 0;
+    m_hasSendFailed = false;
     m_id = std::move(call.id);
     if (call.sendsNoId) {
         m_hasCarriedNoId = true;
@@ -253,7 +254,9 @@
             return;
         }
         if (ec) {
-            // The endpoint may have sent an early response that rejects the request; read it first.
+            // The endpoint may have sent an early answer, which is read first. This error may be
+            // all that tells of a reset: the read that follows then ends like after a clean close.
+            m_hasSendFailed = true;
             if (m_sent == 0) {
                 fail(ErrorKind::Unavailable, "cannot send to " + m_address + ": " + ec.message(),
                      "send the request again");
@@ -467,20 +470,32 @@
 
 void EndpointConnection::onEndOfStream(const boost::system::error_code &ec)
 {
-    if (m_mayEndWithConnection && !m_skippingAnswer && ec == asio::error::eof
-        && m_parser->finishAtEnd()) {
+    const bool isCleanEnd = ec == asio::error::eof && !m_hasSendFailed;
+    if (m_mayEndWithConnection && !m_skippingAnswer && isCleanEnd && m_parser->finishAtEnd()) {
         if (deliverAnswer()) {
             completeAtClose();
         }
         return;
     }
-    const bool endsHere = m_parser->endsWithConnection();
-    fail(ErrorKind::OutcomeUnknown,
-         endsHere ? "the answer of " + m_address + " has neither a length nor a last chunk"
-                  : m_address + " closed the connection before the answer ended: " + ec.message(),
+    if (m_hasSendFailed && m_parser->endsWithConnection()) {
+        m_context->metrics.add("marigoldspool_endpoint_answers_reset_while_sending_total");
+    }
+    fail(ErrorKind::OutcomeUnknown, describeBrokenEnd(ec),
          "check the endpoint; the request may have run");
 }
 
+std::string EndpointConnection::describeBrokenEnd(const boost::system::error_code &ec) const
+{
+    if (!m_parser->endsWithConnection()) {
+        return m_address + " closed the connection before the answer ended: " + ec.message();
+    }
+    if (m_hasSendFailed) {
+        return m_address + " reset the connection while the request was being sent, so its answer "
+            + "without a length may be incomplete";
+    }
+    return "the answer of " + m_address + " has neither a length nor a last chunk";
+}
+
 std::shared_ptr<EndpointCallHandler> EndpointConnection::endCall()
 {
     if (m_handler) {
--- a/lib/Gateway/EndpointConnection.h
+++ b/lib/Gateway/EndpointConnection.h
@@ -86,6 +86,7 @@
     void complete(bool reusable);
     void completeAtClose();
     void onEndOfStream(const boost::system::error_code &ec);
+    std::string describeBrokenEnd(const boost::system::error_code &ec) const;
     /// Closes the connection and posts the failure to the handler.
     void fail(ErrorKind kind, std::string message, std::string remedy);
     std::shared_ptr<EndpointCallHandler> endCall();
@@ -114,6 +115,8 @@
     std::string m_body;
     /// Bytes of head and body accepted by the kernel.
     std::size_t m_sent = 0;
+    /// The endpoint has closed or reset the connection before it took the whole request.
+    bool m_hasSendFailed = false;
     std::optional<ResponseParser> m_parser;
     bool m_headDelivered = false;
     std::string m_echoField;
--- a/tests/Gateway/EndpointClientTest.cpp
+++ b/tests/Gateway/EndpointClientTest.cpp
@@ -349,6 +349,32 @@
     }
 }
 
+// The write took the reset, and the read behind it ended like after a clean close, so that a part
+// of an answer counted as a whole one.
+TEST_CASE("a reset while the request is being sent ends only answers that state their end")
+{
+    const std::pair<std::string, bool> answers[] = {
+        {"\r\npart", false},
+        {"Content-Length: 4\r\n\r\npart", true},
+        {"Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", false},
+        {"Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n", true}};
+    for (const auto &it : answers) {
+        const std::string &answer = it.first;
+        CAPTURE(answer);
+        ClientFixture fixture;
+        EndpointCall call = fixture.makeCall("r1", "POST");
+        call.body.assign(16'000'000, 'x');
+        call.mayEndWithConnection = true;
+        const HandlerPtr handler = fixture.start(std::move(call));
+        RawSocket &socket = fixture.waitForRequest(0, "r1");
+        socket.send("HTTP/1.1 200 OK\r\n" + answer);
+        socket.reset();
+        fixture.waitForEnd(handler);
+        CHECK(handler->completed == (it.second ? 1 : 0));
+        CHECK(handler->body == "part");
+    }
+}
+
 TEST_CASE("an answer without a known status, or with two lengths, is refused")
 {
     for (const char *text :
--- a/tests/Gateway/Harness.h
+++ b/tests/Gateway/Harness.h
@@ -138,6 +138,14 @@
 
     void closeSending() { ::shutdown(m_fd, SHUT_WR); }
 
+    /// Closes the connection with a reset.
+    void reset()
+    {
+        const linger option{1, 0};
+        ::setsockopt(m_fd, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+        close();
+    }
+
     void close()
     {
         if (m_fd >= 0) {
--- a/tests/PlatformAdapter/BrokenAnswerTest.cpp
+++ b/tests/PlatformAdapter/BrokenAnswerTest.cpp
@@ -16,6 +16,10 @@
     std::string fields;
 };
 
+// More than the buffers of a connection hold, so that it is still being written when it is
+// answered.
+const std::string LongUpload(4'000'000, 'x');
+
 const std::vector<BrokenHead> UnknownStatuses{{"000 Trouble", LengthField},
                                               {"000 Trouble", ""},
                                               {"099 Trouble", LengthField},
@@ -136,6 +140,11 @@
 
 TEST_CASE_FIXTURE(BrokenAnswerFixture, "an answer with an unknown status reaches no caller")
 {
+    SUBCASE("behind the request") { }
+    SUBCASE("while the upload is being written")
+    {
+        upload = LongUpload;
+    }
     checkRefused(UnknownStatuses);
 }
 
@@ -146,6 +155,10 @@
     {
         before = answerText("200 OK", SealField, "another's");
     }
+    SUBCASE("while the upload is being written")
+    {
+        upload = LongUpload;
+    }
     checkRefused(BrokenNames);
 }
 
@@ -155,3 +168,35 @@
 {
     checkRefused(FoldedLines, answerText("200 OK", SealField, "another's"));
 }
+
+// A reset that came while the request was being written was taken by the write. The read behind it
+// found what had come of the answer and a plain end, which passed for the end of a whole one.
+TEST_CASE_FIXTURE(BrokenAnswerFixture, "a reset during the upload ends no answer without a length")
+{
+    upload = LongUpload;
+    const auto sendPart = [this](RawSocket &replica) {
+        replica.clearReceived();
+        replica.send("HTTP/1.1 200 OK\r\n" + EchoField + currentId() + "\r\n" + SealField
+                     + "Content-Type: text/event-stream\r\n\r\n" + Body);
+        replica.reset();
+    };
+    const Sent once = callRaw("/once/x");
+    sendPart(*once.replica);
+    waitForEnd(*once.answer);
+    CHECK(once.answer->status == 502);
+    CHECK(once.answer->body.find(Body) == std::string::npos);
+    renewReplica();
+    const Sent repeatable = callRaw("/app/x");
+    sendPart(*repeatable.replica);
+    waitForEnd(*repeatable.answer);
+    CHECK(repeatable.answer->status == 200);
+    CHECK(repeatable.answer->body == "the answer");
+    // The rest of the stream comes from the engine that is asked for it.
+    const Sent stream = callRaw("/llm/x");
+    sendPart(*stream.replica);
+    REQUIRE(runUntil(io, [&] {
+        return stream.answer->ended || !carriers().empty();
+    }));
+    CHECK(stream.answer->body == Body);
+    CHECK_FALSE(stream.answer->complete);
+}
--- a/tests/PlatformAdapter/PlatformStoreTest.cpp
+++ b/tests/PlatformAdapter/PlatformStoreTest.cpp
@@ -1,5 +1,6 @@
 #include "PlatformStore.h"
 
+#include "Gateway/Harness.h"
 #include "StandinPlatform.h"
 #include "support/EndlessServer.h"
 #include "support/IoRunner.h"
@@ -294,3 +295,26 @@
     CHECK(failureOf(remove("locks/a", 7)) == ErrorKind::Conflict);
     store.reset();
 }
+
+// Guards against a write that counts as carried out because of an answer that a reset has cut off.
+TEST_CASE_FIXTURE(StoreFixture, "a reset while an object is being written is no answer")
+{
+    RawListener raw;
+    store = std::move(*makePlatformStore(io, raw.address(), 1s, metrics));
+    std::optional<Expected<std::uint64_t>> result;
+    store->put("locks/a", 0, json{{"x", std::string(8'000'000, 'x')}}.dump(), WriteId("w"),
+               [&result](const Expected<std::uint64_t> &answer) {
+                   result = answer;
+               });
+    REQUIRE(runUntil(io, [&raw] {
+        return raw.connections() > 0 && raw.connection(0).hasReceived("\r\n\r\n");
+    }));
+    raw.connection(0).send("HTTP/1.1 200 OK\r\n\r\n"
+                           R"({"metadata":{"name":"a","rev":7},"spec":{}})");
+    raw.connection(0).reset();
+    REQUIRE(runUntil(io, [&result] {
+        return result.has_value();
+    }));
+    CHECK(failureOf(*result) == ErrorKind::OutcomeUnknown);
+    store.reset();
+}
--- a/tests/PlatformAdapter/RequestPathFixture.h
+++ b/tests/PlatformAdapter/RequestPathFixture.h
@@ -225,6 +225,7 @@
         if (!prompt.empty()) {
             call.headers.push_back({"X-Marigoldspool-Prefix-Hash", prompt});
         }
+        call.body = upload;
         client->call(std::move(call), std::make_shared<CallerHandler>(answer));
         return answer;
     }
@@ -315,6 +316,8 @@
                               {"timeoutMs", 5000},
                               {"goalMs", 1000},
                               {"resumable", true}}};
+    /// The body of the next requests.
+    std::string upload;
     /// The event after which callers resume their streams; empty for new ones.
     std::string lastEventId;
     /// The attempt that began the stream that callers resume; empty if they name none.
--- a/tests/PlatformAdapter/StandinPlatform.h
+++ b/tests/PlatformAdapter/StandinPlatform.h
@@ -405,6 +405,7 @@
     using Handler =
         std::function<void(const HttpRequest &request, const std::shared_ptr<ResponseSink> &sink)>;
     static constexpr const char *HealthPath = "/health";
+    static constexpr std::size_t MaxUploadBytes = 8U << 20U;
 
     StandinReplica(boost::asio::io_context &io, Metrics &metrics, std::string replicaId,
                    Handler replicaHandler)
@@ -468,8 +469,10 @@
 private:
     void listen()
     {
+        HttpServerOptions options;
+        options.maxBodyBytes = MaxUploadBytes;
         auto server = makeHttpServer(
-            m_io, HttpServerOptions(),
+            m_io, options,
             [this](const HttpRequest &request, const std::shared_ptr<ResponseSink> &sink) {
                 handle(request, sink);
             },
